--- /dev/null
+++ b/tanagertrail/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: the HTTP port on which requests come in."""
--- /dev/null
+++ b/tanagertrail/callers/problems.py
@@ -0,0 +1,57 @@
+"""Errors to callers as problem+json, which say whether the request ran."""
+
+__all__ = ["PROBLEM_TYPE", "build_problem"]
+
+from typing import TypedDict
+
+from tanagertrail.outcomes import Answered, Outcome, describe_run
+
+PROBLEM_TYPE = "application/problem+json"
+
+TITLES: dict[int, str] = {
+    400: "Bad request",
+    404: "Not found",
+    409: "Conflict",
+    413: "Body too large",
+    422: "Refused",
+    502: "The upstream failed",
+    503: "Not available now",
+    504: "No answer in time",
+}
+
+
+class Problem(TypedDict, total=False):
+    """A problem document.
+
+    ``ran`` is ``no``, ``yes`` or ``unknown``; ``retry_after`` is in seconds.
+    """
+
+    title: str
+    status: int
+    detail: str
+    ran: str
+    step: str
+    peer: str
+    retry_after: float
+    request_id: str
+
+
+def build_problem(outcome: Outcome, request_id: str) -> Problem:
+    """Build the problem document of an outcome that is not an answer.
+
+    :raises ValueError: if the outcome is an answer
+    """
+    if isinstance(outcome, Answered):
+        raise ValueError("an answer is no problem")
+    problem = Problem(
+        title=TITLES.get(outcome.status, "Error"),
+        status=outcome.status,
+        detail=outcome.reason,
+        ran=describe_run(outcome),
+        step=str(outcome.step),
+        peer=outcome.peer,
+        request_id=request_id,
+    )
+    if outcome.retry_after is not None:
+        problem["retry_after"] = outcome.retry_after
+    return problem
--- /dev/null
+++ b/tanagertrail/core/calls.py
@@ -0,0 +1,267 @@
+"""Calls that may be made at most once, guarded by intents in the object API."""
+
+__all__ = ["CallKeeper", "CallRecord", "CallState"]
+
+import asyncio
+import enum
+import uuid
+from typing import NamedTuple
+
+import msgpack
+import xxhash
+
+from tanagertrail.core.context import NodeContext
+from tanagertrail.core.members import MembershipKeeper
+from tanagertrail.core.requests import CallerRequest
+from tanagertrail.core.serving import RequestServer
+from tanagertrail.errors import (
+    ConflictError,
+    PlatformError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from tanagertrail.outcomes import Answered, Failed, NotRun, Outcome, Step, Unknown
+from tanagertrail.platform.objects import MAX_VALUE_BYTES
+
+CALLS_PREFIX = "calls/"
+READ_BACK_TRIES = 3
+READ_BACK_SECONDS = 0.2
+IN_PROGRESS_RETRY_SECONDS = 1.0
+STORE_RETRY_SECONDS = 2.0
+RECORD_OVERHEAD_BYTES = 4096
+
+
+class CallState(enum.StrEnum):
+    """What is known of a call."""
+
+    OPEN = "open"
+    NOT_RUN = "not_run"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+class CallRecord(NamedTuple):
+    """The stored record of a call.
+
+    :ivar body_hash: hash of method, path and body, which a resend must match
+    :ivar nonce: identifies the daemon's work on the call
+    """
+
+    body_hash: str
+    holder: str
+    nonce: str
+    state: CallState
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    reason: str = ""
+
+
+class CallKeeper:
+    """Make guarded calls: the intent is recorded before the call is sent, and never sent twice."""
+
+    def __init__(
+        self, context: NodeContext, members: MembershipKeeper, server: RequestServer
+    ) -> None:
+        self.context = context
+        self.members = members
+        self.server = server
+        self.repairs: dict[str, tuple[CallRecord, int | None]] = {}
+
+    async def serve(self, request: CallerRequest) -> Outcome:
+        """Serve a call under its idempotency key."""
+        key = build_call_key(request)
+        body_hash = hash_call(request)
+        nonce = uuid.uuid4().hex
+        record = CallRecord(body_hash, self.context.holder, nonce, CallState.OPEN)
+        try:
+            version = await self.create(key, record, 0)
+        except ConflictError:
+            return await self.serve_again(request, key, record)
+        except StoreUnavailableError as error:
+            return refuse_for_store(error)
+        except StoreUnknownError as error:
+            self.repairs[key] = (record._replace(state=CallState.NOT_RUN), None)
+            return refuse_for_store(error)
+        return await self.make(request, key, record, version)
+
+    async def create(self, key: str, record: CallRecord, expected: int) -> int:
+        """Write an intent and return its version; read back after a lost answer.
+
+        :raises ConflictError: if another daemon's intent is there
+        :raises StoreUnknownError: if it cannot be told whether the intent was written
+        """
+        try:
+            return (await self.context.store.put(key, encode_call(record), expected)).version
+        except StoreUnknownError:
+            return await self.read_back(key, record, expected)
+
+    async def read_back(self, key: str, record: CallRecord, expected: int) -> int:
+        """Find out whether a write whose answer was lost took effect."""
+        for _ in range(READ_BACK_TRIES):
+            try:
+                stored = await self.context.store.get(key)
+            except PlatformError:
+                await asyncio.sleep(READ_BACK_SECONDS)
+                continue
+            if stored is not None and decode_call(stored.value) == record:
+                return stored.version
+            found = stored.version if stored else 0
+            raise ConflictError(key, expected, found)
+        raise StoreUnknownError(f"{key} could not be read back")
+
+    async def serve_again(self, request: CallerRequest, key: str, record: CallRecord) -> Outcome:
+        """Serve a call whose key was used before."""
+        try:
+            stored = await self.context.store.get(key)
+        except PlatformError as error:
+            return Unknown(Step.RECORD, "store", str(error), 503, retry_after=STORE_RETRY_SECONDS)
+        if stored is None:
+            return NotRun(Step.RECORD, "store", "the key's record is changing", 503, 0.5)
+        known = decode_call(stored.value)
+        if known.body_hash != record.body_hash:
+            reason = "Idempotency-Key: was used with another request"
+            return NotRun(Step.RECORD, self.context.daemon, reason, 422, None)
+        if known.state is CallState.NOT_RUN:
+            return await self.reopen(request, key, record, stored.version)
+        return self.describe_known(known)
+
+    async def reopen(
+        self, request: CallerRequest, key: str, record: CallRecord, version: int
+    ) -> Outcome:
+        """Make a call that was recorded as not run."""
+        try:
+            written = await self.create(key, record, version)
+        except ConflictError:
+            return Unknown(
+                Step.RECORD,
+                self.context.daemon,
+                "another daemon has taken the call up",
+                409,
+                IN_PROGRESS_RETRY_SECONDS,
+            )
+        except StoreUnavailableError as error:
+            return refuse_for_store(error)
+        except StoreUnknownError as error:
+            self.repairs[key] = (record._replace(state=CallState.NOT_RUN), None)
+            return refuse_for_store(error)
+        return await self.make(request, key, record, written)
+
+    def describe_known(self, known: CallRecord) -> Outcome:
+        """Return the outcome of a call that was made, or is being made, before."""
+        if known.state is CallState.DONE:
+            return Answered(
+                known.holder,
+                Step.RECORD,
+                known.status,
+                known.body,
+                known.content_type,
+            )
+        if known.state is CallState.UNKNOWN or self.is_lost(known.holder):
+            reason = known.reason or "the daemon that made the call was lost"
+            return Unknown(Step.RECORD, known.holder, reason, 504)
+        return Unknown(
+            Step.RECORD,
+            known.holder,
+            "the call is being made",
+            409,
+            IN_PROGRESS_RETRY_SECONDS,
+        )
+
+    def is_lost(self, holder: str) -> bool:
+        """Say whether the daemon that recorded an intent will not finish it."""
+        daemon = holder.partition("#")[0]
+        member = self.members.membership.members.get(daemon)
+        return member is None or member.holder != holder
+
+    async def make(
+        self, request: CallerRequest, key: str, record: CallRecord, version: int
+    ) -> Outcome:
+        """Make the call once and record what came of it."""
+        outcome = await self.server.serve(request._replace(repeatable=False))
+        final = self.conclude(record, outcome)
+        try:
+            await self.context.store.put(key, encode_call(final), version)
+        except (StoreUnavailableError, StoreUnknownError):
+            self.repairs[key] = (final, version)
+        except ConflictError:
+            self.context.recorder.count("call_records_taken")
+        return outcome
+
+    def conclude(self, record: CallRecord, outcome: Outcome) -> CallRecord:
+        """Return the record of a finished call."""
+        match outcome:
+            case Answered() if len(outcome.body) < MAX_VALUE_BYTES - RECORD_OVERHEAD_BYTES:
+                return record._replace(
+                    state=CallState.DONE,
+                    status=outcome.status,
+                    content_type=outcome.content_type,
+                    body=outcome.body,
+                )
+            case Answered():
+                reason = "the call was made; its answer was too long to keep"
+                return record._replace(state=CallState.UNKNOWN, reason=reason)
+            case NotRun():
+                return record._replace(state=CallState.NOT_RUN, reason=outcome.reason)
+            case Failed() if outcome.status >= 500:
+                return record._replace(
+                    state=CallState.DONE,
+                    status=outcome.status,
+                    content_type="application/json",
+                    reason=outcome.reason,
+                )
+            case _:
+                return record._replace(state=CallState.UNKNOWN, reason=outcome.reason)
+
+    async def repair(self) -> None:
+        """Write the conclusions that could not be written before."""
+        for key, (record, version) in list(self.repairs.items()):
+            try:
+                await self.repair_one(key, record, version)
+            except (ConflictError, StoreUnknownError):
+                continue
+            except StoreUnavailableError:
+                return
+            self.repairs.pop(key, None)
+
+    async def repair_one(self, key: str, record: CallRecord, version: int | None) -> None:
+        """Write one conclusion if the stored record is still this daemon's open intent."""
+        stored = await self.context.store.get(key)
+        if stored is None:
+            return
+        known = decode_call(stored.value)
+        if known.nonce != record.nonce or known.state is not CallState.OPEN:
+            return
+        if version is not None and stored.version != version:
+            return
+        await self.context.store.put(key, encode_call(record), stored.version)
+
+
+def refuse_for_store(error: PlatformError) -> NotRun:
+    """Refuse a call that could not be recorded, so that it was not made."""
+    reason = f"the call could not be recorded: {error}"
+    return NotRun(Step.RECORD, "store", reason, 503, STORE_RETRY_SECONDS)
+
+
+def build_call_key(request: CallerRequest) -> str:
+    """Return the store key of a guarded call."""
+    parts = (request.customer, request.service, request.idempotency_key)
+    digest = xxhash.xxh128_hexdigest("\x00".join(parts).encode())
+    return f"{CALLS_PREFIX}{digest}"
+
+
+def hash_call(request: CallerRequest) -> str:
+    """Return a hash of what a resend must repeat."""
+    head = f"{request.method}\x00{request.path}\x00".encode()
+    return xxhash.xxh128_hexdigest(head + request.body)
+
+
+def encode_call(record: CallRecord) -> bytes:
+    """Encode a call's record."""
+    return msgpack.packb([*record[:3], str(record.state), *record[4:]])
+
+
+def decode_call(value: bytes) -> CallRecord:
+    """Decode a call's record."""
+    fields = msgpack.unpackb(value)
+    return CallRecord(*fields[:3], CallState(fields[3]), *fields[4:])
--- /dev/null
+++ b/tanagertrail/core/context.py
@@ -0,0 +1,141 @@
+"""What the parts of one daemon share: identity, store, peers, recorder and message dispatch."""
+
+__all__ = ["NodeContext", "PeriodicTask"]
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+
+import logbook
+
+from tanagertrail.daemons.frames import KINDS
+from tanagertrail.daemons.messages import MESSAGES, Flood, Message
+from tanagertrail.daemons.transport import BasePeerTransport
+from tanagertrail.errors import TanagertrailError
+from tanagertrail.platform.objects import BaseObjectStore
+from tanagertrail.timeline.events import Recorder
+
+log = logbook.Logger(__name__)
+
+MAX_SEEN_FLOODS = 20_000
+
+MessageHandler = Callable[[str, Message], None]
+
+
+class NodeContext:
+    """Identity, peers and shared services of one daemon.
+
+    :ivar neighbours: the daemons to which floods are passed on
+    """
+
+    def __init__(
+        self,
+        daemon: str,
+        failure_domain: str,
+        store: BaseObjectStore,
+        transport: BasePeerTransport,
+        recorder: Recorder,
+    ) -> None:
+        self.daemon = daemon
+        self.failure_domain = failure_domain
+        self.incarnation = 0
+        self.store = store
+        self.transport = transport
+        self.recorder = recorder
+        self.handlers: dict[type, MessageHandler] = {}
+        self.neighbours: list[str] = []
+        self.flood_number = 0
+        self.seen_floods: OrderedDict[tuple[str, int], None] = OrderedDict()
+        transport.set_handler(self.receive)
+
+    @property
+    def holder(self) -> str:
+        """Return the identity of this incarnation."""
+        return f"{self.daemon}#{self.incarnation}"
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def on(self, kind: type, handler: MessageHandler) -> None:
+        """Set the handler of a kind of message."""
+        self.handlers[kind] = handler
+
+    def send(self, daemon: str, message: Message) -> None:
+        """Send a message to a daemon."""
+        self.transport.send(daemon, message, self.recorder.stamp)
+
+    def send_neighbours(self, message: Message, but: str = "") -> None:
+        """Send a message to all neighbours but one."""
+        for neighbour in self.neighbours:
+            if neighbour != but:
+                self.send(neighbour, message)
+
+    def flood(self, message: Message) -> None:
+        """Send a message to every daemon over the graph of neighbours."""
+        self.flood_number += 1
+        flood = Flood(self.holder, self.flood_number, KINDS[type(message)], tuple(message))
+        self.mark_seen(flood)
+        self.send_neighbours(flood)
+
+    def receive(self, sender: str, message: Message, stamp: int) -> None:
+        """Take a message from another daemon; a bad one is counted and dropped."""
+        self.recorder.observe_stamp(stamp)
+        try:
+            if isinstance(message, Flood):
+                self.receive_flood(sender, message)
+            else:
+                self.dispatch(sender, message)
+        except (TypeError, ValueError, KeyError, TanagertrailError) as error:
+            self.recorder.count("bad_messages")
+            log.warning("message {} from {} dropped: {!r}", type(message).__name__, sender, error)
+
+    def receive_flood(self, sender: str, flood: Flood) -> None:
+        """Take a flood once and pass it on."""
+        if (flood.origin, flood.number) in self.seen_floods:
+            return
+        message = MESSAGES.get(flood.kind)._make(flood.fields)
+        self.mark_seen(flood)
+        self.send_neighbours(flood, but=sender)
+        self.dispatch(sender, message)
+
+    def mark_seen(self, flood: Flood) -> None:
+        """Remember a flood, forgetting the oldest."""
+        self.seen_floods[(flood.origin, flood.number)] = None
+        while len(self.seen_floods) > MAX_SEEN_FLOODS:
+            self.seen_floods.popitem(last=False)
+
+    def dispatch(self, sender: str, message: Message) -> None:
+        """Call the handler of a message."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            self.recorder.count("unhandled_messages")
+            return
+        handler(sender, message)
+
+
+class PeriodicTask:
+    """Run one step again and again; a failing platform call is counted, never fatal."""
+
+    def __init__(
+        self, context: NodeContext, name: str, interval: float, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        self.context = context
+        self.name = name
+        self.interval = interval
+        self.step = step
+        self.task = asyncio.create_task(self.run(), name=name)
+
+    async def run(self) -> None:
+        """Run the step at every interval."""
+        while True:
+            try:
+                await self.step()
+            except TanagertrailError as error:
+                self.context.recorder.count(f"{self.name}_failures")
+                log.debug("{}: {}", self.name, error)
+            await asyncio.sleep(self.interval)
+
+    def cancel(self) -> None:
+        """Stop the task."""
+        self.task.cancel()
--- /dev/null
+++ b/tanagertrail/core/jobs.py
@@ -0,0 +1,407 @@
+"""Durable jobs: accepted once recorded, run by their journal's holder, taken over when it goes."""
+
+__all__ = ["JobKeeper", "JobView"]
+
+import asyncio
+import json
+import uuid
+from collections import defaultdict
+from typing import NamedTuple
+
+from tanagertrail.core.calls import CallKeeper
+from tanagertrail.core.context import NodeContext
+from tanagertrail.core.duties import DutyKeeper
+from tanagertrail.core.journal import (
+    JOURNALS_PREFIX,
+    JournalWriter,
+    build_segment_key,
+    list_segments,
+    seal_journal,
+)
+from tanagertrail.core.members import MembershipKeeper
+from tanagertrail.core.requests import CallerRequest
+from tanagertrail.core.serving import MODEL_PATH, RequestServer
+from tanagertrail.daemons.messages import JobAnswer, JobQuery
+from tanagertrail.errors import PlatformError
+from tanagertrail.model import Priority
+from tanagertrail.outcomes import Answered, NotRun, Outcome, Step, Unknown
+from tanagertrail.policy.journals import (
+    JobRecord,
+    JobState,
+    JournalEntry,
+    Segment,
+    apply_entry,
+    decode_segment,
+    fold_segments,
+)
+from tanagertrail.sinks import BaseSink
+from tanagertrail.upstreams.events import EVENT_END, read_token_text
+
+SAVE_TOKENS = 32
+RETRY_SECONDS = 1.0
+QUERY_SECONDS = 0.5
+LATE_SECONDS = 5.0
+SWEEP_SECONDS = 30.0
+TRIM_SEGMENTS = 64
+
+
+class JobView(NamedTuple):
+    """What a caller is told of its job."""
+
+    job_id: str
+    state: str
+    status: int
+    text: str
+    reason: str
+
+
+class ProgressSink(BaseSink):
+    """Collect a job's tokens and save them now and then."""
+
+    def __init__(self, keeper: "JobKeeper", record: JobRecord) -> None:
+        self.keeper = keeper
+        self.record = record
+        self.events: list[bytes] = []
+        self.saved = 0
+        self.saving: asyncio.Task | None = None
+
+    def write(self, data: bytes) -> None:
+        """Take token events."""
+        self.events.extend(event for event in data.split(EVENT_END) if event)
+        idle = self.saving is None or self.saving.done()
+        if idle and len(self.events) - self.saved >= SAVE_TOKENS:
+            self.saving = asyncio.create_task(self.save())
+
+    def read_text(self, start: int = 0) -> str:
+        """Return the text of the events from a position."""
+        return "".join(read_token_text(event) for event in self.events[start:])
+
+    async def save(self) -> None:
+        """Record what has come since the last save; a failure only costs recomputing."""
+        end = len(self.events)
+        entry = JournalEntry(
+            self.record.job_id,
+            JobState.PROGRESS,
+            left=self.keeper.compute_left(self.record.job_id),
+            delivered=self.record.delivered + end,
+            text="".join(read_token_text(event) for event in self.events[self.saved : end]),
+        )
+        try:
+            await self.keeper.record(entry)
+        except PlatformError:
+            self.keeper.context.recorder.count("job_saves_failed")
+            return
+        self.saved = end
+
+
+class JobKeeper:
+    """Accept, run, answer for and take over jobs."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        members: MembershipKeeper,
+        duties: DutyKeeper,
+        server: RequestServer,
+        calls: CallKeeper,
+        batching: str = "drain",
+    ) -> None:
+        self.context = context
+        self.members = members
+        self.duties = duties
+        self.server = server
+        self.calls = calls
+        self.journal = JournalWriter(context, batching)
+        self.jobs: dict[str, JobRecord] = {}
+        self.running: dict[str, asyncio.Task] = {}
+        self.deadlines: dict[str, float] = {}
+        self.queries: dict[int, asyncio.Future[JobAnswer]] = {}
+        self.query_number = 0
+        self.stopping = False
+        self.swept_at = float("-inf")
+        self.trimmed = 0
+        members.gone_listeners.append(self.note_gone)
+        context.on(JobQuery, self.receive_query)
+        context.on(JobAnswer, self.receive_answer)
+
+    def start(self) -> None:
+        """Start the journal."""
+        self.journal.start()
+
+    async def record(self, entry: JournalEntry) -> None:
+        """Store a change of a job, then apply it here.
+
+        :raises PlatformError: if it was not stored
+        """
+        await self.journal.append(entry)
+        if entry.record is not None:
+            self.jobs[entry.job_id] = entry.record
+        elif entry.job_id in self.jobs:
+            self.jobs[entry.job_id] = apply_entry(self.jobs[entry.job_id], entry)
+
+    async def accept(self, request: CallerRequest) -> JobView | NotRun | Unknown:
+        """Accept a job: it is stored before the caller is told."""
+        job_id = f"{self.context.holder}.{uuid.uuid4().hex}"
+        record = JobRecord(
+            job_id,
+            request.customer,
+            request.service,
+            request.path,
+            request.body,
+            int(request.priority),
+            request.deadline - self.context.now(),
+            request.idempotency_key,
+        )
+        refused = self.server.check_request(request)
+        if refused is not None:
+            return refused
+        try:
+            await self.record(JournalEntry(job_id, JobState.ACCEPTED, record))
+        except PlatformError as error:
+            reason = f"the job could not be recorded: {error}"
+            return NotRun(Step.RECORD, "store", reason, 503, 2.0)
+        self.context.recorder.record("job_accepted", request=job_id)
+        self.deadlines[job_id] = request.deadline
+        self.launch(job_id)
+        return view_job(record)
+
+    def launch(self, job_id: str) -> None:
+        """Start the task that runs a job to its end."""
+        if job_id not in self.running and not self.stopping:
+            self.running[job_id] = asyncio.create_task(self.run(job_id), name=f"job {job_id}")
+
+    async def run(self, job_id: str) -> None:
+        """Run a job until it is done and recorded, or its journal is taken over."""
+        try:
+            while not self.journal.sealed and not await self.run_once(job_id):
+                await asyncio.sleep(RETRY_SECONDS)
+        finally:
+            self.running.pop(job_id, None)
+
+    async def run_once(self, job_id: str) -> bool:
+        """Try a job once; return whether it is finished."""
+        record = self.jobs[job_id]
+        request = self.build_request(record)
+        sink = ProgressSink(self, record)
+        if request.repeatable:
+            outcome = await self.server.serve(request, sink)
+        else:
+            outcome = await self.calls.serve(request)
+        entry = self.conclude(record, outcome, sink)
+        if entry is None:
+            await self.keep_progress(sink)
+            return False
+        while True:
+            try:
+                await self.record(entry)
+                break
+            except PlatformError:
+                if self.journal.sealed:
+                    return True
+                await asyncio.sleep(RETRY_SECONDS)
+        self.context.recorder.record(f"job_{entry.state}", request=job_id, detail=entry.reason)
+        return True
+
+    async def keep_progress(self, sink: ProgressSink) -> None:
+        """Save the tokens of a try that was cut."""
+        if sink.saving is not None:
+            await sink.saving
+        if len(sink.events) > sink.saved:
+            await sink.save()
+
+    def build_request(self, record: JobRecord) -> CallerRequest:
+        """Build the request that runs a job; a late job is still run, first of all."""
+        now = self.context.now()
+        deadline = self.deadlines.setdefault(record.job_id, now + record.left)
+        late = deadline - now < LATE_SECONDS
+        streamed = record.path == MODEL_PATH
+        return CallerRequest(
+            request_id=record.job_id,
+            service=record.service,
+            method="POST",
+            path=record.path,
+            body=record.body,
+            deadline=max(deadline, now + 10 * LATE_SECONDS) if late else deadline,
+            customer=record.customer,
+            priority=Priority.REPORT_LATE if late else Priority(record.priority),
+            idempotency_key=record.idempotency_key or record.job_id,
+            repeatable=streamed,
+            streamed=streamed,
+            resume_from=record.delivered,
+            resume_text=record.text,
+        )
+
+    def compute_left(self, job_id: str) -> float:
+        """Return the seconds until a job's deadline."""
+        return self.deadlines.get(job_id, 0.0) - self.context.now()
+
+    def conclude(
+        self, record: JobRecord, outcome: Outcome, sink: ProgressSink
+    ) -> JournalEntry | None:
+        """Return the entry that ends a job, None if it is to be tried again."""
+        if isinstance(outcome, Answered):
+            body = outcome.body.decode("utf-8", "replace")
+            text = sink.read_text(sink.saved) if sink.events else body
+            return JournalEntry(
+                record.job_id,
+                JobState.DONE,
+                delivered=record.delivered + len(sink.events),
+                text=text,
+                status=outcome.status,
+            )
+        final = isinstance(outcome, NotRun) and outcome.retry_after is None
+        unsafe = isinstance(outcome, Unknown) and outcome.retry_after is None
+        plain = record.path != MODEL_PATH
+        if final or (plain and unsafe) or (plain and not isinstance(outcome, NotRun | Unknown)):
+            return JournalEntry(
+                record.job_id, JobState.FAILED, status=outcome.status, reason=outcome.reason
+            )
+        return None
+
+    async def find(self, job_id: str) -> JobView | None:
+        """Find a job here or at the daemon that holds it."""
+        if job_id in self.jobs:
+            return view_job(self.jobs[job_id])
+        likely = {job_id.partition("#")[0], self.duties.find_first("takeover")}
+        members = {member.daemon for member in self.members.membership.members.values()}
+        for group in (likely & members, members - likely):
+            asked = sorted(group - {self.context.daemon})
+            answers = await asyncio.gather(*(self.ask(daemon, job_id) for daemon in asked))
+            for answer in answers:
+                if answer is not None and answer.state:
+                    return JobView(*answer[1:])
+        return None
+
+    async def ask(self, daemon: str, job_id: str) -> JobAnswer | None:
+        """Ask another daemon for a job."""
+        self.query_number += 1
+        number = self.query_number
+        answered: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
+        self.queries[number] = answered
+        self.context.send(daemon, JobQuery(self.context.daemon, number, job_id))
+        try:
+            async with asyncio.timeout(QUERY_SECONDS):
+                return await answered
+        except TimeoutError:
+            return None
+        finally:
+            del self.queries[number]
+
+    def receive_query(self, sender: str, query: JobQuery) -> None:
+        """Answer for a job that is held here."""
+        record = self.jobs.get(query.job_id)
+        view = view_job(record) if record else JobView(query.job_id, "", 0, "", "")
+        self.context.send(query.daemon, JobAnswer(query.number, *view))
+
+    def receive_answer(self, sender: str, answer: JobAnswer) -> None:
+        """Take an answer on a job."""
+        waiting = self.queries.get(answer.number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    def note_gone(self, holder: str) -> None:
+        """Look for the journals of lost daemons soon."""
+        self.swept_at = float("-inf")
+
+    async def take_over_lost(self) -> None:
+        """Take over the journals of daemons that will never act again."""
+        now = self.context.now()
+        if self.stopping or not self.duties.get_fencing("takeover"):
+            return
+        if now - self.swept_at < SWEEP_SECONDS:
+            return
+        journals = await self.read_journals()
+        for holder in sorted(journals):
+            if self.is_lost(holder):
+                await self.take_over(holder)
+        self.swept_at = now
+
+    async def read_journals(self) -> dict[str, list[Segment]]:
+        """Read all journals, by holder."""
+        result = await self.context.store.list_objects(JOURNALS_PREFIX)
+        journals: dict[str, list[Segment]] = defaultdict(list)
+        for item in result.changes:
+            journals[item.key.split("/")[1]].append(decode_segment(item.value))
+        return journals
+
+    def is_lost(self, holder: str) -> bool:
+        """Say whether a daemon's incarnation is gone or replaced."""
+        member = self.members.membership.members.get(holder.partition("#")[0])
+        return member is None or member.holder != holder
+
+    async def take_over(self, holder: str) -> None:
+        """Seal a lost daemon's journal and adopt its jobs.
+
+        What the lost daemon had sealed but perhaps not adopted is adopted with it, and only then
+        is its journal deleted, so that a chain of lost daemons is followed to its end.
+        """
+        segments = await seal_journal(self.context, holder)
+        if segments is None:
+            await self.take_over_sealer(holder)
+            return
+        await self.adopt(holder, segments)
+        for other, sealed in (await self.read_journals()).items():
+            if other != holder and sealed[-1].sealed_by == holder:
+                await self.adopt(other, sealed)
+                await self.delete_journal(other)
+        await self.delete_journal(holder)
+
+    async def take_over_sealer(self, holder: str) -> None:
+        """Take over the daemon that sealed a journal, if it was lost too."""
+        segments = await list_segments(self.context, holder)
+        sealer = segments[-1].sealed_by if segments else ""
+        if sealer and self.is_lost(sealer):
+            await self.take_over(sealer)
+
+    async def adopt(self, holder: str, segments: list[Segment]) -> None:
+        """Record the jobs of a sealed journal in this daemon's own and run the unfinished."""
+        jobs = fold_segments(segments)
+        adopted = [record for job_id, record in jobs.items() if job_id not in self.jobs]
+        await asyncio.gather(
+            *(self.record(JournalEntry(job.job_id, job.state, job)) for job in adopted)
+        )
+        for job in adopted:
+            if job.state in (JobState.ACCEPTED, JobState.PROGRESS):
+                self.launch(job.job_id)
+        self.context.recorder.record("journal_taken_over", detail=f"{holder}: {len(adopted)} jobs")
+
+    async def delete_journal(self, holder: str) -> None:
+        """Delete a journal whose jobs were adopted; the seal goes last."""
+        result = await self.context.store.list_objects(f"{JOURNALS_PREFIX}{holder}/")
+        for item in result.changes:
+            await self.context.store.delete(item.key, item.version)
+
+    async def trim(self) -> None:
+        """Write all jobs anew and delete the segments before, once there are many."""
+        first_kept = self.journal.number
+        if first_kept - self.trimmed <= TRIM_SEGMENTS or self.journal.sealed:
+            return
+        records = [JournalEntry(job.job_id, job.state, job) for job in self.jobs.values()]
+        await asyncio.gather(*(self.record(entry) for entry in records))
+        for number in range(self.trimmed + 1, first_kept):
+            await self.context.store.delete(build_segment_key(self.context.holder, number))
+        self.trimmed = first_kept - 1
+
+    def cancel(self) -> None:
+        """Stop all tasks at once."""
+        self.journal.cancel()
+        for task in self.running.values():
+            task.cancel()
+
+    async def hand_over(self) -> None:
+        """Stop running jobs before this daemon exits; their journal is taken over."""
+        self.stopping = True
+        for task in list(self.running.values()):
+            task.cancel()
+        await asyncio.gather(*self.running.values(), return_exceptions=True)
+
+
+def view_job(record: JobRecord) -> JobView:
+    """Return what a caller is told of a job."""
+    text = record.text if record.state in (JobState.DONE, JobState.FAILED) else ""
+    return JobView(record.job_id, str(record.state), record.status, text, record.reason)
+
+
+def encode_view(view: JobView) -> bytes:
+    """Encode what a caller is told."""
+    return json.dumps(view._asdict()).encode()
--- /dev/null
+++ b/tanagertrail/core/journal.py
@@ -0,0 +1,196 @@
+"""The journal of one daemon in the object API, written by group commit."""
+
+__all__ = ["JournalSealedError", "JournalWriter", "list_segments", "seal_journal"]
+
+import asyncio
+import uuid
+
+from tanagertrail.core.context import NodeContext
+from tanagertrail.errors import (
+    ConflictError,
+    PlatformError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from tanagertrail.policy.batching import BATCHINGS
+from tanagertrail.policy.journals import (
+    JournalEntry,
+    Segment,
+    decode_segment,
+    encode_segment,
+)
+
+JOURNALS_PREFIX = "journals/"
+UNKNOWN_RETRY_SECONDS = 0.3
+MAX_SEGMENT_BYTES = 900_000
+
+
+class JournalSealedError(PlatformError):
+    """Another daemon has taken the journal over."""
+
+
+def build_segment_key(holder: str, number: int) -> str:
+    """Return the key of a segment."""
+    return f"{JOURNALS_PREFIX}{holder}/{number:08d}"
+
+
+class JournalWriter:
+    """Append entries to this daemon's journal; one task writes, and entries queue meanwhile.
+
+    Each segment is created under the next number on condition that it does not exist, so that a
+    sealed journal refuses the next segment of a holder that was paused.
+    """
+
+    def __init__(self, context: NodeContext, batching: str = "drain") -> None:
+        self.context = context
+        self.batching = BATCHINGS.get(batching)
+        self.number = 1
+        self.queue: list[tuple[JournalEntry, asyncio.Future[None]]] = []
+        self.wake = asyncio.Event()
+        self.sealed = False
+        self.writes = 0
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start the writing task."""
+        self.task = asyncio.create_task(self.run(), name="journal")
+
+    def cancel(self) -> None:
+        """Stop the writing task."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def append(self, entry: JournalEntry) -> None:
+        """Append an entry and wait until it is stored.
+
+        :raises StoreUnavailableError: if it was not stored
+        :raises JournalSealedError: if the journal was taken over
+        """
+        if self.sealed:
+            raise JournalSealedError(self.context.holder)
+        stored: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.queue.append((entry, stored))
+        self.wake.set()
+        await stored
+
+    async def run(self) -> None:
+        """Write what has queued, again and again."""
+        while True:
+            await self.wake.wait()
+            if self.batching.delay:
+                await asyncio.sleep(self.batching.delay)
+            batch = self.take_batch()
+            if not self.queue:
+                self.wake.clear()
+            if batch:
+                await self.write_batch(batch)
+
+    def take_batch(self) -> list[tuple[JournalEntry, asyncio.Future[None]]]:
+        """Take the entries of the next write."""
+        size = 0
+        count = 0
+        for entry, _ in self.queue[: self.batching.largest]:
+            size += estimate_size(entry)
+            if count and size > MAX_SEGMENT_BYTES:
+                break
+            count += 1
+        batch, self.queue = self.queue[:count], self.queue[count:]
+        return batch
+
+    async def write_batch(self, batch: list[tuple[JournalEntry, asyncio.Future[None]]]) -> None:
+        """Write one segment and tell those who wait for it."""
+        segment = Segment(uuid.uuid4().hex, tuple(entry for entry, _ in batch))
+        error: PlatformError | None = None
+        try:
+            await self.write_segment(segment)
+        except PlatformError as failure:
+            error = failure
+        for _, stored in batch:
+            if stored.done():
+                continue
+            if error is None:
+                stored.set_result(None)
+            else:
+                stored.set_exception(error)
+
+    async def write_segment(self, segment: Segment) -> None:
+        """Create the next segment.
+
+        :raises StoreUnavailableError: if it was not stored
+        :raises JournalSealedError: if the journal was taken over
+        """
+        key = build_segment_key(self.context.holder, self.number)
+        self.writes += 1
+        try:
+            await self.context.store.put(key, encode_segment(segment), 0)
+        except ConflictError:
+            self.note_sealed()
+            raise JournalSealedError(self.context.holder) from None
+        except StoreUnknownError:
+            await self.settle(key, segment)
+        self.number += 1
+
+    async def settle(self, key: str, segment: Segment) -> None:
+        """Repeat a write whose answer was lost until its fate is known.
+
+        No later segment may be written before, so the journal waits here.
+        """
+        while True:
+            await asyncio.sleep(UNKNOWN_RETRY_SECONDS)
+            try:
+                await self.context.store.put(key, encode_segment(segment), 0)
+                return
+            except ConflictError:
+                if await self.is_own(key, segment):
+                    return
+                self.note_sealed()
+                raise JournalSealedError(self.context.holder) from None
+            except (StoreUnavailableError, StoreUnknownError):
+                self.context.recorder.count("journal_writes_unsettled")
+
+    async def is_own(self, key: str, segment: Segment) -> bool:
+        """Say whether a stored segment is the one that was written."""
+        while True:
+            try:
+                stored = await self.context.store.get(key)
+            except PlatformError:
+                await asyncio.sleep(UNKNOWN_RETRY_SECONDS)
+                continue
+            return stored is not None and decode_segment(stored.value).nonce == segment.nonce
+
+    def note_sealed(self) -> None:
+        """Note that this journal was taken over."""
+        if not self.sealed:
+            self.sealed = True
+            self.context.recorder.record("journal_sealed", detail=self.context.holder)
+
+
+def estimate_size(entry: JournalEntry) -> int:
+    """Return about how many bytes an entry takes."""
+    size = 200 + len(entry.text.encode())
+    if entry.record is not None:
+        size += len(entry.record.body) + len(entry.record.text.encode())
+    return size
+
+
+async def list_segments(context: NodeContext, holder: str) -> list[Segment]:
+    """Read all segments of a journal in order."""
+    result = await context.store.list_objects(f"{JOURNALS_PREFIX}{holder}/")
+    return [decode_segment(item.value) for item in result.changes]
+
+
+async def seal_journal(context: NodeContext, holder: str) -> list[Segment] | None:
+    """Seal a journal for this daemon and return its segments, None if another sealed it."""
+    while True:
+        result = await context.store.list_objects(f"{JOURNALS_PREFIX}{holder}/")
+        segments = [decode_segment(item.value) for item in result.changes]
+        if segments and segments[-1].sealed_by:
+            return segments if segments[-1].sealed_by == context.holder else None
+        last = int(result.changes[-1].key.rpartition("/")[2]) if result.changes else 0
+        seal = Segment(uuid.uuid4().hex, (), context.holder)
+        key = build_segment_key(holder, last + 1)
+        try:
+            await context.store.put(key, encode_segment(seal), 0)
+        except ConflictError:
+            continue
+        return segments
--- /dev/null
+++ b/tanagertrail/core/limiting.py
@@ -0,0 +1,404 @@
+"""Upstream limits on one daemon: its slots, and the ledgers that it keeps for others."""
+
+__all__ = ["Limiter"]
+
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import msgpack
+
+from tanagertrail.core.context import NodeContext
+from tanagertrail.core.members import MembershipKeeper
+from tanagertrail.core.sharing import SHARED_PREFIX, SharedObjects
+from tanagertrail.daemons.messages import Allotments, ColdNotice, ObjectRow, SlotReports
+from tanagertrail.errors import ConflictError, StoreUnavailableError, StoreUnknownError
+from tanagertrail.model import Configuration, Upstream, iter_upstreams
+from tanagertrail.policy.hashing import RendezvousTable, rank_by_hash
+from tanagertrail.policy.leases import pick_shard
+from tanagertrail.policy.ledger import Allotment, HolderReport, SlotLedger
+from tanagertrail.policy.membership import MemberState
+from tanagertrail.policy.slots import DemandLine, SlotHolder, spread_demand
+
+LEDGER_PREFIX = "ledger/"
+LEDGER_SHARDS = 256
+SMALL_FLEET = 16
+HOLDERS_PER_UPSTREAM = 4
+HEADROOM_SLOTS = 1
+DEMAND_MEMORY_SECONDS = 3.0
+REFRESH_SECONDS = 5.0
+URGENT_SECONDS = 0.02
+ROSTER_MARK = "roster"
+
+
+class LedgerRecord(NamedTuple):
+    """Which daemon keeps the ledgers of a shard."""
+
+    keeper: str
+    incarnation: int
+    epoch: int
+
+
+class GroupDemand:
+    """Demand for slots of one service's version over the last seconds."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.waiting = 0
+        self.peaks: deque[tuple[float, int]] = deque()
+
+    def note(self, now: float) -> None:
+        """Note the demand of this moment."""
+        current = self.in_flight + self.waiting
+        while self.peaks and self.peaks[-1][1] <= current:
+            self.peaks.pop()
+        self.peaks.append((now, current))
+
+    def compute_need(self, now: float) -> int:
+        """Return the slots needed: the recent peak, and some headroom while there is work."""
+        self.note(now)
+        while self.peaks and self.peaks[0][0] < now - DEMAND_MEMORY_SECONDS:
+            self.peaks.popleft()
+        peak = self.peaks[0][1] if self.peaks else 0
+        return peak + HEADROOM_SLOTS if peak else 0
+
+
+Group = tuple[str, str]
+
+
+class Limiter:
+    """Hold this daemon's slots and keep the ledgers of its shards.
+
+    :ivar on_slots: called with the name of an upstream whose slots changed
+    :ivar on_cold: called with the name of an upstream that turned cold
+    """
+
+    def __init__(
+        self, context: NodeContext, shared: SharedObjects, members: MembershipKeeper
+    ) -> None:
+        self.context = context
+        self.shared = shared
+        self.members = members
+        self.holder = SlotHolder(context.holder)
+        self.ledgers: dict[str, SlotLedger] = {}
+        self.records: dict[int, LedgerRecord] = {}
+        self.versions: dict[int, int] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.groups: dict[str, Group] = {}
+        self.group_upstreams: dict[Group, list[str]] = {}
+        self.holders = RendezvousTable(HOLDERS_PER_UPSTREAM)
+        self.active: set[str] = set()
+        self.unread: set[int] = set()
+        self.record_revisions: dict[int, int] = {}
+        self.demands: dict[Group, GroupDemand] = defaultdict(GroupDemand)
+        self.last_reports: dict[str, tuple[float, tuple]] = {}
+        self.urgent_at: dict[Group, float] = {}
+        self.excluded: set[str] = set()
+        self.on_slots: Callable[[str], None] = lambda upstream: None
+        self.on_cold: Callable[[str], None] = lambda upstream: None
+        shared.subscribe(LEDGER_PREFIX, self.take_record)
+        members.gone_listeners.append(self.remove_holder)
+        members.new_listeners.append(self.add_unknown)
+        context.on(SlotReports, self.receive_reports)
+        context.on(Allotments, self.receive_allotments)
+        context.on(ColdNotice, self.receive_cold)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the upstreams of a configuration."""
+        self.holder.holder = self.context.holder
+        present: dict[str, Upstream] = {}
+        self.group_upstreams = defaultdict(list)
+        for service_name, service in configuration.services.items():
+            for version_name, upstream in iter_upstreams(service):
+                present[upstream.name] = upstream
+                group = (service_name, version_name)
+                self.groups[upstream.name] = group
+                self.group_upstreams[group].append(upstream.name)
+                self.holders.add_key(upstream.name)
+        for name in set(self.upstreams) - set(present):
+            self.holder.remove_upstream(name)
+            self.holders.remove_key(name)
+            self.ledgers.pop(name, None)
+        self.upstreams = present
+        for name, upstream in present.items():
+            entry = self.holder.add_upstream(name, upstream.slots, upstream.cold_slots)
+            record = self.records.get(self.find_shard(name))
+            if record is not None:
+                entry.epoch = max(entry.epoch, record.epoch)
+                self.ensure_ledger(name, record)
+            self.resize_ledger(upstream)
+
+    def find_shard(self, upstream: str) -> int:
+        """Return the ledger shard of an upstream."""
+        return pick_shard(upstream, LEDGER_SHARDS)
+
+    def resize_ledger(self, upstream: Upstream) -> None:
+        """Give a kept ledger the limits of the configuration."""
+        ledger = self.ledgers.get(upstream.name)
+        if ledger is not None and (ledger.slots, ledger.cold_slots) != (
+            upstream.slots,
+            upstream.cold_slots,
+        ):
+            self.send_allotments(ledger.resize(upstream.slots, upstream.cold_slots))
+
+    def is_keeper(self, record: LedgerRecord) -> bool:
+        """Say whether a record names this incarnation."""
+        own = (self.context.daemon, self.context.incarnation)
+        return (record.keeper, record.incarnation) == own
+
+    def take_record(self, row: ObjectRow) -> None:
+        """Take a shard's record: bind to its epoch, and keep its ledgers if they are ours."""
+        if row.deleted:
+            return
+        shard = int(row.key.rpartition("/")[2])
+        record = LedgerRecord._make(msgpack.unpackb(row.value))
+        self.records[shard] = record
+        self.versions[shard] = row.version
+        self.record_revisions[shard] = row.revision
+        names = [name for name in self.upstreams if self.find_shard(name) == shard]
+        for name in names:
+            self.holder.bind_epoch(name, record.epoch)
+            if self.is_keeper(record):
+                self.ensure_ledger(name, record)
+            else:
+                self.ledgers.pop(name, None)
+        self.send_reports(names)
+
+    def ensure_ledger(self, name: str, record: LedgerRecord) -> None:
+        """Open the ledger of an upstream for a tenure of this daemon."""
+        known = self.ledgers.get(name)
+        if not self.is_keeper(record) or (known is not None and known.epoch == record.epoch):
+            return
+        upstream = self.upstreams[name]
+        unknown = [member.holder for member in self.members.membership.members.values()]
+        if self.find_shard(name) in self.unread:
+            unknown.append(ROSTER_MARK)
+        self.ledgers[name] = SlotLedger(
+            name, upstream.slots, upstream.cold_slots, record.epoch, unknown
+        )
+        self.context.recorder.record("ledger_opened", upstream=name, detail=str(record.epoch))
+
+    def add_unknown(self, holder: str, revision: int) -> None:
+        """Wait for the report of a daemon that registered before a kept ledger was opened."""
+        for name, ledger in self.ledgers.items():
+            opened = self.record_revisions.get(self.find_shard(name), 0)
+            if revision < opened and holder not in ledger.entries:
+                ledger.unknown.add(holder)
+
+    async def claim_shards(self) -> None:
+        """Claim the shards that have no live keeper and for which this daemon comes first.
+
+        The roster is read after the records are written, so that a daemon that is missing from
+        it will read these epochs or later ones before it uses a slot.
+        """
+        live = [member.daemon for member in self.members.membership.iter_live()]
+        self.holders.update(live)
+        if self.context.daemon not in live:
+            return
+        for shard in self.find_unkept(live):
+            await self.claim_shard(shard)
+        if self.unread:
+            await self.read_roster()
+
+    async def read_roster(self) -> None:
+        """Read the roster, after which the ledgers of claimed shards know all holders."""
+        claimed = set(self.unread)
+        await self.shared.load()
+        self.unread -= claimed
+        for name, ledger in self.ledgers.items():
+            if self.find_shard(name) in claimed:
+                ledger.unknown.discard(ROSTER_MARK)
+                self.send_allotments(list(ledger.rebalance()))
+
+    def find_unkept(self, live: list[str]) -> list[int]:
+        """Return the shards without a live keeper for which this daemon comes first."""
+        shards = sorted({self.find_shard(name) for name in self.upstreams})
+        unkept = [shard for shard in shards if not self.has_live_keeper(shard)]
+        own = self.context.daemon
+        return [s for s in unkept if rank_by_hash(f"ledger/{s}", live)[0] == own]
+
+    def has_live_keeper(self, shard: int) -> bool:
+        """Say whether a shard's recorded keeper is live."""
+        record = self.records.get(shard)
+        if record is None:
+            return False
+        member = self.members.membership.members.get(record.keeper)
+        if member is None or member.incarnation != record.incarnation:
+            return False
+        return member.state is MemberState.LIVE
+
+    async def claim_shard(self, shard: int) -> None:
+        """Record this daemon as keeper under the next epoch."""
+        old = self.records.get(shard)
+        epoch = old.epoch + 1 if old else 1
+        record = LedgerRecord(self.context.daemon, self.context.incarnation, epoch)
+        key = f"{LEDGER_PREFIX}{shard:03d}"
+        value = msgpack.packb(list(record))
+        self.unread.add(shard)
+        try:
+            await self.context.store.put(SHARED_PREFIX + key, value, self.versions.get(shard, 0))
+        except StoreUnknownError:
+            return
+        except ConflictError:
+            self.unread.discard(shard)
+            await self.shared.read(key)
+        except StoreUnavailableError:
+            self.unread.discard(shard)
+            raise
+
+    def remove_holder(self, holder: str) -> None:
+        """Free what a daemon held that will never act again."""
+        for ledger in self.ledgers.values():
+            self.send_allotments(ledger.remove_holder(holder))
+
+    def is_holder(self, upstream: str) -> bool:
+        """Say whether this daemon uses an upstream: all do in a small fleet, else a few."""
+        if len(self.holders.candidates) <= SMALL_FLEET:
+            return True
+        return self.holders.is_chosen(upstream, self.context.daemon)
+
+    def update_wants(self, group: Group) -> list[str]:
+        """Spread a group's demand over its upstreams; return those whose want changed."""
+        need = self.demands[group].compute_need(self.context.now())
+        names = self.group_upstreams.get(group, [])
+        usable = [name for name in names if name in self.holder.held]
+        chosen = [n for n in usable if n not in self.excluded and self.is_holder(n)]
+        ordered = rank_by_hash(self.context.daemon, chosen)
+        lines = [
+            DemandLine(name, self.holder.held[name].block + self.holder.held[name].free_hint)
+            for name in ordered
+        ]
+        wants = spread_demand(need, lines)
+        changed = []
+        for name in usable:
+            entry = self.holder.held[name]
+            if entry.want != wants.get(name, 0):
+                entry.want = wants.get(name, 0)
+                self.active.add(name)
+                changed.append(name)
+        return changed
+
+    def ask_urgently(self, group: Group) -> None:
+        """Report a demand at once that the held slots do not meet."""
+        now = self.context.now()
+        if now - self.urgent_at.get(group, -URGENT_SECONDS) < URGENT_SECONDS:
+            return
+        self.urgent_at[group] = now
+        self.send_reports(self.update_wants(group))
+
+    async def report(self) -> None:
+        """Report what changed since the last report, and everything now and then."""
+        for group in list(self.demands):
+            self.update_wants(group)
+        self.active = {name for name in self.active if self.is_active(name)}
+        self.send_reports([name for name in self.active if self.is_report_due(name)])
+
+    def is_active(self, name: str) -> bool:
+        """Say whether this daemon holds or wants slots, or has more to say."""
+        entry = self.holder.held.get(name)
+        if entry is None:
+            return False
+        return bool(entry.held or entry.want) or self.is_report_due(name)
+
+    def is_report_due(self, name: str) -> bool:
+        """Say whether a keeper should hear of an upstream."""
+        entry = self.holder.held[name]
+        state = self.describe_held(name)
+        at, last = self.last_reports.get(name, (float("-inf"), ()))
+        if state != last:
+            return True
+        active = entry.held or entry.want
+        return bool(active) and self.context.now() - at > REFRESH_SECONDS
+
+    def describe_held(self, name: str) -> tuple:
+        """Return the part of a report whose change calls for a new one."""
+        entry = self.holder.held[name]
+        over = max(entry.in_flight - entry.block, 0)
+        evidence = bool(entry.good or entry.slow) and entry.bound < entry.slots
+        return (entry.epoch, entry.sequence, entry.block, over, entry.want, entry.regime, evidence)
+
+    def send_reports(self, names: Iterable[str]) -> None:
+        """Send the reports of some upstreams to their keepers, one message a keeper."""
+        batches: dict[str, list[tuple]] = defaultdict(list)
+        for name in names:
+            record = self.records.get(self.find_shard(name))
+            if record is None or name not in self.holder.held:
+                continue
+            report = self.holder.build_report(name)
+            self.last_reports[name] = (self.context.now(), self.describe_held(name))
+            batches[record.keeper].append(tuple(report))
+        for keeper, rows in batches.items():
+            self.context.send(keeper, SlotReports(tuple(rows)))
+
+    def receive_reports(self, sender: str, message: SlotReports) -> None:
+        """Enter reports into the ledgers that this daemon keeps."""
+        sent: list[tuple[str, Allotment]] = []
+        for row in message.rows:
+            report = HolderReport._make(row)
+            ledger = self.ledgers.get(report.upstream)
+            if ledger is not None and self.is_registered(report.holder):
+                sent.extend(ledger.take_report(report))
+        self.send_allotments(sent)
+
+    def is_registered(self, holder: str) -> bool:
+        """Say whether a holder is the registered incarnation of its daemon."""
+        member = self.members.membership.members.get(holder.partition("#")[0])
+        return member is not None and member.holder == holder
+
+    def send_allotments(self, sent: Iterable[tuple[str, Allotment]]) -> None:
+        """Send allotments, one message a holder."""
+        batches: dict[str, list[tuple]] = defaultdict(list)
+        for holder, allotment in sent:
+            batches[holder].append(tuple(allotment))
+        for holder, rows in batches.items():
+            self.context.send(holder.partition("#")[0], Allotments(tuple(rows)))
+
+    def receive_allotments(self, sender: str, message: Allotments) -> None:
+        """Apply allotments and tell what changed."""
+        changed = []
+        for row in message.rows:
+            allotment = Allotment._make(row)
+            if self.holder.apply_allotment(allotment):
+                changed.append(allotment.upstream)
+                self.active.add(allotment.upstream)
+        for name in changed:
+            self.on_slots(name)
+        self.send_reports(changed)
+
+    def note_cold(self, upstream: str) -> None:
+        """Tell every daemon that an upstream has turned cold."""
+        entry = self.holder.held.get(upstream)
+        if entry is None or entry.bound <= entry.cold_slots:
+            return
+        notice = ColdNotice(upstream, entry.regime + 1)
+        self.context.recorder.record("upstream_cold", upstream=upstream)
+        self.receive_cold(self.context.daemon, notice)
+        self.context.flood(notice)
+
+    def receive_cold(self, sender: str, notice: ColdNotice) -> None:
+        """Cut down the use of an upstream that has turned cold."""
+        if not self.holder.note_cold(notice.upstream, notice.regime):
+            return
+        self.send_reports([notice.upstream])
+        self.on_cold(notice.upstream)
+
+    def surrender(self) -> None:
+        """Give all slots back that are not in use, before this daemon exits."""
+        for entry in self.holder.held.values():
+            entry.block = entry.want = 0
+        self.send_reports(list(self.active))
+
+    def acquire(self, upstream: str) -> bool:
+        """Take a slot of an upstream if one is available."""
+        return self.holder.acquire(upstream)
+
+    def release(self, upstream: str, slow: bool | None) -> None:
+        """Give a slot back, with evidence on the upstream's warmth if there is any."""
+        entry = self.holder.held[upstream]
+        self.holder.release(upstream)
+        if slow is True:
+            entry.slow += 1
+        elif slow is False:
+            entry.good += 1
+        if entry.in_flight == 0 and upstream not in self.upstreams:
+            self.holder.remove_upstream(upstream)
--- /dev/null
+++ b/tanagertrail/core/members.py
@@ -0,0 +1,284 @@
+"""Membership of one daemon: registration, heartbeats, the instance list, addresses."""
+
+__all__ = ["DaemonRecord", "MembershipKeeper"]
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgpack
+
+from tanagertrail.core.context import NodeContext
+from tanagertrail.core.sharing import SharedObjects
+from tanagertrail.daemons.messages import Heartbeat, MemberNews, ObjectRow
+from tanagertrail.errors import ConflictError, PlatformError, StoreUnknownError
+from tanagertrail.platform.instances import BaseInstanceList, InstanceState
+from tanagertrail.policy.hashing import rank_by_hash
+from tanagertrail.policy.membership import (
+    AddressAnswer,
+    Member,
+    Membership,
+    MemberState,
+    StateChange,
+    pick_addresses,
+    pick_neighbours,
+)
+
+ROSTER_PREFIX = "roster/"
+REGISTER_TRIES = 10
+REGISTER_RETRY_SECONDS = 0.5
+NEVER_LISTED_SECONDS = 120.0
+LIST_READERS = 3
+
+
+class DaemonRecord(NamedTuple):
+    """A daemon's entry among the shared objects."""
+
+    daemon: str
+    incarnation: int
+    peer_address: str
+    caller_address: str
+    operator_address: str
+    failure_domain: str
+
+
+class MembershipKeeper:
+    """Know the other daemons and be known by them."""
+
+    def __init__(
+        self, context: NodeContext, shared: SharedObjects, instances: BaseInstanceList
+    ) -> None:
+        self.context = context
+        self.shared = shared
+        self.instances = instances
+        self.membership = Membership(context.daemon)
+        self.records: dict[str, DaemonRecord] = {}
+        self.listed: set[str] = set()
+        self.registered_at: dict[str, float] = {}
+        self.counter = 0
+        self.questions = itertools.count()
+        self.leaving = False
+        self.gone_listeners: list[Callable[[str], None]] = []
+        self.new_listeners: list[Callable[[str, int], None]] = []
+        self.ticket_number = lambda: 0
+        shared.members = lambda: [member.daemon for member in self.membership.iter_live()]
+        shared.subscribe(ROSTER_PREFIX, self.take_row)
+        context.on(Heartbeat, self.receive_heartbeat)
+        context.on(MemberNews, self.receive_news)
+
+    async def register(self, record: DaemonRecord) -> None:
+        """Register this daemon under a new incarnation.
+
+        :raises PlatformError: if the store cannot be reached
+        """
+        key = ROSTER_PREFIX + record.daemon
+        for attempt in itertools.count(1):
+            try:
+                known = await self.shared.read(key)
+                incarnation = decode_record(known).incarnation + 1 if known else 1
+                self.context.incarnation = incarnation
+                fresh = record._replace(incarnation=incarnation)
+                await self.shared.write(
+                    key, msgpack.packb(list(fresh)), known.version if known else 0
+                )
+                return
+            except (ConflictError, StoreUnknownError):
+                if attempt >= REGISTER_TRIES:
+                    raise
+                await asyncio.sleep(REGISTER_RETRY_SECONDS)
+
+    async def unregister(self) -> None:
+        """Remove this daemon's registration, before it exits."""
+        row = self.shared.get(ROSTER_PREFIX + self.context.daemon)
+        if row is None:
+            return
+        try:
+            await self.shared.remove(ROSTER_PREFIX + self.context.daemon, row.version)
+        except PlatformError:
+            self.context.recorder.count("roster_removal_failures")
+
+    def take_row(self, row: ObjectRow) -> None:
+        """Take a daemon's registration, or its removal."""
+        daemon = row.key.rpartition("/")[2]
+        if row.deleted:
+            self.forget(daemon)
+            return
+        record = decode_record(row)
+        now = self.context.now()
+        known = self.membership.members.get(daemon)
+        old_holder = known.holder if known else ""
+        member = Member(
+            daemon,
+            record.incarnation,
+            record.peer_address,
+            record.caller_address,
+            record.failure_domain,
+        )
+        if not self.membership.add(member, now):
+            return
+        self.records[daemon] = record
+        self.registered_at[daemon] = now
+        if daemon != self.context.daemon:
+            self.context.transport.set_address(daemon, record.peer_address)
+        if old_holder:
+            self.tell_gone(old_holder)
+        for listener in self.new_listeners:
+            listener(member.holder, row.revision)
+        self.context.recorder.record("daemon_registered", detail=member.holder)
+        self.update_neighbours()
+
+    def forget(self, daemon: str) -> None:
+        """Forget a daemon whose instance is gone."""
+        member = self.membership.remove(daemon)
+        if member is None:
+            return
+        self.records.pop(daemon, None)
+        self.context.transport.forget(daemon)
+        self.context.recorder.record("daemon_gone", detail=member.holder)
+        self.tell_gone(member.holder)
+        self.update_neighbours()
+
+    def tell_gone(self, holder: str) -> None:
+        """Tell the listeners that an incarnation will never act again."""
+        for listener in self.gone_listeners:
+            listener(holder)
+
+    def update_neighbours(self) -> None:
+        """Choose the neighbours anew after the members changed."""
+        daemons = [
+            member.daemon
+            for member in self.membership.members.values()
+            if member.state in (MemberState.LIVE, MemberState.LEAVING)
+        ]
+        self.context.neighbours = pick_neighbours(self.context.daemon, daemons)
+
+    async def beat(self) -> None:
+        """Send a heartbeat to the neighbours and look for silent ones."""
+        self.counter += 1
+        own = self.membership.members.get(self.context.daemon)
+        if own is not None:
+            own.counter = self.counter
+            own.heard_at = self.context.now()
+        beat = Heartbeat(
+            self.context.daemon,
+            self.context.incarnation,
+            self.counter,
+            self.shared.digest,
+            self.ticket_number(),
+        )
+        self.context.send_neighbours(beat)
+        now = self.context.now()
+        for change in self.membership.find_silent(self.context.neighbours, now):
+            self.spread(change)
+
+    def receive_heartbeat(self, sender: str, beat: Heartbeat) -> None:
+        """Take a neighbour's heartbeat."""
+        now = self.context.now()
+        change = self.membership.hear(beat.daemon, beat.incarnation, beat.counter, now)
+        if change is not None:
+            self.spread(change)
+        self.shared.note_neighbour(sender, beat.digest)
+
+    def receive_news(self, sender: str, news: MemberNews) -> None:
+        """Take flooded news of a member; refute a suspicion of this one."""
+        change = StateChange(news.daemon, news.incarnation, news.counter, MemberState(news.state))
+        if change.daemon == self.context.daemon:
+            self.refute(change)
+            return
+        if self.membership.apply(change, self.context.now()):
+            self.context.recorder.record(f"daemon_{change.state}", detail=change.daemon)
+            self.update_neighbours()
+
+    def refute(self, change: StateChange) -> None:
+        """Answer a suspicion of this daemon with a larger number."""
+        if change.incarnation != self.context.incarnation:
+            return
+        if change.state is MemberState.SUSPECTED and not self.leaving:
+            self.counter = max(self.counter, change.counter) + 1
+            state = MemberState.LIVE
+            self.flood_change(StateChange(change.daemon, change.incarnation, self.counter, state))
+
+    def spread(self, change: StateChange) -> None:
+        """Record a change of state found here and flood it."""
+        self.context.recorder.record(f"daemon_{change.state}", detail=change.daemon)
+        self.update_neighbours()
+        self.flood_change(change)
+
+    def flood_change(self, change: StateChange) -> None:
+        """Flood a change of state."""
+        self.context.flood(
+            MemberNews(change.daemon, change.incarnation, change.counter, str(change.state))
+        )
+
+    def announce_leaving(self) -> None:
+        """Tell every daemon that this one leaves, so that no answer names it."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.counter += 1
+        change = StateChange(
+            self.context.daemon, self.context.incarnation, self.counter, MemberState.LEAVING
+        )
+        own = self.membership.members.get(self.context.daemon)
+        if own is not None:
+            own.state = MemberState.LEAVING
+            own.counter = self.counter
+        self.context.recorder.record("daemon_leaving", detail=self.context.daemon)
+        self.flood_change(change)
+
+    async def read_instances(self) -> None:
+        """Read the instance list and note what is leaving or gone; a few daemons do."""
+        if not self.is_list_reader():
+            return
+        listed = {item.name: item for item in await self.instances.read()}
+        for name, item in listed.items():
+            self.listed.add(name)
+            if item.state is InstanceState.LEAVING:
+                self.note_leaving(name)
+        now = self.context.now()
+        for daemon in list(self.membership.members):
+            if daemon not in listed and self.is_gone(daemon, now):
+                await self.remove_gone(daemon)
+
+    def is_list_reader(self) -> bool:
+        """Say whether this daemon reads the instance list for all."""
+        live = [member.daemon for member in self.membership.iter_live()]
+        return self.context.daemon in rank_by_hash("instances", live)[:LIST_READERS]
+
+    def note_leaving(self, daemon: str) -> None:
+        """Take a leaving instance out of the answers of all daemons."""
+        member = self.membership.members.get(daemon)
+        if member is None or member.state is not MemberState.LIVE:
+            return
+        member.state = MemberState.LEAVING
+        self.spread(StateChange(daemon, member.incarnation, member.counter, MemberState.LEAVING))
+
+    def is_gone(self, daemon: str, now: float) -> bool:
+        """Say whether a daemon that is not in the list is gone rather than not yet listed."""
+        if daemon == self.context.daemon:
+            return False
+        if daemon in self.listed:
+            return True
+        return now - self.registered_at.get(daemon, now) > NEVER_LISTED_SECONDS
+
+    async def remove_gone(self, daemon: str) -> None:
+        """Remove the registration of a gone daemon."""
+        row = self.shared.get(ROSTER_PREFIX + daemon)
+        self.forget(daemon)
+        self.listed.discard(daemon)
+        if row is None:
+            return
+        try:
+            await self.shared.remove(ROSTER_PREFIX + daemon, row.version)
+        except PlatformError:
+            self.context.recorder.count("roster_removal_failures")
+
+    def answer_addresses(self) -> AddressAnswer:
+        """Answer the question which addresses a caller may use."""
+        return pick_addresses(self.membership.iter_live(), next(self.questions))
+
+
+def decode_record(row: ObjectRow) -> DaemonRecord:
+    """Decode a daemon's registration."""
+    return DaemonRecord._make(msgpack.unpackb(row.value))
--- /dev/null
+++ b/tanagertrail/core/node.py
@@ -0,0 +1,236 @@
+"""One daemon's core, which runs without HTTP."""
+
+__all__ = ["Node", "NodeParts"]
+
+import asyncio
+from typing import NamedTuple
+
+from tanagertrail.core.calls import CallKeeper
+from tanagertrail.core.configuring import CommitOutcome, ConfigurationKeeper
+from tanagertrail.core.context import NodeContext, PeriodicTask
+from tanagertrail.core.duties import DutyKeeper
+from tanagertrail.core.freshness import TICK_SECONDS, Freshness
+from tanagertrail.core.jobs import JobKeeper, JobView
+from tanagertrail.core.limiting import Limiter
+from tanagertrail.core.members import DaemonRecord, MembershipKeeper
+from tanagertrail.core.requests import CallerRequest
+from tanagertrail.core.rollouts import RolloutKeeper
+from tanagertrail.core.serving import RequestServer, ServingSettings
+from tanagertrail.core.sharing import SharedObjects
+from tanagertrail.core.surroundings import Surroundings
+from tanagertrail.core.suspects import SuspectRegister
+from tanagertrail.core.traffic import TrafficSplit
+from tanagertrail.daemons.transport import BasePeerTransport
+from tanagertrail.model import Configuration
+from tanagertrail.outcomes import NotRun, Outcome, Step, Unknown
+from tanagertrail.platform.cloud import BaseCloud
+from tanagertrail.platform.instances import BaseInstanceList
+from tanagertrail.platform.objects import BaseObjectStore
+from tanagertrail.policy.membership import HEARTBEAT_SECONDS, KEEP_SECONDS
+from tanagertrail.policy.tickets import Ticket
+from tanagertrail.sinks import BaseSink
+from tanagertrail.timeline.events import Recorder
+from tanagertrail.upstreams.base import BaseUpstreamClient
+
+CLAIM_SECONDS = 0.5
+REPORT_SECONDS = 0.2
+LEASE_STEP_SECONDS = 2.0
+ROLLOUT_STEP_SECONDS = 0.5
+EVIDENCE_SECONDS = 1.0
+INSTANCES_SECONDS = 1.0
+REPAIR_SECONDS = 1.0
+TRIM_SECONDS = 10.0
+FAREWELL_SECONDS = 0.05
+REFUSED_RETRY_SECONDS = 1.0
+
+
+class NodeParts(NamedTuple):
+    """What a node is built on.
+
+    :ivar record: this daemon's registration; its incarnation is assigned at start
+    """
+
+    record: DaemonRecord
+    store: BaseObjectStore
+    instances: BaseInstanceList
+    cloud: BaseCloud
+    transport: BasePeerTransport
+    client: BaseUpstreamClient
+    serving: ServingSettings = ServingSettings()
+    batching: str = "drain"
+
+
+class Node:
+    """Wire the parts of one daemon together and run its periodic tasks."""
+
+    def __init__(self, parts: NodeParts) -> None:
+        self.parts = parts
+        record = parts.record
+        self.recorder = Recorder(record.daemon)
+        self.context = NodeContext(
+            record.daemon, record.failure_domain, parts.store, parts.transport, self.recorder
+        )
+        self.shared = SharedObjects(self.context)
+        self.members = MembershipKeeper(self.context, self.shared, parts.instances)
+        self.configuration = ConfigurationKeeper(self.context, self.shared)
+        self.members.ticket_number = lambda: self.configuration.current.number
+        self.freshness = Freshness(self.context, self.shared)
+        self.limiter = Limiter(self.context, self.shared, self.members)
+        self.traffic = TrafficSplit(self.context, self.shared, self.configuration)
+        self.suspects = SuspectRegister(self.context)
+        self.duties = DutyKeeper(self.context, self.members)
+        self.rollouts = RolloutKeeper(
+            self.context, self.shared, self.configuration, self.duties, self.traffic
+        )
+        self.server = RequestServer(
+            self.context,
+            self.configuration,
+            self.limiter,
+            self.traffic,
+            self.suspects,
+            parts.client,
+            parts.serving,
+        )
+        self.calls = CallKeeper(self.context, self.members, self.server)
+        self.jobs = JobKeeper(
+            self.context, self.members, self.duties, self.server, self.calls, parts.batching
+        )
+        self.surroundings = Surroundings(self.context, self.server, parts.client, parts.cloud)
+        self.configuration.listen(self.take_configuration)
+        self.tasks: list[PeriodicTask | asyncio.Task] = []
+        self.leaving = False
+        self.in_progress = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def take_configuration(self, configuration: Configuration, ticket: Ticket | None) -> None:
+        """Give a new configuration to the parts that follow it."""
+        self.limiter.configure(configuration)
+        self.surroundings.configure(configuration)
+
+    async def start(self) -> None:
+        """Register, read what is in force and start the periodic tasks.
+
+        :raises PlatformError: if the store cannot be reached
+        """
+        await self.parts.transport.start()
+        await self.members.register(self.parts.record)
+        await self.configuration.load_snapshot()
+        await self.shared.load()
+        self.limiter.configure(self.configuration.current)
+        self.limiter.send_reports(list(self.limiter.upstreams))
+        self.start_tasks()
+        self.recorder.record("daemon_started", detail=self.context.holder)
+
+    def start_tasks(self) -> None:
+        """Start the periodic tasks and the journal."""
+        self.jobs.start()
+        steps = (
+            ("tick", TICK_SECONDS, self.freshness.tick),
+            ("heartbeat", HEARTBEAT_SECONDS, self.members.beat),
+            ("claim", CLAIM_SECONDS, self.limiter.claim_shards),
+            ("report", REPORT_SECONDS, self.limiter.report),
+            ("lease", LEASE_STEP_SECONDS, self.duties.step),
+            ("rollout", ROLLOUT_STEP_SECONDS, self.rollouts.step),
+            ("evidence", EVIDENCE_SECONDS, self.rollouts.report),
+            ("instances", INSTANCES_SECONDS, self.members.read_instances),
+            ("repair", REPAIR_SECONDS, self.repair),
+            ("call_repair", REPAIR_SECONDS, self.calls.repair),
+            ("takeover", REPAIR_SECONDS, self.jobs.take_over_lost),
+            ("trim", TRIM_SECONDS, self.jobs.trim),
+            *self.surroundings.list_steps(),
+        )
+        for name, interval, step in steps:
+            self.tasks.append(PeriodicTask(self.context, name, interval, step))
+        self.tasks.append(asyncio.create_task(self.shared.run_watch(), name="watch"))
+
+    async def repair(self) -> None:
+        """Fetch a missing ticket and forget old deletions."""
+        self.shared.drop_tombstones()
+        await self.configuration.fetch_missing()
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return not self.leaving and not self.freshness.cut
+
+    async def serve(self, request: CallerRequest, sink: BaseSink | None = None) -> Outcome:
+        """Serve a request of a caller."""
+        refused = await self.check_fresh()
+        if refused is not None:
+            return refused
+        self.begin_work()
+        try:
+            if self.is_guarded(request):
+                return await self.calls.serve(request)
+            return await self.server.serve(request, sink)
+        finally:
+            self.end_work()
+
+    async def accept_job(self, request: CallerRequest) -> JobView | NotRun | Unknown:
+        """Accept a durable job."""
+        refused = await self.check_fresh()
+        if refused is not None:
+            return refused
+        self.begin_work()
+        try:
+            return await self.jobs.accept(request)
+        finally:
+            self.end_work()
+
+    async def check_fresh(self) -> NotRun | None:
+        """Refuse new work while this daemon does not know what is in force."""
+        if await self.freshness.check():
+            return None
+        reason = "this daemon is cut off and does not know what is in force"
+        return NotRun(Step.ADMISSION, self.context.daemon, reason, 503, REFUSED_RETRY_SECONDS)
+
+    def is_guarded(self, request: CallerRequest) -> bool:
+        """Say whether a request may be made at most once."""
+        service = self.configuration.current.services.get(request.service)
+        if service is None or request.repeatable or not request.idempotency_key:
+            return False
+        return any(request.path.startswith(prefix) for prefix in service.non_repeatable)
+
+    def begin_work(self) -> None:
+        """Count a piece of work that a planned stop waits for."""
+        self.in_progress += 1
+        self.idle.clear()
+
+    def end_work(self) -> None:
+        """Count a piece of work that is finished."""
+        self.in_progress -= 1
+        if not self.in_progress:
+            self.idle.set()
+
+    async def commit_ticket(self, ticket: Ticket) -> CommitOutcome:
+        """Commit a ticket that an operator sent."""
+        refused = await self.check_fresh()
+        return refused or await self.configuration.commit(ticket)
+
+    async def drain(self, keep: float = KEEP_SECONDS) -> None:
+        """Leave the address answers, serve until kept answers have run out, then finish.
+
+        :param keep: seconds for which callers keep an answer
+        """
+        self.leaving = True
+        self.members.announce_leaving()
+        await asyncio.sleep(keep)
+        await self.idle.wait()
+
+    async def stop(self) -> None:
+        """Give back what is held and stop the tasks."""
+        await self.jobs.hand_over()
+        self.limiter.surrender()
+        await self.duties.release_all()
+        await self.members.unregister()
+        await asyncio.sleep(FAREWELL_SECONDS)
+        await self.kill()
+
+    async def kill(self) -> None:
+        """Stop at once, as a killed process would."""
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+        self.jobs.cancel()
+        await self.parts.transport.stop()
--- /dev/null
+++ b/tanagertrail/core/traffic.py
@@ -0,0 +1,178 @@
+"""Moves between versions on one daemon: shares in force, evidence and local alarms."""
+
+__all__ = ["TrafficSplit"]
+
+from collections import defaultdict
+from collections.abc import Callable
+
+import msgpack
+import xxhash
+
+from tanagertrail.core.configuring import ConfigurationKeeper
+from tanagertrail.core.context import NodeContext
+from tanagertrail.core.sharing import SharedObjects
+from tanagertrail.daemons.messages import EvidenceRow, ObjectRow, VersionAlarm
+from tanagertrail.model import Configuration, Service
+from tanagertrail.policy.evidence import Evidence, Judgement, VersionTrial
+from tanagertrail.policy.rollout import Phase, RolloutState, VersionSplitter
+
+ROLLOUTS_PREFIX = "rollouts/"
+
+
+def encode_rollout(state: RolloutState) -> bytes:
+    """Encode the state of a move."""
+    fields = (
+        state.service,
+        state.ticket,
+        state.old,
+        state.new,
+        str(state.phase),
+        state.stage,
+        state.share,
+        state.left,
+        state.reason,
+    )
+    return msgpack.packb(fields)
+
+
+def decode_rollout(value: bytes) -> RolloutState:
+    """Decode the state of a move."""
+    service, ticket, old, new, phase, stage, share, left, reason = msgpack.unpackb(value)
+    return RolloutState(service, ticket, old, new, Phase(phase), stage, share, left, reason)
+
+
+class TrafficSplit:
+    """Divide requests over versions and watch how the new one does.
+
+    :ivar on_stop: called with service and version when a version gets no more traffic
+    """
+
+    def __init__(
+        self, context: NodeContext, shared: SharedObjects, configuration: ConfigurationKeeper
+    ) -> None:
+        self.context = context
+        self.shared = shared
+        self.configuration = configuration
+        self.states: dict[str, RolloutState] = {}
+        self.stopped: dict[tuple[str, str], int] = {}
+        self.splitters: dict[str, VersionSplitter] = {}
+        self.trials: dict[tuple[str, str], dict[str, VersionTrial]] = defaultdict(dict)
+        self.samples: dict[str, list[int]] = defaultdict(lambda: [0, 0])
+        self.deadlines: dict[tuple[str, int], float] = {}
+        self.alarm_reasons: dict[str, str] = {}
+        self.on_stop: Callable[[str, str], None] = lambda service, version: None
+        shared.subscribe(ROLLOUTS_PREFIX, self.take_row)
+        context.on(VersionAlarm, self.receive_alarm)
+        configuration.listen(self.take_configuration)
+
+    def take_configuration(self, configuration: Configuration, ticket) -> None:
+        """Forget the alarms of moves that a newer ticket has replaced."""
+        for (service, version), number in list(self.stopped.items()):
+            if configuration.origins.get(f"service/{service}", 0) > number:
+                del self.stopped[service, version]
+                self.trials.pop((service, version), None)
+
+    def take_row(self, row: ObjectRow) -> None:
+        """Take the state of a move."""
+        if row.deleted:
+            return
+        state = decode_rollout(row.value)
+        known = self.states.get(state.service)
+        if known is None or (known.ticket, known.stage, known.phase) != (
+            state.ticket,
+            state.stage,
+            state.phase,
+        ):
+            self.samples.pop(state.service, None)
+            detail = f"{state.service} {state.new} {state.phase} share={state.share}"
+            self.context.recorder.record("rollout", ticket=state.ticket, detail=detail)
+        self.states[state.service] = state
+        self.deadlines.setdefault((state.service, state.ticket), self.context.now() + state.left)
+        if state.phase is Phase.TAKEN_BACK:
+            self.on_stop(state.service, state.new)
+
+    def find_origin(self, service: str) -> int:
+        """Return the number of the ticket that last set a service."""
+        return self.configuration.current.origins.get(f"service/{service}", 0)
+
+    def find_state(self, name: str, service: Service) -> RolloutState | None:
+        """Return the state of the move that the service's ticket asks for."""
+        state = self.states.get(name)
+        if state is None or service.target is None:
+            return None
+        return state if state.ticket == self.find_origin(name) else None
+
+    def compute_shares(self, name: str, service: Service) -> dict[str, float]:
+        """Return the share of each version that gets traffic now."""
+        state = self.find_state(name, service)
+        if state is None or service.target is None:
+            return {service.current: 1.0}
+        new = service.target.version
+        if (name, new) in self.stopped or state.phase is Phase.TAKEN_BACK:
+            return {service.current: 1.0}
+        share = 1.0 if state.phase in (Phase.WATCH, Phase.DONE) else state.share
+        shares = {service.current: 1.0 - share, new: share}
+        return {version: part for version, part in shares.items() if part > 0}
+
+    def choose_version(self, name: str, service: Service) -> str:
+        """Choose the version of the next request by counting."""
+        shares = self.compute_shares(name, service)
+        if len(shares) == 1:
+            return next(iter(shares))
+        splitter = self.splitters.get(name)
+        if splitter is None:
+            offset = xxhash.xxh32_intdigest(f"{self.context.daemon}:{name}".encode()) / 2**32
+            splitter = self.splitters[name] = VersionSplitter(offset)
+        return splitter.choose(shares)
+
+    def observe(self, name: str, evidence: Evidence) -> None:
+        """Take the result of a request as evidence on a move that is under way."""
+        service = self.configuration.current.services.get(name)
+        state = self.find_state(name, service) if service else None
+        if state is None or not state.moving:
+            return
+        trials = self.trials[name, state.new]
+        trial = trials.setdefault(evidence.route, VersionTrial())
+        if evidence.version == state.old:
+            trial.add_old(evidence)
+            return
+        if evidence.version != state.new:
+            return
+        bad_before = trial.bad_samples
+        judgement = trial.add_new(evidence)
+        counts = self.samples[name]
+        counts[0] += 1
+        counts[1] += trial.bad_samples - bad_before
+        if judgement is Judgement.BAD:
+            self.raise_alarm(state, evidence.route, trial)
+
+    def raise_alarm(self, state: RolloutState, route: str, trial: VersionTrial) -> None:
+        """Stop a bad version here and tell every daemon."""
+        if (state.service, state.new) in self.stopped:
+            return
+        reason = f"route {route}: {trial.bad_samples} of {trial.samples} bad"
+        alarm = VersionAlarm(state.service, state.ticket, state.new, reason)
+        self.receive_alarm(self.context.daemon, alarm)
+        self.context.flood(alarm)
+
+    def receive_alarm(self, sender: str, alarm: VersionAlarm) -> None:
+        """Stop a version that a daemon found bad."""
+        if self.find_origin(alarm.service) > alarm.ticket:
+            return
+        key = (alarm.service, alarm.version)
+        if key in self.stopped:
+            return
+        self.stopped[key] = alarm.ticket
+        detail = f"{alarm.service} {alarm.version}: {alarm.reason}"
+        self.context.recorder.record("version_stopped", ticket=alarm.ticket, detail=detail)
+        self.alarm_reasons[alarm.service] = alarm.reason
+        self.on_stop(alarm.service, alarm.version)
+
+    def build_evidence(self) -> list[EvidenceRow]:
+        """Return the counts of each move's stage since it began here."""
+        rows = []
+        for name, (samples, bad) in self.samples.items():
+            state = self.states.get(name)
+            if state is not None and state.moving:
+                rows.append(EvidenceRow(name, state.ticket, state.stage, samples, bad))
+        return rows
--- /dev/null
+++ b/tanagertrail/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Other daemons: messages, frames and transports between them."""
--- /dev/null
+++ b/tanagertrail/daemons/frames.py
@@ -0,0 +1,70 @@
+"""Frames between daemons: a length, then a msgpack array of stamp, kind and fields."""
+
+__all__ = ["MAX_FRAME_BYTES", "PROTOCOL_VERSION", "decode_frame", "encode_frame", "read_frame"]
+
+import asyncio
+import struct
+
+import msgpack
+
+from tanagertrail.daemons.messages import MESSAGES, Message
+from tanagertrail.errors import FrameError
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 2_000_000
+HEADER = struct.Struct(">I")
+KINDS: dict[type, str] = {entry: name for name, entry in MESSAGES.entries.items()}
+
+
+def encode_frame(message: Message, stamp: int) -> bytes:
+    """Encode a message with the sender's Lamport stamp.
+
+    :raises FrameError: if it is too large
+    """
+    body = msgpack.packb([stamp, KINDS[type(message)], list(message)])
+    if len(body) > MAX_FRAME_BYTES:
+        raise FrameError(f"a frame must be at most {MAX_FRAME_BYTES} bytes, has {len(body)}")
+    return HEADER.pack(len(body)) + body
+
+
+def decode_frame(body: bytes) -> tuple[int, Message]:
+    """Decode the body of a frame to its stamp and message.
+
+    :raises FrameError: if it is malformed or of an unknown kind
+    """
+    try:
+        document = msgpack.unpackb(body, use_list=False, strict_map_key=True)
+        stamp, kind, fields = document
+        message = MESSAGES.get(kind)._make(fields)
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+        raise FrameError(f"malformed frame: {type(error).__name__}") from error
+    if not isinstance(stamp, int):
+        raise FrameError("the stamp of a frame must be a number")
+    check_fields(message)
+    return stamp, message
+
+
+def check_fields(message: Message) -> None:
+    """Check that the plain fields of a message have their types.
+
+    :raises FrameError: if one has not
+    """
+    for name, value in zip(message._fields, message, strict=True):
+        expected = message.__annotations__[name]
+        if expected in (int, str, bytes, bool) and type(value) is not expected:
+            raise FrameError(f"field {name} must be {expected.__name__}")
+        if expected not in (int, str, bytes, bool) and not isinstance(value, tuple):
+            raise FrameError(f"field {name} must be an array")
+
+
+async def read_frame(reader: asyncio.StreamReader) -> tuple[int, Message]:
+    """Read one frame.
+
+    :raises FrameError: if it is malformed or too large
+    :raises asyncio.IncompleteReadError: if the connection ends
+    """
+    header = await reader.readexactly(HEADER.size)
+    (length,) = HEADER.unpack(header)
+    if length > MAX_FRAME_BYTES:
+        raise FrameError(f"a frame must be at most {MAX_FRAME_BYTES} bytes, announces {length}")
+    return decode_frame(await reader.readexactly(length))
--- /dev/null
+++ b/tanagertrail/daemons/tcp.py
@@ -0,0 +1,185 @@
+"""Transport between daemons over TCP, on asyncio streams."""
+
+__all__ = ["TcpPeerTransport", "TcpSettings"]
+
+import asyncio
+import ssl
+from collections import deque
+from typing import NamedTuple
+
+import logbook
+
+from tanagertrail.daemons.frames import PROTOCOL_VERSION, encode_frame, read_frame
+from tanagertrail.daemons.messages import Hello, Message
+from tanagertrail.daemons.transport import BasePeerTransport
+from tanagertrail.errors import FrameError
+
+log = logbook.Logger(__name__)
+
+CONNECT_TIMEOUT = 1.0
+HELLO_TIMEOUT = 5.0
+RECONNECT_SECONDS = 0.5
+MAX_QUEUED_MESSAGES = 1000
+MAX_INBOUND_CONNECTIONS = 1000
+
+
+class TcpSettings(NamedTuple):
+    """Where a daemon listens for others, and its keys."""
+
+    host: str
+    port: int
+    incarnation: int
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+
+
+class PeerLink:
+    """An outgoing connection to one daemon, owned by one task."""
+
+    def __init__(self, transport: "TcpPeerTransport", daemon: str, address: str) -> None:
+        self.transport = transport
+        self.daemon = daemon
+        self.address = address
+        self.queue: deque[tuple[Message, int]] = deque(maxlen=MAX_QUEUED_MESSAGES)
+        self.wake = asyncio.Event()
+        self.task = asyncio.create_task(self.run())
+
+    def put(self, message: Message, stamp: int) -> None:
+        """Queue a message; the oldest is dropped when the queue is full."""
+        self.queue.append((message, stamp))
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Connect, write what is queued and connect anew after a failure."""
+        while True:
+            await self.wake.wait()
+            try:
+                await self.write_queue()
+            except (OSError, TimeoutError):
+                self.transport.count("peer_connect_failures")
+                self.queue.clear()
+                self.wake.clear()
+                await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def write_queue(self) -> None:
+        """Write queued messages on one connection until it fails."""
+        host, _, port = self.address.rpartition(":")
+        tls = self.transport.settings.client_tls
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            _, writer = await asyncio.open_connection(host, int(port), ssl=tls)
+        try:
+            writer.write(encode_frame(self.transport.build_hello(), 0))
+            while True:
+                self.write_batch(writer)
+                await writer.drain()
+                await self.wake.wait()
+        finally:
+            writer.close()
+
+    def write_batch(self, writer: asyncio.StreamWriter) -> None:
+        """Write all queued messages."""
+        if writer.is_closing():
+            raise ConnectionResetError(self.daemon)
+        while self.queue:
+            message, stamp = self.queue.popleft()
+            frame = encode_frame(message, stamp)
+            self.transport.count_sent(message, len(frame))
+            writer.write(frame)
+        self.wake.clear()
+
+
+class TcpPeerTransport(BasePeerTransport):
+    """Listen for other daemons and connect to those that are sent to."""
+
+    def __init__(self, daemon: str, settings: TcpSettings) -> None:
+        super().__init__(daemon)
+        self.settings = settings
+        self.addresses: dict[str, str] = {}
+        self.links: dict[str, PeerLink] = {}
+        self.inbound: set[asyncio.Task] = set()
+        self.server: asyncio.Server | None = None
+        self.failures: dict[str, int] = {}
+
+    @property
+    def port(self) -> int:
+        """Return the port that is bound."""
+        return self.server.sockets[0].getsockname()[1]
+
+    def build_hello(self) -> Hello:
+        """Return the hello of this daemon."""
+        return Hello(PROTOCOL_VERSION, self.daemon, self.settings.incarnation)
+
+    def count(self, name: str) -> None:
+        """Count a failure."""
+        self.failures[name] = self.failures.get(name, 0) + 1
+
+    def set_address(self, daemon: str, address: str) -> None:
+        """Learn where a daemon listens; a new address drops the old connection."""
+        if self.addresses.get(daemon) != address:
+            self.forget(daemon)
+            self.addresses[daemon] = address
+
+    def forget(self, daemon: str) -> None:
+        """Drop the connection to a daemon."""
+        self.addresses.pop(daemon, None)
+        link = self.links.pop(daemon, None)
+        if link is not None:
+            link.task.cancel()
+
+    def send(self, daemon: str, message: Message, stamp: int) -> None:
+        """Queue a message to a daemon whose address is known."""
+        if daemon == self.daemon:
+            asyncio.get_running_loop().call_soon(self.handler, daemon, message, stamp)
+            return
+        address = self.addresses.get(daemon)
+        if address is None:
+            return
+        if daemon not in self.links:
+            self.links[daemon] = PeerLink(self, daemon, address)
+        self.links[daemon].put(message, stamp)
+
+    async def start(self) -> None:
+        """Start listening."""
+        self.server = await asyncio.start_server(
+            self.serve_connection,
+            self.settings.host,
+            self.settings.port,
+            ssl=self.settings.server_tls,
+        )
+
+    async def serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Read the frames of one daemon until its connection ends."""
+        task = asyncio.current_task()
+        self.inbound.add(task)
+        try:
+            if len(self.inbound) <= MAX_INBOUND_CONNECTIONS:
+                await self.read_messages(reader)
+        except FrameError as error:
+            self.count("frame_errors")
+            log.warning("frame refused: {}", error)
+        except (asyncio.IncompleteReadError, OSError, TimeoutError):
+            self.count("connections_ended")
+        finally:
+            self.inbound.discard(task)
+            writer.close()
+
+    async def read_messages(self, reader: asyncio.StreamReader) -> None:
+        """Read the hello, then hand over every message."""
+        async with asyncio.timeout(HELLO_TIMEOUT):
+            _, hello = await read_frame(reader)
+        if not isinstance(hello, Hello) or hello.protocol != PROTOCOL_VERSION:
+            raise FrameError(f"expected a hello of protocol {PROTOCOL_VERSION}")
+        while True:
+            stamp, message = await read_frame(reader)
+            self.handler(hello.daemon, message, stamp)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for daemon in list(self.links):
+            self.forget(daemon)
+        for task in list(self.inbound):
+            task.cancel()
+        if self.server is not None:
+            self.server.close()
--- /dev/null
+++ b/tanagertrail/daemons/transport.py
@@ -0,0 +1,140 @@
+"""Contract of the transport between daemons, and its in-memory implementation."""
+
+__all__ = ["BasePeerTransport", "Handler", "MemoryNetwork", "MemoryPeerTransport"]
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from tanagertrail.daemons.frames import encode_frame
+from tanagertrail.daemons.messages import Message
+
+Handler = Callable[[str, Message, int], None]
+
+
+class BasePeerTransport:
+    """Contract: messages are sent without waiting, and may be lost with their connection."""
+
+    def __init__(self, daemon: str) -> None:
+        self.daemon = daemon
+        self.handler: Handler | None = None
+        self.bytes_sent: Counter[str] = Counter()
+        self.messages_sent: Counter[str] = Counter()
+
+    def set_handler(self, handler: Handler) -> None:
+        """Set the function that takes (sender, message, stamp)."""
+        self.handler = handler
+
+    def set_address(self, daemon: str, address: str) -> None:
+        """Learn where a daemon listens."""
+
+    def forget(self, daemon: str) -> None:
+        """Drop the connection to a daemon that is gone."""
+
+    def send(self, daemon: str, message: Message, stamp: int) -> None:
+        """Send a message if the daemon can be reached."""
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        """Start listening."""
+
+    async def stop(self) -> None:
+        """Close all connections."""
+
+    def count_sent(self, message: Message, size: int) -> None:
+        """Count a message that is sent."""
+        kind = type(message).__name__
+        self.bytes_sent[kind] += size
+        self.messages_sent[kind] += 1
+
+
+class MemoryNetwork:
+    """Connect the daemons of one process, with delays, cuts and pauses.
+
+    :ivar latency: seconds that a message takes
+    :ivar jitter: further seconds at most; messages of one pair stay in order
+    """
+
+    def __init__(self, latency: float = 0.001, jitter: float = 0.0, seed: int = 0) -> None:
+        self.latency = latency
+        self.jitter = jitter
+        self.rng = random.Random(seed)
+        self.transports: dict[str, MemoryPeerTransport] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.isolated: set[str] = set()
+        self.paused: dict[str, list[tuple[str, Message, int]]] = {}
+        self.arrivals: dict[tuple[str, str], float] = {}
+        self.count_bytes = True
+
+    def connect(self, daemon: str) -> "MemoryPeerTransport":
+        """Return the transport of a daemon."""
+        transport = MemoryPeerTransport(daemon, self)
+        self.transports[daemon] = transport
+        return transport
+
+    def cut(self, left: str, right: str) -> None:
+        """Cut two daemons from each other."""
+        self.cuts.add(frozenset((left, right)))
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self.cuts.clear()
+        self.isolated.clear()
+
+    def is_cut(self, left: str, right: str) -> bool:
+        """Say whether two daemons cannot reach each other."""
+        if left == right:
+            return False
+        isolated = left in self.isolated or right in self.isolated
+        return isolated or frozenset((left, right)) in self.cuts
+
+    def pause(self, daemon: str) -> None:
+        """Hold back the messages to a paused daemon."""
+        self.paused.setdefault(daemon, [])
+
+    def resume(self, daemon: str) -> None:
+        """Deliver what was held back."""
+        for sender, message, stamp in self.paused.pop(daemon, []):
+            self.deliver(sender, daemon, message, stamp)
+
+    def carry(self, sender: str, receiver: str, message: Message, stamp: int) -> None:
+        """Carry a message to its receiver after the delay."""
+        if self.is_cut(sender, receiver) or receiver not in self.transports:
+            return
+        loop = asyncio.get_running_loop()
+        delay = self.latency + self.jitter * self.rng.random()
+        pair = (sender, receiver)
+        arrival = max(loop.time() + delay, self.arrivals.get(pair, 0.0))
+        self.arrivals[pair] = arrival
+        loop.call_at(arrival, self.deliver, sender, receiver, message, stamp)
+
+    def deliver(self, sender: str, receiver: str, message: Message, stamp: int) -> None:
+        """Hand a message over unless its receiver is paused, cut or gone."""
+        if receiver in self.paused:
+            self.paused[receiver].append((sender, message, stamp))
+            return
+        transport = self.transports.get(receiver)
+        if transport is None or self.is_cut(sender, receiver):
+            return
+        if transport.handler is not None:
+            transport.handler(sender, message, stamp)
+
+
+class MemoryPeerTransport(BasePeerTransport):
+    """The transport of one daemon on a memory network."""
+
+    def __init__(self, daemon: str, network: MemoryNetwork) -> None:
+        super().__init__(daemon)
+        self.network = network
+
+    def send(self, daemon: str, message: Message, stamp: int) -> None:
+        """Send a message if the daemon can be reached."""
+        if self.network.count_bytes and daemon != self.daemon:
+            self.count_sent(message, len(encode_frame(message, stamp)))
+        self.network.carry(self.daemon, daemon, message, stamp)
+
+    async def stop(self) -> None:
+        """Leave the network."""
+        if self.network.transports.get(self.daemon) is self:
+            del self.network.transports[self.daemon]
--- /dev/null
+++ b/tanagertrail/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions, which neither wait nor do input or output."""
--- /dev/null
+++ b/tanagertrail/policy/choice.py
@@ -0,0 +1,126 @@
+"""Choice of an upstream among those with a free slot."""
+
+__all__ = ["CHOICES", "Candidate", "ChoiceRequest", "PrefixIndex"]
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
+
+from tanagertrail.policy.hashing import score_pair
+from tanagertrail.registry import Registry
+
+BOUNDED_LOAD_FACTOR = 1.25
+DEFAULT_HINT_SECONDS = 120.0
+MAX_INDEX_BLOCKS = 50_000
+PLACEMENT_BLOCKS = 4
+
+
+class Candidate(NamedTuple):
+    """An upstream that may take the request.
+
+    :ivar load: requests in flight that this daemon knows of, as a share of the slots
+    :ivar price: cost of its instance per hour
+    """
+
+    upstream: str
+    load: float
+    available: int
+    price: float = 1.0
+    local: bool = False
+
+
+class ChoiceRequest(NamedTuple):
+    """What a choice is made for.
+
+    :ivar blocks: hashes of the prompt's prefix blocks
+    :ivar now: event-loop time in seconds
+    """
+
+    blocks: tuple[str, ...]
+    now: float
+
+
+class PrefixIndex:
+    """Hints of which upstream has which prefix block in its cache, which expire."""
+
+    def __init__(self, lifetime: float = DEFAULT_HINT_SECONDS) -> None:
+        self.lifetime = lifetime
+        self.holders: OrderedDict[str, dict[str, float]] = OrderedDict()
+
+    def note_stored(self, upstream: str, blocks: Iterable[str], now: float) -> None:
+        """Note that an upstream has, or will soon have, some blocks."""
+        for block in blocks:
+            self.holders.setdefault(block, {})[upstream] = now + self.lifetime
+            self.holders.move_to_end(block)
+        while len(self.holders) > MAX_INDEX_BLOCKS:
+            self.holders.popitem(last=False)
+
+    def note_evicted(self, upstream: str, block: str) -> None:
+        """Note that an upstream has dropped a block."""
+        self.holders.get(block, {}).pop(upstream, None)
+
+    def forget_upstream(self, upstream: str) -> None:
+        """Drop all hints on an upstream that lost its cache."""
+        for holders in self.holders.values():
+            holders.pop(upstream, None)
+
+    def count_cached(self, upstream: str, blocks: Sequence[str], now: float) -> int:
+        """Count the leading blocks that an upstream probably has."""
+        for count, block in enumerate(blocks):
+            if self.holders.get(block, {}).get(upstream, 0.0) <= now:
+                return count
+        return len(blocks)
+
+
+Choice = Callable[[ChoiceRequest, Sequence[Candidate], PrefixIndex, random.Random], Candidate]
+CHOICES: Registry[Choice] = Registry("choice")
+
+
+@CHOICES.register("least_loaded")
+def choose_least_loaded(
+    request: ChoiceRequest,
+    candidates: Sequence[Candidate],
+    index: PrefixIndex,
+    rng: random.Random,
+) -> Candidate:
+    """Choose the candidate with the smallest load."""
+    return min(candidates, key=lambda item: (item.load, rng.random()))
+
+
+@CHOICES.register("two_choices")
+def choose_of_two(
+    request: ChoiceRequest,
+    candidates: Sequence[Candidate],
+    index: PrefixIndex,
+    rng: random.Random,
+) -> Candidate:
+    """Choose the less loaded of two random candidates."""
+    pair = rng.sample(list(candidates), min(2, len(candidates)))
+    return min(pair, key=lambda item: item.load)
+
+
+@CHOICES.register("affinity")
+def choose_by_prefix(
+    request: ChoiceRequest,
+    candidates: Sequence[Candidate],
+    index: PrefixIndex,
+    rng: random.Random,
+) -> Candidate:
+    """Choose the candidate with the longest cached prefix whose load is bounded.
+
+    Prompts that no candidate has cached are placed by rendezvous hashing with bounded loads, so
+    that daemons that share no hints still agree (V. Mirrokni, M. Thorup, M. Zadimoghaddam,
+    "Consistent hashing with bounded loads", SODA 2018).
+    """
+    if not request.blocks:
+        return choose_least_loaded(request, candidates, index, rng)
+    mean = sum(item.load for item in candidates) / len(candidates)
+    bounded = [item for item in candidates if item.load <= BOUNDED_LOAD_FACTOR * mean]
+    placement = request.blocks[min(PLACEMENT_BLOCKS, len(request.blocks)) - 1]
+
+    def score(item: Candidate) -> tuple[int, float, int]:
+        cached = index.count_cached(item.upstream, request.blocks, request.now)
+        return cached, -item.price, score_pair(placement, item.upstream)
+
+    return max(bounded or candidates, key=score)
--- /dev/null
+++ b/tanagertrail/policy/evidence.py
@@ -0,0 +1,118 @@
+"""Sequential test of a new version against the old one on the same route."""
+
+__all__ = ["Evidence", "Judgement", "VersionTrial"]
+
+import enum
+import math
+from bisect import insort
+from collections import deque
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+ALARM_LIKELIHOOD = 1000.0
+ALTERNATIVES = (2.0, 4.0, 8.0)
+MIN_BASE_RATE = 0.03
+MAX_BASE_RATE = 0.5
+BASE_MARGIN = 1.5
+BASE_WINDOW = 200
+MIN_BASE_SAMPLES = 20
+SLOW_QUANTILE = 0.95
+SLOW_MARGIN = 1.2
+CERTAIN_RATE = 0.95
+UNKNOWN_BASE_RATE = 0.1
+
+
+class Judgement(enum.StrEnum):
+    """What the evidence says of a version on one route."""
+
+    OPEN = "open"
+    BAD = "bad"
+
+
+class Evidence(NamedTuple):
+    """One finished request.
+
+    :ivar latency: seconds to the first token, or to the whole answer of a plain call
+    """
+
+    version: str
+    route: str
+    failed: bool
+    latency: float
+
+
+@dataclass
+class OldVersion:
+    """Recent results of the old version on a route."""
+
+    latencies: deque[float] = field(default_factory=lambda: deque(maxlen=BASE_WINDOW))
+    ranked: list[float] = field(default_factory=list)
+    failures: deque[bool] = field(default_factory=lambda: deque(maxlen=BASE_WINDOW))
+
+    def add(self, evidence: Evidence) -> None:
+        """Add a result."""
+        self.failures.append(evidence.failed)
+        if evidence.failed:
+            return
+        if len(self.latencies) == self.latencies.maxlen:
+            self.ranked.remove(self.latencies[0])
+        self.latencies.append(evidence.latency)
+        insort(self.ranked, evidence.latency)
+
+    @property
+    def slow_limit(self) -> float:
+        """Return the latency in seconds beyond which an answer counts as slow."""
+        if len(self.ranked) < MIN_BASE_SAMPLES:
+            return math.inf
+        return SLOW_MARGIN * self.ranked[int(SLOW_QUANTILE * len(self.ranked))]
+
+    @property
+    def base_rate(self) -> float:
+        """Return the share of bad results to expect of a version as good as the old."""
+        if len(self.failures) < MIN_BASE_SAMPLES:
+            return UNKNOWN_BASE_RATE
+        failed = sum(self.failures) / len(self.failures)
+        slow = sum(latency > self.slow_limit for latency in self.ranked) / len(self.failures)
+        return min(max(BASE_MARGIN * (failed + slow), MIN_BASE_RATE), MAX_BASE_RATE)
+
+
+class VersionTrial:
+    """Test the hypothesis that the new version on one route is no worse than the old.
+
+    The likelihood ratio of a mixture of worse rates is a test martingale, so that the chance of
+    ever passing ``ALARM_LIKELIHOOD`` under the hypothesis is at most its inverse (J. Ville, 1939).
+    """
+
+    def __init__(self) -> None:
+        self.old = OldVersion()
+        self.ratios = [1.0] * (len(ALTERNATIVES) + 1)
+        self.samples = 0
+        self.bad_samples = 0
+
+    def add_old(self, evidence: Evidence) -> None:
+        """Take a result of the old version."""
+        self.old.add(evidence)
+
+    def add_new(self, evidence: Evidence) -> Judgement:
+        """Take a result of the new version and judge it."""
+        bad = evidence.failed or evidence.latency > self.old.slow_limit
+        self.samples += 1
+        self.bad_samples += bad
+        self.multiply(bad, self.old.base_rate)
+        return self.judge()
+
+    def multiply(self, bad: bool, base: float) -> None:
+        """Multiply each likelihood ratio by that of one result."""
+        rates = [min(factor * base, CERTAIN_RATE) for factor in ALTERNATIVES]
+        for index, rate in enumerate([*rates, CERTAIN_RATE]):
+            ratio = rate / base if bad else (1 - rate) / (1 - base)
+            self.ratios[index] *= ratio
+
+    @property
+    def likelihood(self) -> float:
+        """Return the likelihood ratio of the mixture."""
+        return sum(self.ratios) / len(self.ratios)
+
+    def judge(self) -> Judgement:
+        """Say what the evidence says so far."""
+        return Judgement.BAD if self.likelihood > ALARM_LIKELIHOOD else Judgement.OPEN
--- /dev/null
+++ b/tanagertrail/policy/journals.py
@@ -0,0 +1,131 @@
+"""Journals of durable jobs: records, segments, seals, and what follows from them."""
+
+__all__ = [
+    "JobRecord",
+    "JobState",
+    "JournalEntry",
+    "Segment",
+    "decode_segment",
+    "encode_segment",
+    "fold_segments",
+]
+
+import enum
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgpack
+
+
+class JobState(enum.StrEnum):
+    """Where a job stands."""
+
+    ACCEPTED = "accepted"
+    PROGRESS = "progress"
+    DONE = "done"
+    FAILED = "failed"
+
+
+class JobRecord(NamedTuple):
+    """A durable job.
+
+    :ivar left: seconds until its deadline when the record was written
+    :ivar delivered: tokens saved so far
+    :ivar text: their text, or the answer's body
+    """
+
+    job_id: str
+    customer: str
+    service: str
+    path: str
+    body: bytes
+    priority: int
+    left: float
+    idempotency_key: str = ""
+    state: JobState = JobState.ACCEPTED
+    delivered: int = 0
+    text: str = ""
+    status: int = 0
+    reason: str = ""
+
+
+class JournalEntry(NamedTuple):
+    """A change of one job: its whole new record, or only what moved."""
+
+    job_id: str
+    state: JobState
+    record: JobRecord | None = None
+    left: float = 0.0
+    delivered: int = 0
+    text: str = ""
+    status: int = 0
+    reason: str = ""
+
+
+class Segment(NamedTuple):
+    """Entries that were written together.
+
+    :ivar sealed_by: the daemon that takes the journal over, empty while it is open
+    """
+
+    nonce: str
+    entries: tuple[JournalEntry, ...]
+    sealed_by: str = ""
+
+
+def encode_segment(segment: Segment) -> bytes:
+    """Encode a segment."""
+    rows = [
+        [
+            entry.job_id,
+            str(entry.state),
+            encode_record(entry.record) if entry.record else None,
+            *entry[3:],
+        ]
+        for entry in segment.entries
+    ]
+    return msgpack.packb([segment.nonce, rows, segment.sealed_by])
+
+
+def encode_record(record: JobRecord) -> list:
+    """Encode a job's record."""
+    return [*record[:8], str(record.state), *record[9:]]
+
+
+def decode_record(fields: list) -> JobRecord:
+    """Decode a job's record."""
+    return JobRecord(*fields[:8], JobState(fields[8]), *fields[9:])
+
+
+def decode_segment(value: bytes) -> Segment:
+    """Decode a segment."""
+    nonce, rows, sealed_by = msgpack.unpackb(value)
+    entries = tuple(
+        JournalEntry(row[0], JobState(row[1]), decode_record(row[2]) if row[2] else None, *row[3:])
+        for row in rows
+    )
+    return Segment(nonce, entries, sealed_by)
+
+
+def fold_segments(segments: Iterable[Segment]) -> dict[str, JobRecord]:
+    """Return the state of each job after all segments."""
+    jobs: dict[str, JobRecord] = {}
+    for segment in segments:
+        for entry in segment.entries:
+            if entry.record is not None:
+                jobs[entry.job_id] = entry.record
+            elif entry.job_id in jobs:
+                jobs[entry.job_id] = apply_entry(jobs[entry.job_id], entry)
+    return jobs
+
+
+def apply_entry(record: JobRecord, entry: JournalEntry) -> JobRecord:
+    """Return a job's record after a change."""
+    return record._replace(
+        state=entry.state,
+        left=entry.left,
+        delivered=entry.delivered,
+        text=record.text + entry.text,
+        status=entry.status,
+        reason=entry.reason,
+    )
--- /dev/null
+++ b/tanagertrail/policy/leases.py
@@ -0,0 +1,83 @@
+"""Leases on duty shards, with fencing numbers, kept in the object API."""
+
+__all__ = [
+    "DUTY_SHARDS",
+    "LEASE_SECONDS",
+    "LeaseRecord",
+    "LeaseWatch",
+    "may_act",
+    "pick_shard",
+]
+
+from typing import NamedTuple
+
+import xxhash
+
+DUTY_SHARDS = 16
+LEASE_SECONDS = 6.0
+RENEW_SECONDS = 2.0
+CLOCK_MARGIN = 1.1
+MAX_ORDER_SECONDS = 2.0
+
+
+class LeaseRecord(NamedTuple):
+    """The stored record of a lease.
+
+    :ivar fencing: number of the tenure, which rises with each holder
+    :ivar renewal: number of renewals in this tenure
+    :ivar released: whether the holder gave it up
+    """
+
+    holder: str
+    fencing: int
+    renewal: int
+    released: bool = False
+
+
+def pick_shard(key: str, shards: int = DUTY_SHARDS) -> int:
+    """Return the shard of a duty's key."""
+    return xxhash.xxh64_intdigest(key.encode()) % shards
+
+
+class LeaseWatch:
+    """What one daemon has seen of a lease, timed by its own clock.
+
+    No time is taken from the record: a lease may be claimed only after this daemon has seen the
+    same renewal for longer than the lease lasts.
+    """
+
+    def __init__(self) -> None:
+        self.record: LeaseRecord | None = None
+        self.version = 0
+        self.seen_at = 0.0
+
+    def observe(self, record: LeaseRecord | None, version: int, now: float) -> None:
+        """Take what was read."""
+        if version != self.version or record is None:
+            self.record = record
+            self.version = version
+            self.seen_at = now
+
+    def note_unreadable(self, now: float) -> None:
+        """Start the wait anew after a read failed, for renewals may have been missed."""
+        self.seen_at = now
+
+    def may_claim(self, now: float) -> bool:
+        """Say whether the lease has certainly run out."""
+        if self.record is None or self.record.released:
+            return True
+        return now - self.seen_at > LEASE_SECONDS * CLOCK_MARGIN
+
+    def build_claim(self, holder: str) -> LeaseRecord:
+        """Return the record of a new tenure."""
+        fencing = self.record.fencing + 1 if self.record else 1
+        return LeaseRecord(holder, fencing, 0)
+
+
+def may_act(renewed_at: float, now: float, duration: float = 0.0) -> bool:
+    """Say whether the holder may act for some time.
+
+    :param renewed_at: event-loop time in seconds just before the last successful renewal was sent
+    :param duration: seconds that the action takes at most
+    """
+    return now + duration < renewed_at + LEASE_SECONDS
--- /dev/null
+++ b/tanagertrail/policy/queueing.py
@@ -0,0 +1,167 @@
+"""Deadline-aware admission and a fair queue over priorities and customers."""
+
+__all__ = ["AdmissionRefusal", "FairQueue", "QueueItem", "ServiceRate"]
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from tanagertrail.model import Priority
+
+CLASS_WEIGHTS: dict[Priority, float] = {
+    Priority.REPORT_LATE: 16.0,
+    Priority.QUESTION: 8.0,
+    Priority.REPORT: 4.0,
+    Priority.TAG: 1.0,
+}
+MAX_QUEUE_LENGTH = 2000
+RATE_WEIGHT = 0.1
+LATE_SLACK_SERVICE_TIMES = 4.0
+MIN_RETRY_AFTER_SECONDS = 0.5
+MAX_RETRY_AFTER_SECONDS = 30.0
+
+
+class AdmissionRefusal(NamedTuple):
+    """Why a request is not queued and when its caller may come back.
+
+    :ivar retry_after: seconds
+    """
+
+    reason: str
+    retry_after: float
+
+
+@dataclass
+class ServiceRate:
+    """Running mean of the time for which a request holds a slot.
+
+    :ivar seconds: mean time in seconds, 0 while none is known
+    """
+
+    seconds: float = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Take the time of one finished request."""
+        if self.seconds == 0.0:
+            self.seconds = seconds
+        self.seconds += RATE_WEIGHT * (seconds - self.seconds)
+
+
+@dataclass(order=True)
+class QueueItem:
+    """A queued request.
+
+    :ivar tag: start tag of fair queueing
+    :ivar deadline: event-loop time in seconds
+    """
+
+    tag: float
+    order: int
+    priority: Priority = field(compare=False)
+    customer: str = field(compare=False)
+    deadline: float = field(compare=False)
+    payload: Any = field(compare=False)
+    removed: bool = field(default=False, compare=False)
+
+
+class FairQueue:
+    """Start-time fair queue: a share per class, divided evenly over its customers.
+
+    Tags follow P. Goyal, H. Vin, H. Cheng, "Start-time fair queueing", SIGCOMM 1996.
+    """
+
+    def __init__(self, limit: int = MAX_QUEUE_LENGTH) -> None:
+        self.limit = limit
+        self.heap: list[QueueItem] = []
+        self.finish_tags: dict[tuple[Priority, str], float] = {}
+        self.virtual_time = 0.0
+        self.counter = itertools.count()
+        self.length = 0
+        self.popped_urgent = False
+
+    def __len__(self) -> int:
+        return self.length
+
+    def admit(
+        self, deadline: float, now: float, slots: int, rate: ServiceRate
+    ) -> AdmissionRefusal | None:
+        """Refuse a request that could not be answered in time.
+
+        :param slots: requests of this queue's service that run at once
+        """
+        if self.length >= self.limit:
+            return AdmissionRefusal("the queue is full", self.estimate_wait(slots, rate))
+        wait = self.estimate_wait(slots, rate)
+        if now + wait + rate.seconds > deadline:
+            retry_after = min(max(wait, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
+            return AdmissionRefusal("the deadline cannot be met", retry_after)
+        return None
+
+    def estimate_wait(self, slots: int, rate: ServiceRate) -> float:
+        """Estimate the seconds until a request queued now starts."""
+        return self.length * rate.seconds / max(slots, 1)
+
+    def push(self, priority: Priority, customer: str, deadline: float, payload: Any) -> QueueItem:
+        """Queue a request behind its customer's earlier ones."""
+        flow = (priority, customer)
+        start = max(self.virtual_time, self.finish_tags.get(flow, 0.0))
+        customers = self.count_active(priority, customer)
+        self.finish_tags[flow] = start + customers / CLASS_WEIGHTS[priority]
+        item = QueueItem(start, next(self.counter), priority, customer, deadline, payload)
+        heapq.heappush(self.heap, item)
+        self.length += 1
+        return item
+
+    def count_active(self, priority: Priority, customer: str) -> int:
+        """Count the customers with work in a class, the given one among them."""
+        active = {
+            name
+            for (level, name), tag in self.finish_tags.items()
+            if level == priority and tag > self.virtual_time
+        }
+        return len(active | {customer})
+
+    def remove(self, item: QueueItem) -> None:
+        """Take a request out of the queue before its turn."""
+        if not item.removed:
+            item.removed = True
+            self.length -= 1
+
+    def pop(self, now: float, rate: ServiceRate) -> QueueItem | None:
+        """Take the next request: the fair one, or every other time a nearly late report."""
+        self.drop_removed()
+        if not self.heap:
+            return None
+        urgent = None if self.popped_urgent else self.find_nearly_late(now, rate)
+        self.popped_urgent = urgent is not None
+        item = urgent or self.heap[0]
+        self.virtual_time = max(self.virtual_time, self.heap[0].tag)
+        self.remove(item)
+        self.drop_removed()
+        return item
+
+    def find_nearly_late(self, now: float, rate: ServiceRate) -> QueueItem | None:
+        """Return the report that will be late unless it starts soon."""
+        latest_start = now + LATE_SLACK_SERVICE_TIMES * rate.seconds
+        urgent = [
+            item
+            for item in self.heap
+            if not item.removed
+            and item.priority in (Priority.REPORT, Priority.REPORT_LATE)
+            and item.deadline - rate.seconds <= latest_start
+        ]
+        return min(urgent, key=lambda item: item.deadline, default=None)
+
+    def drop_removed(self) -> None:
+        """Drop removed requests from the head."""
+        while self.heap and self.heap[0].removed:
+            heapq.heappop(self.heap)
+
+    def drop_where(self, condition: Callable[[QueueItem], bool]) -> list[QueueItem]:
+        """Remove and return all requests for which a condition holds."""
+        dropped = [item for item in self.heap if not item.removed and condition(item)]
+        for item in dropped:
+            self.remove(item)
+        return dropped
--- /dev/null
+++ b/tanagertrail/policy/tickets.py
@@ -0,0 +1,198 @@
+"""Numbered change tickets: parsing, validation as a whole, and application in order."""
+
+__all__ = [
+    "Refused",
+    "Ticket",
+    "apply_ticket",
+    "check_ticket",
+    "list_touched",
+    "parse_ticket",
+    "serialize_ticket",
+]
+
+import json
+from dataclasses import dataclass
+
+from pydantic import Field, ValidationError
+
+from tanagertrail.errors import TicketError, Violation
+from tanagertrail.model import (
+    Configuration,
+    FailureDomain,
+    FrozenModel,
+    Service,
+    iter_upstreams,
+)
+
+MAX_TICKET_BYTES = 1_000_000
+MAX_SEEN_CHARACTERS = 80
+
+
+class Ticket(FrozenModel):
+    """A numbered change that carries the whole new state of what it touches.
+
+    :ivar number: position in the order of tickets, 0 until one is assigned
+    :ivar nonce: identifies one submission, so that a lost answer can be read back
+    :ivar based_on: number of the configuration that the operator saw, None to skip the check
+    """
+
+    number: int = Field(default=0, ge=0)
+    nonce: str = Field(default="", max_length=64)
+    operator: str = Field(default="", max_length=64)
+    based_on: int | None = Field(default=None, ge=0)
+    services: dict[str, Service | None] = Field(default_factory=dict)
+    failure_domains: dict[str, FailureDomain | None] = Field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Refused:
+    """A ticket that cannot be applied, with the reasons."""
+
+    violations: tuple[Violation, ...]
+
+    def __str__(self) -> str:
+        return "; ".join(str(violation) for violation in self.violations)
+
+
+def parse_ticket(body: bytes) -> Ticket:
+    """Parse a ticket from JSON.
+
+    :raises TicketError: if the body is too large, is not JSON or breaks a field's rule
+    """
+    if len(body) > MAX_TICKET_BYTES:
+        rule = f"must be at most {MAX_TICKET_BYTES} bytes"
+        raise TicketError([Violation("ticket", rule, f"{len(body)} bytes")])
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise TicketError([Violation("ticket", "must be JSON", str(error))]) from error
+    try:
+        return Ticket.model_validate(document)
+    except ValidationError as error:
+        raise TicketError(list_violations(error)) from error
+
+
+def list_violations(error: ValidationError) -> list[Violation]:
+    """Convert a validation error to violations that name field and rule."""
+    return [
+        Violation(
+            ".".join(str(part) for part in item["loc"]) or "ticket",
+            item["msg"],
+            repr(item["input"])[:MAX_SEEN_CHARACTERS],
+        )
+        for item in error.errors()
+    ]
+
+
+def serialize_ticket(ticket: Ticket) -> bytes:
+    """Serialize a ticket to JSON."""
+    return ticket.model_dump_json(exclude_defaults=True).encode()
+
+
+def list_touched(ticket: Ticket) -> list[str]:
+    """Name the items that a ticket touches."""
+    services = [f"service/{name}" for name in ticket.services]
+    domains = [f"failure_domain/{name}" for name in ticket.failure_domains]
+    return services + domains
+
+
+def check_ticket(ticket: Ticket, configuration: Configuration) -> Refused | None:
+    """Check a ticket as a whole against the configuration it would change."""
+    violations = list(iter_base_violations(ticket, configuration))
+    if not list_touched(ticket):
+        violations.append(Violation("ticket", "must touch a service or failure domain", "none"))
+    merged = merge_ticket(ticket, configuration)
+    for name, service in merged.services.items():
+        if name in ticket.services:
+            violations.extend(iter_service_violations(name, service, merged))
+    violations.extend(iter_name_violations(merged))
+    return Refused(tuple(violations)) if violations else None
+
+
+def iter_base_violations(ticket: Ticket, configuration: Configuration):
+    """Yield a violation for each item that another ticket changed after ``based_on``."""
+    if ticket.number and ticket.number != configuration.number + 1:
+        rule = f"must be the next number, {configuration.number + 1}"
+        yield Violation("number", rule, str(ticket.number))
+    if ticket.based_on is None:
+        return
+    for item in list_touched(ticket):
+        origin = configuration.origins.get(item, 0)
+        if origin > ticket.based_on:
+            rule = f"{item} was changed by ticket {origin}, which came first"
+            yield Violation("based_on", rule, str(ticket.based_on))
+
+
+def iter_service_violations(name: str, service: Service, configuration: Configuration):
+    """Yield the violations of one service."""
+    where = f"services.{name}"
+    if service.current not in service.versions:
+        yield Violation(f"{where}.current", "must name a version", service.current)
+    if service.target is not None:
+        yield from iter_target_violations(where, service)
+    for version_name, upstream in iter_upstreams(service):
+        place = f"{where}.versions.{version_name}.{upstream.name}"
+        if upstream.failure_domain not in configuration.failure_domains:
+            rule = "must name a failure domain"
+            yield Violation(f"{place}.failure_domain", rule, upstream.failure_domain)
+        if upstream.cold_slots > upstream.slots:
+            rule = f"must be at most slots ({upstream.slots})"
+            yield Violation(f"{place}.cold_slots", rule, str(upstream.cold_slots))
+        if int(upstream.address.rpartition(":")[2]) > 65535:
+            yield Violation(f"{place}.address", "port must be at most 65535", upstream.address)
+
+
+def iter_target_violations(where: str, service: Service):
+    """Yield the violations of a service's target."""
+    target = service.target
+    if target.version not in service.versions:
+        yield Violation(f"{where}.target.version", "must name a version", target.version)
+    stages = target.stages
+    rising = all(low < high for low, high in zip(stages, stages[1:], strict=False))
+    if not stages or not rising or stages[0] <= 0 or stages[-1] != 1.0:
+        yield Violation(f"{where}.target.stages", "must rise from above 0 to 1", str(stages))
+
+
+def iter_name_violations(configuration: Configuration):
+    """Yield a violation for each upstream name or address that is used twice."""
+    seen: set[str] = set()
+    for service_name, service in configuration.services.items():
+        for _, upstream in iter_upstreams(service):
+            for value in (upstream.name, upstream.address):
+                if value in seen:
+                    yield Violation(f"services.{service_name}", "upstream must be unique", value)
+                seen.add(value)
+
+
+def merge_ticket(ticket: Ticket, configuration: Configuration) -> Configuration:
+    """Return the configuration with the ticket's items replaced."""
+    services = dict(configuration.services)
+    domains = dict(configuration.failure_domains)
+    replace_items(services, ticket.services)
+    replace_items(domains, ticket.failure_domains)
+    origins = dict(configuration.origins)
+    origins.update(dict.fromkeys(list_touched(ticket), ticket.number))
+    return Configuration(
+        number=ticket.number, services=services, failure_domains=domains, origins=origins
+    )
+
+
+def replace_items(items: dict, changes: dict) -> None:
+    """Replace or remove the items that a ticket touches."""
+    for name, value in changes.items():
+        if value is None:
+            items.pop(name, None)
+        else:
+            items[name] = value
+
+
+def apply_ticket(configuration: Configuration, ticket: Ticket) -> Configuration:
+    """Return the configuration after a ticket; an old ticket changes nothing.
+
+    :raises ValueError: if a ticket between the two is missing
+    """
+    if ticket.number <= configuration.number:
+        return configuration
+    if ticket.number != configuration.number + 1:
+        raise ValueError(f"ticket {configuration.number + 1} is missing before {ticket.number}")
+    return merge_ticket(ticket, configuration)
--- /dev/null
+++ b/tanagertrail/settings/schema.py
@@ -0,0 +1,203 @@
+"""Sections and fields of the settings, with their rules."""
+
+__all__ = ["DaemonSettings", "parse_settings", "read_settings"]
+
+import configparser
+import ipaddress
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+
+import tanagertrail.policy.choice as choice
+from tanagertrail.errors import SettingsError, Violation
+from tanagertrail.model import NAME_PATTERN
+
+MAX_SETTINGS_BYTES = 200_000
+MAX_SEEN_CHARACTERS = 60
+
+
+def check_ip(value: str) -> str:
+    """Check that a value is an IP number."""
+    ipaddress.ip_address(value)
+    return value
+
+
+def check_choice(value: str) -> str:
+    """Check that a choice of upstream is registered."""
+    if value not in choice.CHOICES:
+        known = ", ".join(choice.CHOICES)
+        raise ValueError(f"must be one of {known}")
+    return value
+
+
+def check_file(value: str) -> str:
+    """Check that a file can be read."""
+    if value and not Path(value).is_file():
+        raise ValueError("must name a file that can be read")
+    return value
+
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+IpNumber = Annotated[str, AfterValidator(check_ip)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Threads = Annotated[int, Field(ge=1, le=2000)]
+FileName = Annotated[str, AfterValidator(check_file)]
+Choice = Annotated[str, AfterValidator(check_choice)]
+
+
+class Section(BaseModel):
+    """Base of sections: no unknown keys."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class TlsFields(Section):
+    """A port's certificate and private key; both or neither."""
+
+    certificate: FileName = ""
+    private_key: FileName = ""
+
+    @model_validator(mode="after")
+    def check_pair(self) -> "TlsFields":
+        """Check that certificate and key come together."""
+        if bool(self.certificate) != bool(self.private_key):
+            raise ValueError("certificate and private_key must be set together")
+        return self
+
+
+class DaemonSection(Section):
+    """Who this daemon is."""
+
+    name: Name
+    failure_domain: Name
+    host: IpNumber = "127.0.0.1"
+
+
+class CallersSection(TlsFields):
+    """The port for callers.
+
+    :ivar threads: worker threads, one per request in progress
+    :ivar relay: ``loop`` to move streamed frames on the event loop, ``threads`` for the baseline
+    :ivar max_body: largest body in bytes
+    """
+
+    port: Port = 8080
+    threads: Threads = 64
+    relay: Annotated[str, Field(pattern="^(loop|threads)$")] = "loop"
+    max_body: Annotated[int, Field(ge=1024, le=64_000_000)] = 1_000_000
+
+
+class OperatorsSection(TlsFields):
+    """The port for operators.
+
+    :ivar token: shared secret of operators, empty to let every local caller in
+    """
+
+    port: Port = 8081
+    threads: Threads = 4
+    token: str = ""
+
+
+class DaemonsSection(TlsFields):
+    """The port for other daemons.
+
+    :ivar authority: certificate that the other daemons' certificates are checked against
+    """
+
+    port: Port = 8082
+    authority: FileName = ""
+
+
+class PlatformSection(Section):
+    """Where the platform's API is."""
+
+    address: Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")] = "127.0.0.1:8090"
+    timeout: Annotated[float, Field(gt=0, le=60)] = 2.0
+
+
+class PolicySection(Section):
+    """Choices of policy."""
+
+    choice: Choice = "affinity"
+    retry_share: Annotated[float, Field(ge=0, le=0.5)] = 0.08
+
+
+class LogSection(Section):
+    """What is logged."""
+
+    level: Annotated[str, Field(pattern="^(debug|info|notice|warning|error)$")] = "info"
+
+
+class DaemonSettings(Section):
+    """All settings of a daemon."""
+
+    daemon: DaemonSection
+    callers: CallersSection = CallersSection()
+    operators: OperatorsSection = OperatorsSection()
+    daemons: DaemonsSection = DaemonsSection()
+    platform: PlatformSection = PlatformSection()
+    policy: PolicySection = PolicySection()
+    log: LogSection = LogSection()
+
+    @model_validator(mode="after")
+    def check_ports(self) -> "DaemonSettings":
+        """Check that no port is used twice."""
+        ports = [self.callers.port, self.operators.port, self.daemons.port]
+        used = [port for port in ports if port]
+        if len(used) != len(set(used)):
+            raise ValueError(f"ports must differ, are {ports}")
+        return self
+
+
+def read_settings(path: str) -> DaemonSettings:
+    """Read and check a settings file.
+
+    :raises SettingsError: naming every violation, with section, key, rule and the value seen
+    """
+    try:
+        content = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(
+            [Violation("settings", "must be a readable file", str(error))]
+        ) from error
+    if len(content) > MAX_SETTINGS_BYTES:
+        rule = f"must be at most {MAX_SETTINGS_BYTES} bytes"
+        raise SettingsError([Violation("settings", rule, str(len(content)))])
+    return parse_settings(content.decode("utf-8", "replace"))
+
+
+def parse_settings(text: str) -> DaemonSettings:
+    """Parse and check settings.
+
+    :raises SettingsError: naming every violation
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        seen = str(error).replace("\n", " ")
+        raise SettingsError([Violation("settings", "must be INI", seen)]) from error
+    document = {name: dict(parser[name]) for name in parser.sections()}
+    try:
+        return DaemonSettings.model_validate(document)
+    except ValidationError as error:
+        raise SettingsError(list_violations(error)) from error
+
+
+def list_violations(error: ValidationError) -> list[Violation]:
+    """Convert a validation error to violations that name section and key."""
+    violations = []
+    for item in error.errors():
+        place = ".".join(str(part) for part in item["loc"]) or "settings"
+        secret = place.endswith("token")
+        seen = "hidden" if secret else repr(item["input"])[:MAX_SEEN_CHARACTERS]
+        violations.append(Violation(place, item["msg"], seen))
+    return violations
--- /dev/null
+++ b/tanagertrail/sockets.py
@@ -0,0 +1,157 @@
+"""Hand-over of a caller's socket from a CherryPy worker thread to the event loop."""
+
+__all__ = ["HandoverGateway", "SocketSink", "find_socket", "mark_handed_over"]
+
+import asyncio
+import socket
+import ssl
+
+import cherrypy
+from cheroot import wsgi
+
+from tanagertrail.sinks import BaseSink
+
+REQUEST_KEY = "tanagertrail.request"
+HANDED_OVER = "tanagertrail_handed_over"
+MAX_BUFFERED_BYTES = 256 * 1024
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"Content-Type: text/event-stream\r\n"
+    b"Cache-Control: no-cache\r\n"
+    b"Transfer-Encoding: chunked\r\n"
+)
+WOULD_BLOCK = (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError)
+
+
+class HandoverGateway(wsgi.Gateway_10):
+    """Give handlers their request and stay silent once its socket was handed over."""
+
+    def get_environ(self):
+        """Return the WSGI environment with the request in it."""
+        environ = super().get_environ()
+        environ[REQUEST_KEY] = self.req
+        return environ
+
+    def write(self, chunk: bytes) -> None:
+        """Write a chunk unless the event loop wrote the answer."""
+        if not getattr(self.req, HANDED_OVER, False):
+            super().write(chunk)
+
+
+def find_socket() -> socket.socket:
+    """Return the caller's socket of the request that this thread serves."""
+    request = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
+    return request.conn.socket
+
+
+def mark_handed_over(keep_alive: bool) -> None:
+    """Tell the server that the whole answer was sent by the event loop."""
+    request = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
+    setattr(request, HANDED_OVER, True)
+    request.sent_headers = True
+    request.chunked_write = False
+    request.close_connection = not keep_alive
+
+
+class SocketSink(BaseSink):
+    """Write a chunked HTTP answer to a socket from the event loop.
+
+    :ivar started: whether the head was written
+    """
+
+    def __init__(
+        self, sock: socket.socket, loop: asyncio.AbstractEventLoop, headers: bytes = b""
+    ) -> None:
+        self.sock = sock
+        self.loop = loop
+        self.headers = headers
+        self.buffer = bytearray()
+        self.closed = False
+        self.started = False
+        self.drained: asyncio.Future | None = None
+        self.old_timeout = sock.gettimeout()
+
+    def start(self) -> None:
+        """Take the socket over and write the head."""
+        self.started = True
+        self.sock.setblocking(False)
+        if self.sock.family in (socket.AF_INET, socket.AF_INET6):
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.send(STREAM_HEAD + self.headers + b"\r\n")
+
+    def write(self, data: bytes) -> None:
+        """Write bytes as one HTTP chunk."""
+        if not self.started:
+            self.start()
+        self.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def send(self, data: bytes) -> None:
+        """Send bytes now, or buffer what the socket does not take."""
+        if self.closed:
+            return
+        if self.buffer:
+            self.buffer += data
+            return
+        try:
+            sent = self.sock.send(data)
+        except WOULD_BLOCK:
+            sent = 0
+        except OSError:
+            self.abort()
+            return
+        if sent < len(data):
+            self.buffer += data[sent:]
+            self.loop.add_writer(self.sock.fileno(), self.flush)
+
+    def flush(self) -> None:
+        """Send what is buffered."""
+        try:
+            sent = self.sock.send(self.buffer)
+        except WOULD_BLOCK:
+            return
+        except OSError:
+            self.abort()
+            return
+        del self.buffer[:sent]
+        if not self.buffer:
+            self.loop.remove_writer(self.sock.fileno())
+            self.wake()
+
+    def abort(self) -> None:
+        """Note that the caller is gone."""
+        if self.buffer:
+            self.loop.remove_writer(self.sock.fileno())
+        self.closed = True
+        self.buffer.clear()
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the task that waits in :meth:`drain`."""
+        if self.drained is not None and not self.drained.done():
+            self.drained.set_result(None)
+
+    @property
+    def full(self) -> bool:
+        """Whether more is buffered than a stream should hold."""
+        return len(self.buffer) > MAX_BUFFERED_BYTES
+
+    async def drain(self) -> None:
+        """Wait until nothing is buffered."""
+        if self.buffer and not self.closed:
+            self.drained = self.loop.create_future()
+            await self.drained
+
+    async def finish(self) -> None:
+        """Write the last chunk and give the socket back to its thread."""
+        self.send(b"0\r\n\r\n")
+        await self.drain()
+        self.release()
+
+    def release(self) -> None:
+        """Give the socket back to its thread."""
+        if not self.started:
+            return
+        try:
+            self.sock.settimeout(self.old_timeout)
+        except OSError:
+            self.closed = True
--- /dev/null
+++ b/tanagertrail/testing.py
@@ -0,0 +1,196 @@
+"""Virtual time and an in-memory cluster, for tests and for bench commands."""
+
+__all__ = ["Cluster", "ClusterSettings", "run_virtual"]
+
+import asyncio
+import itertools
+from collections.abc import Coroutine
+from typing import Any, NamedTuple, TypeVar
+
+import looptime
+
+from tanagertrail.core.members import DaemonRecord
+from tanagertrail.core.node import Node, NodeParts
+from tanagertrail.core.requests import CallerRequest
+from tanagertrail.core.serving import ServingSettings
+from tanagertrail.daemons.transport import MemoryNetwork
+from tanagertrail.model import FailureDomain, Priority, Service, Upstream, Version
+from tanagertrail.outcomes import Outcome
+from tanagertrail.platform.cloud import MemoryCloud
+from tanagertrail.platform.instances import Instance, MemoryInstanceList
+from tanagertrail.platform.objects import MemoryObjectStore
+from tanagertrail.policy.tickets import Ticket
+from tanagertrail.sinks import MemorySink
+from tanagertrail.upstreams.engine import EngineSettings, ToyEngine
+from tanagertrail.upstreams.memory import MemoryUpstreamClient
+
+T = TypeVar("T")
+START_SECONDS = 1000.0
+SETTLE_SECONDS = 4.0
+DOMAINS = ("sapporo", "otaru", "asahikawa", "hakodate")
+CHAT_PATH = "/v1/chat/completions"
+
+
+def run_virtual(work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on an event loop whose clock jumps over every wait."""
+    loop = looptime.new_event_loop(start=START_SECONDS, noop_cycles=0)
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        cancel_all(loop)
+        loop.close()
+
+
+def cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancel what still runs on a loop and wait for its end."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+
+
+class ClusterSettings(NamedTuple):
+    """Sizes of an in-memory cluster."""
+
+    daemons: int = 1
+    replicas: int = 4
+    slots: int = 4
+    cold_slots: int = 1
+    engine: EngineSettings = EngineSettings()
+    serving: ServingSettings = ServingSettings()
+    list_lag: float = 0.5
+    network_latency: float = 0.001
+
+
+class Cluster:
+    """Many daemon cores in one process, on in-memory platform, network and upstreams."""
+
+    def __init__(self, settings: ClusterSettings = ClusterSettings()) -> None:
+        self.settings = settings
+        self.store = MemoryObjectStore()
+        self.instances = MemoryInstanceList(settings.list_lag)
+        self.cloud = MemoryCloud()
+        self.network = MemoryNetwork(settings.network_latency)
+        self.engines: dict[str, ToyEngine] = {}
+        self.nodes: dict[str, Node] = {}
+        self.clients: dict[str, MemoryUpstreamClient] = {}
+        self.request_numbers = itertools.count(1)
+
+    def build_upstreams(self, prefix: str, count: int, port: int) -> tuple[Upstream, ...]:
+        """Build upstreams spread over the failure domains, with their engines."""
+        upstreams = []
+        for index in range(count):
+            upstream = Upstream(
+                name=f"{prefix}-{index + 1}",
+                address=f"10.{port % 250}.{index // 250}.{index % 250}:{port}",
+                failure_domain=DOMAINS[index % len(DOMAINS)],
+                slots=self.settings.slots,
+                cold_slots=self.settings.cold_slots,
+            )
+            self.engines[upstream.name] = ToyEngine(upstream, self.settings.engine)
+            upstreams.append(upstream)
+        return tuple(upstreams)
+
+    def build_ticket(self) -> Ticket:
+        """Build the first ticket: a model service and a records service."""
+        model = Service(
+            versions={
+                "v1": Version(upstreams=self.build_upstreams("dial", self.settings.replicas, 9000))
+            },
+            current="v1",
+        )
+        desk = Service(
+            kind="records",
+            versions={"d1": Version(upstreams=self.build_upstreams("desk", 4, 9500))},
+            current="d1",
+            non_repeatable=("/bookings",),
+        )
+        domains = {name: FailureDomain() for name in DOMAINS}
+        return Ticket(
+            operator="test", services={"dial": model, "desk": desk}, failure_domains=domains
+        )
+
+    def build_node(self, name: str, domain: str) -> Node:
+        """Build a daemon that is not yet started."""
+        client = MemoryUpstreamClient(self.engines)
+        record = DaemonRecord(name, 0, name, f"{name}:80", f"{name}:81", domain)
+        node = Node(
+            NodeParts(
+                record,
+                self.store.connect(name),
+                self.instances,
+                self.cloud,
+                self.network.connect(name),
+                client,
+                self.settings.serving,
+            )
+        )
+        self.clients[name] = client
+        self.nodes[name] = node
+        return node
+
+    async def start_node(self, name: str, domain: str = DOMAINS[0]) -> Node:
+        """Start a daemon, or a new incarnation of one that was killed."""
+        node = self.build_node(name, domain)
+        self.instances.set_instance(Instance(name, domain))
+        await node.start()
+        return node
+
+    async def kill_node(self, name: str, gone: bool = False) -> None:
+        """Kill a daemon at once; its instance may go too."""
+        await self.nodes.pop(name).kill()
+        if gone:
+            self.instances.remove_instance(name)
+
+    async def start(self) -> None:
+        """Start all daemons and put the first ticket in force."""
+        names = [f"entry-{index + 1}" for index in range(self.settings.daemons)]
+        for index, name in enumerate(names):
+            await self.start_node(name, DOMAINS[index % len(DOMAINS)])
+        await self.first.commit_ticket(self.build_ticket())
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    @property
+    def first(self) -> Node:
+        """Return the first daemon that runs."""
+        return next(iter(self.nodes.values()))
+
+    def build_request(
+        self,
+        service: str = "dial",
+        tokens: int = 8,
+        timeout: float = 20.0,
+        prompt: str = "Refinish the lume of this dial.",
+        **fields: Any,
+    ) -> CallerRequest:
+        """Build a streamed chat request."""
+        body = (
+            '{"messages": [{"role": "user", "content": "%s"}], "max_tokens": %d}' % (prompt, tokens)
+        ).encode()
+        values: dict[str, Any] = {
+            "request_id": f"r{next(self.request_numbers)}",
+            "service": service,
+            "method": "POST",
+            "path": CHAT_PATH,
+            "body": body,
+            "deadline": asyncio.get_running_loop().time() + timeout,
+            "priority": Priority.QUESTION,
+            "streamed": True,
+        }
+        return CallerRequest(**{**values, **fields})
+
+    def build_call(self, path: str = "/slots", method: str = "GET", **fields: Any) -> CallerRequest:
+        """Build a plain call to the records service."""
+        repeatable = method == "GET"
+        values = {"method": method, "path": path, "repeatable": repeatable, "streamed": False}
+        return self.build_request("desk", **{**values, **fields})
+
+    async def ask(self, request: CallerRequest, node: Node | None = None) -> tuple[Outcome, bytes]:
+        """Serve a request at a daemon; return its outcome and the bytes delivered."""
+        sink = MemorySink()
+        outcome = await (node or self.first).serve(request, sink)
+        return outcome, sink.body
+
+    def max_overshoot(self) -> int:
+        """Return the most by which any engine was ever over what it bears."""
+        return max(engine.peak_overshoot for engine in self.engines.values())
--- /dev/null
+++ b/tanagertrail/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""A time line of events over all processes, merged in causal order."""
--- /dev/null
+++ b/tanagertrail/timeline/merge.py
@@ -0,0 +1,37 @@
+"""Merging of the events of many daemons into one causal order."""
+
+__all__ = ["format_event", "merge_events", "parse_events"]
+
+import time
+from collections.abc import Iterable, Mapping, Sequence
+
+from tanagertrail.timeline.events import Event
+
+
+def merge_events(logs: Iterable[Iterable[Event]]) -> list[Event]:
+    """Merge logs so that causes come before effects.
+
+    :param logs: the events of each daemon
+    """
+    events = {(event.daemon, event.stamp): event for log in logs for event in log}
+    return sorted(events.values(), key=lambda event: (event.stamp, event.daemon))
+
+
+def parse_events(rows: Iterable[Mapping[str, object]]) -> list[Event]:
+    """Build events from their JSON form."""
+    return [Event(**row) for row in rows]
+
+
+def format_event(event: Event) -> str:
+    """Format an event as one line of text."""
+    clock = time.strftime("%H:%M:%S", time.gmtime(event.shown_at))
+    millis = int(event.shown_at % 1 * 1000)
+    labels: Sequence[tuple[str, object]] = (
+        ("ticket", event.ticket),
+        ("request", event.request),
+        ("upstream", event.upstream),
+        ("step", event.step),
+    )
+    marks = " ".join(f"{name}={value}" for name, value in labels if value)
+    parts = (f"{clock}.{millis:03d}", f"{event.stamp:>6}", f"{event.daemon:<10}", event.kind, marks)
+    return " ".join(part for part in (*parts, event.detail) if part)
--- /dev/null
+++ b/tanagertrail/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: model engines and plain services that run requests."""
--- /dev/null
+++ b/tanagertrail/webserver.py
@@ -0,0 +1,123 @@
+"""CherryPy servers that run beside an event loop, with JSON helpers."""
+
+__all__ = [
+    "ServerSettings",
+    "WebServer",
+    "call_core",
+    "read_body",
+    "respond_json",
+]
+
+import asyncio
+import json
+import threading
+from collections.abc import Coroutine
+from typing import Any, NamedTuple, TypeVar
+
+import cherrypy
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+from cheroot.wsgi import Server
+
+from tanagertrail.sockets import HandoverGateway
+
+T = TypeVar("T")
+DEFAULT_BODY_BYTES = 1_000_000
+MAX_HEADER_BYTES = 16_384
+SHUTDOWN_SECONDS = 5
+
+
+class ServerSettings(NamedTuple):
+    """Where and how a server listens.
+
+    :ivar threads: worker threads, one per request in progress
+    """
+
+    host: str
+    port: int
+    threads: int = 16
+    certificate: str = ""
+    private_key: str = ""
+
+
+class WebServer:
+    """Serve one CherryPy application from threads of this process."""
+
+    def __init__(self, settings: ServerSettings, root: object) -> None:
+        self.settings = settings
+        config = {
+            "/": {
+                "request.dispatch": cherrypy.dispatch.MethodDispatcher()
+                if getattr(root, "exposed", False)
+                else cherrypy.dispatch.Dispatcher(),
+                "tools.trailing_slash.on": False,
+                "request.show_tracebacks": False,
+                "request.process_request_body": False,
+            }
+        }
+        application = cherrypy.Application(root, "", config)
+        application.log.screen = False
+        application.log.access_log.propagate = False
+        application.log.error_log.propagate = False
+        self.server = Server(
+            (settings.host, settings.port),
+            application,
+            numthreads=settings.threads,
+            request_queue_size=2048,
+            timeout=60,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        self.server.gateway = HandoverGateway
+        self.server.max_request_header_size = MAX_HEADER_BYTES
+        self.server.error_log = lambda *arguments, **keywords: None
+        if settings.certificate:
+            self.server.ssl_adapter = BuiltinSSLAdapter(settings.certificate, settings.private_key)
+        self.thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Bind the port and serve from a thread.
+
+        :raises OSError: if the port is taken
+        """
+        self.server.prepare()
+        self.thread = threading.Thread(target=self.server.serve, daemon=True)
+        self.thread.start()
+
+    @property
+    def port(self) -> int:
+        """Return the port that is bound."""
+        return self.server.bind_addr[1]
+
+    def stop(self) -> None:
+        """Stop serving; requests in progress are given a few seconds."""
+        self.server.stop()
+
+
+def call_core(loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on the event loop from a worker thread and wait for its result."""
+    return asyncio.run_coroutine_threadsafe(work, loop).result()
+
+
+def read_body(limit: int = DEFAULT_BODY_BYTES) -> bytes:
+    """Read the body of the current request.
+
+    :param limit: largest length in bytes
+    :raises cherrypy.HTTPError: if it is longer
+    """
+    request = cherrypy.serving.request
+    length = request.headers.get("Content-Length")
+    if length is None and not request.headers.get("Transfer-Encoding"):
+        return b""
+    if length is not None and (not length.isdigit() or int(length) > limit):
+        raise cherrypy.HTTPError(413, f"body: must be at most {limit} bytes, has {length}")
+    body = request.rfile.read(limit + 1) if length is None else request.rfile.read(int(length))
+    if len(body) > limit:
+        raise cherrypy.HTTPError(413, f"body: must be at most {limit} bytes")
+    return body
+
+
+def respond_json(document: object, status: int = 200) -> bytes:
+    """Set status and content type of the current response and return a JSON body."""
+    response = cherrypy.serving.response
+    response.status = status
+    response.headers["Content-Type"] = "application/json"
+    return json.dumps(document).encode()
