Serve the whole path: settings, three ports, command line, demonstration, first tests

Cause: the core ran only inside a script. Change: CherryPy ports for callers and operators, platform and upstreams over HTTP with their stand-ins, TCP between daemons, durable jobs, guarded calls, leases, command line, make run and make test. Found on the way: asyncio.wait_for of Python 3.11 swallows a cancellation when its future is already done, so a cancelled watch went on for ever; asyncio.timeout does not.

--- /dev/null
+++ b/tanagertrail/callers/app.py
@@ -0,0 +1,270 @@
+"""The callers' HTTP application: it translates requests to the core and outcomes back."""
+
+__all__ = ["CallersApp", "CallersContext"]
+
+import asyncio
+import json
+import uuid
+from collections.abc import Callable
+from typing import NamedTuple
+
+import cherrypy
+
+from tanagertrail.callers.parsing import (
+    HeaderError,
+    parse_chat,
+    parse_key,
+    parse_priority,
+    parse_timeout,
+)
+from tanagertrail.callers.problems import PROBLEM_TYPE, Problem, build_problem
+from tanagertrail.callers.streams import BlockingSocketSink, finish_stream
+from tanagertrail.core.node import Node
+from tanagertrail.core.requests import CallerRequest
+from tanagertrail.core.serving import MODEL_PATH
+from tanagertrail.errors import InvalidInputError, Violation
+from tanagertrail.model import ServiceKind
+from tanagertrail.outcomes import Answered, NotRun, Outcome, Step
+from tanagertrail.sinks import MemorySink
+from tanagertrail.sockets import SocketSink, find_socket, mark_handed_over
+from tanagertrail.upstreams.events import EVENT_END, read_token_text
+from tanagertrail.webserver import call_core, close_after_response, read_body, respond_json
+
+SERVICES_PREFIX = "services"
+REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
+
+
+class CallersContext(NamedTuple):
+    """What the application needs.
+
+    :ivar render_metrics: returns the metrics in the Prometheus text format
+    :ivar relay: ``loop`` or ``threads``
+    """
+
+    node: Node
+    loop: asyncio.AbstractEventLoop
+    render_metrics: Callable[[], bytes]
+    relay: str = "loop"
+    max_body: int = 1_000_000
+
+
+class CallersApp:
+    """Routes of the callers' port."""
+
+    def __init__(self, context: CallersContext) -> None:
+        self.context = context
+        self.node = context.node
+        self.loop = context.loop
+
+    @cherrypy.expose
+    def default(self, *path: str, **query: str) -> bytes:
+        """Serve every path; a broken rule is answered with the field and the rule."""
+        if self.node.leaving:
+            close_after_response()
+        try:
+            return self.route(path)
+        except InvalidInputError as error:
+            self.node.recorder.count("caller_requests_invalid")
+            return self.respond_invalid(error.violations)
+
+    def route(self, path: tuple[str, ...]) -> bytes:
+        """Find the handler of a path."""
+        match path:
+            case ("healthz",):
+                return respond_json({"status": "ok"})
+            case ("readyz",):
+                ready = self.node.ready
+                return respond_json({"ready": ready}, 200 if ready else 503)
+            case ("metrics",):
+                cherrypy.response.headers["Content-Type"] = "text/plain; version=0.0.4"
+                return self.context.render_metrics()
+            case ("v1", "addresses"):
+                return self.serve_addresses()
+            case ("v1", "chat", "completions"):
+                return self.serve_chat()
+            case ("v1", "jobs"):
+                return self.accept_job()
+            case ("v1", "jobs", job_id):
+                return self.show_job(job_id)
+            case ("v1", "services", service, *rest):
+                return self.serve_call(service, "/" + "/".join(rest))
+            case _:
+                return self.respond_missing(f"no path /{'/'.join(path)}")
+
+    def serve_addresses(self) -> bytes:
+        """Answer which addresses to use and how long to keep them."""
+        answer = call_core(self.loop, self.answer_addresses())
+        return respond_json({"addresses": answer.addresses, "keep_seconds": answer.keep})
+
+    async def answer_addresses(self):
+        """Answer on the event loop, which owns the membership."""
+        return self.node.members.answer_addresses()
+
+    def build_request(self, service: str, path: str, body: bytes, **fields) -> CallerRequest:
+        """Build a core request from the current HTTP request."""
+        headers = cherrypy.request.headers
+        return CallerRequest(
+            request_id=uuid.uuid4().hex[:16],
+            service=service,
+            method=cherrypy.request.method,
+            path=path,
+            body=body,
+            deadline=self.loop.time() + parse_timeout(headers),
+            customer=headers.get("X-Customer", "default")[:64],
+            priority=parse_priority(headers),
+            content_type=headers.get("Content-Type", "application/json"),
+            idempotency_key=parse_key(headers),
+            **fields,
+        )
+
+    def check_method(self, *allowed: str) -> None:
+        """Check the HTTP method.
+
+        :raises HeaderError: if it is not allowed
+        """
+        method = cherrypy.request.method
+        if method not in allowed:
+            rule = f"must be one of {', '.join(sorted(allowed))}"
+            raise HeaderError([Violation("method", rule, method)])
+
+    def serve_chat(self) -> bytes:
+        """Serve a model answer, streamed or whole."""
+        self.check_method("POST")
+        body = read_body(self.context.max_body)
+        chat = parse_chat(body)
+        request = self.build_request(chat.model, MODEL_PATH, body, streamed=True)
+        if chat.stream:
+            return self.stream_chat(request)
+        sink = MemorySink()
+        outcome = call_core(self.loop, self.node.serve(request, sink))
+        if not isinstance(outcome, Answered):
+            return self.respond_outcome(outcome, request.request_id)
+        return self.respond_completion(request, sink, outcome)
+
+    def respond_completion(
+        self, request: CallerRequest, sink: MemorySink, outcome: Answered
+    ) -> bytes:
+        """Answer with a whole completion."""
+        events = sink.body.split(EVENT_END)
+        text = "".join(read_token_text(event) for event in events if event)
+        message = {"role": "assistant", "content": text}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        document = {
+            "id": request.request_id,
+            "object": "chat.completion",
+            "model": request.service,
+            "choices": [choice],
+            "usage": {"completion_tokens": outcome.tokens},
+        }
+        return respond_json(document)
+
+    def stream_chat(self, request: CallerRequest) -> bytes:
+        """Let the core write a streamed answer to the caller's socket."""
+        headers = f"X-Request-Id: {request.request_id}\r\n".encode()
+        kinds = {"loop": SocketSink, "threads": BlockingSocketSink}
+        sink = kinds[self.context.relay](find_socket(), self.loop, headers)
+        outcome = call_core(self.loop, self.run_stream(request, sink))
+        if not sink.started:
+            return self.respond_outcome(outcome, request.request_id)
+        whole = isinstance(outcome, Answered) and not sink.closed
+        mark_handed_over(keep_alive=whole and not self.node.leaving)
+        return b""
+
+    async def run_stream(self, request: CallerRequest, sink: SocketSink) -> Outcome:
+        """Serve a streamed request and end its stream by what came of it."""
+        outcome = await self.node.serve(request, sink)
+        if sink.started:
+            await finish_stream(sink, outcome, request.request_id)
+        return outcome
+
+    def serve_call(self, service: str, path: str) -> bytes:
+        """Pass a plain call through."""
+        self.check_method(*METHODS)
+        body = read_body(self.context.max_body)
+        repeatable = cherrypy.request.method in REPEATABLE_METHODS
+        known = self.node.configuration.current.services.get(service)
+        if known is not None and known.kind is ServiceKind.MODEL:
+            rule = f"must be a records service; send model requests to {MODEL_PATH}"
+            raise HeaderError([Violation("service", rule, service)])
+        query = cherrypy.request.query_string
+        target = f"{path}?{query}" if query else path
+        request = self.build_request(service, target, body, repeatable=repeatable)
+        outcome = call_core(self.loop, self.node.serve(request))
+        return self.respond_outcome(outcome, request.request_id)
+
+    def accept_job(self) -> bytes:
+        """Accept a durable job."""
+        self.check_method("POST")
+        body = read_body(self.context.max_body)
+        service, path, content = parse_job(body)
+        request = self.build_request(service, path, content)
+        accepted = call_core(self.loop, self.node.accept_job(request))
+        if isinstance(accepted, NotRun):
+            return self.respond_outcome(accepted, request.request_id)
+        cherrypy.response.headers["Location"] = f"/v1/jobs/{accepted.job_id}"
+        return respond_json(accepted._asdict(), 202)
+
+    def show_job(self, job_id: str) -> bytes:
+        """Show a job."""
+        self.check_method("GET", "HEAD")
+        view = call_core(self.loop, self.node.jobs.find(job_id))
+        if view is None:
+            return self.respond_missing(f"no job {job_id!r} is known now")
+        return respond_json(view._asdict())
+
+    def respond_outcome(self, outcome: Outcome, request_id: str) -> bytes:
+        """Answer with an answer's body or a problem document."""
+        response = cherrypy.response
+        response.headers["X-Request-Id"] = request_id
+        if isinstance(outcome, Answered):
+            response.status = outcome.status
+            response.headers["Content-Type"] = outcome.content_type
+            return outcome.body
+        return self.respond_problem(build_problem(outcome, request_id))
+
+    def respond_problem(self, problem: Problem) -> bytes:
+        """Answer with a problem document."""
+        response = cherrypy.response
+        response.status = problem["status"]
+        response.headers["Content-Type"] = PROBLEM_TYPE
+        if "retry_after" in problem:
+            response.headers["Retry-After"] = str(max(round(problem["retry_after"]), 1))
+        return json.dumps(problem).encode()
+
+    def respond_invalid(self, violations: list[Violation]) -> bytes:
+        """Answer a request that breaks a rule."""
+        detail = "; ".join(str(violation) for violation in violations)
+        outcome = NotRun(Step.ADMISSION, self.node.context.daemon, detail, 400, None)
+        return self.respond_problem(build_problem(outcome, ""))
+
+    def respond_missing(self, detail: str) -> bytes:
+        """Answer that there is no such thing."""
+        outcome = NotRun(Step.ADMISSION, self.node.context.daemon, detail, 404, None)
+        return self.respond_problem(build_problem(outcome, ""))
+
+
+def parse_job(body: bytes) -> tuple[str, str, bytes]:
+    """Parse a job to service, path and the body of the call.
+
+    :raises HeaderError: if a field breaks its rule
+    """
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise HeaderError([Violation("body", "must be JSON", str(error))]) from error
+    if not isinstance(document, dict):
+        raise HeaderError([Violation("body", "must be an object", type(document).__name__)])
+    service = document.get("service")
+    if not isinstance(service, str) or not service:
+        raise HeaderError([Violation("service", "must name a service", repr(service))])
+    path = document.get("path", MODEL_PATH)
+    if not isinstance(path, str) or not path.startswith("/"):
+        raise HeaderError([Violation("path", "must start with /", repr(path))])
+    content = document.get("request")
+    if not isinstance(content, dict):
+        raise HeaderError([Violation("request", "must be an object", repr(content)[:80])])
+    encoded = json.dumps(content).encode()
+    if path == MODEL_PATH:
+        parse_chat(json.dumps({"model": service, **content}).encode())
+    return service, path, encoded
--- a/tanagertrail/core/calls.py
+++ b/tanagertrail/core/calls.py
@@ -170,7 +170,7 @@
 
     def is_lost(self, holder: str) -> bool:
         """Say whether the daemon that recorded an intent will not finish it."""
-        daemon = holder.partition("#")[0]
+        daemon = holder.partition("@")[0]
         member = self.members.membership.members.get(daemon)
         return member is None or member.holder != holder
 
--- a/tanagertrail/core/configuring.py
+++ b/tanagertrail/core/configuring.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import uuid
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -34,6 +35,7 @@
 COMMIT_TRIES = 8
 READ_BACK_TRIES = 6
 READ_BACK_SECONDS = 0.5
+MAX_NONCES = 1000
 
 Listener = Callable[[Configuration, Ticket | None], None]
 
@@ -65,6 +67,7 @@
         self.current = Configuration()
         self.pending: dict[int, Ticket] = {}
         self.listeners: list[Listener] = []
+        self.nonces: OrderedDict[str, int] = OrderedDict()
         shared.subscribe(TICKETS_PREFIX, self.take_row)
 
     def listen(self, listener: Listener) -> None:
@@ -98,11 +101,18 @@
         """Apply all tickets whose predecessors are in force."""
         while (ticket := self.pending.pop(self.current.number + 1, None)) is not None:
             self.current = apply_ticket(self.current, ticket)
+            self.remember_nonce(ticket)
             self.context.recorder.record("ticket_in_force", ticket=ticket.number)
             self.tell(ticket)
         for number in [n for n in self.pending if n <= self.current.number]:
             del self.pending[number]
 
+    def remember_nonce(self, ticket: Ticket) -> None:
+        """Remember a ticket's nonce, so that a resend of it is recognised."""
+        self.nonces[ticket.nonce] = ticket.number
+        while len(self.nonces) > MAX_NONCES:
+            self.nonces.popitem(last=False)
+
     def tell(self, ticket: Ticket | None) -> None:
         """Tell the listeners of the configuration."""
         for listener in self.listeners:
@@ -125,6 +135,8 @@
         followed by a new check against what won.
         """
         nonce = ticket.nonce or uuid.uuid4().hex
+        if nonce in self.nonces:
+            return Committed(self.nonces[nonce])
         for _ in range(COMMIT_TRIES):
             refused = check_ticket(ticket, self.current)
             if refused is not None:
--- a/tanagertrail/core/context.py
+++ b/tanagertrail/core/context.py
@@ -51,7 +51,7 @@
     @property
     def holder(self) -> str:
         """Return the identity of this incarnation."""
-        return f"{self.daemon}#{self.incarnation}"
+        return f"{self.daemon}@{self.incarnation}"
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
--- a/tanagertrail/core/jobs.py
+++ b/tanagertrail/core/jobs.py
@@ -173,8 +173,10 @@
     async def run(self, job_id: str) -> None:
         """Run a job until it is done and recorded, or its journal is taken over."""
         try:
-            while not self.journal.sealed and not await self.run_once(job_id):
+            finished = await self.run_once(job_id)
+            while not finished and not self.journal.sealed:
                 await asyncio.sleep(RETRY_SECONDS)
+                finished = await self.run_once(job_id)
         finally:
             self.running.pop(job_id, None)
 
@@ -262,7 +264,7 @@
         """Find a job here or at the daemon that holds it."""
         if job_id in self.jobs:
             return view_job(self.jobs[job_id])
-        likely = {job_id.partition("#")[0], self.duties.find_first("takeover")}
+        likely = {job_id.partition("@")[0], self.duties.find_first("takeover")}
         members = {member.daemon for member in self.members.membership.members.values()}
         for group in (likely & members, members - likely):
             asked = sorted(group - {self.context.daemon})
@@ -326,7 +328,7 @@
 
     def is_lost(self, holder: str) -> bool:
         """Say whether a daemon's incarnation is gone or replaced."""
-        member = self.members.membership.members.get(holder.partition("#")[0])
+        member = self.members.membership.members.get(holder.partition("@")[0])
         return member is None or member.holder != holder
 
     async def take_over(self, holder: str) -> None:
--- a/tanagertrail/core/limiting.py
+++ b/tanagertrail/core/limiting.py
@@ -342,7 +342,7 @@
 
     def is_registered(self, holder: str) -> bool:
         """Say whether a holder is the registered incarnation of its daemon."""
-        member = self.members.membership.members.get(holder.partition("#")[0])
+        member = self.members.membership.members.get(holder.partition("@")[0])
         return member is not None and member.holder == holder
 
     def send_allotments(self, sent: Iterable[tuple[str, Allotment]]) -> None:
@@ -351,7 +351,7 @@
         for holder, allotment in sent:
             batches[holder].append(tuple(allotment))
         for holder, rows in batches.items():
-            self.context.send(holder.partition("#")[0], Allotments(tuple(rows)))
+            self.context.send(holder.partition("@")[0], Allotments(tuple(rows)))
 
     def receive_allotments(self, sender: str, message: Allotments) -> None:
         """Apply allotments and tell what changed."""
--- a/tanagertrail/core/members.py
+++ b/tanagertrail/core/members.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import uuid
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -33,10 +34,13 @@
 
 
 class DaemonRecord(NamedTuple):
-    """A daemon's entry among the shared objects."""
+    """A daemon's entry among the shared objects; its revision is the incarnation.
+
+    :ivar nonce: identifies one start of the daemon
+    """
 
     daemon: str
-    incarnation: int
+    nonce: str
     peer_address: str
     caller_address: str
     operator_address: str
@@ -73,15 +77,16 @@
         :raises PlatformError: if the store cannot be reached
         """
         key = ROSTER_PREFIX + record.daemon
+        fresh = record._replace(nonce=uuid.uuid4().hex)
+        value = msgpack.packb(list(fresh))
         for attempt in itertools.count(1):
+            known = await self.shared.read(key)
+            if known is not None and known.value == value:
+                self.context.incarnation = known.revision
+                return
             try:
-                known = await self.shared.read(key)
-                incarnation = decode_record(known).incarnation + 1 if known else 1
-                self.context.incarnation = incarnation
-                fresh = record._replace(incarnation=incarnation)
-                await self.shared.write(
-                    key, msgpack.packb(list(fresh)), known.version if known else 0
-                )
+                row = await self.shared.write(key, value, known.version if known else 0)
+                self.context.incarnation = row.revision
                 return
             except (ConflictError, StoreUnknownError):
                 if attempt >= REGISTER_TRIES:
@@ -110,7 +115,7 @@
         old_holder = known.holder if known else ""
         member = Member(
             daemon,
-            record.incarnation,
+            row.revision,
             record.peer_address,
             record.caller_address,
             record.failure_domain,
@@ -260,7 +265,9 @@
             return False
         if daemon in self.listed:
             return True
-        return now - self.registered_at.get(daemon, now) > NEVER_LISTED_SECONDS
+        member = self.membership.members[daemon]
+        silent = member.state is MemberState.SUSPECTED
+        return silent and now - self.registered_at.get(daemon, now) > NEVER_LISTED_SECONDS
 
     async def remove_gone(self, daemon: str) -> None:
         """Remove the registration of a gone daemon."""
--- a/tanagertrail/core/serving.py
+++ b/tanagertrail/core/serving.py
@@ -34,6 +34,7 @@
 MAX_ANSWER_BYTES = 16_000_000
 MODEL_PATH = "/v1/chat/completions"
 REDIRECT = ""
+TOO_LATE = "?"
 
 
 class ServingSettings(NamedTuple):
@@ -206,11 +207,16 @@
             wait = max(self.rates[group].seconds, 1.0)
             return NotRun(Step.QUEUE, self.context.daemon, "no slot came free in time", 503, wait)
         name = waiter.result()
+        if name == TOO_LATE:
+            wait = queue.estimate_wait(self.count_slots(group), self.rates[group])
+            reason = "the deadline cannot be met any more"
+            return NotRun(Step.QUEUE, self.context.daemon, reason, 503, max(wait, 1.0))
         return None if name == REDIRECT else self.limiter.upstreams[name]
 
     def give_back(self, waiter: asyncio.Future[str]) -> None:
         """Give back the slot that a request was given as it was cancelled."""
-        if waiter.done() and not waiter.cancelled() and waiter.result() != REDIRECT:
+        given = waiter.done() and not waiter.cancelled()
+        if given and waiter.result() not in (REDIRECT, TOO_LATE):
             self.limiter.release(waiter.result(), None)
 
     def leave_queue(self, group: Group, item: QueueItem, waiter: asyncio.Future) -> None:
@@ -252,10 +258,14 @@
         request = flight.request
         if flight.waiter.done():
             return
+        now = self.context.now()
+        if now + self.rates[flight.group].seconds > request.deadline:
+            flight.waiter.set_result(TOO_LATE)
+            return
         if flight.blocks is None:
             flight.blocks = tuple(split_prefix_blocks(request.service, request.body))
         pool = self.suspects.narrow(request, candidates)
-        question = ChoiceRequest(flight.blocks, self.context.now())
+        question = ChoiceRequest(flight.blocks, now)
         chosen = self.choose(question, pool, self.index, self.rng)
         self.limiter.acquire(chosen.upstream)
         self.index.note_stored(chosen.upstream, flight.blocks, question.now)
--- /dev/null
+++ b/tanagertrail/embedded.py
@@ -0,0 +1,260 @@
+"""The embedded demonstration: platform, upstreams, daemon and a caller in one process."""
+
+__all__ = ["Demonstration", "run_embedded"]
+
+import asyncio
+import json
+from typing import Any
+
+import urllib3
+
+from tanagertrail.core.members import DaemonRecord
+from tanagertrail.core.node import NodeParts
+from tanagertrail.daemon import Daemon
+from tanagertrail.daemons.tcp import TcpPeerTransport
+from tanagertrail.model import FailureDomain, Service, Target, Upstream, Version
+from tanagertrail.platform.instances import Instance
+from tanagertrail.platform.server import MemoryPlatform
+from tanagertrail.policy.tickets import Ticket, serialize_ticket
+from tanagertrail.settings import parse_settings
+from tanagertrail.timeline.merge import format_event
+from tanagertrail.upstreams.engine import EngineSettings, ToyEngine
+from tanagertrail.upstreams.http import HttpUpstreamClient
+from tanagertrail.upstreams.toy import ToyServer
+
+SETTINGS = """
+[daemon]
+name = entry-1
+failure_domain = sapporo
+[callers]
+port = 0
+threads = 32
+[operators]
+port = 0
+[daemons]
+port = 0
+"""
+ENGINE = EngineSettings(first_token=0.05, token_gap=0.02, service_time=0.01)
+DOMAINS = ("sapporo", "otaru", "asahikawa", "hakodate")
+MOVE_SECONDS = 12.0
+WATCH_SECONDS = 1.0
+STAGES = (0.1, 0.5, 1.0)
+POLL_SECONDS = 0.2
+READY_SECONDS = 30.0
+BACKGROUND_CALLERS = 4
+TIMELINE_EVENTS = 60
+
+
+class Demonstration:
+    """Run the main job once and print what happens."""
+
+    def __init__(self) -> None:
+        self.platform = MemoryPlatform()
+        self.toys: list[ToyServer] = []
+        self.http = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=16)
+        self.daemon: Daemon | None = None
+        self.caller_address = ""
+        self.operator_address = ""
+
+    def build_parts(self, record: DaemonRecord, transport: TcpPeerTransport) -> NodeParts:
+        """Build a node on the in-memory platform."""
+        return NodeParts(
+            record,
+            self.platform.objects,
+            self.platform.instances,
+            self.platform.cloud,
+            transport,
+            HttpUpstreamClient(),
+        )
+
+    async def start(self) -> None:
+        """Start the daemon."""
+        self.daemon = Daemon(parse_settings(SETTINGS), self.build_parts)
+        self.platform.instances.set_instance(Instance("entry-1", DOMAINS[0]))
+        await self.daemon.start()
+        record = self.daemon.node.members.records["entry-1"]
+        self.caller_address = record.caller_address
+        self.operator_address = record.operator_address
+
+    def start_toys(self, prefix: str, count: int) -> tuple[Upstream, ...]:
+        """Start toy upstreams and return them with their bound ports."""
+        upstreams = []
+        for index in range(count):
+            upstream = Upstream(
+                name=f"{prefix}-{index + 1}",
+                address="127.0.0.1:0",
+                failure_domain=DOMAINS[index % len(DOMAINS)],
+            )
+            toy = ToyServer(ToyEngine(upstream, ENGINE))
+            toy.start()
+            self.toys.append(toy)
+            upstreams.append(toy.upstream)
+        return tuple(upstreams)
+
+    def call(self, method: str, address: str, path: str, body: bytes | None = None, **headers):
+        """Make an HTTP call and return status and body."""
+        response = self.http.request(method, f"http://{address}{path}", body=body, headers=headers)
+        return response.status, response.data
+
+    async def call_json(self, method: str, address: str, path: str, document=None, **headers):
+        """Make a call with JSON both ways, from a thread."""
+        body = json.dumps(document).encode() if document is not None else None
+        status, data = await asyncio.to_thread(self.call, method, address, path, body, **headers)
+        return status, json.loads(data)
+
+    async def commit(self, ticket: Ticket) -> int:
+        """Commit a ticket at the operators' port."""
+        status, data = await asyncio.to_thread(
+            self.call, "POST", self.operator_address, "/v1/tickets", serialize_ticket(ticket)
+        )
+        document = json.loads(data)
+        if status != 201:
+            raise RuntimeError(f"ticket refused: {document}")
+        return document["number"]
+
+    def build_service(self, old: tuple[Upstream, ...], new: tuple[Upstream, ...]) -> Service:
+        """Build the model service with both versions, and a target if there is a new one."""
+        versions = {"v1": Version(upstreams=old)}
+        target = None
+        if new:
+            versions["v2"] = Version(upstreams=new)
+            target = Target(version="v2", within=MOVE_SECONDS, stages=STAGES, watch=WATCH_SECONDS)
+        return Service(versions=versions, current="v1", target=target)
+
+    async def run(self) -> bool:
+        """Show the main job and return whether all of it went well."""
+        await self.start()
+        old = self.start_toys("dial", 3)
+        desk = Service(
+            kind="records",
+            versions={"d1": Version(upstreams=self.start_toys("desk", 2))},
+            current="d1",
+            non_repeatable=("/bookings",),
+        )
+        ticket = Ticket(
+            operator="demo",
+            services={"dial": self.build_service(old, ()), "desk": desk},
+            failure_domains={name: FailureDomain() for name in DOMAINS},
+        )
+        print(f"ticket {await self.commit(ticket)} creates the services dial and desk")
+        checks = [await self.ask_address(), await self.stream_answer()]
+        checks += [await self.book_slot(), await self.file_report()]
+        checks.append(await self.shift_version(old))
+        self.print_timeline()
+        return all(checks)
+
+    async def ask_address(self) -> bool:
+        """Ask the system which address to use."""
+        status, answer = await self.call_json("GET", self.caller_address, "/v1/addresses")
+        print(f"address question: {status} {answer}")
+        return status == 200 and self.caller_address in answer["addresses"]
+
+    async def stream_answer(self) -> bool:
+        """Stream a model answer."""
+        status, data = await asyncio.to_thread(
+            self.call,
+            "POST",
+            self.caller_address,
+            "/v1/chat/completions",
+            json.dumps(build_chat(stream=True)).encode(),
+        )
+        tokens = data.count(b'"delta"')
+        whole = data.endswith(b"data: [DONE]\n\n")
+        print(f"streamed answer: {status}, {tokens} tokens, whole={whole}")
+        return status == 200 and whole
+
+    async def book_slot(self) -> bool:
+        """Book a slot twice under one key; it is booked once."""
+        answers = []
+        for _ in range(2):
+            answers.append(
+                await self.call_json(
+                    "POST",
+                    self.caller_address,
+                    "/v1/services/desk/bookings",
+                    {"bench": 3},
+                    **{"Idempotency-Key": "demo-booking"},
+                )
+            )
+        print(f"booking: {answers[0]}; sent again: {answers[1]}")
+        return answers[0] == answers[1] and answers[0][0] == 200
+
+    async def file_report(self) -> bool:
+        """File a report as a durable job and poll it to its end."""
+        job = {"service": "dial", "request": build_chat(stream=False)}
+        status, view = await self.call_json("POST", self.caller_address, "/v1/jobs", job)
+        print(f"report accepted: {status} {view['job_id']}")
+        path = f"/v1/jobs/{view['job_id']}"
+        for _ in range(round(READY_SECONDS / POLL_SECONDS)):
+            _, view = await self.call_json("GET", self.caller_address, path)
+            if view["state"] in ("done", "failed"):
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        print(f"report {view['state']}: {view['text'][:40]!r}...")
+        return view["state"] == "done"
+
+    async def shift_version(self, old: tuple[Upstream, ...]) -> bool:
+        """Shift the model to a new version by a ticket, under traffic."""
+        service = self.build_service(old, self.start_toys("dial2", 3))
+        number = await self.commit(Ticket(operator="demo", services={"dial": service}))
+        print(f"ticket {number} shifts dial to v2")
+        stop = asyncio.Event()
+        callers = [asyncio.create_task(self.keep_asking(stop)) for _ in range(BACKGROUND_CALLERS)]
+        move = ""
+        for _ in range(round(READY_SECONDS / POLL_SECONDS)):
+            _, view = await self.call_json("GET", self.operator_address, f"/v1/tickets/{number}")
+            if view["moves"]["dial"] != move:
+                move = view["moves"]["dial"]
+                print(f"ticket {number}: {move}")
+            if move.startswith(("done", "taken back")):
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        stop.set()
+        answered = sum(await asyncio.gather(*callers))
+        print(f"{answered} requests answered meanwhile")
+        return move.startswith("done")
+
+    async def keep_asking(self, stop: asyncio.Event) -> int:
+        """Ask again and again; return the number of whole answers."""
+        answered = 0
+        while not stop.is_set():
+            status, _ = await self.call_json(
+                "POST", self.caller_address, "/v1/chat/completions", build_chat(stream=False)
+            )
+            answered += status == 200
+        return answered
+
+    def print_timeline(self) -> None:
+        """Print the last events, but for those of the background requests."""
+        noisy = ("request", "dispatch", "outcome_answered")
+        events = [event for event in self.daemon.node.recorder.events if event.kind not in noisy]
+        print("time line:")
+        for event in events[-TIMELINE_EVENTS:]:
+            print(" ", format_event(event))
+
+    async def stop(self) -> None:
+        """Stop the daemon without a drain, and the toys."""
+        await self.daemon.close()
+        for toy in self.toys:
+            await asyncio.to_thread(toy.stop)
+
+
+def build_chat(stream: bool) -> dict[str, Any]:
+    """Build a chat request to the model service."""
+    message = {"role": "user", "content": "Draft a report on a radium dial with worn print."}
+    return {"model": "dial", "messages": [message], "stream": stream, "max_tokens": 12}
+
+
+async def run_embedded(stay: bool = False) -> int:
+    """Run the demonstration and return the exit status."""
+    demonstration = Demonstration()
+    try:
+        good = await demonstration.run()
+        print("the main job went well" if good else "the main job FAILED")
+        if stay:
+            print(f"callers on {demonstration.caller_address}; ", end="")
+            print(f"operators on {demonstration.operator_address}; stop with Ctrl-C", flush=True)
+            await demonstration.daemon.run()
+    finally:
+        await demonstration.stop()
+    return 0 if good else 1
--- a/tanagertrail/platform/objects.py
+++ b/tanagertrail/platform/objects.py
@@ -222,7 +222,8 @@
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.waiters.add(waiter)
         try:
-            await asyncio.wait_for(waiter, timeout)
+            async with asyncio.timeout(timeout):
+                await waiter
         except TimeoutError:
             return
         finally:
--- a/tanagertrail/policy/membership.py
+++ b/tanagertrail/policy/membership.py
@@ -45,7 +45,7 @@
     @property
     def holder(self) -> str:
         """Return the identity of this incarnation."""
-        return f"{self.daemon}#{self.incarnation}"
+        return f"{self.daemon}@{self.incarnation}"
 
 
 class StateChange(NamedTuple):
--- a/tanagertrail/sockets.py
+++ b/tanagertrail/sockets.py
@@ -32,6 +32,12 @@
         environ[REQUEST_KEY] = self.req
         return environ
 
+    def start_response(self, status, headers, exc_info=None):
+        """Take status and headers unless the event loop wrote the answer."""
+        if getattr(self.req, HANDED_OVER, False):
+            return self.write
+        return super().start_response(status, headers, exc_info)
+
     def write(self, chunk: bytes) -> None:
         """Write a chunk unless the event loop wrote the answer."""
         if not getattr(self.req, HANDED_OVER, False):
--- a/tanagertrail/testing.py
+++ b/tanagertrail/testing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 from collections.abc import Coroutine
 from typing import Any, NamedTuple, TypeVar
 
@@ -65,8 +66,8 @@
 class Cluster:
     """Many daemon cores in one process, on in-memory platform, network and upstreams."""
 
-    def __init__(self, settings: ClusterSettings = ClusterSettings()) -> None:
-        self.settings = settings
+    def __init__(self, **sizes: Any) -> None:
+        self.settings = settings = ClusterSettings(**sizes)
         self.store = MemoryObjectStore()
         self.instances = MemoryInstanceList(settings.list_lag)
         self.cloud = MemoryCloud()
@@ -113,7 +114,7 @@
     def build_node(self, name: str, domain: str) -> Node:
         """Build a daemon that is not yet started."""
         client = MemoryUpstreamClient(self.engines)
-        record = DaemonRecord(name, 0, name, f"{name}:80", f"{name}:81", domain)
+        record = DaemonRecord(name, "", name, f"{name}:80", f"{name}:81", domain)
         node = Node(
             NodeParts(
                 record,
@@ -164,9 +165,8 @@
         **fields: Any,
     ) -> CallerRequest:
         """Build a streamed chat request."""
-        body = (
-            '{"messages": [{"role": "user", "content": "%s"}], "max_tokens": %d}' % (prompt, tokens)
-        ).encode()
+        messages = [{"role": "user", "content": prompt}]
+        body = json.dumps({"messages": messages, "max_tokens": tokens}).encode()
         values: dict[str, Any] = {
             "request_id": f"r{next(self.request_numbers)}",
             "service": service,
--- a/tanagertrail/upstreams/http.py
+++ b/tanagertrail/upstreams/http.py
@@ -30,6 +30,7 @@
 HEADER_NOT_RUN = "X-Not-Run"
 HEADER_RECOMPUTED = "X-Tokens-Recomputed"
 OPEN_THREADS = 128
+RELAY_THREADS = 600
 READ_BYTES = 65536
 CONNECTIONS_PER_UPSTREAM = 64
 
@@ -165,6 +166,59 @@
     return raw.read1(len(buffered)) if buffered else b""
 
 
+class ThreadStreamAnswer(BaseUpstreamAnswer):
+    """A streamed answer that a thread reads and writes, kept as the baseline."""
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        response: urllib3.BaseHTTPResponse,
+        executor: ThreadPoolExecutor,
+    ) -> None:
+        self.response = response
+        self.executor = executor
+        self.streamed = True
+        self.status = response.status
+        self.checker = EventChecker(attempt.attempt_id, attempt.resume_from)
+        self.loop = asyncio.get_running_loop()
+
+    @property
+    def next_sequence(self) -> int:
+        """Return the number of tokens that the sink has."""
+        return self.checker.next_sequence
+
+    async def relay(self, sink: BaseSink, observe: TokenObserver) -> RelayEnd:
+        """Move the checked events in a thread."""
+        return await self.loop.run_in_executor(self.executor, self.move, sink, observe)
+
+    def move(self, sink: BaseSink, observe: TokenObserver) -> RelayEnd:
+        """Read chunks and write their events until the end."""
+        checker = self.checker
+        try:
+            for chunk in self.response.read_chunked():
+                before = checker.next_sequence
+                passed = checker.feed(chunk)
+                if passed:
+                    sink.write(passed)
+                    observe(checker.next_sequence - before, self.loop.time())
+                if sink.closed:
+                    reason = "the caller is gone"
+                    return RelayEnd(False, checker.next_sequence, reason, caller_gone=True)
+        except UpstreamProtocolError as error:
+            return RelayEnd(False, checker.next_sequence, str(error))
+        except (HTTPError, OSError) as error:
+            return RelayEnd(False, checker.next_sequence, str(error), crashed=True)
+        if not checker.ended:
+            return RelayEnd(False, checker.next_sequence, "the answer has no end", crashed=True)
+        return RelayEnd(True, checker.next_sequence)
+
+    async def close(self) -> None:
+        """Keep the connection if the answer was read to its end, else close it."""
+        if not self.checker.ended:
+            self.response.close()
+        self.response.release_conn()
+
+
 class HttpPlainAnswer(BaseUpstreamAnswer):
     """A plain answer, read as a whole."""
 
@@ -181,9 +235,14 @@
 
 
 class HttpUpstreamClient(BaseUpstreamClient):
-    """Reach upstreams over HTTP/1.1."""
+    """Reach upstreams over HTTP/1.1.
+
+    :ivar relay: ``loop`` or ``threads``, which is the baseline
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, relay: str = "loop") -> None:
+        self.relay = relay
+        self.relay_executor = ThreadPoolExecutor(RELAY_THREADS, thread_name_prefix="relay")
         self.pools = urllib3.PoolManager(
             num_pools=256, maxsize=CONNECTIONS_PER_UPSTREAM, retries=False
         )
@@ -199,6 +258,8 @@
         response = await self.run(self.send_attempt, attempt)
         if isinstance(response, HttpPlainAnswer):
             return response
+        if self.relay == "threads":
+            return ThreadStreamAnswer(attempt, response, self.relay_executor)
         return HttpStreamAnswer(attempt, response)
 
     def send_attempt(self, attempt: Attempt):
--- a/tanagertrail/webserver.py
+++ b/tanagertrail/webserver.py
@@ -1,9 +1,11 @@
 """CherryPy servers that run beside an event loop, with JSON helpers."""
 
 __all__ = [
+    "RootProxy",
     "ServerSettings",
     "WebServer",
     "call_core",
+    "close_after_response",
     "read_body",
     "respond_json",
 ]
@@ -11,7 +13,7 @@
 import asyncio
 import json
 import threading
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple, TypeVar
 
 import cherrypy
@@ -19,8 +21,10 @@
 from cheroot.wsgi import Server
 
 from tanagertrail.sockets import HandoverGateway
+from tanagertrail.tls import KeyFiles, ReloadingContext
 
 T = TypeVar("T")
+Layer = Callable[[Callable], Callable]
 DEFAULT_BODY_BYTES = 1_000_000
 MAX_HEADER_BYTES = 16_384
 SHUTDOWN_SECONDS = 5
@@ -42,13 +46,10 @@
 class WebServer:
     """Serve one CherryPy application from threads of this process."""
 
-    def __init__(self, settings: ServerSettings, root: object) -> None:
+    def __init__(self, settings: ServerSettings, root: object, layer: Layer | None = None) -> None:
         self.settings = settings
         config = {
             "/": {
-                "request.dispatch": cherrypy.dispatch.MethodDispatcher()
-                if getattr(root, "exposed", False)
-                else cherrypy.dispatch.Dispatcher(),
                 "tools.trailing_slash.on": False,
                 "request.show_tracebacks": False,
                 "request.process_request_body": False,
@@ -60,7 +61,7 @@
         application.log.error_log.propagate = False
         self.server = Server(
             (settings.host, settings.port),
-            application,
+            layer(application) if layer else application,
             numthreads=settings.threads,
             request_queue_size=2048,
             timeout=60,
@@ -69,16 +70,37 @@
         self.server.gateway = HandoverGateway
         self.server.max_request_header_size = MAX_HEADER_BYTES
         self.server.error_log = lambda *arguments, **keywords: None
-        if settings.certificate:
-            self.server.ssl_adapter = BuiltinSSLAdapter(settings.certificate, settings.private_key)
+        self.keys = self.load_keys()
+        self.bound = False
         self.thread: threading.Thread | None = None
 
+    def load_keys(self) -> ReloadingContext | None:
+        """Listen with TLS if keys are set; return the context that reloads them."""
+        settings = self.settings
+        if not settings.certificate:
+            return None
+        keys = ReloadingContext(KeyFiles(settings.certificate, settings.private_key))
+        adapter = BuiltinSSLAdapter(settings.certificate, settings.private_key)
+        adapter.context = keys.context
+        self.server.ssl_adapter = adapter
+        return keys
+
+    def bind(self) -> int:
+        """Bind the port and return its number.
+
+        :raises OSError: if it is taken
+        """
+        if not self.bound:
+            self.server.prepare()
+            self.bound = True
+        return self.port
+
     def start(self) -> None:
-        """Bind the port and serve from a thread.
+        """Serve from a thread, on a port that is bound now if it was not before.
 
         :raises OSError: if the port is taken
         """
-        self.server.prepare()
+        self.bind()
         self.thread = threading.Thread(target=self.server.serve, daemon=True)
         self.thread.start()
 
@@ -92,6 +114,18 @@
         self.server.stop()
 
 
+class RootProxy:
+    """A root whose target is set after its port was bound."""
+
+    def __init__(self) -> None:
+        self.target = None
+
+    @cherrypy.expose
+    def default(self, *path: str, **query: str) -> bytes:
+        """Pass every path to the target."""
+        return self.target.default(*path, **query)
+
+
 def call_core(loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine on the event loop from a worker thread and wait for its result."""
     return asyncio.run_coroutine_threadsafe(work, loop).result()
@@ -115,6 +149,11 @@
     return body
 
 
+def close_after_response() -> None:
+    """Close the caller's connection after the current response."""
+    cherrypy.serving.response.headers["Connection"] = "close"
+
+
 def respond_json(document: object, status: int = 200) -> bytes:
     """Set status and content type of the current response and return a JSON body."""
     response = cherrypy.serving.response
--- /dev/null
+++ b/tests/utils.py
@@ -0,0 +1,76 @@
+"""Shared fixtures and builders of test data."""
+
+import functools
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+from hypothesis import settings
+
+from tanagertrail.model import FailureDomain, Service, Upstream, Version
+from tanagertrail.policy.tickets import Ticket
+from tanagertrail.testing import Cluster, run_virtual
+
+settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+settings.load_profile("fixed")
+
+
+def virtual(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Run an asynchronous test on virtual time."""
+
+    @functools.wraps(test)
+    def run(*arguments):
+        run_virtual(test(*arguments))
+
+    return run
+
+
+def with_cluster(**sizes) -> Callable:
+    """Give a test a started in-memory cluster, on virtual time."""
+
+    def decorate(test: Callable[[Cluster], Awaitable[None]]) -> Callable[[], None]:
+        async def work() -> None:
+            cluster = Cluster(**sizes)
+            await cluster.start()
+            await test(cluster)
+
+        def run() -> None:
+            run_virtual(work())
+
+        run.__name__ = test.__name__
+        run.__module__ = test.__module__
+        run.__doc__ = test.__doc__
+        return run
+
+    return decorate
+
+
+@contextmanager
+def raises(kind: type[Exception]) -> Iterator[list[Exception]]:
+    """Check that a block raises, and give the exception in a list."""
+    caught: list[Exception] = []
+    try:
+        yield caught
+    except kind as error:
+        caught.append(error)
+        return
+    raise AssertionError(f"{kind.__name__} was not raised")
+
+
+def build_upstream(name: str = "dial-1", **fields) -> Upstream:
+    """Build an upstream."""
+    values = {"name": name, "address": "10.0.0.1:9000", "failure_domain": "sapporo"}
+    return Upstream(**{**values, **fields})
+
+
+def build_service(*upstreams: Upstream, **fields) -> Service:
+    """Build a service with one version."""
+    return Service(versions={"v1": Version(upstreams=upstreams)}, current="v1", **fields)
+
+
+def build_ticket(**fields) -> Ticket:
+    """Build a ticket that creates a service and a failure domain."""
+    values = {
+        "services": {"dial": build_service(build_upstream())},
+        "failure_domains": {"sapporo": FailureDomain()},
+    }
+    return Ticket(**{**values, **fields})
