--- a/tanagertrail/core/flights.py
+++ b/tanagertrail/core/flights.py
@@ -55,6 +55,7 @@
         self.answer: BaseUpstreamAnswer | None = None
         self.interrupted: asyncio.Event = asyncio.Event()
         self.interrupted_by = ""
+        self.on_first_token: Callable[[], None] = lambda: None
 
     @property
     def group(self) -> Group:
@@ -151,6 +152,7 @@
             flight.attempt_tokens += tokens
             if not flight.first_token_at:
                 flight.first_token_at = window_start = at
+                flight.on_first_token()
                 return
             window_tokens += tokens
             if window_tokens < GAP_WINDOW_TOKENS:
--- a/tanagertrail/core/serving.py
+++ b/tanagertrail/core/serving.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import defaultdict
+from collections.abc import Callable
 from typing import NamedTuple
 
 from tanagertrail.core.configuring import ConfigurationKeeper
@@ -33,6 +34,8 @@
 
 MAX_ANSWER_BYTES = 16_000_000
 MODEL_PATH = "/v1/chat/completions"
+Probe = Callable[[Step, CallerRequest], None]
+
 REDIRECT = ""
 TOO_LATE = "?"
 
@@ -79,6 +82,7 @@
         )
         self.breakers: dict[str, CircuitBreaker] = defaultdict(CircuitBreaker)
         self.flights = FlightTable(context, limiter)
+        self.probe: Probe = lambda step, request: None
         limiter.on_slots = self.take_slots
         limiter.on_cold = self.flights.shed_excess
         traffic.on_stop = self.redirect_version
@@ -87,6 +91,7 @@
         """Serve a request to its final outcome; a streamed answer goes to the sink."""
         recorder = self.context.recorder
         recorder.record("request", request=request.request_id, detail=request.service)
+        self.probe(Step.ADMISSION, request)
         refused = self.check_request(request)
         outcome = refused or await self.run_attempts(request, sink or MemorySink())
         kind = type(outcome).__name__.lower()
@@ -190,6 +195,7 @@
         flight.waiter = waiter
         item = queue.push(request.priority, request.customer, request.deadline, flight)
         self.limiter.demands[group].waiting += 1
+        self.probe(Step.QUEUE, request)
         self.pump(group)
         try:
             if not waiter.done():
@@ -268,6 +274,7 @@
         question = ChoiceRequest(flight.blocks, now)
         chosen = self.choose(question, pool, self.index, self.rng)
         self.limiter.acquire(chosen.upstream)
+        self.probe(Step.CHOICE, request)
         self.index.note_stored(chosen.upstream, flight.blocks, question.now)
         flight.waiter.set_result(chosen.upstream)
 
@@ -325,10 +332,12 @@
         """Open an attempt, move its answer and classify what comes of it."""
         name = upstream.name
         attempt = self.build_attempt(flight, upstream)
+        self.probe(Step.DISPATCH, flight.request)
         try:
             answer = await self.client.open(attempt)
         except UpstreamConnectError as error:
             self.breakers[name].note_failure(self.context.now())
+            self.limiter.note_cold(name)
             return NotRun(Step.DISPATCH, name, str(error))
         except UpstreamRefusedError as error:
             return NotRun(Step.HEAD, name, str(error))
@@ -339,6 +348,7 @@
             return Unknown(Step.HEAD, name, str(error), crashed=True)
         self.breakers[name].note_success()
         flight.may_have_run = True
+        self.probe(Step.HEAD, flight.request)
         try:
             if answer.streamed:
                 return await self.relay(flight, upstream, answer)
@@ -369,10 +379,12 @@
         self, flight: Flight, upstream: Upstream, answer: BaseUpstreamAnswer
     ) -> Outcome:
         """Read a plain answer."""
+        self.probe(Step.STREAM, flight.request)
         try:
             body = await answer.read_body(MAX_ANSWER_BYTES)
         except UpstreamProtocolError as error:
             return Unknown(Step.END, upstream.name, str(error))
+        self.probe(Step.END, flight.request)
         flight.first_token_at = self.context.now()
         if answer.status >= 500:
             reason = f"the service answered {answer.status}"
@@ -386,7 +398,10 @@
     ) -> Outcome | Interruption:
         """Move a streamed answer until its end, the deadline or an interruption."""
         before = flight.delivered
-        end = await flight.relay(answer, self.flights.observer(flight, upstream))
+        observe = self.flights.observer(flight, upstream)
+        flight.on_first_token = lambda: self.probe(Step.STREAM, flight.request)
+        end = await flight.relay(answer, observe)
+        self.probe(Step.END, flight.request)
         if end is None:
             return Interruption(flight.interrupted_by)
         flight.delivered = end.next_sequence
--- a/tanagertrail/core/surroundings.py
+++ b/tanagertrail/core/surroundings.py
@@ -86,6 +86,7 @@
             report = await self.client.read_load(upstream)
         except UpstreamConnectError:
             self.context.recorder.count("load_reports_missed")
+            self.limiter.note_cold(name)
             return
         self.reports[name] = report
         self.take_cache_events(report)
--- a/tanagertrail/upstreams/engine.py
+++ b/tanagertrail/upstreams/engine.py
@@ -85,7 +85,7 @@
         self.cached_tokens = 0
         self.recomputed_tokens = 0
         self.executions: Counter[str] = Counter()
-        self.answers: dict[str, bytes] = {}
+        self.started: Counter[str] = Counter()
         self.fencing = 0
         self.orders: dict[str, OrderResult] = {}
         self.loaded: set[str] = set()
@@ -131,6 +131,7 @@
             raise UpstreamConnectError(f"{self.upstream.name} is down")
         if self.faults.refuse:
             raise UpstreamRefusedError(f"{self.upstream.name} refuses")
+        self.started[attempt.attempt_id.rpartition(".")[0]] += 1
         self.in_flight += 1
         self.peak_overshoot = max(self.peak_overshoot, self.in_flight - self.bearable)
         overloaded = self.cold and self.in_flight > 2 * self.bearable
