--- a/tanagertrail/settings/schema.py
+++ b/tanagertrail/settings/schema.py
@@ -197,7 +197,14 @@
     violations = []
     for item in error.errors():
         place = ".".join(str(part) for part in item["loc"]) or "settings"
-        secret = place.endswith("token")
-        seen = "hidden" if secret else repr(item["input"])[:MAX_SEEN_CHARACTERS]
-        violations.append(Violation(place, item["msg"], seen))
+        violations.append(Violation(place, item["msg"], describe_seen(place, item["input"])))
     return violations
+
+
+def describe_seen(place: str, value: object) -> str:
+    """Show a value that broke a rule, but no secret, which whole sections may hold."""
+    if place.endswith("token"):
+        return "hidden"
+    if isinstance(value, dict | BaseModel):
+        return "nothing that fits"
+    return repr(value)[:MAX_SEEN_CHARACTERS]
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,121 @@
+"""Model checks of the slot ledger: messages are lost, repeated and late, keepers change."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tanagertrail.policy.ledger import SlotLedger
+from tanagertrail.policy.slots import DemandLine, SlotHolder, spread_demand
+from tests.utils import raises
+
+HOLDERS = ("a@1", "b@2", "c@3")
+SLOTS = 4
+COLD_SLOTS = 3
+UPSTREAM = "dial-1"
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Three holders and a succession of keepers of one upstream."""
+
+    def __init__(self):
+        super().__init__()
+        self.holders = {name: SlotHolder(name) for name in HOLDERS}
+        for holder in self.holders.values():
+            holder.add_upstream(UPSTREAM, SLOTS, COLD_SLOTS)
+            holder.bind_epoch(UPSTREAM, 1)
+        self.keepers = [SlotLedger(UPSTREAM, SLOTS, COLD_SLOTS, 1, HOLDERS)]
+        self.reports = []
+        self.allotments = []
+        self.epoch = 1
+
+    @rule(name=st.sampled_from(HOLDERS), want=st.integers(0, 6), good=st.integers(0, 30))
+    def report(self, name, want, good):
+        entry = self.holders[name].held[UPSTREAM]
+        entry.want = want
+        entry.good = good
+        self.reports.append(self.holders[name].build_report(UPSTREAM))
+
+    @rule(index=st.integers(0, 50), keep=st.booleans(), keeper=st.integers(0, 5))
+    def deliver_report(self, index, keep, keeper):
+        if not self.reports:
+            return
+        report = self.reports[index % len(self.reports)]
+        if not keep:
+            self.reports.remove(report)
+        ledger = self.keepers[keeper % len(self.keepers)]
+        self.allotments.extend(ledger.take_report(report))
+
+    @rule(index=st.integers(0, 50), keep=st.booleans())
+    def deliver_allotment(self, index, keep):
+        if not self.allotments:
+            return
+        sent = self.allotments[index % len(self.allotments)]
+        if not keep:
+            self.allotments.remove(sent)
+        holder, allotment = sent
+        self.holders[holder].apply_allotment(allotment)
+
+    @rule(name=st.sampled_from(HOLDERS), want=st.integers(1, 4), keeper=st.integers(0, 5))
+    def exchange(self, name, want, keeper):
+        entry = self.holders[name].held[UPSTREAM]
+        entry.want = want
+        ledger = self.keepers[-1 - keeper % len(self.keepers)]
+        for holder, allotment in ledger.take_report(self.holders[name].build_report(UPSTREAM)):
+            self.holders[holder].apply_allotment(allotment)
+
+    @rule(name=st.sampled_from(HOLDERS))
+    def acquire(self, name):
+        self.holders[name].acquire(UPSTREAM)
+
+    @rule(name=st.sampled_from(HOLDERS))
+    def release(self, name):
+        if self.holders[name].held[UPSTREAM].in_flight:
+            self.holders[name].release(UPSTREAM)
+
+    @rule()
+    def change_keeper(self):
+        self.epoch += 1
+        self.keepers.append(SlotLedger(UPSTREAM, SLOTS, COLD_SLOTS, self.epoch, HOLDERS))
+
+    @rule(name=st.sampled_from(HOLDERS))
+    def bind(self, name):
+        self.holders[name].bind_epoch(UPSTREAM, self.epoch)
+
+    @invariant()
+    def sum_in_flight_stays_under_the_limit(self):
+        total = sum(holder.held[UPSTREAM].in_flight for holder in self.holders.values())
+        assert total <= SLOTS, total
+
+    @invariant()
+    def sum_of_blocks_stays_under_the_limit(self):
+        total = sum(holder.held[UPSTREAM].block for holder in self.holders.values())
+        assert total <= SLOTS, total
+
+
+TestLedger = LedgerMachine.TestCase
+TestLedger.settings = settings(
+    max_examples=150, stateful_step_count=60, derandomize=True, deadline=None, database=None
+)
+
+
+def test_need_is_spread_evenly_in_order_of_preference():
+    lines = [DemandLine("a", 3), DemandLine("b", 3), DemandLine("c", 0)]
+    assert spread_demand(4, lines) == {"a": 2, "b": 2, "c": 0}
+
+
+def test_unmet_need_is_asked_of_all():
+    lines = [DemandLine("a", 1), DemandLine("b", 0)]
+    assert sum(spread_demand(5, lines).values()) == 5
+
+
+def test_cold_notice_cuts_usable_slots_at_once():
+    holder = SlotHolder("a@1")
+    entry = holder.add_upstream(UPSTREAM, 8, 2)
+    entry.block = 4
+    assert holder.note_cold(UPSTREAM, 1)
+    assert entry.usable == 1
+
+
+def test_release_of_an_unknown_upstream_is_an_error():
+    with raises(KeyError):
+        SlotHolder("a@1").release("nothing")
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,48 @@
+"""Tests of the settings."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tanagertrail.errors import SettingsError
+from tanagertrail.settings import parse_settings
+from tests.utils import raises
+
+GOOD = "[daemon]\nname = entry-1\nfailure_domain = sapporo\n"
+
+
+def test_defaults():
+    settings = parse_settings(GOOD)
+    assert settings.callers.port == 8080
+    assert settings.policy.choice == "affinity"
+
+
+def test_all_bad_values_are_reported_together():
+    text = (
+        "[daemon]\nname = Entry 1\nfailure_domain = x\nhost = nowhere\n"
+        "[callers]\nport = 99999\nrelay = fast\n[policy]\nchoice = best\n[colour]\nx = 1\n"
+    )
+    with raises(SettingsError) as caught:
+        parse_settings(text)
+    fields = {violation.field for violation in caught[0].violations}
+    expected = {"daemon.name", "daemon.host", "callers.port", "callers.relay", "policy.choice"}
+    assert expected | {"colour"} <= fields, fields
+
+
+def test_ports_must_differ():
+    with raises(SettingsError) as caught:
+        parse_settings(GOOD + "[callers]\nport = 80\n[operators]\nport = 80\n")
+    assert "ports must differ" in str(caught[0])
+
+
+def test_token_is_not_shown():
+    with raises(SettingsError) as caught:
+        parse_settings("[operators]\ntoken = hush\nport = x\n")
+    assert "hush" not in str(caught[0])
+
+
+@given(st.text(max_size=200))
+def test_any_text_parses_or_is_refused(text):
+    try:
+        parse_settings(text)
+    except SettingsError as error:
+        assert error.violations
