Measure journals, cold turns, prefixes, scale and schedules; pace the journals

Cause: these decisions had no figures. Change: bench commands for each, tests of the small decisions, journals paced by the size of the fleet, ties of cached prefixes go to the least loaded.

--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -5,14 +5,27 @@
 import asyncio
 import json
 import signal
+import sys
+from pathlib import Path
 
 import fire
 
 from tanagertrail.bench.build import build_model_ticket
+from tanagertrail.bench.cold import run_cold
+from tanagertrail.bench.journals import run_journal
+from tanagertrail.bench.limits import run_limits
+from tanagertrail.bench.matrix import format_matrix, iter_cells, run_cell
+from tanagertrail.bench.plots import write_limits_plot
+from tanagertrail.bench.prefixes import run_prefixes
+from tanagertrail.bench.scale import run_scale, run_spread
+from tanagertrail.bench.schedules import run_schedules
 from tanagertrail.bench.streams import StreamLoad, run_stream_load
 from tanagertrail.bench.tables import format_table
 from tanagertrail.model import Upstream
+from tanagertrail.policy.batching import BATCHINGS
 from tanagertrail.policy.tickets import serialize_ticket
+from tanagertrail.scenarios import parse_scenario, run_scenario
+from tanagertrail.testing import run_virtual
 from tanagertrail.upstreams.engine import EngineSettings, ToyEngine
 from tanagertrail.upstreams.toy import ToyServer
 
@@ -74,13 +87,72 @@
         json: bool = False,
     ) -> None:
         """Load ADDRESS with streamed answers and print the relay table."""
-        counts = streams if isinstance(streams, tuple) else (streams,)
         results = []
-        for count in counts:
+        for count in as_tuple(streams):
             load = StreamLoad(address, "dial", int(count), tokens, rounds, pid)
             results.append(asyncio.run(run_stream_load(load)))
         print(format_json(results) if json else format_table(results))
 
+    def limits(self, daemons: int = 9, replicas: int = 10, loads: str = "0.5,1,1.2,2") -> None:
+        """Print work in flight against the limits of upstreams, by load."""
+        rows = [run_virtual(run_limits(daemons, replicas, load)) for load in as_tuple(loads)]
+        print(format_table(rows))
+
+    def scale(self, sizes: str = "9,20,40", upstreams_each: int = 6) -> None:
+        """Print the costs of a quiet fleet, by number of daemons."""
+        rows = [run_virtual(run_scale(n, n * upstreams_each)) for n in as_tuple(sizes)]
+        print(format_table(rows))
+
+    def spread(self, sizes: str = "9,40,120", upstreams: int = 40) -> None:
+        """Print how fast tickets and deaths become known, by number of daemons."""
+        print(format_table([run_virtual(run_spread(n, upstreams)) for n in as_tuple(sizes)]))
+
+    def journal(self, daemons: int = 9, rates: str = "5,50,500") -> None:
+        """Print the ways to gather records into writes, by rate of jobs."""
+        rows = [
+            run_virtual(run_journal(name, daemons, rate))
+            for rate in as_tuple(rates)
+            for name in BATCHINGS
+        ]
+        print(format_table(rows))
+
+    def cold(self, streams: str = "2,8", hours: float = 2.0) -> None:
+        """Print false alarms and delay of the cold detector, by streams at one upstream."""
+        print(format_table([run_cold(count, hours) for count in as_tuple(streams)]))
+
+    def prefixes(self) -> None:
+        """Print the tokens recomputed by each choice of upstream."""
+        print(format_table(list(run_prefixes())))
+
+    def calls(self, schedules: int = 100_000, first_seed: int = 0) -> None:
+        """Print what seeded schedules of guarded calls broke."""
+        print(format_table([run_virtual(run_schedules(schedules, first_seed))]))
+
+    def matrix(self) -> None:
+        """Print the fault matrix."""
+        results = [run_virtual(run_cell(cell)) for cell in iter_cells()]
+        for kind in ("stream", "call"):
+            print(f"\n{kind}\n\n{format_matrix(results, kind)}")
+
+    def scenario(self, file: str) -> None:
+        """Run the scenario in FILE and print what it measured."""
+        result = run_virtual(run_scenario(parse_scenario(Path(str(file)).read_text())))
+        for name, value in result.measures.items():
+            print(f"{name}: {value:g}")
+        for failure in result.failures:
+            print(f"FAILED {failure}")
+        if result.failures:
+            sys.exit(1)
+
+    def plot(self, file: str = "limits.png") -> None:
+        """Write a plot of utilisation by load."""
+        write_limits_plot(str(file))
+
+
+def as_tuple(value: object) -> tuple:
+    """Return an option with commas as a tuple."""
+    return value if isinstance(value, tuple) else (value,)
+
 
 def format_json(rows: list) -> str:
     """Format rows as JSON."""
--- a/tanagertrail/core/jobs.py
+++ b/tanagertrail/core/jobs.py
@@ -25,6 +25,7 @@
 from tanagertrail.errors import PlatformError
 from tanagertrail.model import Priority
 from tanagertrail.outcomes import Answered, NotRun, Outcome, Step, Unknown
+from tanagertrail.policy.batching import compute_spacing
 from tanagertrail.policy.journals import (
     JobRecord,
     JobState,
@@ -104,7 +105,7 @@
         duties: DutyKeeper,
         server: RequestServer,
         calls: CallKeeper,
-        batching: str = "drain",
+        batching: str = "paced",
     ) -> None:
         self.context = context
         self.members = members
@@ -112,6 +113,7 @@
         self.server = server
         self.calls = calls
         self.journal = JournalWriter(context, batching)
+        self.journal.spacing = lambda: compute_spacing(len(members.membership.members))
         self.jobs: dict[str, JobRecord] = {}
         self.running: dict[str, asyncio.Task] = {}
         self.deadlines: dict[str, float] = {}
--- a/tanagertrail/core/journal.py
+++ b/tanagertrail/core/journal.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 
 from tanagertrail.core.context import NodeContext
 from tanagertrail.errors import (
@@ -12,7 +13,7 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
-from tanagertrail.policy.batching import BATCHINGS
+from tanagertrail.policy.batching import BATCHINGS, compute_spacing
 from tanagertrail.policy.journals import (
     JournalEntry,
     Segment,
@@ -41,8 +42,10 @@
     sealed journal refuses the next segment of a holder that was paused.
     """
 
-    def __init__(self, context: NodeContext, batching: str = "drain") -> None:
+    def __init__(self, context: NodeContext, batching: str = "paced") -> None:
         self.context = context
+        self.spacing: Callable[[], float] = lambda: compute_spacing(1)
+        self.written_at = float("-inf")
         self.batching = BATCHINGS.get(batching)
         self.number = 1
         self.queue: list[tuple[JournalEntry, asyncio.Future[None]]] = []
@@ -77,14 +80,19 @@
         """Write what has queued, again and again."""
         while True:
             await self.wake.wait()
-            if self.batching.delay:
-                await asyncio.sleep(self.batching.delay)
+            await asyncio.sleep(self.compute_delay())
             batch = self.take_batch()
             if not self.queue:
                 self.wake.clear()
             if batch:
                 await self.write_batch(batch)
 
+    def compute_delay(self) -> float:
+        """Return the seconds to wait before the next write."""
+        if not self.batching.paced:
+            return self.batching.delay
+        return max(self.written_at + self.spacing() - self.context.now(), 0.0)
+
     def take_batch(self) -> list[tuple[JournalEntry, asyncio.Future[None]]]:
         """Take the entries of the next write."""
         size = 0
@@ -121,6 +129,7 @@
         """
         key = build_segment_key(self.context.holder, self.number)
         self.writes += 1
+        self.written_at = self.context.now()
         try:
             await self.context.store.put(key, encode_segment(segment), 0)
         except ConflictError:
--- a/tanagertrail/core/node.py
+++ b/tanagertrail/core/node.py
@@ -57,7 +57,7 @@
     transport: BasePeerTransport
     client: BaseUpstreamClient
     serving: ServingSettings = ServingSettings()
-    batching: str = "drain"
+    batching: str = "paced"
 
 
 class Node:
--- a/tanagertrail/policy/batching.py
+++ b/tanagertrail/policy/batching.py
@@ -1,6 +1,6 @@
 """When a group commit writes what has queued."""
 
-__all__ = ["BATCHINGS", "Batching"]
+__all__ = ["BATCHINGS", "Batching", "compute_spacing"]
 
 from typing import NamedTuple
 
@@ -12,17 +12,26 @@
 
     :ivar delay: seconds to wait after the first entry before writing
     :ivar largest: most entries of one write
+    :ivar paced: whether writes of a busy fleet are spaced to keep within the store's rate
     """
 
     delay: float
     largest: int
+    paced: bool = False
 
 
 BATCHINGS: Registry[Batching] = Registry("batching")
 
 MAX_BATCH_ENTRIES = 500
 TIMED_DELAY_SECONDS = 0.02
+FLEET_WRITES_PER_SECOND = 150.0
 
 BATCHINGS.register("single")(Batching(0.0, 1))
 BATCHINGS.register("timed")(Batching(TIMED_DELAY_SECONDS, MAX_BATCH_ENTRIES))
 BATCHINGS.register("drain")(Batching(0.0, MAX_BATCH_ENTRIES))
+BATCHINGS.register("paced")(Batching(0.0, MAX_BATCH_ENTRIES, paced=True))
+
+
+def compute_spacing(daemons: int) -> float:
+    """Return the seconds between two writes of one journal that keep the fleet in its rate."""
+    return max(daemons, 1) / FLEET_WRITES_PER_SECOND
--- a/tanagertrail/policy/choice.py
+++ b/tanagertrail/policy/choice.py
@@ -109,9 +109,10 @@
 ) -> Candidate:
     """Choose the candidate with the longest cached prefix whose load is bounded.
 
-    Prompts that no candidate has cached are placed by rendezvous hashing with bounded loads, so
-    that daemons that share no hints still agree (V. Mirrokni, M. Thorup, M. Zadimoghaddam,
-    "Consistent hashing with bounded loads", SODA 2018).
+    Of several with the same cached prefix the least loaded is chosen. Prompts that no candidate
+    has cached are placed by rendezvous hashing with bounded loads, so that daemons that share no
+    hints still agree (V. Mirrokni, M. Thorup, M. Zadimoghaddam, "Consistent hashing with bounded
+    loads", SODA 2018).
     """
     if not request.blocks:
         return choose_least_loaded(request, candidates, index, rng)
@@ -119,8 +120,9 @@
     bounded = [item for item in candidates if item.load <= BOUNDED_LOAD_FACTOR * mean]
     placement = request.blocks[min(PLACEMENT_BLOCKS, len(request.blocks)) - 1]
 
-    def score(item: Candidate) -> tuple[int, float, int]:
+    def score(item: Candidate) -> tuple[int, float, float, int]:
         cached = index.count_cached(item.upstream, request.blocks, request.now)
-        return cached, -item.price, score_pair(placement, item.upstream)
+        load = item.load if cached else 0.0
+        return cached, -item.price, -load, score_pair(placement, item.upstream)
 
     return max(bounded or candidates, key=score)
--- a/tanagertrail/testing.py
+++ b/tanagertrail/testing.py
@@ -47,7 +47,8 @@
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    if tasks:
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
 
 
 class ClusterSettings(NamedTuple):
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,53 @@
+"""Tests of guarded calls: made at most once, refused truthfully, answered alike."""
+
+from tanagertrail.bench.schedules import run_schedules
+from tanagertrail.outcomes import Answered, NotRun, Unknown
+from tests.utils import virtual, with_cluster
+
+
+@virtual
+async def test_seeded_schedules_make_no_call_twice():
+    result = await run_schedules(400)
+    assert result.doubles == 0, result
+    assert result.untrue == 0, result
+    assert result.made > 200, result
+
+
+@with_cluster(daemons=2)
+async def test_same_key_gives_the_same_answer_through_another_daemon(cluster):
+    first, second = cluster.nodes.values()
+    call = cluster.build_call("/bookings", "POST", idempotency_key="k")
+    one, _ = await cluster.ask(call, first)
+    two, _ = await cluster.ask(call._replace(request_id="again"), second)
+    assert isinstance(one, Answered)
+    assert one.body == two.body
+
+
+@with_cluster()
+async def test_same_key_with_another_body_is_refused(cluster):
+    call = cluster.build_call("/bookings", "POST", idempotency_key="k")
+    await cluster.ask(call)
+    outcome, _ = await cluster.ask(call._replace(body=b"other"))
+    assert isinstance(outcome, NotRun)
+    assert outcome.status == 422
+    assert "Idempotency-Key" in outcome.reason
+
+
+@with_cluster()
+async def test_store_outage_refuses_before_the_call(cluster):
+    cluster.store.faults.outage = True
+    call = cluster.build_call("/bookings", "POST", idempotency_key="k")
+    outcome, _ = await cluster.ask(call)
+    assert isinstance(outcome, NotRun)
+    assert outcome.retry_after
+    assert not any(engine.executions for engine in cluster.engines.values())
+
+
+@with_cluster()
+async def test_unknown_call_stays_unknown(cluster):
+    cluster.clients["entry-1"].faults.lose_heads = 1
+    call = cluster.build_call("/bookings", "POST", idempotency_key="k")
+    for _ in range(2):
+        outcome, _ = await cluster.ask(call)
+        assert isinstance(outcome, Unknown)
+    assert sum(e.executions["k"] for e in cluster.engines.values()) == 1
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,212 @@
+"""Tests of the smaller decisions: choice, cold turns, queues, retries, poison, trials, ramps."""
+
+import random
+
+from tanagertrail.bench.cold import run_cold
+from tanagertrail.bench.prefixes import run_prefixes
+from tanagertrail.errors import SettingsError
+from tanagertrail.model import Priority, Target
+from tanagertrail.outcomes import Answered, Failed, NotRun, Step, Unknown
+from tanagertrail.policy.cold import ColdDetector
+from tanagertrail.policy.evidence import Evidence, Judgement, VersionTrial
+from tanagertrail.policy.poison import CrashReport, PoisonRegister, Verdict
+from tanagertrail.policy.queueing import FairQueue, ServiceRate
+from tanagertrail.policy.retries import RetryBudget, RetryQuestion, may_retry
+from tanagertrail.policy.rollout import (
+    Phase,
+    StageEvidence,
+    VersionSplitter,
+    decide_step,
+    plan_ramp,
+    start_rollout,
+)
+from tests.utils import raises
+
+TARGET = Target(version="v2", within=100.0, stages=(0.1, 1.0), watch=5.0)
+
+
+def test_prefix_choice_saves_most_of_the_oracle_without_hot_spots():
+    rows = {row.choice: row for row in run_prefixes()}
+    assert rows["affinity"].saving >= 0.8
+    assert rows["affinity"].hottest <= 1.25
+
+
+def test_cold_turn_is_found_in_time_and_warm_noise_is_not():
+    result = run_cold(streams=8, hours=0.02)
+    assert result.false_alarms == 0
+    assert result.delay_p95 <= 2.0
+
+
+def test_one_stall_raises_no_alarm():
+    detector = ColdDetector(0.03)
+    assert not detector.observe(30.0)
+
+
+def test_queue_shares_evenly_between_a_large_and_a_small_customer():
+    queue = FairQueue()
+    for number in range(40):
+        queue.push(Priority.QUESTION, "large", 1e9, f"large{number}")
+    for number in range(5):
+        queue.push(Priority.QUESTION, "small", 1e9, f"small{number}")
+    first = [queue.pop(0.0, ServiceRate()).payload for _ in range(12)]
+    assert sum(name.startswith("small") for name in first) >= 4, first
+
+
+def test_tags_are_not_starved():
+    queue = FairQueue()
+    for number in range(200):
+        queue.push(Priority.QUESTION, "a", 1e9, "question")
+        if number < 20:
+            queue.push(Priority.TAG, "a", 1e9, "tag")
+    first = [queue.pop(0.0, ServiceRate()).payload for _ in range(100)]
+    assert first.count("tag") >= 5
+
+
+def test_nearly_late_report_goes_first_but_not_always():
+    queue = FairQueue()
+    rate = ServiceRate(1.0)
+    for _ in range(4):
+        queue.push(Priority.QUESTION, "a", 1e9, "question")
+        queue.push(Priority.REPORT, "a", 3.0, "report")
+    order = [queue.pop(0.0, rate).payload for _ in range(4)]
+    assert order == ["report", "question", "report", "question"]
+
+
+def test_admission_refuses_what_cannot_be_met_and_says_when_to_come_back():
+    queue = FairQueue()
+    for _ in range(10):
+        queue.push(Priority.QUESTION, "a", 1e9, "x")
+    refusal = queue.admit(deadline=3.0, now=0.0, slots=1, rate=ServiceRate(1.0))
+    assert refusal.retry_after >= 0.5
+    assert queue.admit(deadline=60.0, now=0.0, slots=1, rate=ServiceRate(1.0)) is None
+
+
+def ask_retry(outcome, idempotent=True, budget=None, left=10.0):
+    question = RetryQuestion(outcome, idempotent, 1, left, 1.0)
+    return may_retry(question, budget or RetryBudget())
+
+
+def test_only_proved_or_idempotent_tries_are_repeated():
+    refused = NotRun(Step.DISPATCH, "u", "r")
+    unknown = Unknown(Step.HEAD, "u", "r")
+    assert ask_retry(refused, idempotent=False)
+    assert not ask_retry(unknown, idempotent=False)
+    assert ask_retry(unknown)
+    assert not ask_retry(Answered("u"))
+    assert not ask_retry(Failed(Step.END, "u", "r", status=404))
+    assert not ask_retry(unknown, left=0.5)
+
+
+def test_budget_is_a_share_of_successes():
+    budget = RetryBudget(0.1, saved=0.0)
+    assert not budget.spend()
+    for _ in range(11):
+        budget.earn()
+    assert budget.spend()
+    assert not budget.spend()
+
+
+def crash(upstream, at, *fingerprints, domain="otaru", version="dial/v1"):
+    return CrashReport(upstream, version, domain, fingerprints, at)
+
+
+def test_second_crash_quarantines():
+    register = PoisonRegister()
+    assert register.note_crash(crash("a", 0.0, "bad", "innocent")) == []
+    assert register.judge("bad", 1.0) is Verdict.SUSPECT
+    register.note_success("innocent")
+    assert register.note_crash(crash("b", 20.0, "bad", "other")) == ["bad"]
+    assert register.judge("bad", 21.0) is Verdict.QUARANTINED
+    assert register.judge("innocent", 21.0) is Verdict.CLEAR
+
+
+def test_reports_of_one_crash_count_once():
+    register = PoisonRegister()
+    register.note_crash(crash("a", 0.0, "x"))
+    assert register.note_crash(crash("a", 0.5, "x")) == []
+    assert register.judge("x", 1.0) is Verdict.SUSPECT
+
+
+def test_reclaim_wave_quarantines_nobody():
+    register = PoisonRegister()
+    for index in range(6):
+        register.note_crash(crash(f"u{index}", index * 0.1, f"r{index}", domain="otaru"))
+    assert not register.quarantined
+    register.note_reclaim("z", 5.0)
+    register.note_crash(crash("z", 20.0, "r1"))
+    register.note_crash(crash("y", 40.0, "r1"))
+    assert not register.quarantined
+
+
+def feed(trial, version, rng, count, fail=0.0, slow=1.0):
+    for number in range(count):
+        latency = slow * rng.lognormvariate(-2.0, 0.3)
+        evidence = Evidence(version, "/r", rng.random() < fail, latency)
+        if version == "old":
+            trial.add_old(evidence)
+        elif trial.add_new(evidence) is Judgement.BAD:
+            return number + 1
+    return 0
+
+
+def test_bad_versions_are_found_soon_and_good_ones_are_left():
+    rng = random.Random(5)
+    found = {}
+    for name, fields in {
+        "fails": {"fail": 1.0},
+        "slow": {"slow": 3.0},
+        "half": {"fail": 0.4},
+    }.items():
+        trial = VersionTrial()
+        feed(trial, "old", rng, 200)
+        found[name] = feed(trial, "new", rng, 300, **fields)
+    assert 0 < found["fails"] <= 5, found
+    assert 0 < found["slow"] <= 8, found
+    assert 0 < found["half"] <= 40, found
+    alarms = 0
+    for _ in range(100):
+        trial = VersionTrial()
+        feed(trial, "old", rng, 200)
+        alarms += feed(trial, "new", rng, 300) > 0
+    assert alarms <= 1
+
+
+def test_old_version_that_is_slow_too_blames_nobody():
+    rng = random.Random(6)
+    trial = VersionTrial()
+    feed(trial, "old", rng, 200, slow=5.0, fail=0.2)
+    assert feed(trial, "new", rng, 200, slow=5.0, fail=0.2) == 0
+
+
+def test_shares_are_counted_not_drawn():
+    splitter = VersionSplitter()
+    chosen = [splitter.choose({"v1": 0.9, "v2": 0.1}) for _ in range(1000)]
+    assert chosen.count("v2") == 100
+    gaps = [index for index, version in enumerate(chosen) if version == "v2"]
+    assert max(b - a for a, b in zip(gaps, gaps[1:], strict=False)) <= 11
+
+
+def test_ramp_is_planned_backward():
+    steps = plan_ramp((0.1, 0.5, 1.0), deadline=200.0, now=100.0)
+    assert [step.share for step in steps] == [0.1, 0.5, 1.0]
+    assert steps[-1].latest < 180.0
+    with raises(SettingsError):
+        plan_ramp((0.5, 0.1), 10.0, 0.0)
+
+
+def test_alarm_takes_back_at_any_stage():
+    state = start_rollout("dial", 3, "v1", TARGET)
+    state = decide_step(state, TARGET, StageEvidence(9, 5, "route /r"), 1.0, 90.0)
+    assert state.phase is Phase.TAKEN_BACK
+    assert state.share == 0.0
+    assert decide_step(state, TARGET, StageEvidence(0, 0), 99.0, 0.0) == state
+
+
+def test_little_traffic_is_said_at_the_end():
+    state = start_rollout("dial", 3, "v1", TARGET)
+    left = 100.0
+    while state.moving and left > -50:
+        state = decide_step(state, TARGET, StageEvidence(1, 0), 60.0, left)
+        left -= 10.0
+    assert state.phase is Phase.DONE
+    assert "little traffic" in state.reason
