--- a/tanagertrail/callers/addresses.py
+++ b/tanagertrail/callers/addresses.py
@@ -8,7 +8,7 @@
 from tanagertrail.policy.membership import AddressAnswer
 
 ADDRESSES_PATH = "/v1/addresses"
-ANSWERS = 32
+ANSWERS = 8
 
 
 class AddressLayer:
--- a/tanagertrail/callers/app.py
+++ b/tanagertrail/callers/app.py
@@ -22,7 +22,7 @@
 from tanagertrail.core.node import Node
 from tanagertrail.core.requests import CallerRequest
 from tanagertrail.core.serving import MODEL_PATH
-from tanagertrail.errors import InvalidInputError, Violation
+from tanagertrail.errors import BodyTooLargeError, InvalidInputError, Violation
 from tanagertrail.model import ServiceKind
 from tanagertrail.outcomes import Answered, NotRun, Outcome, Step
 from tanagertrail.sinks import MemorySink
@@ -64,6 +64,9 @@
             close_after_response()
         try:
             return self.route(path)
+        except BodyTooLargeError as error:
+            self.node.recorder.count("caller_requests_invalid")
+            return self.respond_invalid(error.violations, 413)
         except InvalidInputError as error:
             self.node.recorder.count("caller_requests_invalid")
             return self.respond_invalid(error.violations)
@@ -161,14 +164,14 @@
 
     def stream_chat(self, request: CallerRequest) -> bytes:
         """Let the core write a streamed answer to the caller's socket."""
-        headers = f"X-Request-Id: {request.request_id}\r\n".encode()
+        closing = self.node.leaving
+        headers = build_stream_headers(request.request_id, closing)
         kinds = {"loop": SocketSink, "threads": BlockingSocketSink}
         sink = kinds[self.context.relay](find_socket(), self.loop, headers)
         outcome = call_core(self.loop, self.run_stream(request, sink))
         if not sink.started:
             return self.respond_outcome(outcome, request.request_id)
-        whole = isinstance(outcome, Answered) and not sink.closed
-        mark_handed_over(keep_alive=whole and not self.node.leaving)
+        mark_handed_over(keep_alive=not closing and not sink.closed)
         return b""
 
     async def run_stream(self, request: CallerRequest, sink: SocketSink) -> Outcome:
@@ -232,10 +235,10 @@
             response.headers["Retry-After"] = str(max(round(problem["retry_after"]), 1))
         return json.dumps(problem).encode()
 
-    def respond_invalid(self, violations: list[Violation]) -> bytes:
+    def respond_invalid(self, violations: list[Violation], status: int = 400) -> bytes:
         """Answer a request that breaks a rule."""
         detail = "; ".join(str(violation) for violation in violations)
-        outcome = NotRun(Step.ADMISSION, self.node.context.daemon, detail, 400, None)
+        outcome = NotRun(Step.ADMISSION, self.node.context.daemon, detail, status, None)
         return self.respond_problem(build_problem(outcome, ""))
 
     def respond_missing(self, detail: str) -> bytes:
@@ -244,6 +247,12 @@
         return self.respond_problem(build_problem(outcome, ""))
 
 
+def build_stream_headers(request_id: str, closing: bool) -> bytes:
+    """Build the headers of a streamed answer that depend on the request."""
+    headers = f"X-Request-Id: {request_id}\r\n"
+    return (headers + "Connection: close\r\n" if closing else headers).encode()
+
+
 def parse_job(body: bytes) -> tuple[str, str, bytes]:
     """Parse a job to service, path and the body of the call.
 
--- a/tanagertrail/core/limiting.py
+++ b/tanagertrail/core/limiting.py
@@ -17,7 +17,6 @@
 from tanagertrail.policy.hashing import RendezvousTable, rank_by_hash
 from tanagertrail.policy.leases import pick_shard
 from tanagertrail.policy.ledger import Allotment, HolderReport, SlotLedger
-from tanagertrail.policy.membership import MemberState
 from tanagertrail.policy.slots import DemandLine, SlotHolder, spread_demand
 
 LEDGER_PREFIX = "ledger/"
@@ -200,7 +199,7 @@
         The roster is read after the records are written, so that a daemon that is missing from
         it will read these epochs or later ones before it uses a slot.
         """
-        live = [member.daemon for member in self.members.membership.iter_live()]
+        live = [member.daemon for member in self.members.membership.iter_serving()]
         self.holders.update(live)
         if self.context.daemon not in live:
             return
@@ -233,7 +232,7 @@
         member = self.members.membership.members.get(record.keeper)
         if member is None or member.incarnation != record.incarnation:
             return False
-        return member.state is MemberState.LIVE
+        return member in self.members.membership.iter_serving()
 
     async def claim_shard(self, shard: int) -> None:
         """Record this daemon as keeper under the next epoch."""
--- a/tanagertrail/daemon.py
+++ b/tanagertrail/daemon.py
@@ -37,7 +37,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
-PREPARE_SECONDS = 0.2
+PREPARE_SECONDS = 0.5
 KEY_CHECK_SECONDS = 2.0
 SWITCH_SECONDS = 0.0005
 
@@ -110,7 +110,7 @@
         await self.transport.start()
         host = self.settings.daemon.host
         callers = RootProxy()
-        operators = RootProxy()
+        operators = self.operators = RootProxy()
         self.addresses: AddressLayer | None = None
         caller_server = self.build_server(self.settings.callers, callers, self.add_layer)
         operator_server = self.build_server(self.settings.operators, operators)
--- a/tanagertrail/errors.py
+++ b/tanagertrail/errors.py
@@ -1,6 +1,7 @@
 """Exceptions raised by tanagertrail."""
 
 __all__ = [
+    "BodyTooLargeError",
     "ConflictError",
     "FrameError",
     "InvalidInputError",
@@ -43,6 +44,10 @@
         self.violations = violations
 
 
+class BodyTooLargeError(InvalidInputError):
+    """A request's body is longer than its limit."""
+
+
 class SettingsError(InvalidInputError):
     """The settings file breaks one or more rules."""
 
--- a/tanagertrail/operators/app.py
+++ b/tanagertrail/operators/app.py
@@ -9,7 +9,7 @@
 
 from tanagertrail.core.configuring import CommitOutcome, Committed
 from tanagertrail.core.node import Node
-from tanagertrail.errors import InvalidInputError, Violation
+from tanagertrail.errors import BodyTooLargeError, InvalidInputError, Violation
 from tanagertrail.operators.views import build_status, describe_ticket, list_tickets
 from tanagertrail.outcomes import describe_run
 from tanagertrail.policy.tickets import MAX_TICKET_BYTES, Refused, parse_ticket
@@ -34,6 +34,8 @@
             return respond_json({"errors": ["Authorization: must be the operators' token"]}, 401)
         try:
             return self.route(path, query)
+        except BodyTooLargeError as error:
+            return respond_errors(error.violations, 413)
         except InvalidInputError as error:
             return respond_errors(error.violations, 400)
 
--- a/tanagertrail/platform/http.py
+++ b/tanagertrail/platform/http.py
@@ -59,6 +59,12 @@
         self.executor = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="platform")
         self.watch_executor = ThreadPoolExecutor(WATCH_THREADS, thread_name_prefix="watch")
 
+    def close(self) -> None:
+        """Stop the threads."""
+        self.executor.shutdown(wait=False, cancel_futures=True)
+        self.watch_executor.shutdown(wait=False, cancel_futures=True)
+        self.pool.clear()
+
     async def call(self, method: str, path: str, body: bytes | None = None) -> Reply:
         """Make a call in a thread.
 
--- a/tanagertrail/policy/membership.py
+++ b/tanagertrail/policy/membership.py
@@ -141,6 +141,11 @@
         """Return the live members, this daemon among them unless it leaves."""
         return [item for item in self.members.values() if item.state is MemberState.LIVE]
 
+    def iter_serving(self) -> list[Member]:
+        """Return the live members, or the leaving ones if there is no live one."""
+        leaving = [item for item in self.members.values() if item.state is MemberState.LEAVING]
+        return self.iter_live() or leaving
+
 
 def rank_state(state: MemberState) -> int:
     """Order states so that of two with the same counter the graver wins."""
--- a/tanagertrail/webserver.py
+++ b/tanagertrail/webserver.py
@@ -20,6 +20,7 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 from cheroot.wsgi import Server
 
+from tanagertrail.errors import BodyTooLargeError, Violation
 from tanagertrail.sockets import HandoverGateway
 from tanagertrail.tls import KeyFiles, ReloadingContext
 
@@ -136,20 +137,26 @@
     """Read the body of the current request.
 
     :param limit: largest length in bytes
-    :raises cherrypy.HTTPError: if it is longer
+    :raises BodyTooLargeError: if it is longer
     """
     request = cherrypy.serving.request
     length = request.headers.get("Content-Length")
     if length is None and not request.headers.get("Transfer-Encoding"):
         return b""
     if length is not None and (not length.isdigit() or int(length) > limit):
-        raise cherrypy.HTTPError(413, f"body: must be at most {limit} bytes, has {length}")
+        raise refuse_body(limit, length)
     body = request.rfile.read(limit + 1) if length is None else request.rfile.read(int(length))
     if len(body) > limit:
-        raise cherrypy.HTTPError(413, f"body: must be at most {limit} bytes")
+        raise refuse_body(limit, f"over {limit}")
     return body
 
 
+def refuse_body(limit: int, seen: str) -> BodyTooLargeError:
+    """Build the error of a body that is too long; its connection is closed."""
+    close_after_response()
+    return BodyTooLargeError([Violation("body", f"must be at most {limit} bytes", seen)])
+
+
 def close_after_response() -> None:
     """Close the caller's connection after the current response."""
     cherrypy.serving.response.headers["Connection"] = "close"
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,9 +1,16 @@
 """Shared fixtures and builders of test data."""
 
+import datetime
 import functools
+import os
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from pathlib import Path
 
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 from hypothesis import settings
 
 from tanagertrail.model import FailureDomain, Service, Upstream, Version
@@ -74,3 +81,30 @@
         "failure_domains": {"sapporo": FailureDomain()},
     }
     return Ticket(**{**values, **fields})
+
+
+def write_certificate(certificate: Path, key: Path, name: str, changed_at: int) -> None:
+    """Write a self-signed certificate and its key, with a time of change."""
+    private = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+    now = datetime.datetime.now(datetime.UTC)
+    built = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(private.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .sign(private, hashes.SHA256())
+    )
+    certificate.write_bytes(built.public_bytes(serialization.Encoding.PEM))
+    key.write_bytes(
+        private.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    for path in (certificate, key):
+        os.utime(path, (changed_at, changed_at))
