--- a/tanagertrail/core/freshness.py
+++ b/tanagertrail/core/freshness.py
@@ -3,6 +3,7 @@
 __all__ = ["Freshness"]
 
 import asyncio
+from collections.abc import Callable
 
 from tanagertrail.core.context import NodeContext
 from tanagertrail.core.sharing import SharedObjects
@@ -29,6 +30,7 @@
         self.stale = False
         self.number = 0
         self.answered: asyncio.Event = asyncio.Event()
+        self.has_others: Callable[[], bool] = lambda: bool(context.neighbours)
         context.on(Ping, self.receive_ping)
         context.on(Pong, self.receive_pong)
 
@@ -47,7 +49,7 @@
     @property
     def cut(self) -> bool:
         """Whether this daemon is cut from the store and from all others."""
-        if not self.context.neighbours:
+        if not self.has_others():
             return False
         return self.context.now() - self.shared.heard_at > CUT_SECONDS
 
@@ -56,7 +58,7 @@
         self.note_time()
         if not self.stale:
             return not self.cut
-        if not self.context.neighbours or await self.confirm():
+        if not self.has_others() or await self.confirm():
             self.stale = False
         return not self.stale
 
--- a/tanagertrail/core/members.py
+++ b/tanagertrail/core/members.py
@@ -175,10 +175,21 @@
             self.ticket_number(),
         )
         self.context.send_neighbours(beat)
+        self.try_suspected(beat)
         now = self.context.now()
         for change in self.membership.find_silent(self.context.neighbours, now):
             self.spread(change)
 
+    def try_suspected(self, beat: Heartbeat) -> None:
+        """Send the heartbeat to one suspected member in turn, so that a healed cut is noticed."""
+        suspected = [
+            member.daemon
+            for member in self.membership.members.values()
+            if member.state is MemberState.SUSPECTED
+        ]
+        if suspected:
+            self.context.send(suspected[self.counter % len(suspected)], beat)
+
     def receive_heartbeat(self, sender: str, beat: Heartbeat) -> None:
         """Take a neighbour's heartbeat."""
         now = self.context.now()
--- a/tanagertrail/core/node.py
+++ b/tanagertrail/core/node.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from tanagertrail.core.calls import CallKeeper
+from tanagertrail.core.compaction import TicketCompactor
 from tanagertrail.core.configuring import CommitOutcome, ConfigurationKeeper
 from tanagertrail.core.context import NodeContext, PeriodicTask
 from tanagertrail.core.duties import DutyKeeper
@@ -40,6 +41,7 @@
 INSTANCES_SECONDS = 2.0
 REPAIR_SECONDS = 1.0
 TRIM_SECONDS = 10.0
+COMPACT_SECONDS = 5.0
 FAREWELL_SECONDS = 0.05
 REFUSED_RETRY_SECONDS = 1.0
 
@@ -75,10 +77,12 @@
         self.configuration = ConfigurationKeeper(self.context, self.shared)
         self.members.ticket_number = lambda: self.configuration.current.number
         self.freshness = Freshness(self.context, self.shared)
+        self.freshness.has_others = lambda: len(self.members.membership.members) > 1
         self.limiter = Limiter(self.context, self.shared, self.members)
         self.traffic = TrafficSplit(self.context, self.shared, self.configuration)
         self.suspects = SuspectRegister(self.context)
         self.duties = DutyKeeper(self.context, self.members)
+        self.compactor = TicketCompactor(self.context, self.shared, self.configuration, self.duties)
         self.rollouts = RolloutKeeper(
             self.context, self.shared, self.configuration, self.duties, self.traffic
         )
@@ -138,6 +142,7 @@
             ("call_repair", REPAIR_SECONDS, self.calls.repair),
             ("takeover", REPAIR_SECONDS, self.jobs.take_over_lost),
             ("trim", TRIM_SECONDS, self.jobs.trim),
+            ("compact", COMPACT_SECONDS, self.compactor.step),
             *self.surroundings.list_steps(),
         )
         for name, interval, step in steps:
