Share crashes between daemons, keep demand from broken upstreams, prove limits under faults

Found: demand was still spread over upstreams whose breaker was open, so requests waited to their deadline with half the upstreams down; each daemon met a crashed upstream by itself, at the cost of a retry each; suspects were tried again before the notice of another crash could arrive. Change: demand follows the breakers, a crash notice opens them everywhere, a load report closes them, suspects wait 0.1 s, identical requests are ordered by their fingerprint.

--- a/tanagertrail/bench/prefixes.py
+++ b/tanagertrail/bench/prefixes.py
@@ -144,7 +144,7 @@
                 key=lambda item: (self.caches[item.upstream].count_hits(blocks), -item.load),
             )
             return best.upstream
-        request = ChoiceRequest(blocks, now)
+        request = ChoiceRequest(blocks, now, blocks[-1])
         return CHOICES.get(self.choice)(request, candidates, index, self.rng).upstream
 
     @property
--- a/tanagertrail/core/limiting.py
+++ b/tanagertrail/core/limiting.py
@@ -68,6 +68,7 @@
 class Limiter:
     """Hold this daemon's slots and keep the ledgers of its shards.
 
+    :ivar is_open: says whether an upstream may take new work
     :ivar on_slots: called with the name of an upstream whose slots changed
     :ivar on_cold: called with the name of an upstream that turned cold
     """
@@ -95,6 +96,7 @@
         self.last_reports: dict[str, tuple[float, tuple]] = {}
         self.urgent_at: dict[Group, float] = {}
         self.excluded: set[str] = set()
+        self.is_open: Callable[[str], bool] = lambda upstream: True
         self.on_slots: Callable[[str], None] = lambda upstream: None
         self.on_cold: Callable[[str], None] = lambda upstream: None
         shared.subscribe(LEDGER_PREFIX, self.take_record)
@@ -269,7 +271,7 @@
         need = self.demands[group].compute_need(self.context.now())
         names = self.group_upstreams.get(group, [])
         usable = [name for name in names if name in self.holder.held]
-        chosen = [n for n in usable if n not in self.excluded and self.is_holder(n)]
+        chosen = [name for name in usable if self.is_open(name) and self.is_holder(name)]
         ordered = rank_by_hash(self.context.daemon, chosen)
         lines = [
             DemandLine(name, self.holder.held[name].block + self.holder.held[name].free_hint)
--- a/tanagertrail/core/serving.py
+++ b/tanagertrail/core/serving.py
@@ -36,6 +36,7 @@
 MODEL_PATH = "/v1/chat/completions"
 Probe = Callable[[Step, CallerRequest], None]
 
+SUSPECT_DELAY_SECONDS = 0.1
 REDIRECT = ""
 TOO_LATE = "?"
 
@@ -83,6 +84,8 @@
         self.breakers: dict[str, CircuitBreaker] = defaultdict(CircuitBreaker)
         self.flights = FlightTable(context, limiter)
         self.probe: Probe = lambda step, request: None
+        limiter.is_open = lambda name: self.is_open(name, context.now())
+        suspects.on_crash = self.open_breaker
         limiter.on_slots = self.take_slots
         limiter.on_cold = self.flights.shed_excess
         traffic.on_stop = self.redirect_version
@@ -134,6 +137,10 @@
                 continue
             if not self.wants_retry(flight, outcome):
                 return self.finish(flight, outcome)
+            if self.suspects.judge(request) is not Verdict.CLEAR:
+                await asyncio.sleep(SUSPECT_DELAY_SECONDS)
+            if self.suspects.judge(request) is Verdict.QUARANTINED:
+                return self.finish(flight, outcome)
             self.context.recorder.record(
                 "retry", request=request.request_id, step=outcome.step, detail=outcome.reason
             )
@@ -271,7 +278,7 @@
         if flight.blocks is None:
             flight.blocks = tuple(split_prefix_blocks(request.service, request.body))
         pool = self.suspects.narrow(request, candidates)
-        question = ChoiceRequest(flight.blocks, now)
+        question = ChoiceRequest(flight.blocks, now, self.suspects.find_fingerprint(request))
         chosen = self.choose(question, pool, self.index, self.rng)
         self.limiter.acquire(chosen.upstream)
         self.probe(Step.CHOICE, request)
@@ -299,6 +306,21 @@
             return False
         return name not in self.limiter.excluded
 
+    def open_breaker(self, name: str) -> None:
+        """Keep work from an upstream that was not reached; it may come back cold."""
+        self.breakers[name].note_failure(self.context.now())
+        self.limiter.note_cold(name)
+
+    def close_breaker(self, name: str) -> None:
+        """Give work again to an upstream that was reached."""
+        breaker = self.breakers[name]
+        was_open = breaker.is_open(self.context.now())
+        breaker.note_success()
+        group = self.limiter.groups.get(name)
+        if was_open and group is not None:
+            self.limiter.ask_urgently(group)
+            self.pump(group)
+
     def redirect_version(self, service: str, version: str) -> None:
         """Let waiting requests choose anew when their version gets no more traffic."""
         queue = self.queues.get((service, version))
@@ -336,8 +358,7 @@
         try:
             answer = await self.client.open(attempt)
         except UpstreamConnectError as error:
-            self.breakers[name].note_failure(self.context.now())
-            self.limiter.note_cold(name)
+            self.open_breaker(name)
             return NotRun(Step.DISPATCH, name, str(error))
         except UpstreamRefusedError as error:
             return NotRun(Step.HEAD, name, str(error))
@@ -346,7 +367,6 @@
             self.suspects.note_crash(flight, upstream, self.flights)
             self.limiter.note_cold(name)
             return Unknown(Step.HEAD, name, str(error), crashed=True)
-        self.breakers[name].note_success()
         flight.may_have_run = True
         self.probe(Step.HEAD, flight.request)
         try:
--- a/tanagertrail/core/surroundings.py
+++ b/tanagertrail/core/surroundings.py
@@ -14,7 +14,7 @@
 from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.upstreams.base import BaseUpstreamClient, LoadReport
 
-LOAD_SECONDS = 2.0
+LOAD_SECONDS = 1.0
 NOTICES_SECONDS = 1.0
 NOTICE_READERS = 3
 MOVE_SECONDS = 20.0
@@ -70,7 +70,9 @@
 
     async def poll_loads(self) -> None:
         """Read the load reports of the upstreams in use."""
-        names = [name for name in self.limiter.active if name in self.limiter.upstreams]
+        now = self.context.now()
+        broken = {name for name, item in self.server.breakers.items() if item.is_open(now)}
+        names = [n for n in self.limiter.active | broken if n in self.limiter.upstreams]
         limit = asyncio.Semaphore(PARALLEL_POLLS)
 
         async def poll(name: str) -> None:
@@ -86,9 +88,11 @@
             report = await self.client.read_load(upstream)
         except UpstreamConnectError:
             self.context.recorder.count("load_reports_missed")
-            self.limiter.note_cold(name)
+            self.server.open_breaker(name)
             return
         self.reports[name] = report
+        if name in self.server.breakers:
+            self.server.close_breaker(name)
         self.take_cache_events(report)
 
     def take_cache_events(self, report: LoadReport) -> None:
--- a/tanagertrail/core/suspects.py
+++ b/tanagertrail/core/suspects.py
@@ -2,6 +2,7 @@
 
 __all__ = ["SuspectRegister"]
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from tanagertrail.core.context import NodeContext
@@ -29,24 +30,28 @@
         self.context = context
         self.register = PoisonRegister()
         self.reported: dict[str, float] = {}
+        self.on_crash: Callable[[str], None] = lambda upstream: None
         context.on(CrashNotice, self.receive_crash)
         context.on(QuarantineNotice, self.receive_quarantine)
 
     def judge(self, request: CallerRequest) -> Verdict:
         """Say what may be done with a request."""
-        fingerprint = compute_fingerprint(request.service, request.body)
-        return self.register.judge(fingerprint, self.context.now())
+        return self.register.judge(self.find_fingerprint(request), self.context.now())
+
+    def find_fingerprint(self, request: CallerRequest) -> str:
+        """Return what stays the same when a caller sends a request again."""
+        return compute_fingerprint(request.service, request.body)
 
     def narrow(self, request: CallerRequest, candidates: list[Candidate]) -> list[Candidate]:
         """Send a suspect to one upstream, the same from every daemon."""
         if self.judge(request) is not Verdict.SUSPECT:
             return candidates
-        fingerprint = compute_fingerprint(request.service, request.body)
+        fingerprint = self.find_fingerprint(request)
         return [max(candidates, key=lambda item: score_pair(fingerprint, item.upstream))]
 
     def note_success(self, request: CallerRequest) -> None:
         """Clear a request that was answered in full."""
-        self.register.note_success(compute_fingerprint(request.service, request.body))
+        self.register.note_success(self.find_fingerprint(request))
 
     def note_crash(self, flight: "Flight", upstream: Upstream, flights: "FlightTable") -> None:
         """Report the loss of an upstream with all that this daemon ran on it."""
@@ -55,7 +60,7 @@
             return
         self.reported[upstream.name] = now
         running = {
-            compute_fingerprint(item.request.service, item.request.body)
+            self.find_fingerprint(item.request)
             for item in [*flights.by_upstream[upstream.name], flight]
         }
         notice = CrashNotice(
@@ -69,7 +74,8 @@
         self.context.flood(notice)
 
     def receive_crash(self, sender: str, notice: CrashNotice) -> None:
-        """Count a crash seen by any daemon."""
+        """Count a crash seen by any daemon, and keep work from the upstream."""
+        self.on_crash(notice.upstream)
         report = CrashReport(*notice, at=self.context.now())
         for fingerprint in self.register.note_crash(report):
             self.context.recorder.record("request_quarantined", detail=fingerprint)
--- a/tanagertrail/policy/choice.py
+++ b/tanagertrail/policy/choice.py
@@ -35,10 +35,12 @@
 
     :ivar blocks: hashes of the prompt's prefix blocks
     :ivar now: event-loop time in seconds
+    :ivar fingerprint: hash of the request, by which the least loaded are ordered
     """
 
     blocks: tuple[str, ...]
     now: float
+    fingerprint: str = ""
 
 
 class PrefixIndex:
@@ -84,8 +86,12 @@
     index: PrefixIndex,
     rng: random.Random,
 ) -> Candidate:
-    """Choose the candidate with the smallest load."""
-    return min(candidates, key=lambda item: (item.load, rng.random()))
+    """Choose the candidate with the smallest load; a request sent again meets the same one."""
+
+    def rank(item: Candidate) -> tuple[float, int]:
+        return item.load, score_pair(request.fingerprint, item.upstream)
+
+    return min(candidates, key=rank)
 
 
 @CHOICES.register("two_choices")
--- a/tanagertrail/scenarios.py
+++ b/tanagertrail/scenarios.py
@@ -14,9 +14,10 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from tanagertrail.core.requests import CallerRequest
 from tanagertrail.errors import InvalidInputError, Violation
 from tanagertrail.model import FailureDomain, Service, Target, Version
-from tanagertrail.outcomes import Answered, Failed, NotRun, Outcome, Unknown
+from tanagertrail.outcomes import Answered, Failed, NotRun, Outcome, Step, Unknown
 from tanagertrail.policy.tickets import Ticket
 from tanagertrail.registry import Registry
 from tanagertrail.testing import Cluster
@@ -201,8 +202,9 @@
         request = run.cluster.build_call(timeout=timeout)
     else:
         request = run.cluster.build_request(service, options["tokens"], timeout)
-    node = run.rng.choice([item for item in run.cluster.nodes.values() if item.ready])
-    outcome, body = await run.cluster.ask(request, node)
+    outcome, body = await ask_any(run, request)
+    while isinstance(outcome, Unknown) and outcome.step is Step.ADDRESS:
+        outcome, body = await ask_any(run, request)
     short = isinstance(outcome, Answered) and request.streamed
     if short and body.count(b"data: ") != options["tokens"]:
         outcome = Failed(outcome.step, outcome.peer, "short answer passed as whole")
@@ -210,6 +212,12 @@
     run.outcomes.append((loop.time(), outcome))
 
 
+async def ask_any(run: Run, request: CallerRequest) -> tuple[Outcome, bytes]:
+    """Send a request to a daemon that is ready; callers whose daemon is lost do so again."""
+    node = run.rng.choice([item for item in run.cluster.nodes.values() if item.ready])
+    return await run.cluster.ask(request, node)
+
+
 @VERBS.register("crash")
 async def crash(run: Run, words: tuple[str, ...]) -> None:
     """Crash upstreams: ``crash dial-1``."""
@@ -268,6 +276,20 @@
     run.cluster.network.isolated.update(words)
 
 
+@VERBS.register("pause")
+async def pause(run: Run, words: tuple[str, ...]) -> None:
+    """Hold back all messages to daemons."""
+    for name in words:
+        run.cluster.network.pause(name)
+
+
+@VERBS.register("resume")
+async def resume(run: Run, words: tuple[str, ...]) -> None:
+    """Deliver what was held back."""
+    for name in words:
+        run.cluster.network.resume(name)
+
+
 @VERBS.register("cut_store")
 async def cut_store(run: Run, words: tuple[str, ...]) -> None:
     """Cut daemons from the object API."""
--- a/tanagertrail/testing.py
+++ b/tanagertrail/testing.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+from collections import defaultdict
 from collections.abc import Coroutine
 from typing import Any, NamedTuple, TypeVar
 
@@ -16,7 +17,7 @@
 from tanagertrail.core.serving import ServingSettings
 from tanagertrail.daemons.transport import MemoryNetwork
 from tanagertrail.model import FailureDomain, Priority, Service, Upstream, Version
-from tanagertrail.outcomes import Outcome
+from tanagertrail.outcomes import Outcome, Step, Unknown
 from tanagertrail.platform.cloud import MemoryCloud
 from tanagertrail.platform.instances import Instance, MemoryInstanceList
 from tanagertrail.platform.objects import MemoryObjectStore
@@ -76,6 +77,7 @@
         self.engines: dict[str, ToyEngine] = {}
         self.nodes: dict[str, Node] = {}
         self.clients: dict[str, MemoryUpstreamClient] = {}
+        self.serving: dict[str, set[asyncio.Task]] = defaultdict(set)
         self.request_numbers = itertools.count(1)
 
     def build_upstreams(self, prefix: str, count: int, port: int) -> tuple[Upstream, ...]:
@@ -139,8 +141,10 @@
         return node
 
     async def kill_node(self, name: str, gone: bool = False) -> None:
-        """Kill a daemon at once; its instance may go too."""
+        """Kill a daemon at once, with all that it serves; its instance may go too."""
         await self.nodes.pop(name).kill()
+        for task in self.serving.pop(name, set()):
+            task.cancel()
         if gone:
             self.instances.remove_instance(name)
 
@@ -187,10 +191,20 @@
         return self.build_request("desk", **{**values, **fields})
 
     async def ask(self, request: CallerRequest, node: Node | None = None) -> tuple[Outcome, bytes]:
-        """Serve a request at a daemon; return its outcome and the bytes delivered."""
+        """Serve a request at a daemon; return its outcome and the bytes delivered.
+
+        A caller whose daemon is killed knows nothing of its request.
+        """
         sink = MemorySink()
-        outcome = await (node or self.first).serve(request, sink)
-        return outcome, sink.body
+        node = node or self.first
+        name = node.context.daemon
+        task = asyncio.ensure_future(node.serve(request, sink))
+        self.serving[name].add(task)
+        task.add_done_callback(self.serving[name].discard)
+        await asyncio.wait({task})
+        if task.cancelled():
+            return Unknown(Step.ADDRESS, name, "the daemon was lost"), sink.body
+        return task.result(), sink.body
 
     def max_overshoot(self) -> int:
         """Return the most by which any engine was ever over what it bears."""
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,62 @@
+"""Tests of poison requests over several daemons and resends with new ids."""
+
+import asyncio
+
+from tanagertrail.outcomes import Answered, NotRun
+from tests.utils import with_cluster
+
+MARKER = "crash me"
+
+
+def arm(cluster):
+    for engine in cluster.engines.values():
+        engine.faults.crash_marker = MARKER.encode()
+
+
+async def resend(cluster, times):
+    outcomes = []
+    for _ in range(times):
+        for node in list(cluster.nodes.values()):
+            request = cluster.build_request(prompt=MARKER, timeout=10.0)
+            outcomes.append((await cluster.ask(request, node))[0])
+    return outcomes
+
+
+@with_cluster(daemons=3, replicas=6)
+async def test_at_most_two_upstreams_are_lost_to_one_request(cluster):
+    arm(cluster)
+    outcomes = await resend(cluster, 3)
+    assert sum(engine.falls for engine in cluster.engines.values()) <= 2
+    assert isinstance(outcomes[-1], NotRun)
+    assert outcomes[-1].status == 422
+
+
+@with_cluster(daemons=3, replicas=6, slots=6)
+async def test_innocent_requests_beside_a_poison_one_are_answered(cluster):
+    arm(cluster)
+    nodes = list(cluster.nodes.values())
+    innocent = [
+        cluster.ask(cluster.build_request(prompt=f"dial {n}", tokens=40), nodes[n % 3])
+        for n in range(30)
+    ]
+    poison = [cluster.ask(cluster.build_request(prompt=MARKER), node) for node in nodes]
+    results = await asyncio.gather(*innocent, *poison)
+    assert all(isinstance(outcome, Answered) for outcome, _ in results[:30])
+    quarantined = set().union(*(node.suspects.register.quarantined for node in nodes))
+    assert len(quarantined) <= 1, "an innocent request was quarantined"
+
+
+@with_cluster(daemons=3, replicas=8)
+async def test_reclaim_wave_quarantines_nobody(cluster):
+    nodes = list(cluster.nodes.values())
+    asked = [
+        cluster.ask(cluster.build_request(prompt=f"dial {n}", tokens=60), nodes[n % 3])
+        for n in range(16)
+    ]
+    running = asyncio.gather(*asked)
+    await asyncio.sleep(0.6)
+    for name in ("dial-1", "dial-5", "dial-2", "dial-6"):
+        cluster.engines[name].crash()
+    results = await running
+    assert all(isinstance(outcome, Answered) for outcome, _ in results)
+    assert not any(node.suspects.register.quarantined for node in nodes)
