Keep more connections, measure address questions, name the upstream watch plainly

Cause: the server kept at most 10 idle connections and closed the others without a word, which cut 16 address callers. Change: up to 4,000 are kept; a bench of address questions; core.surroundings is core.upstream_watch.

--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -17,6 +17,7 @@
 from tanagertrail.bench.matrix import format_matrix, iter_cells, run_cell
 from tanagertrail.bench.plots import write_limits_plot
 from tanagertrail.bench.prefixes import run_prefixes
+from tanagertrail.bench.questions import run_questions
 from tanagertrail.bench.scale import run_scale, run_spread
 from tanagertrail.bench.schedules import run_schedules
 from tanagertrail.bench.streams import StreamLoad, run_stream_load
@@ -93,6 +94,13 @@
             results.append(asyncio.run(run_stream_load(load)))
         print(format_json(results) if json else format_table(results))
 
+    def questions(
+        self, address: str, connections: int = 16, seconds: float = 5.0, pid: int = 0
+    ) -> None:
+        """Load ADDRESS with address questions and print how many it answers."""
+        result = asyncio.run(run_questions(address, connections, seconds, pid))
+        print(format_table([result]))
+
     def limits(self, daemons: int = 9, replicas: int = 10, loads: str = "0.5,1,1.2,2") -> None:
         """Print work in flight against the limits of upstreams, by load."""
         rows = [run_virtual(run_limits(daemons, replicas, load)) for load in as_tuple(loads)]
--- a/tanagertrail/core/node.py
+++ b/tanagertrail/core/node.py
@@ -18,9 +18,9 @@
 from tanagertrail.core.rollouts import RolloutKeeper
 from tanagertrail.core.serving import RequestServer, ServingSettings
 from tanagertrail.core.sharing import SharedObjects
-from tanagertrail.core.surroundings import Surroundings
 from tanagertrail.core.suspects import SuspectRegister
 from tanagertrail.core.traffic import TrafficSplit
+from tanagertrail.core.upstream_watch import UpstreamWatch
 from tanagertrail.daemons.transport import BasePeerTransport
 from tanagertrail.model import Configuration
 from tanagertrail.outcomes import NotRun, Outcome, Step, Unknown
@@ -99,7 +99,7 @@
         self.jobs = JobKeeper(
             self.context, self.members, self.duties, self.server, self.calls, parts.batching
         )
-        self.surroundings = Surroundings(self.context, self.server, parts.client, parts.cloud)
+        self.upstream_watch = UpstreamWatch(self.context, self.server, parts.client, parts.cloud)
         self.configuration.listen(self.take_configuration)
         self.tasks: list[PeriodicTask | asyncio.Task] = []
         self.leaving = False
@@ -110,7 +110,7 @@
     def take_configuration(self, configuration: Configuration, ticket: Ticket | None) -> None:
         """Give a new configuration to the parts that follow it."""
         self.limiter.configure(configuration)
-        self.surroundings.configure(configuration)
+        self.upstream_watch.configure(configuration)
 
     async def start(self) -> None:
         """Register, read what is in force and start the periodic tasks.
@@ -143,7 +143,7 @@
             ("takeover", REPAIR_SECONDS, self.jobs.take_over_lost),
             ("trim", TRIM_SECONDS, self.jobs.trim),
             ("compact", COMPACT_SECONDS, self.compactor.step),
-            *self.surroundings.list_steps(),
+            *self.upstream_watch.list_steps(),
         )
         for name, interval, step in steps:
             self.tasks.append(PeriodicTask(self.context, name, interval, step))
--- a/tanagertrail/core/surroundings.py
+++ b/tanagertrail/core/upstream_watch.py
@@ -1,6 +1,6 @@
-"""What a daemon watches around it: load and cache of upstreams, reclaims, failure domains."""
+"""What a daemon watches of its upstreams: load, caches, reclaims, failure domains."""
 
-__all__ = ["Surroundings"]
+__all__ = ["UpstreamWatch"]
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -23,7 +23,7 @@
 PeriodicStep = tuple[str, float, Callable[[], Awaitable[None]]]
 
 
-class Surroundings:
+class UpstreamWatch:
     """Read load reports and reclaim notices, and keep work from what leaves."""
 
     def __init__(
--- a/tanagertrail/daemon.py
+++ b/tanagertrail/daemon.py
@@ -123,7 +123,7 @@
             self.settings.daemon.failure_domain,
         )
         self.node = Node(self.build_parts(record, self.transport))
-        self.node.surroundings.own_notice = lambda left: self.stopping.set()
+        self.node.upstream_watch.own_notice = lambda left: self.stopping.set()
         metrics = DaemonMetrics(self.node)
         section = self.settings.callers
         callers.target = CallersApp(
--- a/tanagertrail/webserver.py
+++ b/tanagertrail/webserver.py
@@ -28,6 +28,7 @@
 Layer = Callable[[Callable], Callable]
 DEFAULT_BODY_BYTES = 1_000_000
 MAX_HEADER_BYTES = 16_384
+MAX_KEPT_CONNECTIONS = 4000
 SHUTDOWN_SECONDS = 5
 
 
@@ -70,6 +71,7 @@
             shutdown_timeout=SHUTDOWN_SECONDS,
         )
         self.server.gateway = HandoverGateway
+        self.server.keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
         self.server.max_request_header_size = MAX_HEADER_BYTES
         self.server.error_log = lambda *arguments, **keywords: None
         self.keys = self.load_keys()
