--- a/tanagertrail/core/jobs.py
+++ b/tanagertrail/core/jobs.py
@@ -5,18 +5,14 @@
 import asyncio
 import json
 import uuid
-from collections import defaultdict
 from typing import NamedTuple
 
 from tanagertrail.core.calls import CallKeeper
 from tanagertrail.core.context import NodeContext
 from tanagertrail.core.duties import DutyKeeper
 from tanagertrail.core.journal import (
-    JOURNALS_PREFIX,
     JournalWriter,
     build_segment_key,
-    list_segments,
-    seal_journal,
 )
 from tanagertrail.core.members import MembershipKeeper
 from tanagertrail.core.requests import CallerRequest
@@ -30,10 +26,7 @@
     JobRecord,
     JobState,
     JournalEntry,
-    Segment,
     apply_entry,
-    decode_segment,
-    fold_segments,
 )
 from tanagertrail.sinks import BaseSink
 from tanagertrail.upstreams.events import EVENT_END, read_token_text
@@ -42,7 +35,6 @@
 RETRY_SECONDS = 1.0
 QUERY_SECONDS = 0.5
 LATE_SECONDS = 5.0
-SWEEP_SECONDS = 30.0
 TRIM_SEGMENTS = 64
 
 
@@ -120,9 +112,7 @@
         self.queries: dict[int, asyncio.Future[JobAnswer]] = {}
         self.query_number = 0
         self.stopping = False
-        self.swept_at = float("-inf")
         self.trimmed = 0
-        members.gone_listeners.append(self.note_gone)
         context.on(JobQuery, self.receive_query)
         context.on(JobAnswer, self.receive_answer)
 
@@ -303,78 +293,6 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(answer)
 
-    def note_gone(self, holder: str) -> None:
-        """Look for the journals of lost daemons soon."""
-        self.swept_at = float("-inf")
-
-    async def take_over_lost(self) -> None:
-        """Take over the journals of daemons that will never act again."""
-        now = self.context.now()
-        if self.stopping or not self.duties.get_fencing("takeover"):
-            return
-        if now - self.swept_at < SWEEP_SECONDS:
-            return
-        journals = await self.read_journals()
-        for holder in sorted(journals):
-            if self.is_lost(holder):
-                await self.take_over(holder)
-        self.swept_at = now
-
-    async def read_journals(self) -> dict[str, list[Segment]]:
-        """Read all journals, by holder."""
-        result = await self.context.store.list_objects(JOURNALS_PREFIX)
-        journals: dict[str, list[Segment]] = defaultdict(list)
-        for item in result.changes:
-            journals[item.key.split("/")[1]].append(decode_segment(item.value))
-        return journals
-
-    def is_lost(self, holder: str) -> bool:
-        """Say whether a daemon's incarnation is gone or replaced."""
-        member = self.members.membership.members.get(holder.partition("@")[0])
-        return member is None or member.holder != holder
-
-    async def take_over(self, holder: str) -> None:
-        """Seal a lost daemon's journal and adopt its jobs.
-
-        What the lost daemon had sealed but perhaps not adopted is adopted with it, and only then
-        is its journal deleted, so that a chain of lost daemons is followed to its end.
-        """
-        segments = await seal_journal(self.context, holder)
-        if segments is None:
-            await self.take_over_sealer(holder)
-            return
-        await self.adopt(holder, segments)
-        for other, sealed in (await self.read_journals()).items():
-            if other != holder and sealed[-1].sealed_by == holder:
-                await self.adopt(other, sealed)
-                await self.delete_journal(other)
-        await self.delete_journal(holder)
-
-    async def take_over_sealer(self, holder: str) -> None:
-        """Take over the daemon that sealed a journal, if it was lost too."""
-        segments = await list_segments(self.context, holder)
-        sealer = segments[-1].sealed_by if segments else ""
-        if sealer and self.is_lost(sealer):
-            await self.take_over(sealer)
-
-    async def adopt(self, holder: str, segments: list[Segment]) -> None:
-        """Record the jobs of a sealed journal in this daemon's own and run the unfinished."""
-        jobs = fold_segments(segments)
-        adopted = [record for job_id, record in jobs.items() if job_id not in self.jobs]
-        await asyncio.gather(
-            *(self.record(JournalEntry(job.job_id, job.state, job)) for job in adopted)
-        )
-        for job in adopted:
-            if job.state in (JobState.ACCEPTED, JobState.PROGRESS):
-                self.launch(job.job_id)
-        self.context.recorder.record("journal_taken_over", detail=f"{holder}: {len(adopted)} jobs")
-
-    async def delete_journal(self, holder: str) -> None:
-        """Delete a journal whose jobs were adopted; the seal goes last."""
-        result = await self.context.store.list_objects(f"{JOURNALS_PREFIX}{holder}/")
-        for item in result.changes:
-            await self.context.store.delete(item.key, item.version)
-
     async def trim(self) -> None:
         """Write all jobs anew and delete the segments before, once there are many."""
         first_kept = self.journal.number
--- a/tanagertrail/core/node.py
+++ b/tanagertrail/core/node.py
@@ -19,6 +19,7 @@
 from tanagertrail.core.serving import RequestServer, ServingSettings
 from tanagertrail.core.sharing import SharedObjects
 from tanagertrail.core.suspects import SuspectRegister
+from tanagertrail.core.takeover import JournalTakeover
 from tanagertrail.core.traffic import TrafficSplit
 from tanagertrail.core.upstream_watch import UpstreamWatch
 from tanagertrail.daemons.transport import BasePeerTransport
@@ -99,6 +100,7 @@
         self.jobs = JobKeeper(
             self.context, self.members, self.duties, self.server, self.calls, parts.batching
         )
+        self.takeover = JournalTakeover(self.context, self.members, self.duties, self.jobs)
         self.upstream_watch = UpstreamWatch(self.context, self.server, parts.client, parts.cloud)
         self.configuration.listen(self.take_configuration)
         self.tasks: list[PeriodicTask | asyncio.Task] = []
@@ -140,7 +142,7 @@
             ("instances", INSTANCES_SECONDS, self.members.read_instances),
             ("repair", REPAIR_SECONDS, self.repair),
             ("call_repair", REPAIR_SECONDS, self.calls.repair),
-            ("takeover", REPAIR_SECONDS, self.jobs.take_over_lost),
+            ("takeover", REPAIR_SECONDS, self.takeover.take_over_lost),
             ("trim", TRIM_SECONDS, self.jobs.trim),
             ("compact", COMPACT_SECONDS, self.compactor.step),
             *self.upstream_watch.list_steps(),
--- a/tanagertrail/upstreams/base.py
+++ b/tanagertrail/upstreams/base.py
@@ -7,6 +7,7 @@
     "LoadReport",
     "Order",
     "OrderResult",
+    "PlainAnswer",
     "RelayEnd",
 ]
 
@@ -14,6 +15,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from tanagertrail.errors import UpstreamProtocolError
 from tanagertrail.model import Upstream
 from tanagertrail.sinks import BaseSink
 
@@ -126,6 +128,21 @@
         """Cancel what still runs and free the connection."""
 
 
+class PlainAnswer(BaseUpstreamAnswer):
+    """A plain answer that was read as a whole."""
+
+    def __init__(self, status: int, content_type: str, body: bytes) -> None:
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the body."""
+        if len(self.body) > limit:
+            raise UpstreamProtocolError(f"the answer exceeds {limit} bytes")
+        return self.body
+
+
 class BaseUpstreamClient:
     """Contract of a client of upstreams."""
 
--- a/tanagertrail/upstreams/http.py
+++ b/tanagertrail/upstreams/http.py
@@ -19,6 +19,7 @@
     LoadReport,
     Order,
     OrderResult,
+    PlainAnswer,
     RelayEnd,
     TokenObserver,
 )
@@ -240,21 +241,6 @@
         self.response.release_conn()
 
 
-class HttpPlainAnswer(BaseUpstreamAnswer):
-    """A plain answer, read as a whole."""
-
-    def __init__(self, status: int, content_type: str, body: bytes) -> None:
-        self.status = status
-        self.content_type = content_type
-        self.body = body
-
-    async def read_body(self, limit: int) -> bytes:
-        """Return the body."""
-        if len(self.body) > limit:
-            raise UpstreamProtocolError(f"the answer exceeds {limit} bytes")
-        return self.body
-
-
 class HttpUpstreamClient(BaseUpstreamClient):
     """Reach upstreams over HTTP/1.1.
 
@@ -278,7 +264,7 @@
     async def open(self, attempt: Attempt) -> BaseUpstreamAnswer:
         """Send an attempt and wait for the head of its answer."""
         response = await self.run(self.send_attempt, attempt)
-        if isinstance(response, HttpPlainAnswer):
+        if isinstance(response, PlainAnswer):
             return response
         if self.relay == "threads":
             return ThreadStreamAnswer(attempt, response, self.relay_executor)
@@ -312,7 +298,7 @@
         if response.headers.get(HEADER_NOT_RUN) == "true":
             raise UpstreamRefusedError(f"{attempt.upstream.name}: refused")
         content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return HttpPlainAnswer(response.status, content_type, body)
+        return PlainAnswer(response.status, content_type, body)
 
     async def read_load(self, upstream: Upstream) -> LoadReport:
         """Read a load report."""
--- a/tanagertrail/upstreams/memory.py
+++ b/tanagertrail/upstreams/memory.py
@@ -16,6 +16,7 @@
     LoadReport,
     Order,
     OrderResult,
+    PlainAnswer,
     RelayEnd,
     TokenObserver,
 )
@@ -121,20 +122,6 @@
             self.engine.finish(self.generation)
 
 
-class MemoryPlainAnswer(BaseUpstreamAnswer):
-    """The whole answer of a plain call."""
-
-    def __init__(self, status: int, body: bytes) -> None:
-        self.status = status
-        self.body = body
-
-    async def read_body(self, limit: int) -> bytes:
-        """Return the body."""
-        if len(self.body) > limit:
-            raise UpstreamProtocolError(f"the answer exceeds {limit} bytes")
-        return self.body
-
-
 class MemoryUpstreamClient(BaseUpstreamClient):
     """Reach toy engines in the same process."""
 
@@ -168,7 +155,7 @@
         if self.faults.lose_heads > 0:
             self.faults.lose_heads -= 1
             raise UpstreamProtocolError("the answer was lost")
-        return MemoryPlainAnswer(status, body)
+        return PlainAnswer(status, "application/json", body)
 
     async def open_stream(self, engine: ToyEngine, attempt: Attempt) -> BaseUpstreamAnswer:
         """Start a streamed answer; its first event proves that it runs."""
