Prove TLS on the callers' and the daemons' ports, and broken frames

Cause: TLS was written but never run. Change: tests over real sockets with and without keys, broken frames and hellos. Measured: streamed answers over TLS twice on one kept connection, messages between daemons in order; five kinds of broken frames end their own connection only. Conclusion: holds; the operators' port shares the callers' server and has no test of its own with TLS.

--- a/tanagertrail/daemons/tcp.py
+++ b/tanagertrail/daemons/tcp.py
@@ -161,7 +161,7 @@
         except FrameError as error:
             self.count("frame_errors")
             log.warning("frame refused: {}", error)
-        except (asyncio.IncompleteReadError, OSError, TimeoutError):
+        except (asyncio.IncompleteReadError, OSError, TimeoutError, asyncio.CancelledError):
             self.count("connections_ended")
         finally:
             self.inbound.discard(task)
--- a/tanagertrail/embedded.py
+++ b/tanagertrail/embedded.py
@@ -48,7 +48,8 @@
 class Demonstration:
     """Run the main job once and print what happens."""
 
-    def __init__(self) -> None:
+    def __init__(self, settings: str = SETTINGS) -> None:
+        self.settings = settings
         self.platform = MemoryPlatform()
         self.toys: list[ToyServer] = []
         self.http = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=16)
@@ -69,7 +70,7 @@
 
     async def start(self) -> None:
         """Start the daemon."""
-        self.daemon = Daemon(parse_settings(SETTINGS), self.build_parts)
+        self.daemon = Daemon(parse_settings(self.settings), self.build_parts)
         self.platform.instances.set_instance(Instance("entry-1", DOMAINS[0]))
         await self.daemon.start()
         record = self.daemon.node.members.records["entry-1"]
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -9,7 +9,7 @@
 
 import urllib3
 
-from tanagertrail.embedded import Demonstration, build_chat
+from tanagertrail.embedded import SETTINGS, Demonstration, build_chat
 from tanagertrail.operators.client import OperatorClient, OperatorError
 from tanagertrail.tls import KeyFiles, ReloadingContext
 from tests.utils import build_ticket, raises, write_certificate
@@ -18,9 +18,9 @@
 
 
 @asynccontextmanager
-async def run_service():
+async def run_service(settings=SETTINGS):
     """Run a daemon with a model service on toy upstreams."""
-    demonstration = Demonstration()
+    demonstration = Demonstration(settings)
     try:
         await demonstration.start()
         upstreams = demonstration.start_toys("dial", 2)
@@ -116,6 +116,26 @@
     asyncio.run(work())
 
 
+def test_streams_are_served_over_tls():
+    async def work():
+        with tempfile.TemporaryDirectory() as folder:
+            certificate, key = Path(folder, "c.pem"), Path(folder, "k.pem")
+            write_certificate(certificate, key, "callers", 1_000_000)
+            keys = f"certificate = {certificate}\nprivate_key = {key}\n"
+            async with run_service(
+                SETTINGS.replace("[callers]\n", f"[callers]\n{keys}")
+            ) as running:
+                pool = urllib3.PoolManager(retries=False, timeout=10.0, cert_reqs="CERT_NONE")
+                url = f"https://{running.caller_address}/v1/chat/completions"
+                body = json.dumps(build_chat(stream=True)).encode()
+                for _ in range(2):
+                    answer = await asyncio.to_thread(pool.request, "POST", url, body=body)
+                    assert answer.status == 200
+                    assert answer.data.endswith(b"data: [DONE]\n\n")
+
+    asyncio.run(work())
+
+
 def test_operators_are_authenticated():
     async def work():
         async with run_service() as running:
--- /dev/null
+++ b/tests/test_tcp.py
@@ -0,0 +1,86 @@
+"""Tests of the transport between daemons over real sockets."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+from nose2.tools import params
+
+from tanagertrail.daemons.frames import HEADER, MAX_FRAME_BYTES, encode_frame
+from tanagertrail.daemons.messages import Heartbeat, Hello
+from tanagertrail.daemons.tcp import TcpPeerTransport, TcpSettings
+from tanagertrail.tls import KeyFiles, build_peer_contexts
+from tests.utils import write_certificate
+
+
+def build_transport(name, folder=None):
+    """Build a transport on a free port, with TLS if there is a folder for keys."""
+    server = client = None
+    if folder is not None:
+        certificate, key = Path(folder, "c.pem"), Path(folder, "k.pem")
+        if not certificate.exists():
+            write_certificate(certificate, key, "daemons", 1_000_000)
+        files = KeyFiles(str(certificate), str(key), str(certificate))
+        reloading, client = build_peer_contexts(files)
+        server = reloading.context
+    return TcpPeerTransport(name, TcpSettings("127.0.0.1", 0, 1, server, client))
+
+
+async def exchange(folder):
+    """Send messages one way and return what arrives."""
+    received = []
+    sender, receiver = build_transport("a", folder), build_transport("b", folder)
+    sender.set_handler(lambda *arguments: None)
+    receiver.set_handler(lambda *arguments: received.append(arguments))
+    await sender.start()
+    await receiver.start()
+    sender.set_address("b", f"127.0.0.1:{receiver.port}")
+    for counter in range(3):
+        sender.send("b", Heartbeat("a", 1, counter, 7, 0), 40 + counter)
+    async with asyncio.timeout(5):
+        while len(received) < 3:
+            await asyncio.sleep(0.01)
+    await sender.stop()
+    await receiver.stop()
+    return received
+
+
+@params(False, True)
+def test_messages_arrive_in_order(tls):
+    with tempfile.TemporaryDirectory() as folder:
+        received = asyncio.run(exchange(folder if tls else None))
+    assert [message.counter for _, message, _ in received] == [0, 1, 2]
+    assert [stamp for _, _, stamp in received] == [40, 41, 42]
+    assert {sender for sender, _, _ in received} == {"a"}
+
+
+def test_broken_frames_end_their_connection_only():
+    async def work():
+        received = []
+        transport = build_transport("b")
+        transport.set_handler(lambda *arguments: received.append(arguments))
+        await transport.start()
+        hello = encode_frame(Hello(1, "a", 1), 0)
+        broken = [
+            b"\xff\xff\xff\xff",
+            HEADER.pack(MAX_FRAME_BYTES + 1),
+            encode_frame(Hello(99, "a", 1), 0),
+            hello + HEADER.pack(3) + b"abc",
+            encode_frame(Heartbeat("a", 1, 1, 1, 1), 0),
+        ]
+        for data in broken:
+            reader, writer = await asyncio.open_connection("127.0.0.1", transport.port)
+            writer.write(data)
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+            writer.close()
+        _, writer = await asyncio.open_connection("127.0.0.1", transport.port)
+        writer.write(hello + encode_frame(Heartbeat("a", 1, 1, 1, 1), 5))
+        async with asyncio.timeout(5):
+            while not received:
+                await asyncio.sleep(0.01)
+        assert transport.failures["frame_errors"] == len(broken)
+        writer.close()
+        await transport.stop()
+
+    asyncio.run(work())
