--- a/tanagertrail/core/upstream_watch.py
+++ b/tanagertrail/core/upstream_watch.py
@@ -71,7 +71,7 @@
     async def poll_loads(self) -> None:
         """Read the load reports of the upstreams in use."""
         now = self.context.now()
-        broken = {name for name, item in self.server.breakers.items() if item.is_open(now)}
+        broken = {name for name, item in self.server.slots.breakers.items() if item.is_open(now)}
         names = [n for n in self.limiter.active | broken if n in self.limiter.upstreams]
         limit = asyncio.Semaphore(PARALLEL_POLLS)
 
@@ -88,17 +88,17 @@
             report = await self.client.read_load(upstream)
         except UpstreamConnectError:
             self.context.recorder.count("load_reports_missed")
-            self.server.open_breaker(name)
+            self.server.slots.open_breaker(name)
             return
         self.reports[name] = report
-        if name in self.server.breakers:
-            self.server.close_breaker(name)
+        if name in self.server.slots.breakers:
+            self.server.slots.close_breaker(name)
         self.take_cache_events(report)
 
     def take_cache_events(self, report: LoadReport) -> None:
         """Note what an upstream stored and evicted since the last report."""
         last = self.cache_sequence.get(report.upstream, 0)
-        index = self.server.index
+        index = self.server.slots.index
         for sequence, kind, block in report.cache_events:
             if sequence <= last:
                 continue
--- a/tanagertrail/metrics.py
+++ b/tanagertrail/metrics.py
@@ -55,7 +55,7 @@
 
     def observe_queues(self, options: CallbackOptions) -> Iterable[Observation]:
         """Observe the queue lengths."""
-        for (service, version), queue in list(self.node.server.queues.items()):
+        for (service, version), queue in list(self.node.server.slots.queues.items()):
             yield Observation(len(queue), {"service": service, "version": version})
 
     def observe_ticket(self, options: CallbackOptions) -> Iterable[Observation]:
