--- a/tanagertrail/bench/build.py
+++ b/tanagertrail/bench/build.py
@@ -7,7 +7,6 @@
 from tanagertrail.model import FailureDomain, Service, Upstream, Version
 from tanagertrail.policy.tickets import Ticket
 
-BENCH_DOMAIN = "bench"
 PROMPT = "Draft a report on a radium dial with worn print."
 
 
--- a/tanagertrail/callers/app.py
+++ b/tanagertrail/callers/app.py
@@ -30,7 +30,6 @@
 from tanagertrail.upstreams.events import EVENT_END, read_token_text
 from tanagertrail.webserver import call_core, close_after_response, read_body, respond_json
 
-SERVICES_PREFIX = "services"
 REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
 
--- a/tanagertrail/core/calls.py
+++ b/tanagertrail/core/calls.py
@@ -157,7 +157,8 @@
                 known.body,
                 known.content_type,
             )
-        if known.state is CallState.UNKNOWN or self.is_lost(known.holder):
+        current = self.members.membership.is_current(known.holder)
+        if known.state is CallState.UNKNOWN or not current:
             reason = known.reason or "the daemon that made the call was lost"
             return Unknown(Step.RECORD, known.holder, reason, 504)
         return Unknown(
@@ -168,12 +169,6 @@
             IN_PROGRESS_RETRY_SECONDS,
         )
 
-    def is_lost(self, holder: str) -> bool:
-        """Say whether the daemon that recorded an intent will not finish it."""
-        daemon = holder.partition("@")[0]
-        member = self.members.membership.members.get(daemon)
-        return member is None or member.holder != holder
-
     async def make(
         self, request: CallerRequest, key: str, record: CallRecord, version: int
     ) -> Outcome:
--- a/tanagertrail/core/compaction.py
+++ b/tanagertrail/core/compaction.py
@@ -6,6 +6,7 @@
 from tanagertrail.core.context import NodeContext
 from tanagertrail.core.duties import DutyKeeper
 from tanagertrail.core.sharing import SharedObjects
+from tanagertrail.daemons.messages import ObjectRow
 from tanagertrail.errors import ConflictError
 from tanagertrail.model import Configuration
 
@@ -31,36 +32,45 @@
         self.shared = shared
         self.configuration = configuration
         self.duties = duties
+        self.covered: int | None = None
+        self.version = 0
 
     async def step(self) -> None:
         """Write a snapshot when many tickets are stored, then delete some that it covers."""
         rows = self.shared.iter_rows(TICKETS_PREFIX)
         if len(rows) <= KEPT_TICKETS or not self.duties.get_fencing("compaction"):
             return
-        stored = await self.context.store.get(SNAPSHOT_KEY)
-        covered = 0
-        if stored is not None:
-            covered = Configuration.model_validate_json(stored.value).number
-        if len(rows) > COMPACT_TICKETS and covered < self.configuration.current.number:
-            await self.write_snapshot(stored.version if stored else 0)
+        if self.covered is None:
+            await self.read_snapshot()
+        if len(rows) > COMPACT_TICKETS and self.covered < self.configuration.current.number:
+            await self.write_snapshot()
             return
-        await self.delete_covered(covered)
+        await self.delete_covered(rows)
+
+    async def read_snapshot(self) -> None:
+        """Learn which tickets the stored snapshot covers."""
+        stored = await self.context.store.get(SNAPSHOT_KEY)
+        snapshot = Configuration.model_validate_json(stored.value) if stored else None
+        self.version = stored.version if stored else 0
+        self.covered = snapshot.number if snapshot else 0
 
-    async def write_snapshot(self, expected: int) -> None:
+    async def write_snapshot(self) -> None:
         """Write the configuration in force as the snapshot."""
-        value = self.configuration.current.model_dump_json().encode()
+        configuration = self.configuration.current
+        value = configuration.model_dump_json().encode()
+        version, self.covered = self.version, None
         try:
-            await self.context.store.put(SNAPSHOT_KEY, value, expected)
+            stored = await self.context.store.put(SNAPSHOT_KEY, value, version)
         except ConflictError:
             return
-        number = self.configuration.current.number
-        self.context.recorder.record("snapshot_written", ticket=number)
+        self.covered = configuration.number
+        self.version = stored.version
+        self.context.recorder.record("snapshot_written", ticket=configuration.number)
 
-    async def delete_covered(self, covered: int) -> None:
+    async def delete_covered(self, rows: list[ObjectRow]) -> None:
         """Delete a few of the oldest tickets that the snapshot covers."""
-        rows = self.shared.iter_rows(TICKETS_PREFIX)
         surplus = rows[: max(len(rows) - KEPT_TICKETS, 0)]
         for row in surplus[:DELETES_PER_STEP]:
-            if int(row.key.rpartition("/")[2]) > covered:
+            if int(row.key.rpartition("/")[2]) > self.covered:
                 return
             await self.shared.remove(row.key.partition("/")[2], row.version)
--- a/tanagertrail/core/configuring.py
+++ b/tanagertrail/core/configuring.py
@@ -17,7 +17,6 @@
     StoreUnavailableError,
     StoreUnknownError,
     TicketError,
-    Violation,
 )
 from tanagertrail.model import Configuration
 from tanagertrail.outcomes import NotRun, Step, Unknown
@@ -187,9 +186,3 @@
                 return Committed(ticket.number)
             return None
         return Unknown(Step.RECORD, "store", "the store did not say whether it took the ticket")
-
-    def describe_missing(self) -> Violation | None:
-        """Say which ticket is missing, for the status."""
-        if not self.missing:
-            return None
-        return Violation("tickets", "must be complete", f"{self.missing} is missing")
--- a/tanagertrail/core/context.py
+++ b/tanagertrail/core/context.py
@@ -13,6 +13,7 @@
 from tanagertrail.daemons.transport import BasePeerTransport
 from tanagertrail.errors import TanagertrailError
 from tanagertrail.platform.objects import BaseObjectStore
+from tanagertrail.policy.membership import build_holder
 from tanagertrail.timeline.events import Recorder
 
 log = logbook.Logger(__name__)
@@ -51,7 +52,7 @@
     @property
     def holder(self) -> str:
         """Return the identity of this incarnation."""
-        return f"{self.daemon}@{self.incarnation}"
+        return build_holder(self.daemon, self.incarnation)
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
--- a/tanagertrail/core/flights.py
+++ b/tanagertrail/core/flights.py
@@ -17,8 +17,7 @@
 from tanagertrail.upstreams.events import EVENT_END, read_token_text
 
 GAP_WINDOW_TOKENS = 4
-DEFAULT_TOKEN_GAP = 0.032
-DEFAULT_ANSWER_TIME = 0.25
+DEFAULT_EXPECTED_SECONDS = (0.032, 0.25)
 
 
 @dataclass(frozen=True)
@@ -115,8 +114,7 @@
         self.by_upstream: dict[str, list[Flight]] = defaultdict(list)
         self.detectors: dict[str, ColdDetector] = {}
         self.expected: Callable[[str], tuple[float, float]] = lambda service: (
-            DEFAULT_TOKEN_GAP,
-            DEFAULT_ANSWER_TIME,
+            DEFAULT_EXPECTED_SECONDS
         )
 
     def add(self, flight: Flight) -> None:
--- a/tanagertrail/core/jobs.py
+++ b/tanagertrail/core/jobs.py
@@ -3,7 +3,6 @@
 __all__ = ["JobKeeper", "JobView"]
 
 import asyncio
-import json
 import uuid
 from typing import NamedTuple
 
@@ -28,6 +27,7 @@
     JournalEntry,
     apply_entry,
 )
+from tanagertrail.policy.membership import read_daemon
 from tanagertrail.sinks import BaseSink
 from tanagertrail.upstreams.events import EVENT_END, read_token_text
 
@@ -256,7 +256,7 @@
         """Find a job here or at the daemon that holds it."""
         if job_id in self.jobs:
             return view_job(self.jobs[job_id])
-        likely = {job_id.partition("@")[0], self.duties.find_first("takeover")}
+        likely = {read_daemon(job_id), self.duties.find_first("takeover")}
         members = {member.daemon for member in self.members.membership.members.values()}
         for group in (likely & members, members - likely):
             asked = sorted(group - {self.context.daemon})
@@ -322,8 +322,3 @@
     """Return what a caller is told of a job."""
     text = record.text if record.state in (JobState.DONE, JobState.FAILED) else ""
     return JobView(record.job_id, str(record.state), record.status, text, record.reason)
-
-
-def encode_view(view: JobView) -> bytes:
-    """Encode what a caller is told."""
-    return json.dumps(view._asdict()).encode()
--- a/tanagertrail/core/limiting.py
+++ b/tanagertrail/core/limiting.py
@@ -3,7 +3,7 @@
 __all__ = ["Limiter"]
 
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 import msgpack
@@ -17,6 +17,7 @@
 from tanagertrail.policy.hashing import RendezvousTable, rank_by_hash
 from tanagertrail.policy.leases import pick_shard
 from tanagertrail.policy.ledger import Allotment, HolderReport, SlotLedger
+from tanagertrail.policy.membership import build_holder, read_daemon
 from tanagertrail.policy.slots import DemandLine, SlotHolder, spread_demand
 
 LEDGER_PREFIX = "ledger/"
@@ -222,19 +223,18 @@
 
     def find_unkept(self, live: list[str]) -> list[int]:
         """Return the shards without a live keeper for which this daemon comes first."""
-        unkept = [shard for shard in self.shard_upstreams if not self.has_live_keeper(shard)]
+        present = set(live)
+        unkept = [s for s in self.shard_upstreams if not self.has_live_keeper(s, present)]
         own = self.context.daemon
         return [s for s in unkept if rank_by_hash(f"ledger/{s}", live)[0] == own]
 
-    def has_live_keeper(self, shard: int) -> bool:
-        """Say whether a shard's recorded keeper is live."""
+    def has_live_keeper(self, shard: int, live: Collection[str]) -> bool:
+        """Say whether a shard's recorded keeper is among the live daemons."""
         record = self.records.get(shard)
-        if record is None:
+        if record is None or record.keeper not in live:
             return False
-        member = self.members.membership.members.get(record.keeper)
-        if member is None or member.incarnation != record.incarnation:
-            return False
-        return member in self.members.membership.iter_serving()
+        holder = build_holder(record.keeper, record.incarnation)
+        return self.members.membership.is_current(holder)
 
     async def claim_shard(self, shard: int) -> None:
         """Record this daemon as keeper under the next epoch."""
@@ -345,22 +345,17 @@
         for row in message.rows:
             report = HolderReport._make(row)
             ledger = self.ledgers.get(report.upstream)
-            if ledger is not None and self.is_registered(report.holder):
+            if ledger is not None and self.members.membership.is_current(report.holder):
                 sent.extend(ledger.take_report(report))
         self.send_allotments(sent)
 
-    def is_registered(self, holder: str) -> bool:
-        """Say whether a holder is the registered incarnation of its daemon."""
-        member = self.members.membership.members.get(holder.partition("@")[0])
-        return member is not None and member.holder == holder
-
     def send_allotments(self, sent: Iterable[tuple[str, Allotment]]) -> None:
         """Send allotments, one message a holder."""
         batches: dict[str, list[tuple]] = defaultdict(list)
         for holder, allotment in sent:
             batches[holder].append(tuple(allotment))
         for holder, rows in batches.items():
-            self.context.send(holder.partition("@")[0], Allotments(tuple(rows)))
+            self.context.send(read_daemon(holder), Allotments(tuple(rows)))
 
     def receive_allotments(self, sender: str, message: Allotments) -> None:
         """Apply allotments and tell what changed."""
--- a/tanagertrail/core/sharing.py
+++ b/tanagertrail/core/sharing.py
@@ -49,7 +49,6 @@
         self.revision = 0
         self.heard_at = 0.0
         self.peers_heard_at = 0.0
-        self.store_heard_at = 0.0
         self.digest_changed_at = 0.0
         self.mismatch_asked_at = 0.0
         self.members: Callable[[], Iterable[str]] = lambda: [context.daemon]
@@ -153,7 +152,7 @@
 
     def note_store(self) -> None:
         """Note a sign from the store."""
-        self.store_heard_at = self.heard_at = self.context.now()
+        self.heard_at = self.context.now()
 
     def note_neighbour(self, sender: str, digest: int) -> None:
         """Note a neighbour's digest; ask for the difference if it lasts."""
--- a/tanagertrail/core/takeover.py
+++ b/tanagertrail/core/takeover.py
@@ -52,7 +52,7 @@
         self.swept_at = now
         journals = await self.read_journals()
         for holder in sorted(journals):
-            if self.is_lost(holder):
+            if not self.members.membership.is_current(holder):
                 await self.take_over(holder)
 
     async def read_journals(self) -> dict[str, list[Segment]]:
@@ -63,11 +63,6 @@
             journals[item.key.split("/")[1]].append(decode_segment(item.value))
         return journals
 
-    def is_lost(self, holder: str) -> bool:
-        """Say whether a daemon's incarnation is gone or replaced."""
-        member = self.members.membership.members.get(holder.partition("@")[0])
-        return member is None or member.holder != holder
-
     async def take_over(self, holder: str) -> None:
         """Seal a lost daemon's journal and adopt its jobs.
 
@@ -89,7 +84,7 @@
         """Take over the daemon that sealed a journal, if it was lost too."""
         segments = await list_segments(self.context, holder)
         sealer = segments[-1].sealed_by if segments else ""
-        if sealer and self.is_lost(sealer):
+        if sealer and not self.members.membership.is_current(sealer):
             await self.take_over(sealer)
 
     async def adopt(self, holder: str, segments: list[Segment]) -> None:
--- a/tanagertrail/core/upstream_watch.py
+++ b/tanagertrail/core/upstream_watch.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from tanagertrail.core.context import NodeContext
+from tanagertrail.core.flights import DEFAULT_EXPECTED_SECONDS
 from tanagertrail.core.serving import RequestServer
 from tanagertrail.daemons.messages import ReclaimNotice
 from tanagertrail.errors import UpstreamConnectError
@@ -17,7 +18,6 @@
 LOAD_SECONDS = 1.0
 NOTICES_SECONDS = 1.0
 NOTICE_READERS = 3
-MOVE_SECONDS = 20.0
 PARALLEL_POLLS = 8
 
 PeriodicStep = tuple[str, float, Callable[[], Awaitable[None]]]
@@ -42,6 +42,7 @@
         self.cache_sequence: dict[str, int] = {}
         self.reclaimed: set[str] = set()
         self.own_notice: Callable[[float], None] = lambda left: None
+        server.flights.expected = self.find_expected
         context.on(ReclaimNotice, self.receive_reclaim)
 
     def list_steps(self) -> list[PeriodicStep]:
@@ -61,12 +62,11 @@
             for name, upstream in self.limiter.upstreams.items()
             if upstream.failure_domain in out or name in self.reclaimed
         }
-        self.server.flights.expected = self.find_expected
 
     def find_expected(self, service: str) -> tuple[float, float]:
         """Return the token gap and answer time of a service, in seconds."""
         known = self.server.configuration.current.services.get(service)
-        return (known.token_gap, known.answer_time) if known else (0.032, 0.25)
+        return (known.token_gap, known.answer_time) if known else DEFAULT_EXPECTED_SECONDS
 
     async def poll_loads(self) -> None:
         """Read the load reports of the upstreams in use."""
--- a/tanagertrail/daemons/messages.py
+++ b/tanagertrail/daemons/messages.py
@@ -24,7 +24,6 @@
     "QuarantineNotice",
     "ReclaimNotice",
     "SlotReports",
-    "TicketInForce",
     "VersionAlarm",
 ]
 
@@ -200,14 +199,6 @@
     reason: str
 
 
-@MESSAGES.register("ticket_in_force")
-class TicketInForce(NamedTuple):
-    """A daemon has a ticket in force."""
-
-    daemon: str
-    ticket: int
-
-
 @MESSAGES.register("job_query")
 class JobQuery(NamedTuple):
     """Ask for a job."""
--- a/tanagertrail/policy/leases.py
+++ b/tanagertrail/policy/leases.py
@@ -15,9 +15,7 @@
 
 DUTY_SHARDS = 16
 LEASE_SECONDS = 6.0
-RENEW_SECONDS = 2.0
 CLOCK_MARGIN = 1.1
-MAX_ORDER_SECONDS = 2.0
 
 
 class LeaseRecord(NamedTuple):
--- a/tanagertrail/policy/membership.py
+++ b/tanagertrail/policy/membership.py
@@ -1,6 +1,16 @@
 """Which daemons are live, from the lagging instance list and heartbeats over a small graph."""
 
-__all__ = ["AddressAnswer", "MemberState", "Membership", "NeighbourRing", "pick_addresses"]
+__all__ = [
+    "AddressAnswer",
+    "Member",
+    "MemberState",
+    "Membership",
+    "NeighbourRing",
+    "StateChange",
+    "build_holder",
+    "pick_addresses",
+    "read_daemon",
+]
 
 import enum
 from bisect import bisect_left
@@ -26,6 +36,16 @@
     GONE = "gone"
 
 
+def build_holder(daemon: str, incarnation: int) -> str:
+    """Return the identity of one incarnation of a daemon."""
+    return f"{daemon}@{incarnation}"
+
+
+def read_daemon(holder: str) -> str:
+    """Return the daemon's name in an incarnation's identity."""
+    return holder.partition("@")[0]
+
+
 @dataclass
 class Member:
     """One daemon, identified by instance and incarnation.
@@ -46,7 +66,7 @@
     @property
     def holder(self) -> str:
         """Return the identity of this incarnation."""
-        return f"{self.daemon}@{self.incarnation}"
+        return build_holder(self.daemon, self.incarnation)
 
 
 class StateChange(NamedTuple):
@@ -141,6 +161,11 @@
         """Return the live members, this daemon among them unless it leaves."""
         return [item for item in self.members.values() if item.state is MemberState.LIVE]
 
+    def is_current(self, holder: str) -> bool:
+        """Say whether an identity is that of a registered daemon's present incarnation."""
+        member = self.members.get(read_daemon(holder))
+        return member is not None and member.holder == holder
+
     def iter_serving(self) -> list[Member]:
         """Return the live members, or the leaving ones if there is no live one."""
         leaving = [item for item in self.members.values() if item.state is MemberState.LEAVING]
