--- a/bench-relay.sh
+++ b/bench-relay.sh
@@ -9,7 +9,7 @@
 work=$(mktemp -d)
 pids=""
 trap 'kill $pids 2>/dev/null || true; sleep 1; kill -9 $pids 2>/dev/null || true; rm -rf "$work"' EXIT
-"$bin/python" -m tanagertrail.platform.server --port 9090 >"$work/platform.log" 2>&1 &
+"$bin/python" -m tanagertrail.objectapi.server --port 9090 >"$work/platform.log" 2>&1 &
 pids="$pids $!"
 "$bin/tanagertrail-bench" upstreams >"$work/upstreams.log" 2>&1 &
 pids="$pids $!"
--- a/tanagertrail/bench/journals.py
+++ b/tanagertrail/bench/journals.py
@@ -10,7 +10,7 @@
 from tanagertrail.core.journal import JournalWriter
 from tanagertrail.daemons.transport import MemoryNetwork
 from tanagertrail.errors import PlatformError
-from tanagertrail.platform.objects import MemoryObjectStore
+from tanagertrail.objectapi.objects import MemoryObjectStore
 from tanagertrail.policy.batching import compute_spacing
 from tanagertrail.policy.journals import JobRecord, JobState, JournalEntry
 from tanagertrail.timeline.events import Recorder
--- a/tanagertrail/bench/schedules.py
+++ b/tanagertrail/bench/schedules.py
@@ -13,9 +13,9 @@
 from tanagertrail.core.requests import CallerRequest
 from tanagertrail.core.sharing import SharedObjects
 from tanagertrail.daemons.transport import MemoryNetwork
+from tanagertrail.objectapi.instances import MemoryInstanceList
+from tanagertrail.objectapi.objects import MemoryObjectStore
 from tanagertrail.outcomes import Answered, NotRun, Outcome, Step, Unknown
-from tanagertrail.platform.instances import MemoryInstanceList
-from tanagertrail.platform.objects import MemoryObjectStore
 from tanagertrail.policy.membership import Member
 from tanagertrail.timeline.events import Recorder
 
--- a/tanagertrail/core/calls.py
+++ b/tanagertrail/core/calls.py
@@ -20,8 +20,8 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
+from tanagertrail.objectapi.objects import MAX_VALUE_BYTES
 from tanagertrail.outcomes import Answered, Failed, NotRun, Outcome, Step, Unknown
-from tanagertrail.platform.objects import MAX_VALUE_BYTES
 
 CALLS_PREFIX = "calls/"
 READ_BACK_TRIES = 3
--- a/tanagertrail/core/context.py
+++ b/tanagertrail/core/context.py
@@ -12,7 +12,7 @@
 from tanagertrail.daemons.messages import MESSAGES, Flood, Message
 from tanagertrail.daemons.transport import BasePeerTransport
 from tanagertrail.errors import TanagertrailError
-from tanagertrail.platform.objects import BaseObjectStore
+from tanagertrail.objectapi.objects import BaseObjectStore
 from tanagertrail.policy.membership import build_holder
 from tanagertrail.timeline.events import Recorder
 
--- a/tanagertrail/core/members.py
+++ b/tanagertrail/core/members.py
@@ -14,7 +14,7 @@
 from tanagertrail.core.sharing import SharedObjects
 from tanagertrail.daemons.messages import Heartbeat, MemberNews, ObjectRow
 from tanagertrail.errors import ConflictError, PlatformError, StoreUnknownError
-from tanagertrail.platform.instances import BaseInstanceList, InstanceState
+from tanagertrail.objectapi.instances import BaseInstanceList, InstanceState
 from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.policy.membership import (
     AddressAnswer,
--- a/tanagertrail/core/node.py
+++ b/tanagertrail/core/node.py
@@ -24,10 +24,10 @@
 from tanagertrail.core.upstream_watch import UpstreamWatch
 from tanagertrail.daemons.transport import BasePeerTransport
 from tanagertrail.model import Configuration
+from tanagertrail.objectapi.cloud import BaseCloud
+from tanagertrail.objectapi.instances import BaseInstanceList
+from tanagertrail.objectapi.objects import BaseObjectStore
 from tanagertrail.outcomes import NotRun, Outcome, Step, Unknown
-from tanagertrail.platform.cloud import BaseCloud
-from tanagertrail.platform.instances import BaseInstanceList
-from tanagertrail.platform.objects import BaseObjectStore
 from tanagertrail.policy.membership import HEARTBEAT_SECONDS, KEEP_SECONDS
 from tanagertrail.policy.tickets import Ticket
 from tanagertrail.sinks import BaseSink
--- a/tanagertrail/core/sharing.py
+++ b/tanagertrail/core/sharing.py
@@ -16,7 +16,7 @@
     ObjectsRequest,
 )
 from tanagertrail.errors import PlatformError
-from tanagertrail.platform.objects import StoredObject
+from tanagertrail.objectapi.objects import StoredObject
 from tanagertrail.policy.hashing import rank_by_hash
 
 SHARED_PREFIX = "shared/"
--- a/tanagertrail/core/upstream_watch.py
+++ b/tanagertrail/core/upstream_watch.py
@@ -11,7 +11,7 @@
 from tanagertrail.daemons.messages import ReclaimNotice
 from tanagertrail.errors import UpstreamConnectError
 from tanagertrail.model import Configuration
-from tanagertrail.platform.cloud import BaseCloud
+from tanagertrail.objectapi.cloud import BaseCloud
 from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.upstreams.base import BaseUpstreamClient, LoadReport
 
--- a/tanagertrail/daemon.py
+++ b/tanagertrail/daemon.py
@@ -20,13 +20,13 @@
 from tanagertrail.daemons.tcp import TcpPeerTransport, TcpSettings
 from tanagertrail.errors import PlatformError, SettingsError
 from tanagertrail.metrics import DaemonMetrics
-from tanagertrail.operators.app import OperatorsApp
-from tanagertrail.platform.http import (
+from tanagertrail.objectapi.http import (
     HttpCloud,
     HttpInstanceList,
     HttpObjectStore,
     PlatformClient,
 )
+from tanagertrail.operators.app import OperatorsApp
 from tanagertrail.settings import DaemonSettings, read_settings
 from tanagertrail.settings.schema import TlsFields
 from tanagertrail.tls import KeyFiles, ReloadingContext, build_peer_contexts
--- a/tanagertrail/daemons/frames.py
+++ b/tanagertrail/daemons/frames.py
@@ -1,12 +1,20 @@
 """Frames between daemons: a length, then a msgpack array of stamp, kind and fields."""
 
-__all__ = ["MAX_FRAME_BYTES", "PROTOCOL_VERSION", "decode_frame", "encode_frame", "read_frame"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "PROTOCOL_VERSION",
+    "decode_frame",
+    "encode_frame",
+    "read_frame",
+    "reports",
+]
 
 import asyncio
 import struct
 
 import msgpack
 
+from tanagertrail.daemons import reports
 from tanagertrail.daemons.messages import MESSAGES, Message
 from tanagertrail.errors import FrameError
 
--- a/tanagertrail/embedded.py
+++ b/tanagertrail/embedded.py
@@ -13,8 +13,8 @@
 from tanagertrail.daemon import Daemon
 from tanagertrail.daemons.tcp import TcpPeerTransport
 from tanagertrail.model import FailureDomain, Service, Target, Upstream, Version
-from tanagertrail.platform.instances import Instance
-from tanagertrail.platform.server import MemoryPlatform
+from tanagertrail.objectapi.instances import Instance
+from tanagertrail.objectapi.server import MemoryPlatform
 from tanagertrail.policy.tickets import Ticket, serialize_ticket
 from tanagertrail.settings import parse_settings
 from tanagertrail.timeline.merge import format_event
--- /dev/null
+++ b/tanagertrail/gateway/beliefs.py
@@ -0,0 +1,68 @@
+"""What one daemon believes of configuration, upstreams, failure domains and moves."""
+
+__all__ = ["Beliefs"]
+
+from collections.abc import Callable
+
+from tanagertrail.gateway.clock import BootClock
+from tanagertrail.gateway.model import RolloutOrder, ServingConfig, SharedBounds
+from tanagertrail.gateway.upstream_table import UpstreamTable
+
+REVOKE_MARGIN_SECONDS = 0.4  # between the check of a key and the start of its work
+
+
+class Beliefs:
+    """The shared state of a daemon's tasks; only the event loop changes it.
+
+    :ivar config: configuration in force, None while none is known
+    :ivar document: that configuration as it is stored, in JSON, for other daemons
+    :ivar proved_at: boot time in seconds at which it was last known to be the newest
+    :ivar evacuated: failure domains that get no work
+    :ivar rollouts: orders to move services, by service
+    """
+
+    def __init__(self, bounds: SharedBounds, boot_time: BootClock) -> None:
+        self.bounds = bounds
+        self.boot_time = boot_time
+        self.config: ServingConfig | None = None
+        self.document = b""
+        self.proved_at: float | None = None
+        self.upstreams = UpstreamTable()
+        self.upstreams_known = False
+        self.evacuated: set[str] = set()
+        self.rollouts: dict[str, RolloutOrder] = {}
+        self.on_config: list[Callable[[ServingConfig], None]] = []
+
+    def take_config(self, config: ServingConfig, document: bytes) -> bool:
+        """Take a configuration unless an equal or newer one is in force."""
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        self.document = document
+        for notify in self.on_config:
+            notify(config)
+        return True
+
+    def prove(self, version: int, at: float) -> None:
+        """Note that a version was the newest at a boot time in seconds."""
+        if self.config is None or version != self.config.version:
+            return
+        if self.proved_at is None or at > self.proved_at:
+            self.proved_at = at
+
+    @property
+    def proof_age(self) -> float:
+        """Return the seconds since the configuration was known to be the newest."""
+        if self.proved_at is None:
+            return float("inf")
+        return self.boot_time() - self.proved_at
+
+    @property
+    def may_trust_keys(self) -> bool:
+        """Say whether a key that was taken away would be known here."""
+        return self.proof_age < self.bounds.revoke - REVOKE_MARGIN_SECONDS
+
+    @property
+    def complete(self) -> bool:
+        """Say whether enough is known to serve."""
+        return self.config is not None and self.upstreams_known
--- /dev/null
+++ b/tanagertrail/gateway/dispatch.py
@@ -0,0 +1,325 @@
+"""The path of a caller's request: admission, choice of upstreams, answer."""
+
+__all__ = ["Dispatcher", "Refusal"]
+
+import asyncio
+import random
+from typing import NamedTuple
+
+from tanagertrail.gateway.beliefs import Beliefs
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
+from tanagertrail.gateway.http1 import CallerRequest, CallerStream
+from tanagertrail.gateway.members import MemberTable
+from tanagertrail.gateway.model import Customer, Route
+from tanagertrail.gateway.sending import CallerGoneError, UpstreamSender
+from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.platform.fields import (
+    CallerFields,
+    build_answer_headers,
+    decode_caller_fields,
+)
+from tanagertrail.policy.choice import PrefixIndex
+from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
+from tanagertrail.policy.repeats import RepeatBudget
+from tanagertrail.policy.token_quota import QuotaLedger
+
+PREFIX_SECONDS = 20.0
+FRESH_SECONDS = 3.0  # age beyond which an unknown key or route may be one that was just added
+RETRY_SECONDS = 0.3  # a place is mostly free again after the shortest requests
+RETRY_SPREAD = 0.5
+ANSWER_MARGIN_SECONDS = 0.05
+REPEAT_SHARE = 0.5  # of the time left that a first try may use when another may follow
+FULL_FACTOR = 2.0  # requests of an upstream, against its slots, beyond which it would reject
+COLD_SAFETY = 0.8
+
+
+class Refusal(NamedTuple):
+    """An answer that the gateway gives by itself.
+
+    :ivar retry_after: seconds after which the caller may come back, None for unsaid
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+class Dispatcher:
+    """Serve callers' requests."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        members: MemberTable,
+        sender: UpstreamSender,
+        quota: QuotaLedger,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.beliefs = beliefs
+        self.members = members
+        self.sender = sender
+        self.quota = quota
+        self.log = log
+        self.rng = rng
+        self.index = PrefixIndex(PREFIX_SECONDS)
+        self.place = PLACEMENTS.get("expected_cost")
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.in_flight = 0
+
+    async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Answer a request."""
+        self.in_flight += 1
+        try:
+            await self.serve(request, stream)
+        finally:
+            self.in_flight -= 1
+
+    async def serve(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Admit a request and send it to upstreams until it is answered."""
+        fields = decode_caller_fields(request.headers)
+        admitted = self.admit(request, fields)
+        if isinstance(admitted, Refusal):
+            self.refuse(stream, fields.request_id, admitted)
+            return
+        route, customer = admitted
+        exchange = Exchange(request, stream, fields, route, customer)
+        exchange.service = self.pick_service(route)
+        self.find_budget(exchange.service).note_request(self.now())
+        try:
+            await self.try_upstreams(exchange)
+        except (CallerGoneError, asyncio.CancelledError) as error:
+            self.log_end(exchange, "caller gone")
+            if isinstance(error, asyncio.CancelledError):
+                raise
+
+    def admit(
+        self, request: CallerRequest, fields: CallerFields
+    ) -> tuple[Route, Customer | None] | Refusal:
+        """Check route, key and quota."""
+        config = self.beliefs.config
+        if config is None or not self.beliefs.upstreams_known:
+            return Refusal(503, "no configuration is known yet", self.spread_retry())
+        route = config.find_route(request.host, request.path)
+        fresh = self.beliefs.proof_age < FRESH_SECONDS
+        if route is None:
+            if fresh:
+                return Refusal(404, "no such route")
+            return Refusal(503, "the configuration may be old", self.spread_retry())
+        if not config.customers or route.public:
+            return route, None
+        if not self.beliefs.may_trust_keys:
+            return Refusal(503, "keys cannot be checked now", self.spread_retry())
+        customer = config.keys.get(fields.key or "")
+        if customer is None:
+            if fresh:
+                return Refusal(401, "unknown key")
+            return Refusal(503, "the keys may be old", self.spread_retry())
+        wait = self.charge_quota(customer, fields)
+        if wait is not None:
+            return Refusal(429, "over the quota", wait)
+        return route, customer
+
+    def charge_quota(self, customer: Customer, fields: CallerFields) -> float | None:
+        """Count a request against its customer's quota, or return when to come back."""
+        if customer.rate <= 0:
+            return None
+        units = 1.0
+        if customer.counts_tokens:
+            prompt = fields.prompt
+            units = prompt.tokens_in + prompt.tokens_out if prompt else customer.plain_tokens
+        limit = customer.rate * self.beliefs.bounds.quota_window + customer.burst
+        return self.quota.admit(customer.name, units, limit, self.members.count(), self.now())
+
+    def pick_service(self, route: Route) -> str:
+        """Return one of the route's services by their weights."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        if sum(weights) <= 0:
+            return route.targets[0].service
+        return self.rng.choices(route.targets, weights)[0].service
+
+    async def try_upstreams(self, exchange: Exchange) -> None:
+        """Send a request to one upstream after the other until it is answered."""
+        while True:
+            entry = self.pick_upstream(exchange)
+            if entry is None:
+                break
+            self.note_start(exchange, entry)
+            tried = await self.sender.try_once(exchange, entry, self.limit_patience(exchange))
+            exchange.tried.append(tried)
+            if tried.result is TryResult.DELIVERED:
+                self.log_end(exchange, "answered")
+                return
+            if not self.may_repeat(exchange, tried):
+                break
+        self.finish_unanswered(exchange)
+
+    def pick_upstream(self, exchange: Exchange) -> UpstreamEntry | None:
+        """Choose an upstream that was not tried, None if all are closed or full."""
+        now = self.now()
+        tried = {item.upstream for item in exchange.tried}
+        entries = {
+            entry.record.id: entry
+            for entry in self.beliefs.upstreams.iter_service(exchange.service)
+            if entry.record.id not in tried and self.may_use(entry, now)
+        }
+        if not entries:
+            return None
+        seats = [self.describe_seat(entry) for entry in entries.values()]
+        seat = self.place(self.describe_visit(exchange, now), seats, self.index)
+        return entries[seat.upstream]
+
+    def may_use(self, entry: UpstreamEntry, now: float) -> bool:
+        """Say whether an upstream may get new work now."""
+        record = entry.record
+        if not entry.is_open(now) or record.failure_domain in self.beliefs.evacuated:
+            return False
+        if entry.running >= record.slots * FULL_FACTOR:
+            return False
+        return now >= entry.cold_until or self.has_cold_share(entry, now)
+
+    def has_cold_share(self, entry: UpstreamEntry, now: float) -> bool:
+        """Say whether this daemon's share of a cold upstream's rate allows a request."""
+        service = self.beliefs.config.services.get(entry.record.service)
+        if service is None or service.cold_rate <= 0:
+            return True
+        while entry.cold_starts and entry.cold_starts[0] < now - 1.0:
+            entry.cold_starts.popleft()
+        share = COLD_SAFETY * service.cold_rate / self.members.count()
+        return len(entry.cold_starts) + 1 <= max(share, 1.0)
+
+    def describe_seat(self, entry: UpstreamEntry) -> Seat:
+        """Return what the placement needs to know of an upstream."""
+        record = entry.record
+        local = record.failure_domain == self.members.own.failure_domain
+        return Seat(record.id, entry.running, record.slots, entry.fault_share, 1.0, local)
+
+    def describe_visit(self, exchange: Exchange, now: float) -> Visit:
+        """Return what the placement needs to know of a request."""
+        prompt = exchange.fields.prompt
+        if prompt is None:
+            return Visit((), (), 0, now)
+        parts = prompt.parts
+        return Visit(
+            tuple(part.id for part in parts),
+            tuple(part.tokens for part in parts),
+            prompt.tokens_in,
+            now,
+        )
+
+    def note_start(self, exchange: Exchange, entry: UpstreamEntry) -> None:
+        """Note that an upstream gets a request."""
+        now = self.now()
+        entry.cold_starts.append(now)
+        if len(entry.cold_starts) > 200:
+            entry.cold_starts.popleft()
+        if exchange.fields.prompt is not None:
+            parts = [part.id for part in exchange.fields.prompt.parts]
+            self.index.note_stored(entry.record.id, parts, now)
+
+    def limit_patience(self, exchange: Exchange) -> float:
+        """Return the seconds to wait for a first byte before another upstream is tried."""
+        left = max(exchange.left - ANSWER_MARGIN_SECONDS, 0.0)
+        may_follow = exchange.route.idempotent and exchange.sent_count + 1 < exchange.route.attempts
+        return left * REPEAT_SHARE if may_follow else left
+
+    def may_repeat(self, exchange: Exchange, tried: Tried) -> bool:
+        """Say whether another upstream may be tried, and take it from the budget."""
+        if exchange.left <= ANSWER_MARGIN_SECONDS:
+            return False
+        if not tried.proves_not_run and not exchange.route.idempotent:
+            return False
+        if exchange.sent_count >= exchange.route.attempts:
+            return False
+        if tried.result is TryResult.NOT_SENT:
+            return len(exchange.tried) < 4
+        if tried.result is TryResult.FAILED and exchange.left < exchange.route.objective / 2:
+            return False
+        return self.find_budget(exchange.service).spend(self.members.count(), self.now())
+
+    def find_budget(self, service: str) -> RepeatBudget:
+        """Return the repeat budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.beliefs.bounds
+            budget = RepeatBudget(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window)
+            self.budgets[service] = budget
+        return budget
+
+    def finish_unanswered(self, exchange: Exchange) -> None:
+        """Give the final answer of a request that no upstream answered."""
+        stream = exchange.stream
+        last = exchange.tried[-1] if exchange.tried else None
+        if stream.answer_begun:
+            stream.channel.abort()
+            self.log_end(exchange, "broken off")
+        elif last is not None and last.result is TryResult.FAILED and last.head is not None:
+            stream.send_whole(last.head.status, build_answer_headers(last.head.headers), last.body)
+            self.log_end(exchange, "failed upstream")
+        elif exchange.surely_not_run:
+            reason = last.reason if last else "no upstream has a place"
+            self.refuse(
+                stream, exchange.fields.request_id, Refusal(503, reason, self.spread_retry())
+            )
+            self.log_end(exchange, "refused")
+        elif last is not None and last.result is TryResult.TIMED_OUT:
+            self.send_refusal(stream, Refusal(504, "no answer in time"))
+            self.log_end(exchange, "timed out")
+        else:
+            self.send_refusal(stream, Refusal(502, "the upstream broke off"))
+            self.log_end(exchange, "broken upstream")
+
+    def refuse(self, stream: CallerStream, request_id: str, refusal: Refusal) -> None:
+        """Answer a request that has not run, and log why."""
+        self.log.write_routine(
+            "refused",
+            request=request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_s=refusal.retry_after,
+            config=self.beliefs.config.version if self.beliefs.config else 0,
+            config_age_s=round(min(self.beliefs.proof_age, 1e6), 2),
+        )
+        self.send_refusal(stream, refusal)
+
+    def send_refusal(self, stream: CallerStream, refusal: Refusal) -> None:
+        """Send an answer of the gateway's own."""
+        headers = [(b"content-type", b"text/plain")]
+        if refusal.retry_after is not None:
+            headers.append((b"retry-after", f"{refusal.retry_after:.2f}".encode()))
+        stream.send_whole(refusal.status, headers, refusal.reason.encode())
+
+    def spread_retry(self) -> float:
+        """Return the seconds after which a refused caller may come back, spread by chance."""
+        return RETRY_SECONDS * (1.0 + RETRY_SPREAD * self.rng.random())
+
+    def log_end(self, exchange: Exchange, outcome: str) -> None:
+        """Log how a request ended and what decided it."""
+        now = self.now()
+        first = exchange.first_byte_at
+        fields = {
+            "request": exchange.fields.request_id,
+            "route": exchange.route.name,
+            "service": exchange.service,
+            "customer": exchange.customer.name if exchange.customer else None,
+            "priority": exchange.priority,
+            "outcome": outcome,
+            "ms": round((now - exchange.arrived) * 1000),
+            "first_ms": None if first is None else round((first - exchange.arrived) * 1000),
+            "tries": [
+                (item.upstream, item.result, item.step, item.reason) for item in exchange.tried
+            ],
+            "config": self.beliefs.config.version,
+            "config_age_s": round(min(self.beliefs.proof_age, 1e6), 2),
+        }
+        if outcome == "answered" and len(exchange.tried) == 1:
+            self.log.write_routine("request", **fields)
+        else:
+            self.log.write("request", **fields)
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tanagertrail/gateway/eventlog.py
@@ -0,0 +1,102 @@
+"""Structured log lines on standard output, bounded and never blocking."""
+
+__all__ = ["EventLog", "LineWriter"]
+
+import json
+import sys
+import threading
+from collections import deque
+from collections.abc import Callable
+from typing import Any, TextIO
+
+import logbook
+
+from tanagertrail.gateway.clock import read_wall_time
+
+MAX_WAITING_LINES = 4000
+ROUTINE_LINES_PER_SECOND = 60.0  # lines of requests that went well; all others are written
+FLUSH_SECONDS = 0.1
+
+
+class LineWriter(logbook.Handler):
+    """Write records from a thread, and drop lines when the reader is too slow.
+
+    :ivar dropped: lines that were dropped
+    """
+
+    def __init__(self, stream: TextIO | None = None) -> None:
+        super().__init__(level=logbook.INFO)
+        self.stream = stream or sys.stdout
+        self.waiting: deque[str] = deque()
+        self.dropped = 0
+        self.wake = threading.Event()
+        self.stopping = False
+        self.thread = threading.Thread(target=self.run, daemon=True, name="log")
+        self.thread.start()
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a line."""
+        if len(self.waiting) >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self.waiting.append(record.msg)
+        self.wake.set()
+
+    def run(self) -> None:
+        """Write lines until the program ends."""
+        while not self.stopping or self.waiting:
+            self.wake.wait()
+            self.wake.clear()
+            self.write_waiting()
+            if not self.stopping:
+                threading.Event().wait(FLUSH_SECONDS)
+
+    def write_waiting(self) -> None:
+        """Write what waits."""
+        lines = []
+        while self.waiting:
+            lines.append(self.waiting.popleft())
+        if lines:
+            self.stream.write("\n".join(lines) + "\n")
+            self.stream.flush()
+
+    def close(self) -> None:
+        """Write what waits and stop."""
+        self.stopping = True
+        self.wake.set()
+        self.thread.join(timeout=1.0)
+
+
+class EventLog:
+    """Log decisions of one daemon as JSON objects, one a line.
+
+    :ivar now: clock in seconds by which routine lines are rationed
+    """
+
+    def __init__(self, daemon: str, now: Callable[[], float]) -> None:
+        self.daemon = daemon
+        self.now = now
+        self.logger = logbook.Logger(daemon)
+        self.tokens = ROUTINE_LINES_PER_SECOND
+        self.refilled_at = now()
+        self.left_out = 0
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Log an event that is always worth a line."""
+        line = {"t": round(read_wall_time(), 3), "daemon": self.daemon, "event": event, **fields}
+        if self.left_out:
+            line["left_out"] = self.left_out
+            self.left_out = 0
+        self.logger.info(json.dumps(line, separators=(",", ":"), default=str))
+
+    def write_routine(self, event: str, **fields: Any) -> None:
+        """Log an event of which many alike happen, within a rate."""
+        now = self.now()
+        gained = (now - self.refilled_at) * ROUTINE_LINES_PER_SECOND
+        self.tokens = min(self.tokens + gained, ROUTINE_LINES_PER_SECOND)
+        self.refilled_at = now
+        if self.tokens < 1.0:
+            self.left_out += 1
+            return
+        self.tokens -= 1.0
+        self.write(event, **fields)
--- /dev/null
+++ b/tanagertrail/gateway/exchange.py
@@ -0,0 +1,107 @@
+"""One request of a caller on its way, and what each try at an upstream came to."""
+
+__all__ = ["Exchange", "Tried", "TryResult"]
+
+import asyncio
+import enum
+from typing import NamedTuple
+
+from tanagertrail.gateway.http1 import AnswerHead, CallerRequest, CallerStream
+from tanagertrail.gateway.model import Customer, Route
+from tanagertrail.gateway.sse import EventSplitter
+from tanagertrail.outcomes import Step
+from tanagertrail.platform.fields import CallerFields
+
+
+class TryResult(enum.StrEnum):
+    """How a try at one upstream ended.
+
+    ``NOT_SENT`` and ``REFUSED`` prove that the request has not run there. ``MISDIRECTED`` is the
+    refusal of another upstream that now has the address. After ``BROKEN`` it may have run.
+    ``FAILED`` is a whole answer of the upstream that reports a failure.
+    """
+
+    DELIVERED = "delivered"
+    NOT_SENT = "not sent"
+    REFUSED = "refused"
+    MISDIRECTED = "misdirected"
+    FAILED = "failed"
+    BROKEN = "broken"
+    TIMED_OUT = "timed out"
+
+
+class Tried(NamedTuple):
+    """A try at one upstream.
+
+    :ivar step: where it ended
+    :ivar head: head of a whole answer that was not delivered, with its body
+    """
+
+    result: TryResult
+    step: Step
+    upstream: str
+    reason: str = ""
+    head: AnswerHead | None = None
+    body: bytes = b""
+
+    @property
+    def proves_not_run(self) -> bool:
+        """Say whether the request has certainly not run in this try."""
+        return self.result in (TryResult.NOT_SENT, TryResult.REFUSED, TryResult.MISDIRECTED)
+
+
+class Exchange:
+    """A caller's request with all that was decided on it.
+
+    :ivar arrived: event-loop time in seconds
+    :ivar deadline: event-loop time in seconds by which the answer must end
+    :ivar service: service that was chosen among the route's
+    :ivar tried: tries so far
+    :ivar splitter: events of a streamed answer that have been passed on
+    """
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        stream: CallerStream,
+        fields: CallerFields,
+        route: Route,
+        customer: Customer | None,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self.request = request
+        self.stream = stream
+        self.fields = fields
+        self.route = route
+        self.customer = customer
+        self.arrived = now
+        patience = fields.deadline if fields.deadline is not None else route.timeout
+        self.deadline = now + min(patience, route.timeout)
+        self.service = ""
+        self.tried: list[Tried] = []
+        self.splitter = EventSplitter(fields.last_event)
+        self.first_byte_at: float | None = None
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request; a customer's goes before its route's."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    @property
+    def left(self) -> float:
+        """Return the seconds until the deadline."""
+        return self.deadline - asyncio.get_running_loop().time()
+
+    @property
+    def sent_count(self) -> int:
+        """Return the upstreams that the request was sent to."""
+        return sum(
+            item.result not in (TryResult.NOT_SENT, TryResult.MISDIRECTED) for item in self.tried
+        )
+
+    @property
+    def surely_not_run(self) -> bool:
+        """Say whether no try can have run."""
+        return all(item.proves_not_run for item in self.tried)
--- /dev/null
+++ b/tanagertrail/gateway/members.py
@@ -0,0 +1,151 @@
+"""Which daemons there are and which of them serve."""
+
+__all__ = ["Member", "MemberHandler", "MemberTable"]
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from tanagertrail.daemons.reports import MemberRow
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.model import GatewaySettings
+from tanagertrail.gateway.watching import BaseKindHandler
+from tanagertrail.platform.store import StoredObject
+
+MEMBERS_KIND = "tanagertrail-daemons"
+ALIVE_SECONDS = 2.5  # five reports missed
+FORGET_SECONDS = 20.0
+
+
+class Member(NamedTuple):
+    """A daemon as it describes itself.
+
+    :ivar incarnation: Unix time in milliseconds of its start
+    :ivar address: its address for traffic between daemons
+    :ivar front: its address for callers
+    """
+
+    daemon: str
+    incarnation: int
+    address: str
+    front: str
+    failure_domain: str
+
+    def encode(self) -> dict[str, object]:
+        """Return the object that the store keeps."""
+        return self._asdict()
+
+
+@dataclass
+class MemberState:
+    """What is known of a member.
+
+    :ivar heard_at: event-loop time in seconds at which it was last known to live
+    :ivar serving: whether it takes callers' requests
+    """
+
+    member: Member
+    heard_at: float
+    serving: bool
+
+
+class MemberTable:
+    """The daemons that are known, this one left out."""
+
+    def __init__(self, own: Member, log: EventLog) -> None:
+        self.own = own
+        self.log = log
+        self.states: dict[str, MemberState] = {}
+
+    def learn(self, member: Member, heard_at: float, serving: bool) -> None:
+        """Take news of a member unless something newer is known."""
+        if member.daemon == self.own.daemon:
+            return
+        state = self.states.get(member.daemon)
+        if state is None or member.incarnation > state.member.incarnation:
+            if state is None or state.member.address != member.address:
+                self.log.write("member_known", member=member.daemon, front=member.front)
+            self.states[member.daemon] = MemberState(member, heard_at, serving)
+        elif member.incarnation == state.member.incarnation and heard_at > state.heard_at:
+            if serving != state.serving:
+                self.log.write("member_serving", member=member.daemon, serving=serving)
+            state.heard_at = heard_at
+            state.serving = serving
+
+    def note_unreachable(self, daemon: str, now: float) -> None:
+        """Take a member whose process no longer listens as not living."""
+        state = self.states.get(daemon)
+        if state is not None and now - state.heard_at < ALIVE_SECONDS:
+            self.log.write("member_lost", member=daemon, silent_s=round(now - state.heard_at, 2))
+            state.heard_at = now - ALIVE_SECONDS
+
+    def forget_silent(self, now: float) -> None:
+        """Forget the members that have been silent for long."""
+        for name, state in list(self.states.items()):
+            if now - state.heard_at > FORGET_SECONDS:
+                del self.states[name]
+                self.log.write("member_forgotten", member=name)
+
+    def iter_alive(self, now: float) -> list[MemberState]:
+        """Return the members that live."""
+        return [s for s in self.states.values() if now - s.heard_at < ALIVE_SECONDS]
+
+    def list_fronts(self, now: float) -> list[Member]:
+        """Return the members that take callers' requests."""
+        return [state.member for state in self.iter_alive(now) if state.serving]
+
+    def count(self) -> int:
+        """Count the members that may act, this one included."""
+        return len(self.states) + 1
+
+    def count_alive(self, now: float) -> int:
+        """Count the members that live, this one included."""
+        return len(self.iter_alive(now)) + 1
+
+    def build_rows(self, now: float) -> tuple:
+        """Return what other daemons are told of the members."""
+        return tuple(
+            MemberRow(*state.member, state.serving, int((now - state.heard_at) * 1000))
+            for state in self.states.values()
+        )
+
+    def take_rows(self, rows: tuple, now: float) -> None:
+        """Take what another daemon told of the members."""
+        for item in rows:
+            row = MemberRow(*item)
+            member = Member(*row[:5])
+            self.learn(member, now - row.age_ms / 1000, row.serving)
+
+
+def describe_self(settings: GatewaySettings, incarnation: int) -> Member:
+    """Return the description of this daemon."""
+    return Member(
+        settings.name,
+        incarnation,
+        f"{settings.host}:{settings.internal[0]}",
+        settings.front,
+        settings.failure_domain,
+    )
+
+
+class MemberHandler(BaseKindHandler):
+    """Follow the daemons that registered in the store."""
+
+    def __init__(self, table: MemberTable, now) -> None:
+        self.table = table
+        self.now = now
+
+    def replace_all(self, objects: list[StoredObject], recovered: bool) -> None:
+        """Take all registrations."""
+        for item in objects:
+            self.apply_change(item, False)
+
+    def apply_change(self, item: StoredObject, deleted: bool) -> None:
+        """Take a registration; it gives an address, not a sign of life."""
+        if deleted or not isinstance(item.content, dict):
+            return
+        try:
+            member = Member(**item.content)
+        except TypeError as error:
+            self.table.log.write("member_refused", member=item.name, error=str(error))
+            return
+        self.table.learn(member, self.now() - ALIVE_SECONDS, False)
--- /dev/null
+++ b/tanagertrail/gateway/sending.py
@@ -0,0 +1,222 @@
+"""One try of a request at one upstream."""
+
+__all__ = ["CallerGoneError", "UpstreamSender"]
+
+import asyncio
+
+from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
+from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
+from tanagertrail.gateway.http1 import AnswerHead, UpstreamStream
+from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
+from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.gateway.usage import UsageCounter
+from tanagertrail.outcomes import Step
+from tanagertrail.platform.fields import (
+    UpstreamFields,
+    build_answer_headers,
+    build_upstream_headers,
+    decode_upstream_fields,
+)
+
+MISDIRECTED_STATUS = 421
+GAP_FACTOR = 3.0  # an event this many objectives late is taken to be lost
+MIN_GAP_SECONDS = 1.0
+KEPT_SECONDS = 0.5  # idle time after which a kept connection is not used for work that runs once
+
+
+class CallerGoneError(TanagertrailError):
+    """The caller closed its connection while its answer was written."""
+
+
+class UpstreamSender:
+    """Send requests to upstreams and pass their answers on."""
+
+    def __init__(self, pools: ConnectionPools, usage: UsageCounter) -> None:
+        self.pools = pools
+        self.usage = usage
+
+    async def try_once(self, exchange: Exchange, entry: UpstreamEntry, patience: float) -> Tried:
+        """Send a request to one upstream and pass its answer on if it is a success.
+
+        :param patience: seconds to wait for the first byte of the answer
+        :raises CallerGoneError: if the caller has left
+        """
+        entry.in_flight += 1
+        stream = None
+        started = asyncio.get_running_loop().time()
+        try:
+            stream = await self.connect(exchange, entry)
+            tried = await self.ask(exchange, entry, stream, patience)
+        except (OSError, TimeoutError) as error:
+            if stream is not None:
+                raise
+            tried = Tried(TryResult.NOT_SENT, Step.DISPATCH, entry.record.id, repr(error)[:100])
+        finally:
+            entry.in_flight -= 1
+            if stream is not None:
+                self.pools.give_back(entry.record.id, stream)
+        self.note_result(entry, tried, started)
+        return tried
+
+    async def connect(self, exchange: Exchange, entry: UpstreamEntry) -> UpstreamStream:
+        """Return a connection to the upstream.
+
+        :raises OSError: if none can be made
+        """
+        kept = self.pools.take(entry.record.id)
+        if kept is not None:
+            idle = asyncio.get_running_loop().time() - kept.idle_since
+            if exchange.route.idempotent or idle < KEPT_SECONDS:
+                return kept
+            kept.abort()
+        timeout = min(CONNECT_SECONDS, max(exchange.left, 0.01))
+        return await self.pools.open(entry.record.address, timeout)
+
+    async def ask(
+        self, exchange: Exchange, entry: UpstreamEntry, stream: UpstreamStream, patience: float
+    ) -> Tried:
+        """Send the request and read the answer."""
+        step = Step.HEAD
+        try:
+            self.send(exchange, entry, stream)
+            async with asyncio.timeout(min(patience, max(exchange.left, 0.0))):
+                head, fields = await self.read_own_head(exchange, stream)
+            stream.keep_for = 0.0 if fields.closes else fields.keep_for
+            self.note_fields(entry, fields)
+            if exchange.customer is not None and fields.signed and not fields.not_run:
+                self.usage.note_begun(exchange.customer.name)
+            step = Step.STREAM
+            if exchange.route.streamed and 200 <= head.status < 300:
+                return await self.relay_events(exchange, entry, stream, head, fields)
+            async with asyncio.timeout(max(exchange.left, 0.0)):
+                body = await stream.read_rest()
+            return self.judge_whole(exchange, entry, head, fields, body)
+        except TimeoutError:
+            stream.abort()
+            return Tried(TryResult.TIMED_OUT, step, entry.record.id, "no answer in time")
+        except (OSError, UpstreamProtocolError) as error:
+            stream.abort()
+            return Tried(TryResult.BROKEN, step, entry.record.id, repr(error)[:100])
+        except asyncio.CancelledError:
+            stream.abort()
+            raise
+
+    def send(self, exchange: Exchange, entry: UpstreamEntry, stream: UpstreamStream) -> None:
+        """Send the request."""
+        request = exchange.request
+        has_body = bool(request.body) or request.method not in (b"GET", b"HEAD")
+        headers = build_upstream_headers(
+            request.headers,
+            upstream=entry.record.id,
+            customer=exchange.customer.name if exchange.customer else None,
+            left=exchange.left,
+            priority=min(exchange.priority, 9) if exchange.route.sticky else None,
+            last_event=exchange.splitter.last_id if exchange.route.streamed else None,
+            body_length=len(request.body) if has_body else None,
+        )
+        stream.send_request(request.method, request.target, headers, request.body)
+
+    async def read_own_head(
+        self, exchange: Exchange, stream: UpstreamStream
+    ) -> tuple[AnswerHead, UpstreamFields]:
+        """Read the head of the answer to this request, past late answers to other ones."""
+        while True:
+            head = await stream.read_head()
+            fields = decode_upstream_fields(head.headers)
+            if fields.request_id in ("", exchange.fields.request_id):
+                return head, fields
+            await stream.read_rest()
+            stream.skip_answer()
+
+    def note_fields(self, entry: UpstreamEntry, fields: UpstreamFields) -> None:
+        """Take what the upstream told of itself."""
+        now = asyncio.get_running_loop().time()
+        if fields.load is not None:
+            entry.note_load(fields.load, now)
+        if fields.cold_for:
+            entry.cold_until = max(entry.cold_until, now + fields.cold_for)
+
+    def judge_whole(
+        self,
+        exchange: Exchange,
+        entry: UpstreamEntry,
+        head: AnswerHead,
+        fields: UpstreamFields,
+        body: bytes,
+    ) -> Tried:
+        """Pass a whole answer on if it is a success, else say what it means."""
+        name = entry.record.id
+        if head.status == MISDIRECTED_STATUS:
+            return Tried(TryResult.MISDIRECTED, Step.HEAD, name, "another upstream answered")
+        if fields.not_run:
+            return Tried(TryResult.REFUSED, Step.HEAD, name, f"status {head.status}", head, body)
+        if not fields.signed:
+            return Tried(TryResult.BROKEN, Step.HEAD, name, f"unsigned status {head.status}")
+        if head.status >= 500:
+            return Tried(TryResult.FAILED, Step.END, name, f"status {head.status}", head, body)
+        exchange.first_byte_at = asyncio.get_running_loop().time()
+        exchange.stream.send_whole(head.status, build_answer_headers(head.headers), body)
+        return Tried(TryResult.DELIVERED, Step.END, name, f"status {head.status}")
+
+    async def relay_events(
+        self,
+        exchange: Exchange,
+        entry: UpstreamEntry,
+        stream: UpstreamStream,
+        head: AnswerHead,
+        fields: UpstreamFields,
+    ) -> Tried:
+        """Pass the events of a streamed answer on as they come."""
+        name = entry.record.id
+        if not fields.signed:
+            stream.abort()
+            return Tried(TryResult.BROKEN, Step.HEAD, name, "unsigned stream")
+        splitter = exchange.splitter
+        gap = max(GAP_FACTOR * exchange.route.gap_objective, MIN_GAP_SECONDS)
+        first = True
+        while True:
+            limit = exchange.left if first else min(gap, exchange.left)
+            async with asyncio.timeout(max(limit, 0.0)):
+                part = await stream.read_part()
+            if part is None:
+                break
+            whole = splitter.feed(part)
+            if whole:
+                first = False
+                await self.pass_on(exchange, head, whole)
+        if splitter.pending:
+            splitter.drop_partial()
+            return Tried(TryResult.BROKEN, Step.STREAM, name, "the stream ended within an event")
+        if not exchange.stream.answer_begun:
+            await self.pass_on(exchange, head, b"")
+        exchange.stream.finish_answer()
+        return Tried(TryResult.DELIVERED, Step.END, name, f"{splitter.events} events")
+
+    async def pass_on(self, exchange: Exchange, head: AnswerHead, data: bytes) -> None:
+        """Send events to the caller, after the head if it was not sent before.
+
+        :raises CallerGoneError: if the caller has left
+        """
+        if exchange.stream.answer_begun:
+            exchange.stream.send_part(data)
+        else:
+            exchange.first_byte_at = asyncio.get_running_loop().time()
+            headers = build_answer_headers(head.headers)
+            exchange.stream.start_answer(head.status, headers, data)
+        try:
+            async with asyncio.timeout(max(exchange.left, 0.0)):
+                await exchange.stream.channel.drain()
+        except ConnectionError as error:
+            raise CallerGoneError(str(error)) from error
+
+    def note_result(self, entry: UpstreamEntry, tried: Tried, started: float) -> None:
+        """Take the result of a try into what is believed of the upstream."""
+        now = asyncio.get_running_loop().time()
+        if tried.result in (TryResult.NOT_SENT, TryResult.BROKEN):
+            entry.note_break(now)
+        elif tried.result is TryResult.MISDIRECTED:
+            entry.gone = True
+        elif tried.result is TryResult.TIMED_OUT:
+            entry.note_answer(True, now - started)
+        elif tried.result is not TryResult.REFUSED:
+            entry.note_answer(tried.result is TryResult.FAILED, now - started)
--- /dev/null
+++ b/tanagertrail/gateway/upstream_table.py
@@ -0,0 +1,108 @@
+"""What one daemon believes of the upstreams: registration, load, faults."""
+
+__all__ = ["UpstreamEntry", "UpstreamTable"]
+
+from collections import deque
+from collections.abc import Iterator
+
+from tanagertrail.gateway.model import Upstream
+from tanagertrail.platform.fields import UpstreamLoad
+
+FAULT_WEIGHT = 0.2  # weight of the newest request in the running share of faults
+LATENCY_WEIGHT = 0.1
+FIRST_BACKOFF_SECONDS = 0.5
+MAX_BACKOFF_SECONDS = 4.0
+LOAD_LIFETIME_SECONDS = 2.0
+
+
+class UpstreamEntry:
+    """One upstream.
+
+    :ivar in_flight: requests of this daemon that are there
+    :ivar elsewhere: requests of other daemons, by daemon
+    :ivar load: what it told of its load, and when
+    :ivar cold_until: event-loop time in seconds until which it is cold
+    :ivar closed_until: event-loop time in seconds until which it gets no new work
+    :ivar strikes: connections in a row that were refused or broke
+    :ivar fault_share: running share of requests that failed
+    :ivar latency: running mean of seconds to the first byte, 0 while unknown
+    """
+
+    def __init__(self, record: Upstream) -> None:
+        self.record = record
+        self.in_flight = 0
+        self.elsewhere: dict[str, int] = {}
+        self.load: UpstreamLoad | None = None
+        self.load_at = 0.0
+        self.cold_until = 0.0
+        self.closed_until = 0.0
+        self.strikes = 0
+        self.fault_share = 0.0
+        self.latency = 0.0
+        self.gone = False
+        self.cold_starts: deque[float] = deque()
+
+    @property
+    def running(self) -> int:
+        """Return the requests of all daemons that are believed to be there."""
+        return self.in_flight + sum(self.elsewhere.values())
+
+    def is_open(self, now: float) -> bool:
+        """Say whether it may get new work."""
+        return not (self.gone or self.record.draining or now < self.closed_until)
+
+    def note_load(self, load: UpstreamLoad, now: float) -> None:
+        """Take what the upstream told of its load."""
+        self.load = load
+        self.load_at = now
+
+    def note_answer(self, failed: bool, latency: float) -> None:
+        """Take the result of a request that was answered."""
+        self.strikes = 0
+        self.fault_share += FAULT_WEIGHT * (float(failed) - self.fault_share)
+        if not failed:
+            self.latency += (LATENCY_WEIGHT if self.latency else 1.0) * (latency - self.latency)
+
+    def note_break(self, now: float) -> None:
+        """Take a connection that was refused or broke, and back off."""
+        self.strikes += 1
+        self.fault_share += FAULT_WEIGHT * (1.0 - self.fault_share)
+        pause = FIRST_BACKOFF_SECONDS * 2 ** (self.strikes - 1)
+        self.closed_until = now + min(pause, MAX_BACKOFF_SECONDS)
+
+
+class UpstreamTable:
+    """All upstreams that are registered."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, UpstreamEntry] = {}
+
+    def put(self, record: Upstream, now: float) -> bool:
+        """Take a registration and return whether it changed what is believed."""
+        entry = self.entries.get(record.id)
+        if entry is not None and entry.record.born != record.born:
+            entry = None
+        if entry is None:
+            entry = self.entries[record.id] = UpstreamEntry(record)
+        elif entry.record == record:
+            return False
+        entry.record = record
+        if record.cold_for > 0:
+            entry.cold_until = max(entry.cold_until, now + record.cold_for)
+        return True
+
+    def remove(self, upstream_id: str) -> UpstreamEntry | None:
+        """Forget an upstream."""
+        entry = self.entries.pop(upstream_id, None)
+        if entry is not None:
+            entry.gone = True
+        return entry
+
+    def iter_service(self, service: str) -> Iterator[UpstreamEntry]:
+        """Yield the upstreams of a service."""
+        return (entry for entry in self.entries.values() if entry.record.service == service)
+
+    def note_daemon_gone(self, daemon: str) -> None:
+        """Forget the requests of a daemon that is gone."""
+        for entry in self.entries.values():
+            entry.elsewhere.pop(daemon, None)
--- /dev/null
+++ b/tanagertrail/gateway/usage.py
@@ -0,0 +1,55 @@
+"""Requests that upstreams began, by customer and window of the time of day."""
+
+__all__ = ["UsageCounter", "WindowCounts"]
+
+from collections import Counter
+
+from tanagertrail.gateway.clock import WallClock
+
+WindowCounts = dict[int, Counter[str]]
+KEPT_WINDOWS = 5
+
+
+class UsageCounter:
+    """Counts of this daemon and the latest that others reported.
+
+    :ivar window: length of a window in seconds
+    :ivar others: counts by daemon and incarnation, which outlive the daemon
+    """
+
+    def __init__(self, window: float, wall_time: WallClock) -> None:
+        self.window = window
+        self.wall_time = wall_time
+        self.own: WindowCounts = {}
+        self.others: dict[tuple[str, int], WindowCounts] = {}
+
+    def current_window(self) -> int:
+        """Return the number of the present window."""
+        return int(self.wall_time() // self.window)
+
+    def note_begun(self, customer: str) -> None:
+        """Count a request that an upstream began."""
+        window = self.current_window()
+        self.own.setdefault(window, Counter())[customer] += 1
+        for old in [number for number in self.own if number < window - KEPT_WINDOWS]:
+            del self.own[old]
+
+    def encode(self) -> tuple:
+        """Return the counts for a report."""
+        return tuple((window, tuple(counts.items())) for window, counts in sorted(self.own.items()))
+
+    def take(self, daemon: str, incarnation: int, rows: tuple) -> None:
+        """Take the counts that another daemon reported of itself."""
+        counts = {window: Counter(dict(items)) for window, items in rows}
+        self.others.setdefault((daemon, incarnation), {}).update(counts)
+        oldest = self.current_window() - KEPT_WINDOWS
+        for known in self.others.values():
+            for old in [number for number in known if number < oldest]:
+                del known[old]
+
+    def sum_window(self, window: int) -> dict[str, int]:
+        """Return the counts of all daemons in a window."""
+        total: Counter[str] = Counter(self.own.get(window, {}))
+        for known in self.others.values():
+            total.update(known.get(window, {}))
+        return dict(total)
--- /dev/null
+++ b/tanagertrail/objectapi/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: object API, instance list, cloud API and weight store."""
--- a/tanagertrail/platform/http.py
+++ b/tanagertrail/objectapi/http.py
@@ -25,15 +25,15 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
-from tanagertrail.platform.cloud import (
+from tanagertrail.objectapi.cloud import (
     BaseCloud,
     ReclaimNoticeRow,
     StartedInstance,
     StartRefusedError,
 )
-from tanagertrail.platform.instances import BaseInstanceList, Instance, InstanceState
-from tanagertrail.platform.objects import BaseObjectStore, StoredObject, WatchResult
-from tanagertrail.platform.weights import BaseWeightStore, WeightGrant
+from tanagertrail.objectapi.instances import BaseInstanceList, Instance, InstanceState
+from tanagertrail.objectapi.objects import BaseObjectStore, StoredObject, WatchResult
+from tanagertrail.objectapi.weights import BaseWeightStore, WeightGrant
 
 CALL_THREADS = 16
 WATCH_THREADS = 2
--- a/tanagertrail/platform/server.py
+++ b/tanagertrail/objectapi/server.py
@@ -17,10 +17,10 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
-from tanagertrail.platform.cloud import MemoryCloud, StartRefusedError
-from tanagertrail.platform.instances import Instance, InstanceState, MemoryInstanceList
-from tanagertrail.platform.objects import MemoryObjectStore, StoredObject, WatchResult
-from tanagertrail.platform.weights import MemoryWeightStore
+from tanagertrail.objectapi.cloud import MemoryCloud, StartRefusedError
+from tanagertrail.objectapi.instances import Instance, InstanceState, MemoryInstanceList
+from tanagertrail.objectapi.objects import MemoryObjectStore, StoredObject, WatchResult
+from tanagertrail.objectapi.weights import MemoryWeightStore
 from tanagertrail.sockets import mark_handed_over
 from tanagertrail.webserver import ServerSettings, WebServer, call_core, read_body, respond_json
 
--- a/tanagertrail/platform/__init__.py
+++ b/tanagertrail/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform: object API, instance list, cloud API and weight store."""
+"""Adapter to the users' platform: its names, formats and calls; it decides nothing."""
--- /dev/null
+++ b/tanagertrail/platform/records.py
@@ -0,0 +1,318 @@
+"""Objects that the platform and its operators keep in the store, decoded into plain types."""
+
+__all__ = [
+    "CONFIGURATION",
+    "EVACUATIONS",
+    "ROLLOUTS",
+    "UPSTREAMS",
+    "decode_configuration",
+    "decode_rollout",
+    "decode_upstream",
+    "encode_rollout_report",
+]
+
+from collections.abc import Mapping
+from typing import Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from tanagertrail.errors import InvalidInputError, Violation
+from tanagertrail.gateway.model import (
+    Customer,
+    Engine,
+    FleetLimits,
+    Limits,
+    Repeatability,
+    RolloutOrder,
+    Route,
+    Service,
+    ServingConfig,
+    Upstream,
+    WeightedService,
+)
+from tanagertrail.platform.store import StoredObject
+
+CONFIGURATION = "config"
+UPSTREAMS = "servers"
+ROLLOUTS = "rollouts"
+EVACUATIONS = "evacuations"
+MILLISECONDS = 1000
+UNLIMITED_TIMEOUT_MS = 60_000
+
+
+class Document(BaseModel):
+    """Base of the platform's documents, whose unknown fields are ignored."""
+
+    model_config = ConfigDict(extra="ignore")
+
+
+class UpstreamDocument(Document):
+    """A replica's entry.
+
+    ``capacity`` is the number of requests at once; ``sequence`` counts orders and is not used.
+    """
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    service: str = Field(min_length=1)
+    address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
+    zone: str
+    version: str
+    capacity: int = Field(ge=1)
+    state: Literal["ready", "draining"]
+    cold_left_ms: float = Field(default=0, ge=0)
+    born: int = 0
+    spot: bool = False
+    leaves_ms: float | None = None
+
+
+class BackendDocument(Document):
+    """A weighted target of a route."""
+
+    service: str
+    weight: float = Field(default=1, ge=0)
+
+
+class RouteDocument(Document):
+    """A route; it names one ``service`` or several ``backends``."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: Repeatability
+    timeout_ms: float = UNLIMITED_TIMEOUT_MS
+    slo_ms: float = 1000
+    priority: int = 0
+    service: str = ""
+    backends: list[BackendDocument] = Field(default_factory=list)
+    attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0
+
+
+class EngineDocument(Document):
+    """What the replicas of a model service hold."""
+
+    capacity: int = 1
+    kv_cap_tokens: int = 0
+
+
+class ScalingDocument(Document):
+    """Bounds and prices of orders for replicas, each bound for one zone."""
+
+    min: int = 0
+    max: int = 0
+    boot_s: float = 0
+    spot_price: float | None = None
+    zone_prices: dict[str, float] = Field(default_factory=dict)
+
+
+class ServiceDocument(Document):
+    """A service."""
+
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 100
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+    engine: EngineDocument | None = None
+    scaling: ScalingDocument | None = None
+
+
+class LimitsDocument(Document):
+    """What a client may send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class TenantDocument(Document):
+    """A tenant; ``unit`` says what its quota counts."""
+
+    name: str
+    api_keys: list[str] = Field(default_factory=list)
+    priority: int | None = None
+    unit: str = "requests"
+    plain_tokens: int = 1
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class ConfigurationDocument(Document):
+    """The whole configuration."""
+
+    version: int
+    routes: list[RouteDocument]
+    services: list[ServiceDocument]
+    limits: LimitsDocument = Field(default_factory=LimitsDocument)
+    tenants: list[TenantDocument] = Field(default_factory=list)
+
+
+class RolloutDocument(Document):
+    """An order to move a service to the version ``target``."""
+
+    service: str
+    target: str
+    duration_s: float
+
+
+def convert_fault(error: ValidationError) -> InvalidInputError:
+    """Return a validation error with the fields and rules that were broken."""
+    return InvalidInputError(
+        [
+            Violation(".".join(str(part) for part in fault["loc"]), fault["msg"], fault["type"])
+            for fault in error.errors(include_url=False, include_input=False)
+        ]
+    )
+
+
+def decode_configuration(content: Any) -> ServingConfig:
+    """Decode the operator's configuration.
+
+    :raises InvalidInputError: naming each wrong field and the rule it breaks
+    """
+    try:
+        document = ConfigurationDocument.model_validate(content)
+    except ValidationError as error:
+        raise convert_fault(error) from error
+    customers = {item.name: build_customer(item) for item in document.tenants}
+    return ServingConfig(
+        document.version,
+        group_routes(document.routes),
+        {item.name: build_service(item) for item in document.services},
+        build_limits(document.limits),
+        customers,
+        {key: customer for customer in customers.values() for key in customer.keys},
+    )
+
+
+def group_routes(documents: list[RouteDocument]) -> dict[str, tuple[Route, ...]]:
+    """Return the routes by host, those with the longest prefix first."""
+    routes: dict[str, list[Route]] = {}
+    for document in documents:
+        routes.setdefault(document.host.lower(), []).append(build_route(document))
+    return {
+        host: tuple(sorted(group, key=lambda route: -len(route.prefix)))
+        for host, group in routes.items()
+    }
+
+
+def build_route(document: RouteDocument) -> Route:
+    """Return a route."""
+    targets = [WeightedService(item.service, item.weight) for item in document.backends]
+    if not targets:
+        targets = [WeightedService(document.service, 1.0)]
+    return Route(
+        document.name,
+        document.host.lower(),
+        document.prefix,
+        document.kind,
+        document.timeout_ms / MILLISECONDS,
+        document.slo_ms / MILLISECONDS,
+        document.priority,
+        tuple(targets),
+        max(document.attempts, 1),
+        document.public,
+        document.sticky,
+        document.resumable,
+        document.gap_aim_ms / MILLISECONDS,
+    )
+
+
+def build_service(document: ServiceDocument) -> Service:
+    """Return a service."""
+    engine = fleet = None
+    if document.engine is not None:
+        engine = Engine(document.engine.capacity, document.engine.kv_cap_tokens)
+    scaling = document.scaling
+    if scaling is not None:
+        fleet = FleetLimits(
+            scaling.min, scaling.max, scaling.boot_s, scaling.spot_price, scaling.zone_prices
+        )
+    return Service(
+        document.name,
+        document.health_path,
+        document.max_conns,
+        document.cold_start_s,
+        document.cold_per_s,
+        engine,
+        fleet,
+    )
+
+
+def build_limits(document: LimitsDocument) -> Limits:
+    """Return the limits of callers' requests."""
+    return Limits(
+        document.max_header_bytes,
+        document.max_body_bytes,
+        document.header_timeout_ms / MILLISECONDS,
+        document.idle_timeout_ms / MILLISECONDS,
+    )
+
+
+def build_customer(document: TenantDocument) -> Customer:
+    """Return a customer."""
+    return Customer(
+        document.name,
+        tuple(document.api_keys),
+        document.priority,
+        document.rate_per_s,
+        document.burst,
+        document.unit == "tokens",
+        document.plain_tokens,
+    )
+
+
+def decode_upstream(item: StoredObject) -> Upstream:
+    """Decode a replica's entry.
+
+    :raises InvalidInputError: if another writer left something else there
+    """
+    try:
+        document = UpstreamDocument.model_validate(item.content)
+    except ValidationError as error:
+        raise convert_fault(error) from error
+    leaves_in = None if document.leaves_ms is None else document.leaves_ms / MILLISECONDS
+    return Upstream(
+        item.name,
+        document.service,
+        document.address,
+        document.zone,
+        document.version,
+        document.capacity,
+        document.state == "draining",
+        document.cold_left_ms / MILLISECONDS,
+        document.born / MILLISECONDS,
+        document.spot,
+        leaves_in,
+    )
+
+
+def decode_rollout(item: StoredObject) -> RolloutOrder:
+    """Decode an order to move a service to a version.
+
+    :raises InvalidInputError: if it is malformed
+    """
+    try:
+        document = RolloutDocument.model_validate(item.content)
+    except ValidationError as error:
+        raise convert_fault(error) from error
+    report = item.report if isinstance(item.report, Mapping) else {}
+    return RolloutOrder(
+        document.service,
+        document.target,
+        document.duration_s,
+        str(report.get("state", "")),
+        str(report.get("target", "")),
+        item.revision,
+        item.created,
+    )
+
+
+def encode_rollout_report(version: str, state: str) -> dict[str, str]:
+    """Return the report on a move."""
+    return {"state": state, "target": version}
--- /dev/null
+++ b/tanagertrail/platform/settings.py
@@ -0,0 +1,140 @@
+"""The settings file of a process, as the platform writes it."""
+
+__all__ = ["SETTINGS_VARIABLE", "decode_settings", "read_settings_file"]
+
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from tanagertrail.errors import SettingsError, Violation
+from tanagertrail.gateway.model import GatewaySettings, SharedBounds
+
+SETTINGS_VARIABLE = "TANAGERTRAIL_NODE_FILE"
+MEGABYTE = 1024 * 1024
+UNBOUNDED = 1e9
+
+
+class FieldReader:
+    """Read fields of a table and collect what is wrong with them."""
+
+    def __init__(self, table: Mapping[str, Any], prefix: str, faults: list[Violation]) -> None:
+        self.table = table
+        self.prefix = prefix
+        self.faults = faults
+
+    def open_table(self, name: str) -> "FieldReader":
+        """Return the reader of a nested table, which may be missing."""
+        nested = self.table.get(name, {})
+        if not isinstance(nested, Mapping):
+            self.add_fault(name, "must be a table", nested)
+            nested = {}
+        return FieldReader(nested, f"{self.prefix}{name}.", self.faults)
+
+    def add_fault(self, name: str, rule: str, seen: object) -> None:
+        """Note a fault of a field."""
+        self.faults.append(Violation(f"{self.prefix}{name}", rule, str(seen)))
+
+    def read_text(self, name: str, default: str | None = None) -> str:
+        """Read a text; without a default it must be there."""
+        value = self.table.get(name, default)
+        if not isinstance(value, str):
+            self.add_fault(name, "must be a text", value)
+            return ""
+        return value
+
+    def read_address(self, name: str, required: bool = True) -> str:
+        """Read an address of the form ``host:port``."""
+        value = self.read_text(name, None if required else "")
+        host, _, port = value.rpartition(":")
+        if value and not (host and port.isdigit() and 0 < int(port) < 65536):
+            self.add_fault(name, "must be host:port", value)
+        return value
+
+    def read_number(self, name: str, default: float) -> float:
+        """Read a number that is not negative."""
+        value = self.table.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            self.add_fault(name, "must be a number that is not negative", value)
+            return default
+        return float(value)
+
+
+def read_settings_file(path: str) -> GatewaySettings:
+    """Read and check the settings file.
+
+    :raises SettingsError: if it cannot be read or a field is wrong
+    """
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+    except (OSError, ValueError) as error:
+        raise SettingsError([Violation("settings", "must be readable TOML", str(error))]) from error
+    return decode_settings(document)
+
+
+def decode_settings(document: Mapping[str, Any]) -> GatewaySettings:
+    """Decode the settings; unknown fields are ignored.
+
+    :raises SettingsError: naming each wrong field and the rule it breaks
+    """
+    faults: list[Violation] = []
+    root = FieldReader(document, "", faults)
+    listen = root.open_table("listen")
+    limits = root.open_table("limits")
+    cloud = root.open_table("cloud_api")
+    duties = cloud.table.get("duties", [])
+    settings = GatewaySettings(
+        name=root.read_text("node_name"),
+        host=root.read_text("ip"),
+        failure_domain=root.read_text("zone"),
+        region=root.read_text("region", ""),
+        front=listen.read_address("front"),
+        ready=listen.read_address("ready"),
+        directory=listen.read_address("directory", required=False),
+        internal=read_ports(root),
+        failure_domains=dict(root.open_table("zones").table),
+        store=root.open_table("platform").read_address("address"),
+        cloud=cloud.read_address("address", required=False),
+        duties=frozenset(duties) if isinstance(duties, list) else frozenset(),
+        heartbeat=root.read_number("heartbeat_ms", 1200) / 1000,
+        max_descriptors=int(limits.read_number("max_fds", 1024)),
+        memory=int(limits.read_number("memory_mb", 256) * MEGABYTE),
+        bounds=read_bounds(root.open_table("bounds")),
+    )
+    if faults:
+        raise SettingsError(faults)
+    return settings
+
+
+def read_ports(root: FieldReader) -> tuple[int, int]:
+    """Read the range of ports for traffic between daemons."""
+    ports = root.table.get("internal_ports")
+    if not isinstance(ports, list) or len(ports) != 2 or not all(type(p) is int for p in ports):
+        root.add_fault("internal_ports", "must be two port numbers", ports)
+        return (0, 0)
+    return (ports[0], ports[1])
+
+
+def read_bounds(table: FieldReader) -> SharedBounds:
+    """Read the bounds that hold over all daemons; one that is missing binds nothing."""
+
+    def seconds(name: str, default: float) -> float:
+        return table.read_number(name, default * 1000) / 1000
+
+    return SharedBounds(
+        stability=seconds("stability_ms", 3),
+        grace=table.read_number("grace_s", 8),
+        revoke=seconds("revoke_ms", 5),
+        retry_ratio=table.read_number("budget_ratio", 0.2),
+        retry_window=table.read_number("budget_window_s", 10),
+        retry_extra=table.read_number("budget_extra", 50),
+        quota_window=table.read_number("quota_window_s", 8),
+        quota_slack=table.read_number("quota_slack", 0),
+        lease=seconds("lease_ms", 3),
+        usage_window=table.read_number("usage_window_s", 5),
+        usage_due=table.read_number("usage_late_s", 10),
+        rollout_share=table.read_number("expose_share", 0.1),
+        rollout_extra=table.read_number("expose_slack", 50),
+        cold_factor=table.read_number("cold_over", 1.5),
+        answer_lifetime=table.read_number("ttl_max_s", 5),
+    )
--- a/tanagertrail/testing.py
+++ b/tanagertrail/testing.py
@@ -17,10 +17,10 @@
 from tanagertrail.core.serving import ServingSettings
 from tanagertrail.daemons.transport import MemoryNetwork
 from tanagertrail.model import FailureDomain, Priority, Service, Upstream, Version
+from tanagertrail.objectapi.cloud import MemoryCloud
+from tanagertrail.objectapi.instances import Instance, MemoryInstanceList
+from tanagertrail.objectapi.objects import MemoryObjectStore
 from tanagertrail.outcomes import Outcome, Step, Unknown
-from tanagertrail.platform.cloud import MemoryCloud
-from tanagertrail.platform.instances import Instance, MemoryInstanceList
-from tanagertrail.platform.objects import MemoryObjectStore
 from tanagertrail.policy.tickets import Ticket
 from tanagertrail.sinks import MemorySink
 from tanagertrail.upstreams.engine import EngineSettings, ToyEngine
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,16 +11,16 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
-from tanagertrail.platform.http import (
+from tanagertrail.objectapi.http import (
     HttpCloud,
     HttpInstanceList,
     HttpObjectStore,
     HttpWeightStore,
     PlatformClient,
 )
-from tanagertrail.platform.instances import Instance
-from tanagertrail.platform.objects import MAX_VALUE_BYTES
-from tanagertrail.platform.server import MemoryPlatform, PlatformServer
+from tanagertrail.objectapi.instances import Instance
+from tanagertrail.objectapi.objects import MAX_VALUE_BYTES
+from tanagertrail.objectapi.server import MemoryPlatform, PlatformServer
 from tests.utils import raises
 
 BOTH = ("memory", "http")
