Do the duties: one lease, usage agreed in the store, reclaimable upstreams ordered

Change: one daemon holds a lease in the store with a fencing number; it reports each usage window with the counts that the store holds for it, and orders reclaimable upstreams before it takes ordinary ones away.

--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -36,7 +36,7 @@
     :ivar flights: (upstream, requests of the sender that are there)
     :ivar quota: (customer, units used in the quota's window, units per second now)
     :ivar usage: (window, ((customer, requests begun), ...))
-    :ivar faults: (kind of news, subject, text)
+    :ivar leading: fencing number of the lease that the sender holds, 0 for none
     :ivar members: rows of :class:`MemberRow`
     """
 
@@ -53,5 +53,5 @@
     flights: tuple
     quota: tuple
     usage: tuple
-    faults: tuple
+    leading: int
     members: tuple
--- /dev/null
+++ b/tanagertrail/gateway/duties.py
@@ -0,0 +1,187 @@
+"""Duties that the holder of the lease does: usage reports and orders of upstreams."""
+
+__all__ = ["DutyRunner"]
+
+import asyncio
+from collections import deque
+
+from tanagertrail.errors import ConflictError, PlatformError
+from tanagertrail.gateway.beliefs import Beliefs
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.leadership import Leadership
+from tanagertrail.gateway.model import Service
+from tanagertrail.gateway.usage import UsageCounter
+from tanagertrail.platform.cloud import (
+    LONGEST_CALL_SECONDS,
+    CloudClient,
+    CloudReply,
+    FleetOrder,
+)
+from tanagertrail.platform.store import StoreClient
+from tanagertrail.policy.fleet import FLEET_PLANS, FleetPlan, FleetView
+
+USAGE_KIND = "tanagertrail-usage"
+USAGE_SLOTS = 8  # objects that are used in turn, so that none piles up
+PERIOD_SECONDS = 0.5
+SETTLE_SECONDS = 2.0  # after a window's end, until all daemons' counts have come
+DEMAND_SECONDS = 15.0  # span whose highest demand the fleet is planned for
+REORDER_SECONDS = 3.0  # between equal orders whose effect has not shown
+EMPTY_SECONDS = 1.0  # that a new upstream serves before ordinary ones are taken away
+
+
+class DutyRunner:
+    """Do the duties while this daemon holds the lease."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        leadership: Leadership,
+        store: StoreClient,
+        cloud: CloudClient,
+        usage: UsageCounter,
+        daemon: str,
+        log: EventLog,
+    ) -> None:
+        self.beliefs = beliefs
+        self.leadership = leadership
+        self.store = store
+        self.cloud = cloud
+        self.usage = usage
+        self.daemon = daemon
+        self.log = log
+        self.plan = FLEET_PLANS.get("reclaimable")
+        self.reported: set[int] = set()
+        self.demand: dict[str, deque[tuple[float, int]]] = {}
+        self.ordered_at: dict[FleetOrder, float] = {}
+        self.started_window = usage.current_window()
+
+    async def run(self) -> None:
+        """Do what is due until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_SECONDS)
+            self.note_demand()
+            if not self.leadership.may_act(LONGEST_CALL_SECONDS):
+                continue
+            try:
+                await self.order_fleets()
+                await self.report_windows()
+            except PlatformError as error:
+                self.log.write("duty_failed", error=str(error)[:200])
+
+    def note_demand(self) -> None:
+        """Note how many requests are at the upstreams of each service."""
+        now = asyncio.get_running_loop().time()
+        if self.beliefs.config is None:
+            return
+        for name in self.beliefs.config.services:
+            running = sum(entry.running for entry in self.beliefs.upstreams.iter_service(name))
+            history = self.demand.setdefault(name, deque())
+            history.append((now, running))
+            while history[0][0] < now - DEMAND_SECONDS:
+                history.popleft()
+
+    async def report_windows(self) -> None:
+        """Report the windows that have settled and are not yet due for too long."""
+        wall = self.usage.wall_time()
+        length = self.usage.window
+        newest = int((wall - SETTLE_SECONDS) // length) - 1
+        for window in range(newest - 1, newest + 1):
+            if window not in self.reported and window >= self.started_window:
+                await self.report_window(window)
+        self.reported = {window for window in self.reported if window > newest - 10}
+
+    async def report_window(self, window: int) -> None:
+        """Report one window with the counts that the store holds for it.
+
+        :raises PlatformError: if the counts cannot be agreed on
+        """
+        counts = await self.agree_counts(window)
+        if counts is None or not self.leadership.may_act(LONGEST_CALL_SECONDS):
+            return
+        fencing = self.leadership.fencing
+        reply = await self.cloud.report_usage(self.daemon, fencing, window, counts)
+        self.log.write("usage", window=window, counts=counts, fencing=fencing, reply=reply)
+        if reply is CloudReply.DONE:
+            self.reported.add(window)
+
+    async def agree_counts(self, window: int) -> dict[str, int] | None:
+        """Store a window's counts, or return those that another holder has stored.
+
+        Only one set of counts may ever be reported for a window.
+        """
+        name = f"window-{window % USAGE_SLOTS}"
+        content = {"window": window, "counts": self.usage.sum_window(window)}
+        try:
+            await self.store.create(USAGE_KIND, name, content)
+            return content["counts"]
+        except ConflictError:
+            found = await self.store.read(USAGE_KIND, name)
+        if found is None or not isinstance(found.content, dict):
+            return None
+        if found.content.get("window") == window:
+            return found.content["counts"]
+        if found.content.get("window", 0) > window:
+            return None
+        await self.store.replace(USAGE_KIND, name, content, found.revision)
+        return content["counts"]
+
+    async def order_fleets(self) -> None:
+        """Order upstreams where there are too many or too few."""
+        if self.beliefs.config is None or not self.beliefs.upstreams_known:
+            return
+        for service in self.beliefs.config.services.values():
+            if service.fleet is not None:
+                await self.order_fleet(service)
+
+    async def order_fleet(self, service: Service) -> None:
+        """Order one service's upstreams: reclaimable ones first, then fewer ordinary ones."""
+        plan = self.plan(self.view_fleet(service))
+        ready = self.count_upstreams(service.name)
+        for domain, desired in plan.reclaimable.items():
+            if ready.get((domain, True), 0) != desired:
+                await self.send_order(FleetOrder(service.name, domain, True, desired))
+        for domain, desired in plan.ordinary.items():
+            wanted = max(desired, self.cover_missing(plan, ready, domain))
+            if ready.get((domain, False), 0) != wanted:
+                await self.send_order(FleetOrder(service.name, domain, False, wanted))
+
+    def cover_missing(
+        self, plan: FleetPlan, ready: dict[tuple[str, bool], int], domain: str
+    ) -> int:
+        """Return the ordinary upstreams to keep until the reclaimable ones have come."""
+        missing = plan.reclaimable[domain] - ready.get((domain, True), 0)
+        return min(max(missing, 0), ready.get((domain, False), 0))
+
+    def view_fleet(self, service: Service) -> FleetView:
+        """Return what the plan for a service depends on."""
+        fleet = service.fleet
+        history = self.demand.get(service.name, ())
+        return FleetView(
+            fleet.prices,
+            fleet.reclaimable_price is not None,
+            fleet.least,
+            fleet.most,
+            service.engine.batch if service.engine else 1,
+            max((running for _, running in history), default=0),
+        )
+
+    def count_upstreams(self, service: str) -> dict[tuple[str, bool], int]:
+        """Count the upstreams that stay, by failure domain and kind."""
+        counts: dict[tuple[str, bool], int] = {}
+        for entry in self.beliefs.upstreams.iter_service(service):
+            if not entry.record.draining and not entry.gone:
+                key = (entry.record.failure_domain, entry.record.reclaimable)
+                counts[key] = counts.get(key, 0) + 1
+        return counts
+
+    async def send_order(self, order: FleetOrder) -> None:
+        """Send an order unless the same was sent a moment ago."""
+        now = asyncio.get_running_loop().time()
+        if now - self.ordered_at.get(order, -REORDER_SECONDS) < REORDER_SECONDS:
+            return
+        if not self.leadership.may_act(LONGEST_CALL_SECONDS):
+            return
+        self.ordered_at[order] = now
+        fencing = self.leadership.fencing
+        reply = await self.cloud.order_upstreams(self.daemon, fencing, order)
+        self.log.write("fleet_order", **order._asdict(), fencing=fencing, reply=reply)
--- /dev/null
+++ b/tanagertrail/gateway/leadership.py
@@ -0,0 +1,173 @@
+"""The lease by which one daemon at a time does the duties of all."""
+
+__all__ = ["Leadership"]
+
+import asyncio
+import random
+from typing import Any
+
+from tanagertrail.errors import ConflictError, PlatformError, StoreUnknownError
+from tanagertrail.gateway.clock import BootClock
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.platform.store import StoreClient, StoredObject
+from tanagertrail.policy.leases import LeaseRecord, LeaseWatch, may_act
+
+LEASES_KIND = "tanagertrail-leases"
+LEASE_NAME = "duties"
+RENEW_SHARE = 0.3  # of the lease, so that two renewals may fail
+FOLLOW_SECONDS = 0.5
+CALM_SECONDS = 3.0  # pause between looks at the lease while its holder is heard of
+
+
+def decode_lease(content: Any) -> LeaseRecord | None:
+    """Decode a stored lease, None if it cannot be read."""
+    try:
+        return LeaseRecord(
+            str(content["holder"]),
+            int(content["fencing"]),
+            int(content["renewal"]),
+            bool(content.get("released")),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+class Leadership:
+    """Hold or follow the lease.
+
+    :ivar holder: this daemon with its incarnation
+    :ivar fencing: fencing number while this daemon holds the lease, else 0
+    :ivar renewed_at: boot time in seconds just before the last renewal that succeeded was sent
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        daemon: str,
+        incarnation: int,
+        lease: float,
+        log: EventLog,
+        boot_time: BootClock,
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.holder = f"{daemon}@{incarnation}"
+        self.lease = lease
+        self.log = log
+        self.boot_time = boot_time
+        self.rng = rng
+        self.watch = LeaseWatch(lease)
+        self.record: LeaseRecord | None = None
+        self.revision = 0
+        self.renewed_at = 0.0
+        self.holder_heard = False
+        self.stopping = False
+
+    @property
+    def fencing(self) -> int:
+        """Return the fencing number while the lease is held, else 0."""
+        return self.record.fencing if self.record is not None else 0
+
+    def may_act(self, duration: float) -> bool:
+        """Say whether an action that takes some seconds at most may begin now."""
+        if self.record is None or self.stopping:
+            return False
+        return may_act(self.renewed_at, self.boot_time(), duration, self.lease)
+
+    async def run(self) -> None:
+        """Hold or follow the lease until cancelled."""
+        while True:
+            try:
+                if self.record is not None:
+                    await self.renew()
+                    pause = self.lease * RENEW_SHARE
+                else:
+                    await self.follow()
+                    pause = FOLLOW_SECONDS
+                    if self.record is None and self.holder_heard:
+                        pause = CALM_SECONDS
+            except PlatformError as error:
+                self.log.write_routine("lease_failed", error=str(error)[:120])
+                self.watch.note_unreadable(self.boot_time())
+                pause = FOLLOW_SECONDS
+            await asyncio.sleep(pause * self.rng.uniform(0.8, 1.1))
+
+    async def renew(self) -> None:
+        """Renew the lease that is held."""
+        sent_at = self.boot_time()
+        if sent_at > self.renewed_at + self.lease:
+            self.give_up("ran out")
+            return
+        following = self.record._replace(renewal=self.record.renewal + 1)
+        try:
+            stored = await self.put(following, self.revision)
+        except ConflictError:
+            await self.check_after_loss(following, sent_at)
+        except StoreUnknownError:
+            await self.check_after_loss(following, sent_at)
+        else:
+            self.keep(following, stored.revision, sent_at)
+
+    async def check_after_loss(self, written: LeaseRecord, sent_at: float) -> None:
+        """Read the lease to see whether a renewal without an answer took effect."""
+        found = await self.store.read(LEASES_KIND, LEASE_NAME)
+        record = decode_lease(found.content) if found else None
+        if record == written:
+            self.keep(written, found.revision, sent_at)
+        elif record is None or record.holder != self.holder:
+            self.give_up("taken over")
+        else:
+            self.revision = found.revision
+
+    async def follow(self) -> None:
+        """Look at the lease and claim it if it has run out."""
+        if self.stopping:
+            return
+        found = await self.store.read(LEASES_KIND, LEASE_NAME)
+        now = self.boot_time()
+        self.observe(found, now)
+        if not self.watch.may_claim(now):
+            return
+        claim = self.watch.build_claim(self.holder)
+        try:
+            stored = await self.put(claim, found.revision if found else None)
+        except ConflictError:
+            return
+        self.keep(claim, stored.revision, now)
+        self.log.write("lease_claimed", fencing=claim.fencing)
+
+    def observe(self, found: StoredObject | None, now: float) -> None:
+        """Take what was read of the lease."""
+        record = decode_lease(found.content) if found else None
+        self.watch.observe(record, found.revision if found else 0, now)
+
+    async def put(self, record: LeaseRecord, revision: int | None) -> StoredObject:
+        """Write the lease under the condition that it has not changed."""
+        content = record._asdict()
+        if revision is None:
+            return await self.store.create(LEASES_KIND, LEASE_NAME, content)
+        return await self.store.replace(LEASES_KIND, LEASE_NAME, content, revision)
+
+    def keep(self, record: LeaseRecord, revision: int, sent_at: float) -> None:
+        """Note that the lease is held."""
+        self.record = record
+        self.revision = revision
+        self.renewed_at = sent_at
+
+    def give_up(self, reason: str) -> None:
+        """Note that the lease is no longer held."""
+        self.log.write("lease_lost", fencing=self.fencing, reason=reason)
+        self.record = None
+        self.watch = LeaseWatch(self.lease)
+
+    async def release(self) -> None:
+        """Give the lease back so that another daemon need not wait for its end."""
+        self.stopping = True
+        if self.record is None:
+            return
+        record, self.record = self.record._replace(released=True), None
+        try:
+            await self.put(record, self.revision)
+            self.log.write("lease_released", fencing=record.fencing)
+        except PlatformError as error:
+            self.log.write("lease_release_failed", error=str(error)[:120])
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -10,6 +10,7 @@
 from tanagertrail.gateway.beliefs import Beliefs
 from tanagertrail.gateway.clock import read_boot_time, read_wall_time
 from tanagertrail.gateway.dispatch import Dispatcher
+from tanagertrail.gateway.duties import DutyRunner
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
 from tanagertrail.gateway.handlers import (
@@ -19,6 +20,7 @@
     UpstreamHandler,
     take_document,
 )
+from tanagertrail.gateway.leadership import Leadership
 from tanagertrail.gateway.members import (
     MEMBERS_KIND,
     Member,
@@ -32,6 +34,7 @@
 from tanagertrail.gateway.sending import UpstreamSender
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.gateway.watching import BaseKindHandler, KindWatch
+from tanagertrail.platform.cloud import CloudClient
 from tanagertrail.platform.pages import DirectoryPage, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
 from tanagertrail.platform.store import StoreClient
@@ -46,6 +49,7 @@
 LEAVE_QUIET_SECONDS = 3.5  # callers keep an address answer three times its lifetime
 STOP_MARGIN_SECONDS = 0.6
 PAGE_THREADS = 4
+LEADER_SILENT_SECONDS = 1.5
 
 
 class GatewayNode(ReportSource):
@@ -72,12 +76,22 @@
             self.log,
             self.rng,
         )
+        self.leadership = Leadership(
+            self.store,
+            settings.name,
+            self.incarnation,
+            settings.bounds.lease,
+            self.log,
+            read_boot_time,
+            self.rng,
+        )
         self.front = FrontServer(self.dispatcher.handle, self.get_limits, self.log)
         self.peer_server = PeerServer(self, self.log)
         self.links = PeerLinks(self, self.members, self.log, self.rng, read_boot_time, seeds)
         self.pages: list[WebServer] = []
         self.tasks: list[asyncio.Task] = []
         self.counter = 0
+        self.leading_heard = (0, -LEADER_SILENT_SECONDS)
         self.leaving = False
 
     def get_limits(self) -> Limits:
@@ -105,8 +119,23 @@
         self.spawn(self.register())
         self.spawn(self.links.run())
         self.spawn(self.sweep())
+        self.spawn(self.leadership.run())
+        if self.settings.cloud:
+            self.spawn(self.build_duties().run())
         self.log.write("started", incarnation=self.incarnation, front=self.settings.front)
 
+    def build_duties(self) -> DutyRunner:
+        """Return the runner of the duties."""
+        return DutyRunner(
+            self.beliefs,
+            self.leadership,
+            self.store,
+            CloudClient(self.settings.cloud),
+            self.usage,
+            self.settings.name,
+            self.log,
+        )
+
     def serve_page(self, address: str, page: object) -> None:
         """Serve a page from threads."""
         host, _, port = address.rpartition(":")
@@ -204,7 +233,7 @@
             flights,
             quota,
             self.usage.encode(),
-            (),
+            self.leadership.fencing,
             self.members.build_rows(now),
         )
 
@@ -224,6 +253,9 @@
             take_document(self.beliefs, self.log, report.configuration, report.daemon)
         if asked_at is not None and report.proof_age_ms >= 0:
             self.beliefs.prove(report.config_version, asked_at - report.proof_age_ms / 1000)
+        if report.leading >= self.leading_heard[0]:
+            self.leading_heard = (report.leading, now) if report.leading else self.leading_heard
+        self.leadership.holder_heard = now - self.leading_heard[1] < LEADER_SILENT_SECONDS
         self.take_flights(report)
         news = {name: QuotaNews(used, rate) for name, used, rate in report.quota}
         self.quota.note_report(report.daemon, news, now)
@@ -257,6 +289,7 @@
             quiet = self.loop.time() - started > LEAVE_QUIET_SECONDS
             if quiet and self.dispatcher.in_flight == 0:
                 break
+        await self.leadership.release()
         self.log.write("stopped", in_flight=self.dispatcher.in_flight)
         self.front.close()
         for task in self.tasks:
--- /dev/null
+++ b/tanagertrail/platform/cloud.py
@@ -0,0 +1,104 @@
+"""Calls of the platform's cloud API, each the duty of one daemon at a time."""
+
+__all__ = ["CloudClient", "CloudReply", "FleetOrder"]
+
+import asyncio
+import enum
+import json
+import socket
+import struct
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, NamedTuple
+
+import urllib3
+
+CALL_SECONDS = 0.6
+CONNECT_SECONDS = 0.3
+LONGEST_CALL_SECONDS = CALL_SECONDS + CONNECT_SECONDS
+THREADS = 2
+HOLDER_FIELD = "Tanagertrail-Lease-Holder"
+FENCING_FIELD = "Tanagertrail-Fence-Token"
+# A call that timed out must not arrive later: closing resets, which drops what is on its way.
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)),
+]
+
+
+class CloudReply(enum.StrEnum):
+    """What a call came to."""
+
+    DONE = "done"
+    NOT_AVAILABLE = "not available"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class FleetOrder(NamedTuple):
+    """An order for a number of upstreams.
+
+    :ivar desired: upstreams of this kind that are to be there
+    """
+
+    service: str
+    failure_domain: str
+    reclaimable: bool
+    desired: int
+
+
+class CloudClient:
+    """Call the cloud API from threads."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=THREADS, retries=False, socket_options=SOCKET_OPTIONS
+        )
+        self.executor = ThreadPoolExecutor(THREADS, thread_name_prefix="cloud")
+
+    async def report_usage(
+        self, holder: str, fencing: int, window: int, counts: dict[str, int]
+    ) -> CloudReply:
+        """Report the requests of each customer that began in a window."""
+        return await self.call("/usage", holder, fencing, {"window_id": window, "counts": counts})
+
+    async def order_upstreams(self, holder: str, fencing: int, order: FleetOrder) -> CloudReply:
+        """Order a number of upstreams of one kind."""
+        document: dict[str, Any] = {
+            "service": order.service,
+            "zone": order.failure_domain,
+            "desired": order.desired,
+        }
+        if order.reclaimable:
+            document["spot"] = True
+        return await self.call("/scale", holder, fencing, document)
+
+    async def call(
+        self, path: str, holder: str, fencing: int, document: dict[str, Any]
+    ) -> CloudReply:
+        """Make one call."""
+        headers = {
+            "Content-Type": "application/json",
+            HOLDER_FIELD: holder,
+            FENCING_FIELD: str(fencing),
+        }
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(
+            self.executor, self.send, path, headers, json.dumps(document)
+        )
+
+    def send(self, path: str, headers: dict[str, str], body: str) -> CloudReply:
+        """Send one call and read its answer; runs in a thread."""
+        limits = urllib3.Timeout(connect=CONNECT_SECONDS, read=CALL_SECONDS)
+        try:
+            response = self.pool.request("POST", path, body=body, headers=headers, timeout=limits)
+        except urllib3.exceptions.HTTPError:
+            return CloudReply.UNKNOWN
+        if 200 <= response.status < 300:
+            return CloudReply.DONE
+        return CloudReply.NOT_AVAILABLE if response.status == 409 else CloudReply.REFUSED
+
+    def close(self) -> None:
+        """Drop the connections."""
+        self.executor.shutdown(wait=False, cancel_futures=True)
+        self.pool.close()
--- a/tanagertrail/policy/leases.py
+++ b/tanagertrail/policy/leases.py
@@ -44,7 +44,8 @@
     same renewal for longer than the lease lasts.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, duration: float = LEASE_SECONDS) -> None:
+        self.duration = duration
         self.record: LeaseRecord | None = None
         self.version = 0
         self.seen_at = 0.0
@@ -64,7 +65,7 @@
         """Say whether the lease has certainly run out."""
         if self.record is None or self.record.released:
             return True
-        return now - self.seen_at > LEASE_SECONDS * CLOCK_MARGIN
+        return now - self.seen_at > self.duration * CLOCK_MARGIN
 
     def build_claim(self, holder: str) -> LeaseRecord:
         """Return the record of a new tenure."""
@@ -72,10 +73,13 @@
         return LeaseRecord(holder, fencing, 0)
 
 
-def may_act(renewed_at: float, now: float, duration: float = 0.0) -> bool:
+def may_act(
+    renewed_at: float, now: float, duration: float = 0.0, lease: float = LEASE_SECONDS
+) -> bool:
     """Say whether the holder may act for some time.
 
     :param renewed_at: event-loop time in seconds just before the last successful renewal was sent
     :param duration: seconds that the action takes at most
+    :param lease: seconds that the lease lasts after a renewal
     """
-    return now + duration < renewed_at + LEASE_SECONDS
+    return now + duration < renewed_at + lease
