Drop half events before a resume, bound quotas over a start, fill reclaimed places

Change: a relay starts without a partial event; what a daemon let pass before its start counts as its share of the quota; ordinary upstreams are ordered while reclaimable ones are missing, within the bound of both kinds; a first try is cut short only if another upstream has room. Ordinary upstreams are to be had while reclaimable ones are not.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -32,6 +32,7 @@
 REPEAT_SHARE = 0.5  # of the time left that a first try may use when another may follow
 FULL_FACTOR = 2.0  # requests of an upstream, against its slots, beyond which it would reject
 COLD_SAFETY = 0.8
+ROOM_FACTOR = 0.5  # requests against slots up to which a repeat would start at once
 
 
 class Refusal(NamedTuple):
@@ -129,9 +130,19 @@
         if customer.counts_tokens:
             prompt = fields.prompt
             units = prompt.tokens_in + prompt.tokens_out if prompt else customer.plain_tokens
-        limit = customer.rate * self.beliefs.bounds.quota_window + customer.burst
+        limit = self.limit_quota(customer)
         return self.quota.admit(customer.name, units, limit, self.members.count(), self.now())
 
+    def limit_quota(self, customer: Customer) -> float:
+        """Return the units that a customer may use in a window."""
+        return customer.rate * self.beliefs.bounds.quota_window + customer.burst
+
+    def list_quotas(self) -> dict[str, float]:
+        """Return the units that a window allows, by customer with a quota."""
+        config = self.beliefs.config
+        customers = config.customers.values() if config else ()
+        return {item.name: self.limit_quota(item) for item in customers if item.rate > 0}
+
     def pick_service(self, route: Route) -> str:
         """Return one of the route's services by their weights."""
         if len(route.targets) == 1:
@@ -148,7 +159,9 @@
             if entry is None:
                 break
             self.note_start(exchange, entry)
-            tried = await self.sender.try_once(exchange, entry, self.limit_patience(exchange))
+            tried = await self.sender.try_once(
+                exchange, entry, self.limit_patience(exchange, entry)
+            )
             exchange.tried.append(tried)
             if tried.result is TryResult.DELIVERED:
                 self.log_end(exchange, "answered")
@@ -220,11 +233,25 @@
             parts = [part.id for part in exchange.fields.prompt.parts]
             self.index.note_stored(entry.record.id, parts, now)
 
-    def limit_patience(self, exchange: Exchange) -> float:
+    def limit_patience(self, exchange: Exchange, entry: UpstreamEntry) -> float:
         """Return the seconds to wait for a first byte before another upstream is tried."""
         left = max(exchange.left - ANSWER_MARGIN_SECONDS, 0.0)
         may_follow = exchange.route.idempotent and exchange.sent_count + 1 < exchange.route.attempts
-        return left * REPEAT_SHARE if may_follow else left
+        if may_follow and self.has_alternative(exchange, entry):
+            return left * REPEAT_SHARE
+        return left
+
+    def has_alternative(self, exchange: Exchange, entry: UpstreamEntry) -> bool:
+        """Say whether another upstream has clearly more room than the one that was chosen."""
+        now = self.now()
+        tried = {item.upstream for item in exchange.tried}
+        return any(
+            other is not entry
+            and other.record.id not in tried
+            and other.running < other.record.slots * ROOM_FACTOR
+            and self.may_use(other, now)
+            for other in self.beliefs.upstreams.iter_service(exchange.service)
+        )
 
     def may_repeat(self, exchange: Exchange, tried: Tried) -> bool:
         """Say whether another upstream may be tried, and take it from the budget."""
--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -18,7 +18,7 @@
     FleetOrder,
 )
 from tanagertrail.platform.store import StoreClient
-from tanagertrail.policy.fleet import FLEET_PLANS, FleetPlan, FleetView
+from tanagertrail.policy.fleet import FLEET_PLANS, FleetView
 
 USAGE_KIND = "tanagertrail-usage"
 USAGE_SLOTS = 8  # objects that are used in turn, so that none piles up
@@ -26,7 +26,6 @@
 SETTLE_SECONDS = 2.0  # after a window's end, until all daemons' counts have come
 DEMAND_SECONDS = 15.0  # span whose highest demand the fleet is planned for
 REORDER_SECONDS = 3.0  # between equal orders whose effect has not shown
-EMPTY_SECONDS = 1.0  # that a new upstream serves before ordinary ones are taken away
 
 
 class DutyRunner:
@@ -134,23 +133,15 @@
                 await self.order_fleet(service)
 
     async def order_fleet(self, service: Service) -> None:
-        """Order one service's upstreams: reclaimable ones first, then fewer ordinary ones."""
+        """Order one service's upstreams where their number differs from the plan."""
         plan = self.plan(self.view_fleet(service))
-        ready = self.count_upstreams(service.name)
+        present = self.count_upstreams(service.name)
         for domain, desired in plan.reclaimable.items():
-            if ready.get((domain, True), 0) != desired:
+            if present.get((domain, True), 0) != desired:
                 await self.send_order(FleetOrder(service.name, domain, True, desired))
         for domain, desired in plan.ordinary.items():
-            wanted = max(desired, self.cover_missing(plan, ready, domain))
-            if ready.get((domain, False), 0) != wanted:
-                await self.send_order(FleetOrder(service.name, domain, False, wanted))
-
-    def cover_missing(
-        self, plan: FleetPlan, ready: dict[tuple[str, bool], int], domain: str
-    ) -> int:
-        """Return the ordinary upstreams to keep until the reclaimable ones have come."""
-        missing = plan.reclaimable[domain] - ready.get((domain, True), 0)
-        return min(max(missing, 0), ready.get((domain, False), 0))
+            if present.get((domain, False), 0) != desired:
+                await self.send_order(FleetOrder(service.name, domain, False, desired))
 
     def view_fleet(self, service: Service) -> FleetView:
         """Return what the plan for a service depends on."""
@@ -163,8 +154,26 @@
             fleet.most,
             service.engine.batch if service.engine else 1,
             max((running for _, running in history), default=0),
+            self.count_warm(service.name),
+            self.count_ordinary(service.name),
+            frozenset(self.beliefs.evacuated),
         )
 
+    def count_warm(self, service: str) -> dict[str, int]:
+        """Count the reclaimable upstreams that stay and are warm, by failure domain."""
+        now = asyncio.get_running_loop().time()
+        counts: dict[str, int] = {}
+        for entry in self.beliefs.upstreams.iter_service(service):
+            if entry.record.reclaimable and entry.is_open(now) and now >= entry.cold_until:
+                domain = entry.record.failure_domain
+                counts[domain] = counts.get(domain, 0) + 1
+        return counts
+
+    def count_ordinary(self, service: str) -> dict[str, int]:
+        """Count the ordinary upstreams that stay, by failure domain."""
+        present = self.count_upstreams(service)
+        return {domain: n for (domain, reclaimable), n in present.items() if not reclaimable}
+
     def count_upstreams(self, service: str) -> dict[tuple[str, bool], int]:
         """Count the upstreams that stay, by failure domain and kind."""
         counts: dict[tuple[str, bool], int] = {}
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -66,7 +66,7 @@
         self.own = describe_self(settings, self.incarnation)
         self.members = MemberTable(self.own, self.log)
         self.pools = ConnectionPools()
-        self.quota = QuotaLedger(settings.bounds.quota_window)
+        self.quota = QuotaLedger(settings.bounds.quota_window, self.loop.time())
         self.usage = UsageCounter(settings.bounds.usage_window, read_wall_time)
         self.dispatcher = Dispatcher(
             self.beliefs,
@@ -216,9 +216,9 @@
             for entry in self.beliefs.upstreams.entries.values()
             if entry.in_flight
         )
-        quota = tuple(
-            (name, news.used, news.rate) for name, news in self.quota.build_report(now).items()
-        )
+        limits = self.dispatcher.list_quotas()
+        news = self.quota.build_report(limits, self.members.count(), now)
+        quota = tuple((name, item.used, item.rate) for name, item in news.items())
         return PeerReport(
             self.own.daemon,
             self.own.incarnation,
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -65,6 +65,8 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
             pass  # the peer has ended or closed; its own link reports what it means
+        except asyncio.CancelledError:
+            pass  # the daemon stops; a stream's task that ends cancelled is logged as an error
         except FrameError as error:
             self.log.write("peer_frame_refused", error=str(error))
         finally:
--- a/tanagertrail/gateway/sending.py
+++ b/tanagertrail/gateway/sending.py
@@ -172,6 +172,7 @@
             stream.abort()
             return Tried(TryResult.BROKEN, Step.HEAD, name, "unsigned stream")
         splitter = exchange.splitter
+        splitter.drop_partial()
         gap = max(GAP_FACTOR * exchange.route.gap_objective, MIN_GAP_SECONDS)
         first = True
         while True:
@@ -185,7 +186,6 @@
                 first = False
                 await self.pass_on(exchange, head, whole)
         if splitter.pending:
-            splitter.drop_partial()
             return Tried(TryResult.BROKEN, Step.STREAM, name, "the stream ended within an event")
         if not exchange.stream.answer_begun:
             await self.pass_on(exchange, head, b"")
--- a/tanagertrail/policy/fleet.py
+++ b/tanagertrail/policy/fleet.py
@@ -9,7 +9,7 @@
 from tanagertrail.registry import Registry
 
 TARGET_LOAD = 0.35  # of a batch, so that first tokens come within their objective
-DOMAINS_LOST = 1  # failure domains whose reclaimable upstreams may go at once
+DOMAINS_LOST = 2  # failure domains whose reclaimable upstreams may go within seconds
 LEAST_UPSTREAMS = 4
 
 
@@ -22,6 +22,9 @@
     :ivar most: upstreams that each failure domain may have
     :ivar batch: requests that an upstream runs at once
     :ivar demand: requests that run or wait, a high value of the recent past
+    :ivar warm: reclaimable upstreams that stay and are warm, by failure domain
+    :ivar ordinary: ordinary upstreams that stay, by failure domain
+    :ivar closed: failure domains that get no work
     """
 
     prices: Mapping[str, float]
@@ -30,6 +33,9 @@
     most: int
     batch: int
     demand: float
+    warm: Mapping[str, int]
+    ordinary: Mapping[str, int]
+    closed: frozenset[str] = frozenset()
 
 
 class FleetPlan(NamedTuple):
@@ -45,27 +51,46 @@
 
 @FLEET_PLANS.register("reclaimable")
 def plan_reclaimable(view: FleetView) -> FleetPlan:
-    """Spread reclaimable upstreams evenly, so many that the loss of a domain is borne.
+    """Spread reclaimable upstreams evenly and fill in with ordinary ones while some are missing.
 
-    Answers waves of reclaims under a rising load: what is left after a domain's upstreams were
-    taken still bears the demand, at a fraction of the price of ordinary upstreams.
+    Answers waves of reclaims under a rising load: the loss of one domain's upstreams is borne by
+    the others, and for the next one ordinary upstreams are started at the first notice.
     """
     domains = sorted(view.prices, key=lambda name: (view.prices[name], name))
     if not domains:
         return FleetPlan({}, {})
     wanted = max(math.ceil(view.demand / (TARGET_LOAD * view.batch)), LEAST_UPSTREAMS)
+    least = dict.fromkeys(domains, view.least)
+    if not view.reclaimable:
+        return FleetPlan(add_evenly(least, domains, wanted, view.most), dict.fromkeys(domains, 0))
     spare = math.ceil(wanted * DOMAINS_LOST / max(len(domains) - DOMAINS_LOST, 1))
-    counts = spread_evenly(domains, wanted + spare, view.least, view.most)
-    nothing = dict.fromkeys(domains, 0)
-    return FleetPlan(nothing, counts) if view.reclaimable else FleetPlan(counts, nothing)
-
-
-def spread_evenly(domains: list[str], total: int, least: int, most: int) -> dict[str, int]:
-    """Return counts that add up to a total where the bounds allow it, cheap domains first."""
-    counts = dict.fromkeys(domains, least)
-    while sum(counts.values()) < total:
-        open_domains = [name for name in domains if counts[name] < most]
+    usable = [name for name in domains if name not in view.closed]
+    warm = sum(view.warm.get(name, 0) for name in usable)
+    room = {name: view.most - view.warm.get(name, 0) for name in domains}
+    ordinary = add_within(dict.fromkeys(domains, 0), usable, wanted - warm, room)
+    # Both kinds together stay within the bound, also while ordinary ones are still there.
+    kept = {name: max(ordinary[name], view.ordinary.get(name, 0)) for name in domains}
+    bound = {name: max(view.most - kept[name], 0) for name in domains}
+    first = {name: min(view.least, bound[name]) for name in domains}
+    extra = wanted + spare - sum(first.values())
+    return FleetPlan(ordinary, add_within(first, domains, extra, bound))
+
+
+def add_evenly(
+    counts: Mapping[str, int], domains: list[str], total: int, most: int
+) -> dict[str, int]:
+    """Return counts raised evenly to a total, cheap domains first, within a bound for each."""
+    return add_within(counts, domains, total - sum(counts.values()), dict.fromkeys(domains, most))
+
+
+def add_within(
+    counts: Mapping[str, int], domains: list[str], extra: int, most: Mapping[str, int]
+) -> dict[str, int]:
+    """Return counts raised evenly by a number, within the bound of each domain."""
+    result = dict(counts)
+    for _ in range(max(extra, 0)):
+        open_domains = [name for name in domains if result[name] < most[name]]
         if not open_domains:
             break
-        counts[min(open_domains, key=lambda name: counts[name])] += 1
-    return counts
+        result[min(open_domains, key=lambda name: result[name])] += 1
+    return result
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -3,6 +3,7 @@
 __all__ = ["QuotaLedger", "QuotaNews"]
 
 from collections import deque
+from collections.abc import Mapping
 from typing import NamedTuple
 
 RECENT_SECONDS = 1.0  # span over which a daemon's present rate is taken
@@ -57,11 +58,17 @@
     member that has gone silent is taken to use its even share, so that two groups of daemons
     that cannot hear each other together stay within the quota.
 
+    What a daemon let pass before it was started anew is not known to it. It is taken to be the
+    daemon's even share of the quota, which leaves the window as time passes, so that a quota
+    holds over a start of all daemons too.
+
     :ivar window: length of the window in seconds
+    :ivar started_at: time in seconds at which the daemon started
     """
 
-    def __init__(self, window: float) -> None:
+    def __init__(self, window: float, started_at: float) -> None:
         self.window = window
+        self.started_at = started_at
         self.own: dict[str, CustomerUse] = {}
         self.others: dict[str, tuple[float, dict[str, QuotaNews]]] = {}
 
@@ -73,26 +80,38 @@
         """Forget a daemon that has ended."""
         self.others.pop(daemon, None)
 
-    def build_report(self, now: float) -> dict[str, QuotaNews]:
-        """Return what the other daemons are to know."""
+    def build_report(
+        self, limits: Mapping[str, float], members: int, now: float
+    ) -> dict[str, QuotaNews]:
+        """Return what the other daemons are to know.
+
+        :param limits: units that the window allows, by customer
+        """
         report = {}
-        for customer, use in self.own.items():
-            use.expire(now - self.window)
-            if use.total > 0:
-                rate = use.count_since(now - RECENT_SECONDS) / RECENT_SECONDS
-                report[customer] = QuotaNews(use.total, rate)
+        for customer, limit in limits.items():
+            used = self.count_own(customer, limit, members, now)
+            if used > 0:
+                use = self.own.get(customer)
+                recent = use.count_since(now - RECENT_SECONDS) if use else 0.0
+                report[customer] = QuotaNews(used, recent / RECENT_SECONDS)
         return report
 
+    def count_own(self, customer: str, limit: float, members: int, now: float) -> float:
+        """Return the units of this daemon in the window, those before its start estimated."""
+        unknown = max(1.0 - (now - self.started_at) / self.window, 0.0)
+        total = unknown * limit / max(members, 1)
+        use = self.own.get(customer)
+        if use is not None:
+            use.expire(now - self.window)
+            total += use.total
+        return total
+
     def count_all(self, customer: str, members: int, limit: float, now: float) -> float:
         """Estimate the units of all daemons in the window.
 
         :param members: daemons that may use the quota, this one included
         """
-        use = self.own.get(customer)
-        total = 0.0
-        if use is not None:
-            use.expire(now - self.window)
-            total = use.total
+        total = self.count_own(customer, limit, members, now)
         heard = 0
         for at, news in self.others.values():
             age = now - at
