Test the path of requests before stand-ins; one token bucket for a customer over all daemons

Cause: the test of a start of all daemons failed: a sliding window lets a hot customer use it up in a second, and after the start the estimate of what was used decayed too early. Change: a bucket with the customer's rate and burst, empty at a start, corrected by what the others report. Stand-ins of store, cloud API and upstreams with faults that tests switch on.

--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -34,7 +34,7 @@
     :ivar proof_age_ms: time since that version was known to be the newest, -1 for never
     :ivar configuration: the stored configuration as JSON, empty if the receiver has it
     :ivar flights: (upstream, requests of the sender that are there)
-    :ivar quota: (customer, units used in the quota's window, units per second now)
+    :ivar quota: (customer, units used since the sender's start, units per second now)
     :ivar usage: (window, ((customer, requests begun), ...))
     :ivar leading: fencing number of the lease that the sender holds, 0 for none
     :ivar members: rows of :class:`MemberRow`
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -22,7 +22,7 @@
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
 from tanagertrail.policy.repeats import RepeatBudget
-from tanagertrail.policy.token_quota import QuotaLedger
+from tanagertrail.policy.token_quota import Quota, QuotaLedger
 
 PREFIX_SECONDS = 20.0
 FRESH_SECONDS = 3.0  # age beyond which an unknown key or route may be one that was just added
@@ -130,18 +130,8 @@
         if customer.counts_tokens:
             prompt = fields.prompt
             units = prompt.tokens_in + prompt.tokens_out if prompt else customer.plain_tokens
-        limit = self.limit_quota(customer)
-        return self.quota.admit(customer.name, units, limit, self.members.count(), self.now())
-
-    def limit_quota(self, customer: Customer) -> float:
-        """Return the units that a customer may use in a window."""
-        return customer.rate * self.beliefs.bounds.quota_window + customer.burst
-
-    def list_quotas(self) -> dict[str, float]:
-        """Return the units that a window allows, by customer with a quota."""
-        config = self.beliefs.config
-        customers = config.customers.values() if config else ()
-        return {item.name: self.limit_quota(item) for item in customers if item.rate > 0}
+        quota = Quota(customer.rate, max(customer.burst, 1.0))
+        return self.quota.admit(customer.name, units, quota, self.members.count(), self.now())
 
     def pick_service(self, route: Route) -> str:
         """Return one of the route's services by their weights."""
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -66,7 +66,7 @@
         self.own = describe_self(settings, self.incarnation)
         self.members = MemberTable(self.own, self.log)
         self.pools = ConnectionPools()
-        self.quota = QuotaLedger(settings.bounds.quota_window, self.loop.time())
+        self.quota = QuotaLedger(self.loop.time())
         self.usage = UsageCounter(settings.bounds.usage_window, read_wall_time)
         self.dispatcher = Dispatcher(
             self.beliefs,
@@ -216,8 +216,7 @@
             for entry in self.beliefs.upstreams.entries.values()
             if entry.in_flight
         )
-        limits = self.dispatcher.list_quotas()
-        news = self.quota.build_report(limits, self.members.count(), now)
+        news = self.quota.build_report(now)
         quota = tuple((name, item.used, item.rate) for name, item in news.items())
         return PeerReport(
             self.own.daemon,
@@ -258,7 +257,7 @@
         self.leadership.holder_heard = now - self.leading_heard[1] < LEADER_SILENT_SECONDS
         self.take_flights(report)
         news = {name: QuotaNews(used, rate) for name, used, rate in report.quota}
-        self.quota.note_report(report.daemon, news, now)
+        self.quota.note_report(report.daemon, report.incarnation, news, now)
         self.usage.take(report.daemon, report.incarnation, report.usage)
 
     def take_flights(self, report: PeerReport) -> None:
@@ -291,6 +290,10 @@
                 break
         await self.leadership.release()
         self.log.write("stopped", in_flight=self.dispatcher.in_flight)
+        self.close()
+
+    def close(self) -> None:
+        """Close ports and connections at once."""
         self.front.close()
         for task in self.tasks:
             task.cancel()
@@ -298,3 +301,5 @@
         self.links.close()
         self.pools.close()
         self.store.close()
+        for page in self.pages:
+            page.stop()
--- a/tanagertrail/platform/fields.py
+++ b/tanagertrail/platform/fields.py
@@ -30,6 +30,7 @@
 NOT_RUN = b"tanagertrail-not-run"
 STAMP = b"tanagertrail-server-stamp"
 LOAD = b"tanagertrail-server-load"
+UPSTREAM_ID = b"tanagertrail-instance-id"
 COLD = b"tanagertrail-cold-ms"
 
 CONNECTION_FIELDS = frozenset(
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -1,21 +1,33 @@
 """Quotas of customers over all daemons, in tokens or requests."""
 
-__all__ = ["QuotaLedger", "QuotaNews"]
+__all__ = ["Quota", "QuotaLedger", "QuotaNews"]
 
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 RECENT_SECONDS = 1.0  # span over which a daemon's present rate is taken
-LONGEST_EXTRAPOLATION_SECONDS = 1.0  # a report is older only if its sender has gone silent
 SILENT_SECONDS = 2.0  # four reports missed
 LEAST_RETRY_SECONDS = 0.2
+MOST_RETRY_SECONDS = 5.0
+
+
+class Quota(NamedTuple):
+    """What a customer may use.
+
+    :ivar rate: units per second
+    :ivar burst: units that may be used at once
+    """
+
+    rate: float
+    burst: float
 
 
 class QuotaNews(NamedTuple):
-    """What a daemon said of one customer.
+    """What a daemon says of one customer.
 
-    :ivar used: units in the quota's window
+    :ivar used: units since the daemon's start
     :ivar rate: units per second now
     """
 
@@ -27,121 +39,120 @@
     """Units that this daemon let pass for one customer."""
 
     def __init__(self) -> None:
-        self.entries: deque[tuple[float, float]] = deque()
         self.total = 0.0
+        self.recent: deque[tuple[float, float]] = deque()
 
     def add(self, units: float, now: float) -> None:
         """Count units."""
-        self.entries.append((now, units))
         self.total += units
+        self.recent.append((now, units))
 
-    def expire(self, oldest: float) -> None:
-        """Forget what lies before the window."""
-        while self.entries and self.entries[0][0] < oldest:
-            self.total -= self.entries.popleft()[1]
+    def measure_rate(self, now: float) -> float:
+        """Return the units per second of the last moments."""
+        while self.recent and self.recent[0][0] < now - RECENT_SECONDS:
+            self.recent.popleft()
+        return sum(units for _, units in self.recent) / RECENT_SECONDS
 
-    def count_since(self, since: float) -> float:
-        """Count the units since a time."""
-        total = 0.0
-        for at, units in reversed(self.entries):
-            if at < since:
-                break
-            total += units
-        return total
 
+@dataclass
+class PeerUse:
+    """What another daemon reported last, and what was taken off for it since."""
 
-class QuotaLedger:
-    """Units of all daemons in a sliding window.
+    incarnation: int
+    heard_at: float
+    news: dict[str, QuotaNews]
+    predicted: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass
+class Bucket:
+    """Units that a customer may use now, below zero after more was used than known."""
+
+    level: float
+    updated_at: float
 
-    Answers a customer that sends many times its usual through all daemons at once. A daemon adds
-    what the others reported, and what they have used since at the rate that they reported. A
-    member that has gone silent is taken to use its even share, so that two groups of daemons
-    that cannot hear each other together stay within the quota.
 
-    What a daemon let pass before it was started anew is not known to it. It is taken to be the
-    daemon's even share of the quota, which leaves the window as time passes, so that a quota
-    holds over a start of all daemons too.
+class QuotaLedger:
+    """One token bucket for each customer, kept alike by all daemons.
 
-    :ivar window: length of the window in seconds
-    :ivar started_at: time in seconds at which the daemon started
+    Answers a customer that sends many times its usual through all daemons at once. Each daemon
+    takes off what it lets pass and what the others use: at the rate that they reported last,
+    corrected by what they report next. A member that has gone silent is taken to use its even
+    share, so that daemons that cannot hear each other together stay within the quota. A bucket
+    is empty at a daemon's start, so that a quota holds over a start of all daemons too.
     """
 
-    def __init__(self, window: float, started_at: float) -> None:
-        self.window = window
+    def __init__(self, started_at: float) -> None:
         self.started_at = started_at
         self.own: dict[str, CustomerUse] = {}
-        self.others: dict[str, tuple[float, dict[str, QuotaNews]]] = {}
-
-    def note_report(self, daemon: str, news: dict[str, QuotaNews], now: float) -> None:
+        self.peers: dict[str, PeerUse] = {}
+        self.buckets: dict[str, Bucket] = {}
+
+    def build_report(self, now: float) -> dict[str, QuotaNews]:
+        """Return what the other daemons are to know."""
+        return {
+            customer: QuotaNews(use.total, use.measure_rate(now))
+            for customer, use in self.own.items()
+        }
+
+    def note_report(
+        self, daemon: str, incarnation: int, news: Mapping[str, QuotaNews], now: float
+    ) -> None:
         """Take what another daemon reported."""
-        self.others[daemon] = (now, news)
+        known = self.peers.get(daemon)
+        if known is not None:
+            for customer, bucket in self.buckets.items():
+                bucket.level -= self.count_unseen(known, incarnation, customer, news)
+        self.peers[daemon] = PeerUse(incarnation, now, dict(news))
+
+    def count_unseen(
+        self, known: PeerUse, incarnation: int, customer: str, news: Mapping[str, QuotaNews]
+    ) -> float:
+        """Return the units that a daemon used beyond what was taken off for it."""
+        used = news[customer].used if customer in news else 0.0
+        before = 0.0
+        if known.incarnation == incarnation and customer in known.news:
+            before = known.news[customer].used
+        return max(used - before, 0.0) - known.predicted.get(customer, 0.0)
 
     def forget_daemon(self, daemon: str) -> None:
-        """Forget a daemon that has ended."""
-        self.others.pop(daemon, None)
-
-    def build_report(
-        self, limits: Mapping[str, float], members: int, now: float
-    ) -> dict[str, QuotaNews]:
-        """Return what the other daemons are to know.
-
-        :param limits: units that the window allows, by customer
-        """
-        report = {}
-        for customer, limit in limits.items():
-            used = self.count_own(customer, limit, members, now)
-            if used > 0:
-                use = self.own.get(customer)
-                recent = use.count_since(now - RECENT_SECONDS) if use else 0.0
-                report[customer] = QuotaNews(used, recent / RECENT_SECONDS)
-        return report
-
-    def count_own(self, customer: str, limit: float, members: int, now: float) -> float:
-        """Return the units of this daemon in the window, those before its start estimated."""
-        unknown = max(1.0 - (now - self.started_at) / self.window, 0.0)
-        total = unknown * limit / max(members, 1)
-        use = self.own.get(customer)
-        if use is not None:
-            use.expire(now - self.window)
-            total += use.total
-        return total
-
-    def count_all(self, customer: str, members: int, limit: float, now: float) -> float:
-        """Estimate the units of all daemons in the window.
-
-        :param members: daemons that may use the quota, this one included
-        """
-        total = self.count_own(customer, limit, members, now)
+        """Forget a daemon that is gone for good."""
+        self.peers.pop(daemon, None)
+
+    def settle(self, customer: str, quota: Quota, members: int, now: float) -> Bucket:
+        """Bring a bucket up to date."""
+        bucket = self.buckets.get(customer)
+        if bucket is None:
+            bucket = self.buckets[customer] = Bucket(0.0, self.started_at)
+        span = now - bucket.updated_at
+        bucket.updated_at = now
+        bucket.level += span * quota.rate
         heard = 0
-        for at, news in self.others.values():
-            age = now - at
-            if age > SILENT_SECONDS:
-                continue
-            heard += 1
-            item = news.get(customer)
-            if item is not None:
-                total += item.used + item.rate * min(age, LONGEST_EXTRAPOLATION_SECONDS)
+        for peer in self.peers.values():
+            if now - peer.heard_at <= SILENT_SECONDS:
+                heard += 1
+                rate = peer.news[customer].rate if customer in peer.news else 0.0
+                peer.predicted[customer] = peer.predicted.get(customer, 0.0) + rate * span
+                bucket.level -= rate * span
         silent = max(members - 1 - heard, 0)
-        return total + silent * limit / max(members, 1)
+        bucket.level -= span * quota.rate * silent / max(members, 1)
+        bucket.level = min(bucket.level, quota.burst)
+        return bucket
 
     def admit(
-        self, customer: str, units: float, limit: float, members: int, now: float
+        self, customer: str, units: float, quota: Quota, members: int, now: float
     ) -> float | None:
         """Let units pass, or return the seconds after which they may be asked for again.
 
-        :param limit: units that the window allows
+        A request larger than the burst passes when the bucket is full.
+
+        :param members: daemons that may use the quota, this one included
         """
-        total = self.count_all(customer, members, limit, now)
-        if total + units <= limit:
+        bucket = self.settle(customer, quota, members, now)
+        needed = min(units, quota.burst)
+        if bucket.level >= needed:
+            bucket.level -= units
             self.own.setdefault(customer, CustomerUse()).add(units, now)
             return None
-        return self.estimate_wait(customer, total + units - limit, now)
-
-    def estimate_wait(self, customer: str, excess: float, now: float) -> float:
-        """Estimate the seconds until this daemon's share of an excess has left the window."""
-        use = self.own.get(customer)
-        for at, units in use.entries if use else ():
-            excess -= units * (1 + len(self.others))
-            if excess <= 0:
-                return max(at + self.window - now, LEAST_RETRY_SECONDS)
-        return self.window / 2
+        wait = (needed - bucket.level) / quota.rate
+        return min(max(wait, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
--- /dev/null
+++ b/tanagertrail/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of upstreams, for tests, trials and the soak."""
--- /dev/null
+++ b/tanagertrail/standins/cloud.py
@@ -0,0 +1,51 @@
+"""A stand-in of the cloud API, which records the duties done."""
+
+__all__ = ["StandInCloud"]
+
+import asyncio
+import json
+from typing import Any, NamedTuple
+
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
+from tanagertrail.gateway.http1 import CallerRequest, CallerStream
+from tanagertrail.platform.cloud import FENCING_FIELD, HOLDER_FIELD
+
+
+class DutyCall(NamedTuple):
+    """A call of the cloud API."""
+
+    path: str
+    holder: str
+    fencing: int
+    document: dict[str, Any]
+
+
+class StandInCloud:
+    """Take calls and keep them."""
+
+    def __init__(self) -> None:
+        self.calls: list[DutyCall] = []
+        log = EventLog("cloud", asyncio.get_running_loop().time)
+        self.server = FrontServer(self.handle, lambda: DEFAULT_LIMITS, log)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        await self.server.start(host, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.server.close()
+
+    async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Take a call."""
+        table = dict(request.headers)
+        self.calls.append(
+            DutyCall(
+                request.path,
+                table.get(HOLDER_FIELD.lower().encode(), b"").decode(),
+                int(table.get(FENCING_FIELD.lower().encode(), b"0")),
+                json.loads(request.body),
+            )
+        )
+        stream.send_whole(200, [], b"")
--- /dev/null
+++ b/tanagertrail/standins/upstream.py
@@ -0,0 +1,200 @@
+"""A stand-in of an upstream, which runs requests and misbehaves as it is told."""
+
+__all__ = ["FAULTS", "RunRecord", "StandInUpstream"]
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
+from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
+from tanagertrail.platform import fields
+from tanagertrail.registry import Registry
+
+STREAM_SUFFIX = "/events"
+EVENTS = 6
+
+
+class RunRecord(NamedTuple):
+    """A request that the upstream began to run."""
+
+    request_id: str
+    customer: str
+    request: CallerRequest
+
+
+Fault = Callable[["StandInUpstream", CallerRequest, CallerStream], Awaitable[None]]
+FAULTS: Registry[Fault] = Registry("upstream fault")
+
+
+class StandInUpstream:
+    """Run requests.
+
+    :ivar faults: names of faults for the next requests, in order
+    :ivar runs: requests that were begun
+    :ivar cut: ids of requests whose connection closed while they ran
+    :ivar work: seconds that a plain request takes, and each event of a stream
+    """
+
+    def __init__(self, upstream_id: str, work: float = 0.002) -> None:
+        self.id = upstream_id
+        self.work = work
+        self.faults: deque[str] = deque()
+        self.runs: list[RunRecord] = []
+        self.arrivals: list[str] = []
+        self.cut: list[str] = []
+        self.connections = 0
+        log = EventLog(upstream_id, asyncio.get_running_loop().time)
+        self.server = FrontServer(self.handle, lambda: DEFAULT_LIMITS, log)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        await self.server.start(host, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.server.close()
+
+    async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Run a request, or misbehave."""
+        table = dict(request.headers)
+        request_id = table.get(fields.REQUEST_ID, b"").decode()
+        self.arrivals.append(request_id)
+        if table.get(fields.EXPECTED_UPSTREAM, b"").decode() != self.id:
+            stream.send_whole(421, [(fields.UPSTREAM_ID, self.id.encode())], b"")
+            return
+        try:
+            if self.faults:
+                await FAULTS.get(self.faults.popleft())(self, request, stream)
+            else:
+                await self.run(request, stream)
+        except asyncio.CancelledError:
+            self.cut.append(request_id)
+            raise
+
+    def begin(self, request: CallerRequest) -> None:
+        """Note that a request begins to run."""
+        table = dict(request.headers)
+        self.runs.append(
+            RunRecord(
+                table.get(fields.REQUEST_ID, b"").decode(),
+                table.get(fields.CUSTOMER, b"").decode(),
+                request,
+            )
+        )
+
+    def sign(self, request: CallerRequest) -> Headers:
+        """Return the header of an answer."""
+        request_id = dict(request.headers).get(fields.REQUEST_ID, b"")
+        return [
+            (fields.REQUEST_ID, request_id),
+            (fields.STAMP, f"{self.id}.{request_id.decode()}".encode()),
+            (fields.LOAD, b"1,0,8"),
+        ]
+
+    async def run(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Run a request to its end."""
+        self.begin(request)
+        if request.path.endswith(STREAM_SUFFIX):
+            await self.send_events(request, stream, EVENTS)
+            stream.finish_answer()
+            return
+        await asyncio.sleep(self.work)
+        stream.send_whole(200, self.sign(request), b"answer of " + self.id.encode())
+
+    async def send_events(self, request: CallerRequest, stream: CallerStream, until: int) -> None:
+        """Send the events of a stream that come after the last one that the caller has."""
+        last = int(dict(request.headers).get(fields.LAST_EVENT, b"0"))
+        for number in range(last + 1, until + 1):
+            await asyncio.sleep(self.work)
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if stream.answer_begun:
+                stream.send_part(event)
+            else:
+                stream.start_answer(200, self.sign(request), event)
+
+
+@FAULTS.register("refuse")
+async def refuse(upstream: StandInUpstream, request: CallerRequest, stream: CallerStream) -> None:
+    """Reject the request as one that has not run."""
+    stream.send_whole(503, [*upstream.sign(request)[:1], (fields.NOT_RUN, b"1")], b"full")
+
+
+@FAULTS.register("fail")
+async def fail(upstream: StandInUpstream, request: CallerRequest, stream: CallerStream) -> None:
+    """Run the request and answer with a failure."""
+    upstream.begin(request)
+    stream.send_whole(500, upstream.sign(request), b"failed")
+
+
+@FAULTS.register("reset")
+async def reset(upstream: StandInUpstream, request: CallerRequest, stream: CallerStream) -> None:
+    """Run the request and reset the connection without an answer."""
+    upstream.begin(request)
+    stream.channel.abort()
+
+
+@FAULTS.register("silent")
+async def stay_silent(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Run the request and never answer."""
+    upstream.begin(request)
+    await asyncio.sleep(3600)
+
+
+@FAULTS.register("half_event")
+async def break_within_event(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Break off within the third event of a stream."""
+    upstream.begin(request)
+    await upstream.send_events(request, stream, 2)
+    stream.send_part(b"id: 3\nda")
+    await asyncio.sleep(0.02)
+    stream.channel.close()
+
+
+@FAULTS.register("extra")
+async def answer_twice(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send another whole answer behind the first."""
+    await upstream.run(request, stream)
+    stream.channel.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
+
+
+@FAULTS.register("late_other")
+async def answer_other_first(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send the answer to another request before the one that is asked for."""
+    stream.channel.write(
+        b"HTTP/1.1 200 OK\r\n" + fields.REQUEST_ID + b": other\r\n"
+        b"" + fields.STAMP + b": x\r\ncontent-length: 5\r\n\r\nother"
+    )
+    await upstream.run(request, stream)
+
+
+@FAULTS.register("short")
+async def answer_short(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Announce more bytes than are sent."""
+    upstream.begin(request)
+    lines = [b"HTTP/1.1 200 OK", b"content-length: 50"]
+    lines.extend(name + b": " + value for name, value in upstream.sign(request))
+    stream.channel.write(b"\r\n".join(lines) + b"\r\n\r\nhalf")
+    await asyncio.sleep(0.02)
+    stream.channel.close()
+
+
+@FAULTS.register("unsigned")
+async def answer_unsigned(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Answer without the upstream's signature."""
+    upstream.begin(request)
+    stream.send_whole(200, upstream.sign(request)[:1], b"whose")
--- /dev/null
+++ b/tests/gateway_utils.py
@@ -0,0 +1,223 @@
+"""Fixtures of gateway tests: a daemon before stand-ins on loopback."""
+
+import asyncio
+import functools
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+from tanagertrail.gateway.channel import open_channel
+from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.model import GatewaySettings
+from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.platform.settings import decode_settings
+from tanagertrail.standins.cloud import StandInCloud
+from tanagertrail.standins.store import StandInStore
+from tanagertrail.standins.upstream import StandInUpstream
+
+HOST = "127.0.0.1"
+START_SECONDS = 5.0
+TEST_SECONDS = 20.0
+
+
+def real_time(test: Callable[[], Awaitable[None]]) -> Callable[[], None]:
+    """Run an asynchronous test on the real clock, with a limit."""
+
+    @functools.wraps(test)
+    def run() -> None:
+        async def limited() -> None:
+            async with asyncio.timeout(TEST_SECONDS):
+                await test()
+
+        asyncio.run(limited())
+
+    return run
+
+
+def find_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def build_route(name: str, kind: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the configuration."""
+    route = {
+        "name": name,
+        "host": "desk.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 2000,
+        "slo_ms": 200,
+        "priority": 1,
+        "service": "desk",
+        "attempts": 1 if kind == "unsafe" else 2,
+        "public": False,
+        "sticky": kind == "stream",
+        "resumable": kind == "stream",
+        "gap_aim_ms": 100,
+    }
+    return route | changes
+
+
+def build_config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+    config = {
+        "version": version,
+        "routes": [
+            build_route("look", "safe"),
+            build_route("book", "unsafe"),
+            build_route("talk", "stream"),
+            build_route("once", "stream", resumable=False, attempts=1),
+        ],
+        "services": [{"name": "desk", "max_conns": 50}],
+        "tenants": [{"name": "guild", "api_keys": ["key-guild"]}],
+    }
+    return config | changes
+
+
+def build_settings(ports: dict[str, int], name: str = "entry-1") -> GatewaySettings:
+    """Return the settings of a daemon on loopback."""
+    return decode_settings(
+        {
+            "node_name": name,
+            "ip": HOST,
+            "zone": "north",
+            "region": "island",
+            "internal_ports": [ports["internal"], ports["internal"]],
+            "zones": {"north": "island"},
+            "listen": {
+                "front": f"{HOST}:{ports['front']}",
+                "ready": f"{HOST}:{ports['ready']}",
+                "directory": f"{HOST}:{ports['directory']}",
+            },
+            "platform": {"address": f"{HOST}:{ports['store']}"},
+            "cloud_api": {"address": f"{HOST}:{ports['cloud']}"},
+            "bounds": {"grace_s": 3, "lease_ms": 1000},
+        }
+    )
+
+
+class Reply(NamedTuple):
+    """A caller's view of an answer; ``whole`` is false where it was cut."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    whole: bool = True
+
+
+class World:
+    """A daemon, a store, a cloud API and two upstreams of one service."""
+
+    def __init__(self) -> None:
+        names = ("front", "ready", "directory", "internal", "store", "cloud", "up-a", "up-b")
+        self.ports = {name: find_port() for name in names}
+        self.store = StandInStore()
+        self.cloud = StandInCloud()
+        self.upstreams = [StandInUpstream("up-a"), StandInUpstream("up-b")]
+        self.node: GatewayNode | None = None
+        self.request_count = 0
+
+    async def start(self, config: dict[str, Any]) -> None:
+        """Start everything and wait until the daemon is ready."""
+        await self.store.start(HOST, self.ports["store"])
+        await self.cloud.start(HOST, self.ports["cloud"])
+        self.store.put("config", "main", config)
+        for upstream in self.upstreams:
+            await upstream.start(HOST, self.ports[upstream.id])
+            self.register(upstream.id)
+        self.node = GatewayNode(build_settings(self.ports))
+        await self.node.start()
+        await self.await_true(lambda: self.node.ready)
+
+    def register(self, upstream_id: str, **changes: Any) -> None:
+        """Register an upstream in the store."""
+        entry = {
+            "service": "desk",
+            "address": f"{HOST}:{self.ports[upstream_id]}",
+            "zone": "north",
+            "version": "v1",
+            "capacity": 8,
+            "state": "ready",
+        }
+        self.store.put("servers", upstream_id, entry | changes)
+
+    def keep_one(self) -> StandInUpstream:
+        """Leave one upstream registered and return it."""
+        self.store.remove("servers", "up-b")
+        return self.upstreams[0]
+
+    async def await_true(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(START_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def await_upstreams(self, count: int) -> None:
+        """Wait until the daemon knows a number of upstreams."""
+        await self.await_true(lambda: len(self.node.beliefs.upstreams.entries) == count)
+
+    async def ask(self, path: str, body: bytes = b"", **changes: str) -> Reply:
+        """Send a request on a new connection and read its answer."""
+        stream = await self.connect()
+        try:
+            self.send(stream, path, body, **changes)
+            return await self.read(stream)
+        finally:
+            stream.abort()
+
+    async def connect(self) -> UpstreamStream:
+        """Connect as a caller."""
+        return UpstreamStream(await open_channel(HOST, self.ports["front"], 1.0))
+
+    def send(self, stream: UpstreamStream, path: str, body: bytes = b"", **changes: str) -> str:
+        """Send a request and return its id; changes are header fields."""
+        self.request_count += 1
+        request_id = f"r{self.request_count}"
+        headers = {
+            "host": "desk.example",
+            "tanagertrail-request-id": request_id,
+            "tanagertrail-deadline-ms": "2000",
+            "api-key": "key-guild",
+        }
+        headers |= {name.replace("_", "-"): value for name, value in changes.items()}
+        if body:
+            headers["content-length"] = str(len(body))
+        fields = [(name.encode(), value.encode()) for name, value in headers.items() if value]
+        stream.send_request(b"POST" if body else b"GET", path.encode(), fields, body)
+        return request_id
+
+    async def read(self, stream: UpstreamStream) -> Reply:
+        """Read an answer."""
+        head = await stream.read_head()
+        parts = []
+        whole = True
+        try:
+            while (part := await stream.read_part()) is not None:
+                parts.append(part)
+        except Exception:
+            whole = False
+        return Reply(head.status, dict(head.headers), b"".join(parts), whole)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        if self.node is not None:
+            self.node.close()
+        for upstream in self.upstreams:
+            upstream.close()
+        self.store.close()
+        self.cloud.close()
+
+
+@asynccontextmanager
+async def open_world(config: dict[str, Any] | None = None):
+    """Give a started world, and stop it."""
+    world = World()
+    try:
+        await world.start(config or build_config())
+        yield world
+    finally:
+        await world.close()
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,58 @@
+"""Orders of upstreams under reclaims."""
+
+from tanagertrail.policy.fleet import FleetView, plan_reclaimable
+
+PRICES = {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9}
+
+
+def view(**changes):
+    """Return a view of a calm fleet with changes."""
+    base = {
+        "prices": PRICES,
+        "reclaimable": True,
+        "least": 1,
+        "most": 3,
+        "batch": 64,
+        "demand": 10,
+        "warm": dict.fromkeys(PRICES, 2),
+        "ordinary": {},
+    }
+    return FleetView(**(base | changes))
+
+
+def test_calm_fleet_is_reclaimable_and_bears_the_loss_of_two_domains():
+    plan = plan_reclaimable(view())
+    assert sum(plan.ordinary.values()) == 0
+    assert all(count >= 2 for count in plan.reclaimable.values())
+
+
+def test_reclaimed_places_are_filled_with_ordinary_upstreams():
+    """Three domains were reclaimed within 8 s on scale-1, and one upstream was left."""
+    plan = plan_reclaimable(view(warm={"a": 1}, demand=100))
+    assert sum(plan.ordinary.values()) >= 3
+
+
+def test_both_kinds_stay_within_the_bound_of_a_domain():
+    for warm in range(4):
+        for ordinary in range(4):
+            plan = plan_reclaimable(view(warm={"a": warm}, ordinary={"a": ordinary}, demand=500))
+            for domain in PRICES:
+                kept = max(plan.ordinary[domain], ordinary if domain == "a" else 0)
+                assert plan.reclaimable[domain] + min(kept, 3) <= 3
+
+
+def test_closed_domain_gets_no_ordinary_upstream():
+    plan = plan_reclaimable(view(warm={}, closed=frozenset({"b"})))
+    assert plan.ordinary["b"] == 0
+    assert sum(plan.ordinary.values()) >= 4
+
+
+def test_service_without_reclaimable_upstreams_is_served_by_ordinary_ones():
+    plan = plan_reclaimable(view(reclaimable=False, demand=100))
+    assert sum(plan.reclaimable.values()) == 0
+    assert sum(plan.ordinary.values()) >= 4
+
+
+def test_each_domain_keeps_its_least():
+    plan = plan_reclaimable(view(demand=0))
+    assert all(plan.reclaimable[name] + plan.ordinary[name] >= 1 for name in PRICES)
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,97 @@
+"""Quotas over all daemons, replayed against several ledgers on a clock of the test."""
+
+from tanagertrail.policy.token_quota import Quota, QuotaLedger
+
+WINDOW = 8.0
+QUOTA = Quota(rate=1000.0, burst=1000.0)
+LIMIT = QUOTA.rate * WINDOW + QUOTA.burst
+ALLOWED = LIMIT * 1.1 + 1000.0  # the rules' tenth and a slack of about one second's units
+PERIOD = 0.5
+STEP = 0.05
+DAEMONS = 4
+
+
+def exchange(ledgers, now, groups=None):
+    """Pass each ledger's report to the others of its group."""
+    for name, ledger in ledgers.items():
+        report = ledger.build_report(now)
+        for other, target in ledgers.items():
+            if other != name and (groups is None or groups[name] == groups[other]):
+                target.note_report(name, int(ledger.started_at), report, now)
+
+
+def play(ledgers, demand, seconds, start=0.0, groups=None, used=None):
+    """Offer a steady demand to each ledger and return (time, units) of what passed."""
+    passed = [] if used is None else used
+    for tick in range(int(seconds / STEP)):
+        now = start + tick * STEP
+        if tick % int(PERIOD / STEP) == 0:
+            exchange(ledgers, now, groups)
+        for ledger in ledgers.values():
+            units = demand * STEP
+            if ledger.admit("c", units, QUOTA, len(ledgers), now) is None:
+                passed.append((now, units))
+    return passed
+
+
+def most_in_window(passed):
+    """Return the most units that passed in any window."""
+    return max(
+        sum(units for at, units in passed if start <= at < start + WINDOW) for start, _ in passed
+    )
+
+
+def start_ledgers(at):
+    """Return ledgers that started at a time and know each other."""
+    ledgers = {f"d{n}": QuotaLedger(at) for n in range(DAEMONS)}
+    exchange(ledgers, at)
+    return ledgers
+
+
+def test_customer_over_its_quota_on_all_daemons_is_held():
+    passed = play(start_ledgers(-10.0), demand=2000.0, seconds=20)
+    assert most_in_window(passed) <= ALLOWED
+
+
+def test_customer_that_turns_hot_is_held():
+    ledgers = start_ledgers(-10.0)
+    passed = play(ledgers, demand=140.0, seconds=10)
+    play(ledgers, demand=1050.0, seconds=10, start=10.0, used=passed)
+    assert most_in_window(passed) <= ALLOWED
+
+
+def test_held_customer_still_gets_its_quota():
+    passed = play(start_ledgers(-10.0), demand=2000.0, seconds=20)
+    assert sum(units for _, units in passed) >= 0.9 * QUOTA.rate * 20
+
+
+def test_customer_within_its_quota_is_never_refused():
+    ledgers = start_ledgers(-10.0)
+    passed = play(ledgers, 0.9 * QUOTA.rate / DAEMONS, seconds=20)
+    assert len(passed) == DAEMONS * 20 / STEP
+
+
+def test_start_of_all_daemons_does_not_open_the_window_anew():
+    """QUOTA on trouble-2: power was lost everywhere while a customer sent too much."""
+    passed = play(start_ledgers(-10.0), demand=2000.0, seconds=10)
+    play(start_ledgers(11.0), demand=2000.0, seconds=10, start=11.0, used=passed)
+    assert most_in_window(passed) <= ALLOWED
+
+
+def test_daemons_that_cannot_hear_each_other_stay_within_the_quota():
+    groups = {"d0": 1, "d1": 1, "d2": 2, "d3": 2}
+    ledgers = start_ledgers(-10.0)
+    passed = play(ledgers, demand=2000.0, seconds=20, groups=groups)
+    assert most_in_window(passed) <= ALLOWED
+
+
+def test_large_request_passes_when_the_bucket_is_full():
+    ledger = QuotaLedger(0.0)
+    assert ledger.admit("c", 5000.0, QUOTA, 1, 2.0) is None
+    assert ledger.admit("c", 1.0, QUOTA, 1, 2.1) > 3.0
+
+
+def test_refusal_says_when_the_bucket_is_filled():
+    ledger = QuotaLedger(0.0)
+    assert ledger.admit("c", 1000.0, QUOTA, 1, 2.0) is None
+    assert ledger.admit("c", 500.0, QUOTA, 1, 2.0) == 0.5
