--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -1,57 +1,99 @@
-"""Status reports that gateway daemons exchange."""
+"""What gateway daemons tell each other: their own state, news of the store, sums of others."""
 
-__all__ = ["MemberRow", "PeerReport"]
+__all__ = ["MirrorNews", "OriginState", "PeerAnswer", "PeerQuestion", "Sums"]
 
 from typing import NamedTuple
 
 from tanagertrail.daemons.messages import MESSAGES
 
 
-class MemberRow(NamedTuple):
-    """What a daemon knows of a member.
+class OriginState(NamedTuple):
+    """The state of one daemon as it said itself.
 
     :ivar incarnation: Unix time in milliseconds of its start
+    :ivar counter: number of this state in its incarnation
     :ivar address: its address for traffic between daemons
     :ivar front: its address for callers
-    :ivar age_ms: time since it was last heard of, by whatever way
+    :ivar serving: whether it takes callers' requests
+    :ivar leading: fencing number of the lease that it holds, 0 for none
+    :ivar flights: (upstream, requests of this daemon that are there)
+    :ivar quota: (customer, units used since the start, units per second now)
+    :ivar usage: (window, ((customer, requests begun), ...))
+    :ivar age_ms: time since it was said
     """
 
     daemon: str
     incarnation: int
+    counter: int
     address: str
     front: str
     failure_domain: str
     serving: bool
+    leading: int
+    flights: tuple
+    quota: tuple
+    usage: tuple
     age_ms: int
 
 
-@MESSAGES.register("peer_report")
-class PeerReport(NamedTuple):
-    """The state of a daemon that its peers reckon with.
+class MirrorNews(NamedTuple):
+    """Objects of one kind of the store, as far as the receiver lacks them.
 
-    :ivar counter: number of this report in its incarnation
-    :ivar config_version: version of the configuration in force, 0 for none
-    :ivar proof_age_ms: time since that version was known to be the newest, -1 for never
-    :ivar configuration: the stored configuration as JSON, empty if the receiver has it
-    :ivar flights: (upstream, requests of the sender that are there)
-    :ivar quota: (customer, units used since the sender's start, units per second now)
-    :ivar usage: (window, ((customer, requests begun), ...))
-    :ivar leading: fencing number of the lease that the sender holds, 0 for none
-    :ivar members: rows of :class:`MemberRow`
+    :ivar since: revision that the changes follow, 0 where all objects are given
+    :ivar revision: revision up to which the objects are known
+    :ivar proof_age_ms: time since the store was asked for them, -1 for never
+    :ivar objects: JSON of the objects, each with how it left, empty for no change
     """
 
-    daemon: str
-    incarnation: int
-    counter: int
-    address: str
-    front: str
-    failure_domain: str
-    serving: bool
-    config_version: int
+    kind: str
+    since: int
+    revision: int
     proof_age_ms: int
-    configuration: bytes
+    objects: bytes
+
+
+class Sums(NamedTuple):
+    """What all other daemons do together, for a receiver that hears few of them.
+
+    :ivar daemons: daemons that are counted
+    :ivar flights: (upstream, requests)
+    :ivar quota: (customer, units used since the sender's start, units per second now)
+    """
+
+    daemons: int
     flights: tuple
     quota: tuple
-    usage: tuple
-    leading: int
-    members: tuple
+
+
+@MESSAGES.register("peer_question")
+class PeerQuestion(NamedTuple):
+    """A daemon's state and what it knows of the store.
+
+    :ivar hub: whether the sender gathers the states of others
+    :ivar revisions: (kind, revision that it knows)
+    :ivar relayed: states of other daemons, from a hub to a hub
+    :ivar news: news of the store that the receiver is taken to lack
+    """
+
+    state: tuple
+    hub: bool
+    revisions: tuple
+    relayed: tuple
+    news: tuple
+
+
+@MESSAGES.register("peer_answer")
+class PeerAnswer(NamedTuple):
+    """The answer to a question.
+
+    :ivar revisions: (kind, revision that the sender knows)
+    :ivar relayed: states of other daemons if the receiver is a hub, else liveness only
+    :ivar sums: :class:`Sums` without the receiver, empty if the receiver is a hub
+    """
+
+    state: tuple
+    hub: bool
+    revisions: tuple
+    relayed: tuple
+    news: tuple
+    sums: tuple
--- a/tanagertrail/gateway/beliefs.py
+++ b/tanagertrail/gateway/beliefs.py
@@ -15,7 +15,6 @@
     """The shared state of a daemon's tasks; only the event loop changes it.
 
     :ivar config: configuration in force, None while none is known
-    :ivar document: that configuration as it is stored, in JSON, for other daemons
     :ivar proved_at: boot time in seconds at which it was last known to be the newest
     :ivar evacuated: failure domains that get no work
     :ivar rollouts: orders to move services, by service
@@ -25,7 +24,6 @@
         self.bounds = bounds
         self.boot_time = boot_time
         self.config: ServingConfig | None = None
-        self.document = b""
         self.proved_at: float | None = None
         self.upstreams = UpstreamTable()
         self.upstreams_known = False
@@ -33,23 +31,15 @@
         self.rollouts: dict[str, RolloutOrder] = {}
         self.on_config: list[Callable[[ServingConfig], None]] = []
 
-    def take_config(self, config: ServingConfig, document: bytes) -> bool:
+    def take_config(self, config: ServingConfig) -> bool:
         """Take a configuration unless an equal or newer one is in force."""
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
-        self.document = document
         for notify in self.on_config:
             notify(config)
         return True
 
-    def prove(self, version: int, at: float) -> None:
-        """Note that a version was the newest at a boot time in seconds."""
-        if self.config is None or version != self.config.version:
-            return
-        if self.proved_at is None or at > self.proved_at:
-            self.proved_at = at
-
     @property
     def proof_age(self) -> float:
         """Return the seconds since the configuration was known to be the newest."""
--- /dev/null
+++ b/tanagertrail/gateway/gathering.py
@@ -0,0 +1,227 @@
+"""The states of all daemons, and the messages in which daemons exchange them."""
+
+__all__ = ["Gathering", "StateSource"]
+
+import asyncio
+from collections import Counter
+
+from tanagertrail.daemons.reports import MirrorNews, OriginState, PeerAnswer, PeerQuestion, Sums
+from tanagertrail.gateway.members import Member, MemberTable
+from tanagertrail.gateway.mirror import KindMirror
+from tanagertrail.policy.hubs import Topology
+
+CLIENT_SECONDS = 2.0  # after its last question a daemon is no longer a client of this hub
+STATE_SECONDS = 3.0  # age beyond which a state is not passed on
+
+
+class StateSource:
+    """Contract of the daemon whose state is told."""
+
+    def describe_state(self) -> OriginState:
+        """Return this daemon's state."""
+        raise NotImplementedError
+
+    def take_state(self, state: OriginState) -> None:
+        """Take another daemon's state."""
+        raise NotImplementedError
+
+    def take_sums(self, hub: str, incarnation: int, sums: Sums) -> None:
+        """Take what all other daemons do together."""
+        raise NotImplementedError
+
+    def note_news(self) -> None:
+        """Note that news of the store has come that others may lack."""
+        raise NotImplementedError
+
+
+class KnownState:
+    """A state and when it was said, by this daemon's event loop."""
+
+    def __init__(self, state: OriginState, said_at: float, direct: bool) -> None:
+        self.state = state
+        self.said_at = said_at
+        self.direct = direct
+
+
+class Gathering:
+    """Keep the states of other daemons, and build and take messages.
+
+    :ivar topology: place of this daemon
+    :ivar peer_revisions: revisions of the store's kinds that each daemon is known to have
+    :ivar client_at: when each daemon asked last
+    :ivar quota_seen: units by customer that were ever learnt of, which only rises
+    """
+
+    def __init__(
+        self, source: StateSource, members: MemberTable, mirrors: dict[str, KindMirror]
+    ) -> None:
+        self.source = source
+        self.members = members
+        self.mirrors = mirrors
+        self.topology = Topology((), (), True, True, 0)
+        self.states: dict[str, KnownState] = {}
+        self.peer_revisions: dict[str, dict[str, int]] = {}
+        self.client_at: dict[str, float] = {}
+        self.quota_seen: Counter[str] = Counter()
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def take_state(self, state: OriginState, direct: bool) -> None:
+        """Take a state unless a newer one is known."""
+        if state.daemon == self.members.own.daemon:
+            return
+        said_at = self.now() - state.age_ms / 1000
+        member = Member(
+            state.daemon, state.incarnation, state.address, state.front, state.failure_domain
+        )
+        self.members.learn(member, said_at, state.serving)
+        known = self.states.get(state.daemon)
+        if known is not None and not is_newer(state, known.state):
+            known.direct = known.direct or direct
+            return
+        self.count_quota(state, known.state if known else None)
+        self.states[state.daemon] = KnownState(state, said_at, direct)
+        self.source.take_state(state)
+
+    def count_quota(self, state: OriginState, before: OriginState | None) -> None:
+        """Add what a daemon used since its last state."""
+        earlier = {}
+        if before is not None and before.incarnation == state.incarnation:
+            earlier = {customer: used for customer, used, _ in before.quota}
+        for customer, used, _ in state.quota:
+            self.quota_seen[customer] += max(used - earlier.get(customer, 0.0), 0.0)
+
+    def forget(self, daemon: str) -> None:
+        """Forget a daemon that is gone."""
+        self.states.pop(daemon, None)
+        self.peer_revisions.pop(daemon, None)
+        self.client_at.pop(daemon, None)
+
+    def relay_states(self, liveness_only: bool, leave_out: str) -> tuple:
+        """Return the states of others for a daemon.
+
+        A hub passes on what it heard itself, so that no state goes in circles; a daemon that is
+        no hub is told of all, as far as it needs to know who lives.
+        """
+        now = self.now()
+        rows = []
+        for name, known in self.states.items():
+            age = now - known.said_at
+            if name == leave_out or age > STATE_SECONDS:
+                continue
+            if liveness_only:
+                bare = known.state._replace(flights=(), quota=(), usage=())
+                rows.append(tuple(bare._replace(age_ms=int(age * 1000))))
+            elif known.direct:
+                rows.append(tuple(known.state._replace(age_ms=int(age * 1000))))
+        return tuple(rows)
+
+    def sum_others(self, receiver: str) -> Sums:
+        """Return what all daemons but the receiver do together, this one included."""
+        now = self.now()
+        own = self.source.describe_state()
+        flights: Counter[str] = Counter(dict(own.flights))
+        rates = Counter({customer: rate for customer, _, rate in own.quota})
+        used = self.quota_seen + Counter({customer: total for customer, total, _ in own.quota})
+        daemons = 1
+        for name, known in self.states.items():
+            if name == receiver:
+                used.subtract({customer: total for customer, total, _ in known.state.quota})
+            elif now - known.said_at <= STATE_SECONDS:
+                daemons += 1
+                flights.update(dict(known.state.flights))
+                rates.update({customer: rate for customer, _, rate in known.state.quota})
+        quota = tuple((customer, total, rates[customer]) for customer, total in used.items())
+        return Sums(daemons, tuple(flights.items()), quota)
+
+    def list_revisions(self) -> tuple:
+        """Return the revisions that are known here."""
+        return tuple((kind, mirror.revision) for kind, mirror in self.mirrors.items())
+
+    def build_news(self, known: dict[str, int]) -> tuple:
+        """Return what a daemon lacks of the store."""
+        news = (mirror.build_news(known.get(kind, 0)) for kind, mirror in self.mirrors.items())
+        return tuple(tuple(item) for item in news if item is not None)
+
+    def build_question(self, receiver: str) -> PeerQuestion:
+        """Return a question to a daemon."""
+        known = self.peer_revisions.get(receiver, {})
+        news = tuple(item for item in self.build_news(known) if item[-1]) if known else ()
+        to_hub = receiver in self.topology.hubs
+        relayed = ()
+        if self.topology.is_hub and to_hub:
+            relayed = self.relay_states(liveness_only=False, leave_out=receiver)
+        state = tuple(self.source.describe_state())
+        return PeerQuestion(state, self.topology.is_hub, self.list_revisions(), relayed, news)
+
+    def answer(self, question: PeerQuestion) -> PeerAnswer:
+        """Take a question and return its answer."""
+        asker = OriginState(*question.state)
+        self.client_at[asker.daemon] = self.now()
+        self.take_state(asker, direct=not question.hub)
+        self.take_relayed(question.relayed)
+        self.peer_revisions[asker.daemon] = dict(question.revisions)
+        if self.take_news(question.news, None):
+            self.source.note_news()
+        sums = () if question.hub else tuple(self.sum_others(asker.daemon))
+        relayed = self.relay_states(liveness_only=not question.hub, leave_out=asker.daemon)
+        return PeerAnswer(
+            tuple(self.source.describe_state()),
+            self.topology.is_hub,
+            self.list_revisions(),
+            relayed,
+            self.build_news(dict(question.revisions)),
+            sums,
+        )
+
+    def take_answer(self, answer: PeerAnswer, asked_at: float) -> None:
+        """Take the answer to a question.
+
+        :param asked_at: boot time in seconds just before the question was sent
+        """
+        state = OriginState(*answer.state)
+        self.take_state(state, direct=not answer.hub)
+        self.take_relayed(answer.relayed)
+        self.peer_revisions[state.daemon] = dict(answer.revisions)
+        if answer.sums and state.daemon in self.topology.partners[:1]:
+            self.source.take_sums(state.daemon, state.incarnation, Sums(*answer.sums))
+        if self.take_news(answer.news, asked_at):
+            self.source.note_news()
+
+    def take_relayed(self, rows: tuple) -> None:
+        """Take the states that a daemon passed on."""
+        for row in rows:
+            self.take_state(OriginState(*row), direct=False)
+
+    def take_news(self, rows: tuple, asked_at: float | None) -> bool:
+        """Take news of the store and return whether it changed anything."""
+        changed = False
+        for row in rows:
+            news = MirrorNews(*row)
+            mirror = self.mirrors.get(news.kind)
+            if mirror is not None and mirror.take_news(news, asked_at):
+                changed = True
+        return changed
+
+    def list_laggards(self) -> list[str]:
+        """Return the daemons to be told at once: those met lately that lack what is known."""
+        now = self.now()
+        met = {name for name, at in self.client_at.items() if now - at < CLIENT_SECONDS}
+        met.update(self.topology.partners)
+        known = dict(self.list_revisions())
+        return [
+            name
+            for name in met
+            if any(
+                self.peer_revisions.get(name, {}).get(kind, 0) < revision
+                and self.mirrors[kind].changes
+                for kind, revision in known.items()
+            )
+        ]
+
+
+def is_newer(state: OriginState, known: OriginState) -> bool:
+    """Say whether a state was said later than another of the same daemon."""
+    return (state.incarnation, state.counter) > (known.incarnation, known.counter)
--- a/tanagertrail/gateway/handlers.py
+++ b/tanagertrail/gateway/handlers.py
@@ -5,16 +5,14 @@
     "EvacuationHandler",
     "RolloutHandler",
     "UpstreamHandler",
-    "take_document",
 ]
 
 import asyncio
-import json
 
 from tanagertrail.errors import InvalidInputError
 from tanagertrail.gateway.beliefs import Beliefs
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.watching import BaseKindHandler
+from tanagertrail.gateway.mirror import BaseKindHandler, Departure
 from tanagertrail.platform.records import (
     decode_configuration,
     decode_rollout,
@@ -26,19 +24,6 @@
 RETURN_SECONDS = 2.3  # entries that lapsed in an outage are back about 2 s after its end
 
 
-def take_document(beliefs: Beliefs, log: EventLog, document: bytes, source: str) -> bool:
-    """Take a stored configuration; one that cannot be read changes nothing."""
-    try:
-        config = decode_configuration(json.loads(document))
-    except (ValueError, InvalidInputError) as error:
-        log.write("config_refused", source=source, error=str(error)[:500])
-        return False
-    taken = beliefs.take_config(config, document)
-    if taken:
-        log.write("config_in_force", version=config.version, source=source)
-    return taken
-
-
 class ConfigHandler(BaseKindHandler):
     """Follow the operator's configuration."""
 
@@ -47,25 +32,29 @@
         self.log = log
         self.unreadable = False
 
-    def replace_all(self, objects: list[StoredObject], recovered: bool) -> None:
+    def replace_all(self, objects: list[StoredObject], lapsed: bool) -> None:
         """Take the configuration that is stored."""
         for item in objects:
-            self.apply_change(item, False)
+            self.apply_change(item, Departure.NONE)
 
-    def apply_change(self, item: StoredObject, deleted: bool) -> None:
-        """Take a new version."""
-        if item.name != MAIN_CONFIG or deleted:
+    def apply_change(self, item: StoredObject, departure: Departure) -> None:
+        """Take a new version; one that cannot be read changes nothing."""
+        if item.name != MAIN_CONFIG or departure is not Departure.NONE:
             return
-        document = json.dumps(item.content).encode()
-        take_document(self.beliefs, self.log, document, "store")
-        stored = item.content.get("version") if isinstance(item.content, dict) else None
-        known = self.beliefs.config.version if self.beliefs.config else 0
-        self.unreadable = not isinstance(stored, int) or stored > known
+        try:
+            config = decode_configuration(item.content)
+        except InvalidInputError as error:
+            self.unreadable = True
+            self.log.write("config_refused", revision=item.revision, error=str(error)[:500])
+            return
+        self.unreadable = False
+        if self.beliefs.take_config(config):
+            self.log.write("config_in_force", version=config.version, revision=item.revision)
 
     def note_current(self, at: float) -> None:
         """Note when the version in force was the newest."""
         if self.beliefs.config is not None and not self.unreadable:
-            self.beliefs.prove(self.beliefs.config.version, at)
+            self.beliefs.proved_at = at
 
 
 class UpstreamHandler(BaseKindHandler):
@@ -81,16 +70,16 @@
         """Return the table of upstreams."""
         return self.beliefs.upstreams
 
-    def replace_all(self, objects: list[StoredObject], recovered: bool) -> None:
+    def replace_all(self, objects: list[StoredObject], lapsed: bool) -> None:
         """Take all registrations; after an outage missing ones have some time to return."""
         present = {item.name for item in objects}
         for name in [name for name in self.table.entries if name not in present]:
-            if recovered:
+            if lapsed:
                 self.await_return(name)
             else:
                 self.remove(name, "not listed")
         for item in objects:
-            self.apply_change(item, False)
+            self.apply_change(item, Departure.NONE)
         self.beliefs.upstreams_known = True
 
     def await_return(self, name: str) -> None:
@@ -110,9 +99,12 @@
         if self.table.remove(name) is not None:
             self.log.write("upstream_removed", upstream=name, reason=reason)
 
-    def apply_change(self, item: StoredObject, deleted: bool) -> None:
+    def apply_change(self, item: StoredObject, departure: Departure) -> None:
         """Take a change of a registration; one that cannot be read names no upstream."""
-        if deleted or item.deleting:
+        if departure is Departure.LAPSED:
+            self.await_return(item.name)
+            return
+        if departure is Departure.REMOVED or item.deleting:
             self.remove(item.name, "deregistered")
             return
         timer = self.missing.pop(item.name, None)
@@ -148,16 +140,16 @@
         self.beliefs = beliefs
         self.log = log
 
-    def replace_all(self, objects: list[StoredObject], recovered: bool) -> None:
+    def replace_all(self, objects: list[StoredObject], lapsed: bool) -> None:
         """Take all evacuated failure domains."""
         present = {item.name for item in objects if not item.deleting}
         if present != self.beliefs.evacuated:
             self.log.write("domains_out", failure_domains=sorted(present))
         self.beliefs.evacuated = present
 
-    def apply_change(self, item: StoredObject, deleted: bool) -> None:
+    def apply_change(self, item: StoredObject, departure: Departure) -> None:
         """Take a failure domain out or back in."""
-        out = not (deleted or item.deleting)
+        out = departure is Departure.NONE and not item.deleting
         self.log.write("domain", failure_domain=item.name, out=out, revision=item.revision)
         if out:
             self.beliefs.evacuated.add(item.name)
@@ -172,17 +164,17 @@
         self.beliefs = beliefs
         self.log = log
 
-    def replace_all(self, objects: list[StoredObject], recovered: bool) -> None:
+    def replace_all(self, objects: list[StoredObject], lapsed: bool) -> None:
         """Take all orders."""
         present = {item.name for item in objects}
         for name in [name for name in self.beliefs.rollouts if name not in present]:
             del self.beliefs.rollouts[name]
         for item in objects:
-            self.apply_change(item, False)
+            self.apply_change(item, Departure.NONE)
 
-    def apply_change(self, item: StoredObject, deleted: bool) -> None:
+    def apply_change(self, item: StoredObject, departure: Departure) -> None:
         """Take a change of an order."""
-        if deleted or item.deleting:
+        if departure is not Departure.NONE or item.deleting:
             self.beliefs.rollouts.pop(item.name, None)
             return
         try:
--- a/tanagertrail/gateway/leadership.py
+++ b/tanagertrail/gateway/leadership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 from tanagertrail.errors import ConflictError, PlatformError, StoreUnknownError
@@ -16,7 +17,6 @@
 LEASE_NAME = "duties"
 RENEW_SHARE = 0.3  # of the lease, so that two renewals may fail
 FOLLOW_SECONDS = 0.5
-CALM_SECONDS = 3.0  # pause between looks at the lease while its holder is heard of
 
 
 def decode_lease(content: Any) -> LeaseRecord | None:
@@ -37,6 +37,7 @@
 
     :ivar holder: this daemon with its incarnation
     :ivar fencing: fencing number while this daemon holds the lease, else 0
+    :ivar may_follow: whether this daemon may look at the lease to claim it
     :ivar renewed_at: boot time in seconds just before the last renewal that succeeded was sent
     """
 
@@ -60,7 +61,7 @@
         self.record: LeaseRecord | None = None
         self.revision = 0
         self.renewed_at = 0.0
-        self.holder_heard = False
+        self.may_follow: Callable[[], bool] = lambda: True
         self.stopping = False
 
     @property
@@ -78,14 +79,12 @@
         """Hold or follow the lease until cancelled."""
         while True:
             try:
+                pause = FOLLOW_SECONDS
                 if self.record is not None:
                     await self.renew()
                     pause = self.lease * RENEW_SHARE
-                else:
+                elif self.may_follow():
                     await self.follow()
-                    pause = FOLLOW_SECONDS
-                    if self.record is None and self.holder_heard:
-                        pause = CALM_SECONDS
             except PlatformError as error:
                 self.log.write_routine("lease_failed", error=str(error)[:120])
                 self.watch.note_unreadable(self.boot_time())
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from tanagertrail.daemons.reports import MemberRow
 from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.mirror import BaseKindHandler, Departure
 from tanagertrail.gateway.model import GatewaySettings
-from tanagertrail.gateway.watching import BaseKindHandler
 from tanagertrail.platform.store import StoredObject
 
 MEMBERS_KIND = "tanagertrail-daemons"
@@ -78,12 +77,13 @@
             self.log.write("member_lost", member=daemon, silent_s=round(now - state.heard_at, 2))
             state.heard_at = now - ALIVE_SECONDS
 
-    def forget_silent(self, now: float) -> None:
-        """Forget the members that have been silent for long."""
-        for name, state in list(self.states.items()):
-            if now - state.heard_at > FORGET_SECONDS:
-                del self.states[name]
-                self.log.write("member_forgotten", member=name)
+    def forget_silent(self, now: float) -> list[str]:
+        """Forget the members that have been silent for long, and return them."""
+        silent = [n for n, state in self.states.items() if now - state.heard_at > FORGET_SECONDS]
+        for name in silent:
+            del self.states[name]
+            self.log.write("member_forgotten", member=name)
+        return silent
 
     def iter_alive(self, now: float) -> list[MemberState]:
         """Return the members that live."""
@@ -101,20 +101,6 @@
         """Count the members that live, this one included."""
         return len(self.iter_alive(now)) + 1
 
-    def build_rows(self, now: float) -> tuple:
-        """Return what other daemons are told of the members."""
-        return tuple(
-            MemberRow(*state.member, state.serving, int((now - state.heard_at) * 1000))
-            for state in self.states.values()
-        )
-
-    def take_rows(self, rows: tuple, now: float) -> None:
-        """Take what another daemon told of the members."""
-        for item in rows:
-            row = MemberRow(*item)
-            member = Member(*row[:5])
-            self.learn(member, now - row.age_ms / 1000, row.serving)
-
 
 def describe_self(settings: GatewaySettings, incarnation: int) -> Member:
     """Return the description of this daemon."""
@@ -134,14 +120,17 @@
         self.table = table
         self.now = now
 
-    def replace_all(self, objects: list[StoredObject], recovered: bool) -> None:
+    def replace_all(self, objects: list[StoredObject], lapsed: bool) -> None:
         """Take all registrations."""
         for item in objects:
-            self.apply_change(item, False)
+            self.apply_change(item, Departure.NONE)
+
+    def note_current(self, at: float) -> None:
+        """Do nothing: members prove their life themselves."""
 
-    def apply_change(self, item: StoredObject, deleted: bool) -> None:
+    def apply_change(self, item: StoredObject, departure: Departure) -> None:
         """Take a registration; it gives an address, not a sign of life."""
-        if deleted or not isinstance(item.content, dict):
+        if departure is not Departure.NONE or not isinstance(item.content, dict):
             return
         try:
             member = Member(**item.content)
--- /dev/null
+++ b/tanagertrail/gateway/mirror.py
@@ -0,0 +1,176 @@
+"""Copies of the store's objects, fed by the store or by other daemons."""
+
+__all__ = ["BaseKindHandler", "Departure", "KindMirror"]
+
+import enum
+import json
+from collections import deque
+from typing import NamedTuple
+
+from tanagertrail.daemons.reports import MirrorNews
+from tanagertrail.gateway.clock import BootClock
+from tanagertrail.platform.store import Listing, StoredObject, WatchAnswer
+
+MAX_CHANGES = 300  # changes that are kept for daemons that lag; more are sent as all objects
+OUTAGE_SECONDS = 1.5  # without a proof from any daemon, after which entries may have lapsed
+
+
+class Departure(enum.IntEnum):
+    """Whether and how an object left: it stands, it was removed, or it may have lapsed."""
+
+    NONE = 0
+    REMOVED = 1
+    LAPSED = 2
+
+
+class Change(NamedTuple):
+    """A change of an object at a revision."""
+
+    revision: int
+    item: StoredObject
+    departure: Departure
+
+
+class BaseKindHandler:
+    """Contract of what follows a kind."""
+
+    def replace_all(self, objects: list[StoredObject], lapsed: bool) -> None:
+        """Take all objects of the kind.
+
+        :param lapsed: whether missing objects may have lapsed in an outage of the store
+        """
+        raise NotImplementedError
+
+    def apply_change(self, item: StoredObject, departure: Departure) -> None:
+        """Take a change of one object."""
+        raise NotImplementedError
+
+    def note_current(self, at: float) -> None:
+        """Note that all changes up to a boot time in seconds are known."""
+
+
+class KindMirror:
+    """The objects of one kind.
+
+    :ivar revision: revision up to which all changes are known, 0 before the first listing
+    :ivar proved_at: boot time in seconds up to which all changes are known, None for never
+    """
+
+    def __init__(self, kind: str, handler: BaseKindHandler, boot_time: BootClock) -> None:
+        self.kind = kind
+        self.handler = handler
+        self.boot_time = boot_time
+        self.objects: dict[str, StoredObject] = {}
+        self.revision = 0
+        self.changes: deque[Change] = deque()
+        self.floor = 0
+        self.proved_at: float | None = None
+        self.lapsed = False
+
+    @property
+    def age(self) -> float:
+        """Return the seconds since all changes were known."""
+        return float("inf") if self.proved_at is None else self.boot_time() - self.proved_at
+
+    def take_listing(self, listing: Listing, at: float) -> bool:
+        """Take all objects as the store listed them."""
+        lapsed = self.revision > 0 and self.age > OUTAGE_SECONDS
+        changed = self.replace(listing.objects, listing.revision, lapsed)
+        self.prove(at)
+        return changed
+
+    def take_answer(self, answer: WatchAnswer, at: float) -> bool:
+        """Take the changes that a watch of the store brought."""
+        gone = Departure.LAPSED if self.age > OUTAGE_SECONDS else Departure.REMOVED
+        for item, deleted in answer.changes:
+            self.apply(item, gone if deleted else Departure.NONE, answer.revision)
+        self.revision = max(self.revision, answer.revision)
+        self.prove(at)
+        return bool(answer.changes)
+
+    def replace(self, objects: list[StoredObject], revision: int, lapsed: bool) -> bool:
+        """Take all objects of a revision unless a newer one is known."""
+        if revision < self.revision:
+            return False
+        fresh = {item.name: item for item in objects}
+        changed = fresh != self.objects or self.revision == 0
+        self.objects = fresh
+        self.revision = self.floor = revision
+        self.changes.clear()
+        self.lapsed = lapsed
+        self.handler.replace_all(objects, lapsed)
+        return changed
+
+    def apply(self, item: StoredObject, departure: Departure, revision: int) -> None:
+        """Take one change unless it is known.
+
+        :param revision: revision by which it is sure to have happened; a removed object may
+            bear an older one
+        """
+        known = self.objects.get(item.name)
+        if departure is Departure.NONE:
+            if known is not None and known.revision >= item.revision:
+                return
+            self.objects[item.name] = item
+        elif self.objects.pop(item.name, None) is None:
+            return
+        self.changes.append(Change(revision, item, departure))
+        if len(self.changes) > MAX_CHANGES:
+            self.floor = self.changes.popleft().revision
+        self.handler.apply_change(item, departure)
+
+    def prove(self, at: float) -> None:
+        """Note that all changes up to a boot time are known."""
+        if self.proved_at is None or at > self.proved_at:
+            self.proved_at = at
+            self.handler.note_current(at)
+
+    def build_news(self, known: int) -> MirrorNews | None:
+        """Return what a daemon lacks that knows a revision, None if nothing is known here."""
+        if self.revision == 0:
+            return None
+        age = int(self.age * 1000) if self.proved_at is not None else -1
+        if known >= self.revision:
+            return MirrorNews(self.kind, known, self.revision, age, b"")
+        if known >= self.floor:
+            rows = [
+                [*change.item, int(change.departure)]
+                for change in self.changes
+                if change.revision > known
+            ]
+            return MirrorNews(self.kind, known, self.revision, age, encode_rows(rows))
+        gone = int(Departure.LAPSED if self.lapsed else Departure.NONE)
+        rows = [[*item, gone] for item in self.objects.values()]
+        return MirrorNews(self.kind, 0, self.revision, age, json.dumps(rows).encode())
+
+    def take_news(self, news: MirrorNews, asked_at: float | None) -> bool:
+        """Take what another daemon told and return whether it changed anything.
+
+        :param asked_at: boot time in seconds after which the news was put together, None if
+            it may be older
+        """
+        changed = False
+        if news.revision > self.revision:
+            changed = self.take_objects(news)
+        if asked_at is not None and news.proof_age_ms >= 0 and self.revision >= news.revision:
+            self.prove(asked_at - news.proof_age_ms / 1000)
+        return changed
+
+    def take_objects(self, news: MirrorNews) -> bool:
+        """Take the objects of news that is newer than what is known."""
+        rows = json.loads(news.objects) if news.objects else []
+        if news.since == 0:
+            lapsed = any(row[-1] == Departure.LAPSED for row in rows)
+            items = [StoredObject(*row[:-1]) for row in rows]
+            return self.replace(items, news.revision, lapsed)
+        if news.since > self.revision:
+            return False
+        for row in rows:
+            self.apply(StoredObject(*row[:-1]), Departure(row[-1]), news.revision)
+        self.revision = news.revision
+        return bool(rows)
+
+
+def encode_rows(rows: list) -> bytes:
+    """Encode changes, no bytes for none."""
+    return json.dumps(rows).encode() if rows else b""
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import random
+from typing import NamedTuple
 
-from tanagertrail.daemons.reports import PeerReport
+from tanagertrail.daemons.reports import OriginState, Sums
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.beliefs import Beliefs
 from tanagertrail.gateway.clock import read_boot_time, read_wall_time
@@ -13,27 +14,27 @@
 from tanagertrail.gateway.duties import DutyRunner
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
+from tanagertrail.gateway.gathering import Gathering, StateSource
 from tanagertrail.gateway.handlers import (
     ConfigHandler,
     EvacuationHandler,
     RolloutHandler,
     UpstreamHandler,
-    take_document,
 )
 from tanagertrail.gateway.leadership import Leadership
 from tanagertrail.gateway.members import (
     MEMBERS_KIND,
-    Member,
     MemberHandler,
     MemberTable,
     describe_self,
 )
+from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import GatewaySettings, Limits
-from tanagertrail.gateway.peers import PeerLinks, PeerServer, ReportSource
+from tanagertrail.gateway.peers import PeerLinks, PeerServer
 from tanagertrail.gateway.pools import ConnectionPools
 from tanagertrail.gateway.sending import UpstreamSender
 from tanagertrail.gateway.usage import UsageCounter
-from tanagertrail.gateway.watching import BaseKindHandler, KindWatch
+from tanagertrail.gateway.watching import KindWatch
 from tanagertrail.platform.cloud import CloudClient
 from tanagertrail.platform.pages import DirectoryPage, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
@@ -41,18 +42,33 @@
 from tanagertrail.policy.token_quota import QuotaLedger, QuotaNews
 from tanagertrail.webserver import ServerSettings, WebServer
 
-CONFIG_WAIT_SECONDS = 1.2  # a key taken away must be known well before its bound
-KIND_WAIT_SECONDS = 1.5  # a silent connection is found out within the bounds on drains
-MEMBERS_WAIT_SECONDS = 10.0
+
+class WatchPace(NamedTuple):
+    """How a kind is followed.
+
+    :ivar wait: seconds for which one call waits for changes
+    :ivar patience: age in seconds of what is known beyond which any daemon asks the store
+    """
+
+    wait: float
+    patience: float
+
+
+CONFIG_PACE = WatchPace(1.2, 2.4)  # a key taken away must be known well before its bound
+UPSTREAM_PACE = WatchPace(1.0, 1.8)  # an upstream that leaves gets no work after 2 s
+ORDER_PACE = WatchPace(3.0, 4.5)  # a failure domain is emptied within 5 s
+MEMBER_PACE = WatchPace(8.0, 12.0)
 ANSWER_LIFETIME_SECONDS = 1.0
 SWEEP_SECONDS = 1.0
 LEAVE_QUIET_SECONDS = 3.5  # callers keep an address answer three times its lifetime
 STOP_MARGIN_SECONDS = 0.6
 PAGE_THREADS = 4
-LEADER_SILENT_SECONDS = 1.5
+LEADER_SILENT_SECONDS = 1.5  # three states missed
+LEADER_LOST_SECONDS = 6.0  # after which others than the first candidates claim the lease
+LEASE_CANDIDATES = 3
 
 
-class GatewayNode(ReportSource):
+class GatewayNode(StateSource):
     """The tasks of one daemon."""
 
     def __init__(self, settings: GatewaySettings, seeds: tuple[str, ...] = ()) -> None:
@@ -86,12 +102,17 @@
             self.rng,
         )
         self.front = FrontServer(self.dispatcher.handle, self.get_limits, self.log)
-        self.peer_server = PeerServer(self, self.log)
-        self.links = PeerLinks(self, self.members, self.log, self.rng, read_boot_time, seeds)
+        self.mirrors: dict[str, KindMirror] = {}
+        self.gathering = Gathering(self, self.members, self.mirrors)
+        self.peer_server = PeerServer(self.gathering, self.log)
+        self.links = PeerLinks(
+            self.gathering, self.members, self.log, self.rng, read_boot_time, seeds
+        )
+        self.leadership.may_follow = self.may_follow_lease
         self.pages: list[WebServer] = []
         self.tasks: list[asyncio.Task] = []
         self.counter = 0
-        self.leading_heard = (0, -LEADER_SILENT_SECONDS)
+        self.leader_heard_at = self.loop.time() - LEADER_SILENT_SECONDS
         self.leaving = False
 
     def get_limits(self) -> Limits:
@@ -111,11 +132,11 @@
         if self.settings.directory:
             lifetime = min(ANSWER_LIFETIME_SECONDS, self.settings.bounds.answer_lifetime)
             self.serve_page(self.settings.directory, DirectoryPage(self.list_fronts, lifetime))
-        self.watch(CONFIGURATION, ConfigHandler(self.beliefs, self.log), CONFIG_WAIT_SECONDS)
-        self.watch(UPSTREAMS, UpstreamHandler(self.beliefs, self.log), KIND_WAIT_SECONDS)
-        self.watch(EVACUATIONS, EvacuationHandler(self.beliefs, self.log), KIND_WAIT_SECONDS)
-        self.watch(ROLLOUTS, RolloutHandler(self.beliefs, self.log), KIND_WAIT_SECONDS)
-        self.watch(MEMBERS_KIND, MemberHandler(self.members, self.loop.time), MEMBERS_WAIT_SECONDS)
+        self.watch(CONFIGURATION, ConfigHandler(self.beliefs, self.log), CONFIG_PACE)
+        self.watch(UPSTREAMS, UpstreamHandler(self.beliefs, self.log), UPSTREAM_PACE)
+        self.watch(EVACUATIONS, EvacuationHandler(self.beliefs, self.log), ORDER_PACE)
+        self.watch(ROLLOUTS, RolloutHandler(self.beliefs, self.log), ORDER_PACE)
+        self.watch(MEMBERS_KIND, MemberHandler(self.members, self.loop.time), MEMBER_PACE)
         self.spawn(self.register())
         self.spawn(self.links.run())
         self.spawn(self.sweep())
@@ -143,9 +164,19 @@
         server.start()
         self.pages.append(server)
 
-    def watch(self, kind: str, handler: BaseKindHandler, wait: float) -> None:
+    def watch(self, kind: str, handler: BaseKindHandler, pace: WatchPace) -> None:
         """Follow a kind of stored objects."""
-        watch = KindWatch(self.store, kind, handler, self.log, read_boot_time, wait)
+        mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
+        watch = KindWatch(
+            self.store,
+            mirror,
+            self.log,
+            self.rng,
+            pace.wait,
+            pace.patience,
+            lambda: self.gathering.topology.is_watcher,
+            self.links.push_news,
+        )
         self.spawn(watch.run())
 
     def spawn(self, work) -> None:
@@ -190,6 +221,8 @@
                 if upstream_id not in self.beliefs.upstreams.entries:
                     self.pools.forget(upstream_id)
             self.pools.sweep()
+            alive = [state.member.daemon for state in self.members.iter_alive(self.loop.time())]
+            self.beliefs.upstreams.forget_flights(alive)
 
     @property
     def ready(self) -> bool:
@@ -204,13 +237,22 @@
             fronts.append(self.own.front)
         return fronts
 
-    def build_report(self, known_version: int) -> PeerReport:
-        """Return this daemon's report."""
+    def may_follow_lease(self) -> bool:
+        """Say whether this daemon is to claim the lease if its holder falls silent."""
+        topology = self.gathering.topology
+        silent = self.loop.time() - self.leader_heard_at
+        if not topology.is_hub or silent < LEADER_SILENT_SECONDS:
+            return False
+        return topology.rank < LEASE_CANDIDATES or silent > LEADER_LOST_SECONDS
+
+    def note_news(self) -> None:
+        """Pass on news of the store."""
+        self.links.push_news()
+
+    def describe_state(self) -> OriginState:
+        """Return this daemon's state."""
         now = self.loop.time()
         self.counter += 1
-        config = self.beliefs.config
-        version = config.version if config else 0
-        age = self.beliefs.proof_age
         flights = tuple(
             (entry.record.id, entry.in_flight)
             for entry in self.beliefs.upstreams.entries.values()
@@ -218,7 +260,7 @@
         )
         news = self.quota.build_report(now)
         quota = tuple((name, item.used, item.rate) for name, item in news.items())
-        return PeerReport(
+        return OriginState(
             self.own.daemon,
             self.own.incarnation,
             self.counter,
@@ -226,49 +268,31 @@
             self.own.front,
             self.own.failure_domain,
             self.ready,
-            version,
-            int(age * 1000) if age < 1e6 else -1,
-            self.beliefs.document if version > known_version else b"",
+            self.leadership.fencing,
             flights,
             quota,
             self.usage.encode(),
-            self.leadership.fencing,
-            self.members.build_rows(now),
+            0,
         )
 
-    def take_report(self, report: PeerReport, asked_at: float | None) -> None:
-        """Take another daemon's report."""
+    def take_state(self, state: OriginState) -> None:
+        """Take another daemon's state; one that is no hub is told sums besides."""
         now = self.loop.time()
-        member = Member(
-            report.daemon,
-            report.incarnation,
-            report.address,
-            report.front,
-            report.failure_domain,
-        )
-        self.members.learn(member, now, report.serving)
-        self.members.take_rows(report.members, now)
-        if report.configuration:
-            take_document(self.beliefs, self.log, report.configuration, report.daemon)
-        if asked_at is not None and report.proof_age_ms >= 0:
-            self.beliefs.prove(report.config_version, asked_at - report.proof_age_ms / 1000)
-        if report.leading >= self.leading_heard[0]:
-            self.leading_heard = (report.leading, now) if report.leading else self.leading_heard
-        self.leadership.holder_heard = now - self.leading_heard[1] < LEADER_SILENT_SECONDS
-        self.take_flights(report)
-        news = {name: QuotaNews(used, rate) for name, used, rate in report.quota}
-        self.quota.note_report(report.daemon, report.incarnation, news, now)
-        self.usage.take(report.daemon, report.incarnation, report.usage)
-
-    def take_flights(self, report: PeerReport) -> None:
-        """Take the requests that another daemon has at upstreams."""
-        flights = dict(report.flights)
-        for upstream_id, entry in self.beliefs.upstreams.entries.items():
-            count = flights.get(upstream_id, 0)
-            if count:
-                entry.elsewhere[report.daemon] = count
-            else:
-                entry.elsewhere.pop(report.daemon, None)
+        if state.leading:
+            self.leader_heard_at = max(self.leader_heard_at, now - state.age_ms / 1000)
+        self.usage.take(state.daemon, state.incarnation, state.usage)
+        if self.gathering.topology.is_hub:
+            self.quota.forget_daemons(self.gathering.states)
+            news = {name: QuotaNews(used, rate) for name, used, rate in state.quota}
+            self.quota.note_report(state.daemon, state.incarnation, news, now)
+            self.beliefs.upstreams.note_flights(state.daemon, dict(state.flights))
+
+    def take_sums(self, hub: str, incarnation: int, sums: Sums) -> None:
+        """Take what all other daemons do together."""
+        self.quota.forget_daemons((hub,))
+        news = {name: QuotaNews(used, rate) for name, used, rate in sums.quota}
+        self.quota.note_report(hub, incarnation, news, self.loop.time(), sums.daemons)
+        self.beliefs.upstreams.replace_flights(dict(sums.flights))
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take settings that were read again; addresses change only with a new start."""
@@ -280,7 +304,7 @@
         """Leave, serve what still comes, and stop before the grace ends."""
         self.leaving = self.front.leaving = True
         self.log.write("leaving", in_flight=self.dispatcher.in_flight)
-        self.links.start_exchanges()
+        self.links.tell_all()
         started = self.loop.time()
         latest = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
         while self.loop.time() < latest:
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -1,48 +1,33 @@
-"""Exchange of status reports between daemons over TCP."""
+"""Connections between daemons, over which they exchange their states."""
 
-__all__ = ["PeerLinks", "PeerServer", "ReportSource"]
+__all__ = ["PeerLinks", "PeerServer"]
 
 import asyncio
 import random
 
 from tanagertrail.daemons.frames import encode_frame, read_frame
-from tanagertrail.daemons.reports import PeerReport
+from tanagertrail.daemons.reports import PeerAnswer, PeerQuestion
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.channel import set_socket_options
+from tanagertrail.gateway.clock import BootClock
 from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.gathering import Gathering
 from tanagertrail.gateway.members import ALIVE_SECONDS, MemberTable
+from tanagertrail.policy.hubs import plan_topology
 
 PERIOD_SECONDS = 0.5
-EXCHANGE_SECONDS = 0.4
-MAX_PARTNERS = 8  # exchanges of one period; more members are met in turn
-
-
-class ReportSource:
-    """Contract of what builds and takes reports."""
-
-    def build_report(self, known_version: int) -> PeerReport:
-        """Return this daemon's report.
-
-        :param known_version: version of the configuration that the receiver has
-        """
-        raise NotImplementedError
-
-    def take_report(self, report: PeerReport, asked_at: float | None) -> None:
-        """Take another daemon's report.
-
-        :param asked_at: boot time in seconds before which it was not built, None if unknown
-        """
-        raise NotImplementedError
+EXCHANGE_SECONDS = 0.5
+PUSH_SECONDS = 0.02  # news that comes within this span goes out together
+STRANGERS = 2  # known but silent members that are tried in each period
 
 
 class PeerServer:
-    """Answer the reports of other daemons."""
+    """Answer the questions of other daemons."""
 
-    def __init__(self, source: ReportSource, log: EventLog) -> None:
-        self.source = source
+    def __init__(self, gathering: Gathering, log: EventLog) -> None:
+        self.gathering = gathering
         self.log = log
         self.server: asyncio.Server | None = None
-        self.tasks: set[asyncio.Task] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listen.
@@ -52,23 +37,21 @@
         self.server = await asyncio.start_server(self.serve, host, port, backlog=256)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer reports on one connection until it ends."""
+        """Answer questions on one connection until it ends."""
         set_socket_options(writer.get_extra_info("socket"))
         try:
             while True:
-                _, report = await read_frame(reader)
-                if not isinstance(report, PeerReport):
-                    raise FrameError(f"unexpected message {type(report).__name__}")
-                self.source.take_report(report, None)
-                answer = self.source.build_report(report.config_version)
-                writer.write(encode_frame(answer, 0))
+                _, question = await read_frame(reader)
+                if not isinstance(question, PeerQuestion):
+                    raise FrameError(f"unexpected message {type(question).__name__}")
+                writer.write(encode_frame(self.gathering.answer(question), 0))
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
             pass  # the peer has ended or closed; its own link reports what it means
         except asyncio.CancelledError:
             pass  # the daemon stops; a stream's task that ends cancelled is logged as an error
-        except FrameError as error:
-            self.log.write("peer_frame_refused", error=str(error))
+        except (FrameError, TypeError, ValueError) as error:
+            self.log.write("peer_frame_refused", error=repr(error)[:200])
         finally:
             writer.close()
 
@@ -85,22 +68,20 @@
         self.address = address
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
-        self.peer_version = 0
 
-    async def exchange(self, report: PeerReport) -> PeerReport:
-        """Send a report and read the peer's.
+    async def exchange(self, question: PeerQuestion) -> PeerAnswer:
+        """Send a question and read the answer.
 
         :raises OSError: if the peer is not reached
         :raises FrameError: if its answer cannot be read
         """
         if self.writer is None or self.reader.at_eof():
             await self.open()
-        self.writer.write(encode_frame(report, 0))
+        self.writer.write(encode_frame(question, 0))
         await self.writer.drain()
         _, answer = await read_frame(self.reader)
-        if not isinstance(answer, PeerReport):
+        if not isinstance(answer, PeerAnswer):
             raise FrameError(f"unexpected message {type(answer).__name__}")
-        self.peer_version = answer.config_version
         return answer
 
     async def open(self) -> None:
@@ -118,18 +99,18 @@
 
 
 class PeerLinks:
-    """Exchange reports with other members each period."""
+    """Exchange states with partners each period, and news of the store at once."""
 
     def __init__(
         self,
-        source: ReportSource,
+        gathering: Gathering,
         members: MemberTable,
         log: EventLog,
         rng: random.Random,
-        boot_time,
+        boot_time: BootClock,
         seeds: tuple[str, ...] = (),
     ) -> None:
-        self.source = source
+        self.gathering = gathering
         self.members = members
         self.log = log
         self.rng = rng
@@ -137,73 +118,102 @@
         self.seeds = seeds
         self.links: dict[str, PeerLink] = {}
         self.running: dict[str, asyncio.Task] = {}
-        self.turn: list[str] = []
+        self.push_timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
         """Exchange until cancelled."""
         while True:
-            self.start_exchanges()
+            self.start_period()
             await asyncio.sleep(PERIOD_SECONDS * self.rng.uniform(0.9, 1.1))
 
-    def start_exchanges(self) -> None:
-        """Start an exchange with the members whose turn it is."""
+    def start_period(self) -> None:
+        """Start the exchanges of a period."""
         now = asyncio.get_running_loop().time()
-        self.members.forget_silent(now)
-        for address in self.pick_partners():
-            if address not in self.running:
-                task = asyncio.create_task(self.exchange(address))
-                self.running[address] = task
-                task.add_done_callback(lambda _, key=address: self.running.pop(key, None))
-
-    def pick_partners(self) -> list[str]:
-        """Return the addresses to exchange with in this period."""
+        for name in self.members.forget_silent(now):
+            self.gathering.forget(name)
+        alive = [state.member.daemon for state in self.members.iter_alive(now)]
+        topology = plan_topology(self.members.own.daemon, alive)
+        if topology != self.gathering.topology:
+            self.log.write_routine(
+                "topology", rank=topology.rank, hub=topology.is_hub, hubs=len(topology.hubs)
+            )
+            self.gathering.topology = topology
+        for name in [*topology.partners, *self.pick_strangers(set(alive))]:
+            self.start_exchange(name, self.members.states[name].member.address)
+        if not alive:
+            for address in self.seeds:
+                self.start_exchange(address, address)
+        self.drop_links()
+
+    def pick_strangers(self, alive: set[str]) -> list[str]:
+        """Return some members that are known but silent, or that know nothing of this daemon."""
+        silent = [name for name in self.members.states if name not in alive]
+        return self.rng.sample(silent, min(STRANGERS, len(silent)))
+
+    def drop_links(self) -> None:
+        """Close the connections to members that are forgotten."""
         known = {state.member.address for state in self.members.states.values()}
-        known.update(self.seeds)
-        known.discard(self.members.own.address)
-        self.turn = [address for address in self.turn if address in known]
-        fresh = [address for address in known if address not in self.turn]
-        self.rng.shuffle(fresh)
-        self.turn = fresh + self.turn
-        chosen = self.turn[:MAX_PARTNERS]
-        self.turn = self.turn[MAX_PARTNERS:] + chosen
-        for address in [address for address in self.links if address not in known]:
+        for address in [a for a in self.links if a not in known and a not in self.running]:
             self.links.pop(address).close()
-        return chosen
 
-    async def exchange(self, address: str) -> None:
-        """Exchange reports with one member."""
+    def push_news(self) -> None:
+        """Tell the others soon that news of the store has come."""
+        if self.push_timer is None:
+            loop = asyncio.get_running_loop()
+            self.push_timer = loop.call_later(PUSH_SECONDS, self.send_news)
+
+    def send_news(self) -> None:
+        """Exchange with those that lack what is known here."""
+        self.push_timer = None
+        for name in self.gathering.list_laggards():
+            state = self.members.states.get(name)
+            if state is not None:
+                self.start_exchange(name, state.member.address)
+
+    def tell_all(self) -> None:
+        """Exchange with all partners and with those that asked lately."""
+        for name in {*self.gathering.topology.partners, *self.gathering.client_at}:
+            state = self.members.states.get(name)
+            if state is not None:
+                self.start_exchange(name, state.member.address)
+
+    def start_exchange(self, name: str, address: str) -> None:
+        """Start an exchange unless one with the same daemon runs."""
+        if address in self.running or address == self.members.own.address:
+            return
+        task = asyncio.create_task(self.exchange(name, address))
+        self.running[address] = task
+        task.add_done_callback(lambda _: self.running.pop(address, None))
+
+    async def exchange(self, name: str, address: str) -> None:
+        """Exchange states with one member."""
         link = self.links.setdefault(address, PeerLink(address))
         asked_at = self.boot_time()
         try:
             async with asyncio.timeout(EXCHANGE_SECONDS):
-                answer = await link.exchange(self.source.build_report(link.peer_version))
+                answer = await link.exchange(self.gathering.build_question(name))
+            self.gathering.take_answer(answer, asked_at)
         except ConnectionRefusedError:
-            self.note_refused(address)
             link.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, FrameError) as error:
+            self.members.note_unreachable(name, asyncio.get_running_loop().time())
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             link.close()
-            self.note_failure(address, error)
-        else:
-            self.source.take_report(answer, asked_at)
-
-    def note_refused(self, address: str) -> None:
-        """Take a member as ended whose port is closed."""
-        now = asyncio.get_running_loop().time()
-        for state in self.members.states.values():
-            if state.member.address == address:
-                self.members.note_unreachable(state.member.daemon, now)
+            self.note_failure(name, error)
+        except (FrameError, TypeError, ValueError) as error:
+            link.close()
+            self.log.write("peer_frame_refused", member=name, error=repr(error)[:200])
 
-    def note_failure(self, address: str, error: Exception) -> None:
+    def note_failure(self, name: str, error: Exception) -> None:
         """Log a failed exchange with a member that lived until now."""
+        state = self.members.states.get(name)
         now = asyncio.get_running_loop().time()
-        for state in self.members.states.values():
-            if state.member.address == address and now - state.heard_at < ALIVE_SECONDS:
-                self.log.write_routine(
-                    "exchange_failed", member=state.member.daemon, error=repr(error)[:120]
-                )
+        if state is not None and now - state.heard_at < ALIVE_SECONDS:
+            self.log.write_routine("exchange_failed", member=name, error=repr(error)[:120])
 
     def close(self) -> None:
         """Close all connections."""
+        if self.push_timer is not None:
+            self.push_timer.cancel()
         for task in list(self.running.values()):
             task.cancel()
         for link in self.links.values():
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -3,7 +3,7 @@
 __all__ = ["UpstreamEntry", "UpstreamTable"]
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.platform.fields import UpstreamLoad
@@ -12,7 +12,7 @@
 LATENCY_WEIGHT = 0.1
 FIRST_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
-LOAD_LIFETIME_SECONDS = 2.0
+OTHERS = ""  # key of the sum over all other daemons
 
 
 class UpstreamEntry:
@@ -102,7 +102,24 @@
         """Yield the upstreams of a service."""
         return (entry for entry in self.entries.values() if entry.record.service == service)
 
-    def note_daemon_gone(self, daemon: str) -> None:
-        """Forget the requests of a daemon that is gone."""
+    def note_flights(self, daemon: str, flights: dict[str, int]) -> None:
+        """Take the requests that another daemon has at upstreams."""
+        for upstream_id, entry in self.entries.items():
+            count = flights.get(upstream_id, 0)
+            if count:
+                entry.elsewhere[daemon] = count
+            else:
+                entry.elsewhere.pop(daemon, None)
+
+    def replace_flights(self, flights: dict[str, int]) -> None:
+        """Take the requests that all other daemons have at upstreams."""
+        for upstream_id, entry in self.entries.items():
+            count = flights.get(upstream_id, 0)
+            entry.elsewhere = {OTHERS: count} if count else {}
+
+    def forget_flights(self, alive: Collection[str]) -> None:
+        """Forget the requests of daemons that no longer live."""
         for entry in self.entries.values():
-            entry.elsewhere.pop(daemon, None)
+            for daemon in [name for name in entry.elsewhere if name not in alive]:
+                if daemon != OTHERS:
+                    del entry.elsewhere[daemon]
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -3,7 +3,7 @@
 __all__ = ["Quota", "QuotaLedger", "QuotaNews"]
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -56,11 +56,15 @@
 
 @dataclass
 class PeerUse:
-    """What another daemon reported last, and what was taken off for it since."""
+    """What was reported last, and what was taken off for it since.
+
+    :ivar daemons: daemons whose use the report sums up
+    """
 
     incarnation: int
     heard_at: float
     news: dict[str, QuotaNews]
+    daemons: int = 1
     predicted: dict[str, float] = field(default_factory=dict)
 
 
@@ -96,14 +100,19 @@
         }
 
     def note_report(
-        self, daemon: str, incarnation: int, news: Mapping[str, QuotaNews], now: float
+        self,
+        daemon: str,
+        incarnation: int,
+        news: Mapping[str, QuotaNews],
+        now: float,
+        daemons: int = 1,
     ) -> None:
-        """Take what another daemon reported."""
+        """Take what another daemon reported of itself, or of several."""
         known = self.peers.get(daemon)
         if known is not None:
             for customer, bucket in self.buckets.items():
                 bucket.level -= self.count_unseen(known, incarnation, customer, news)
-        self.peers[daemon] = PeerUse(incarnation, now, dict(news))
+        self.peers[daemon] = PeerUse(incarnation, now, dict(news), daemons)
 
     def count_unseen(
         self, known: PeerUse, incarnation: int, customer: str, news: Mapping[str, QuotaNews]
@@ -115,9 +124,10 @@
             before = known.news[customer].used
         return max(used - before, 0.0) - known.predicted.get(customer, 0.0)
 
-    def forget_daemon(self, daemon: str) -> None:
-        """Forget a daemon that is gone for good."""
-        self.peers.pop(daemon, None)
+    def forget_daemons(self, keep: Collection[str]) -> None:
+        """Forget the reports of all daemons but some."""
+        for daemon in [name for name in self.peers if name not in keep]:
+            del self.peers[daemon]
 
     def settle(self, customer: str, quota: Quota, members: int, now: float) -> Bucket:
         """Bring a bucket up to date."""
@@ -130,7 +140,7 @@
         heard = 0
         for peer in self.peers.values():
             if now - peer.heard_at <= SILENT_SECONDS:
-                heard += 1
+                heard += peer.daemons
                 rate = peer.news[customer].rate if customer in peer.news else 0.0
                 peer.predicted[customer] = peer.predicted.get(customer, 0.0) + rate * span
                 bucket.level -= rate * span
