Bound quotas by the window and by a bucket of a few seconds

Change: a request passes if the window of all daemons has room and the bucket, which holds three seconds of the rate beside the burst, has too. Measured: tests.test_quota: the wave test fails with the bucket alone; all 9 pass now.

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -82,7 +82,7 @@
         self.own = describe_self(settings, self.incarnation)
         self.members = MemberTable(self.own, self.log)
         self.pools = ConnectionPools()
-        self.quota = QuotaLedger(self.loop.time())
+        self.quota = QuotaLedger(settings.bounds.quota_window, self.loop.time())
         self.usage = UsageCounter(settings.bounds.usage_window, read_wall_time)
         self.dispatcher = Dispatcher(
             self.beliefs,
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -11,6 +11,7 @@
 SILENT_SECONDS = 2.0  # four reports missed
 LEAST_RETRY_SECONDS = 0.2
 MOST_RETRY_SECONDS = 5.0
+BURST_SECONDS = 3.0  # of the rate that may be used at once beyond the burst
 
 
 class Quota(NamedTuple):
@@ -68,25 +69,50 @@
     predicted: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass
 class Bucket:
-    """Units that a customer may use now, below zero after more was used than known."""
+    """Units that a customer may use now, and what was used in the window.
+
+    :ivar level: units, below zero after more was used than was known
+    :ivar used: (time, units) of all daemons in the window
+    """
+
+    def __init__(self, updated_at: float) -> None:
+        self.level = 0.0
+        self.updated_at = updated_at
+        self.used: deque[tuple[float, float]] = deque()
+        self.total = 0.0
+
+    def take(self, units: float, now: float) -> None:
+        """Count units that were used."""
+        self.level -= units
+        self.note_used(units, now)
+
+    def note_used(self, units: float, now: float) -> None:
+        """Count units in the window only."""
+        self.used.append((now, units))
+        self.total += units
 
-    level: float
-    updated_at: float
+    def expire(self, oldest: float) -> None:
+        """Forget what lies before the window."""
+        while self.used and self.used[0][0] < oldest:
+            self.total -= self.used.popleft()[1]
 
 
 class QuotaLedger:
-    """One token bucket for each customer, kept alike by all daemons.
+    """One token bucket and one window for each customer, kept alike by all daemons.
 
     Answers a customer that sends many times its usual through all daemons at once. Each daemon
     takes off what it lets pass and what the others use: at the rate that they reported last,
     corrected by what they report next. A member that has gone silent is taken to use its even
     share, so that daemons that cannot hear each other together stay within the quota. A bucket
-    is empty at a daemon's start, so that a quota holds over a start of all daemons too.
+    is empty at a daemon's start and holds a few seconds' units, so that a quota holds over a
+    start of all daemons too, after which no window is known.
+
+    :ivar window: seconds in which rate and burst bind together
     """
 
-    def __init__(self, started_at: float) -> None:
+    def __init__(self, window: float, started_at: float) -> None:
+        self.window = window
         self.started_at = started_at
         self.own: dict[str, CustomerUse] = {}
         self.peers: dict[str, PeerUse] = {}
@@ -111,18 +137,20 @@
         known = self.peers.get(daemon)
         if known is not None:
             for customer, bucket in self.buckets.items():
-                bucket.level -= self.count_unseen(known, incarnation, customer, news)
+                used = self.count_used(known, incarnation, customer, news)
+                bucket.level -= used - known.predicted.get(customer, 0.0)
+                bucket.note_used(used, now)
         self.peers[daemon] = PeerUse(incarnation, now, dict(news), daemons)
 
-    def count_unseen(
+    def count_used(
         self, known: PeerUse, incarnation: int, customer: str, news: Mapping[str, QuotaNews]
     ) -> float:
-        """Return the units that a daemon used beyond what was taken off for it."""
+        """Return the units that a daemon used since its last report."""
         used = news[customer].used if customer in news else 0.0
         before = 0.0
         if known.incarnation == incarnation and customer in known.news:
             before = known.news[customer].used
-        return max(used - before, 0.0) - known.predicted.get(customer, 0.0)
+        return max(used - before, 0.0)
 
     def forget_daemons(self, keep: Collection[str]) -> None:
         """Forget the reports of all daemons but some."""
@@ -133,7 +161,7 @@
         """Bring a bucket up to date."""
         bucket = self.buckets.get(customer)
         if bucket is None:
-            bucket = self.buckets[customer] = Bucket(0.0, self.started_at)
+            bucket = self.buckets[customer] = Bucket(self.started_at)
         span = now - bucket.updated_at
         bucket.updated_at = now
         bucket.level += span * quota.rate
@@ -146,9 +174,25 @@
                 bucket.level -= rate * span
         silent = max(members - 1 - heard, 0)
         bucket.level -= span * quota.rate * silent / max(members, 1)
-        bucket.level = min(bucket.level, quota.burst)
+        bucket.level = min(bucket.level, quota.burst + BURST_SECONDS * quota.rate)
+        bucket.expire(now - self.window)
         return bucket
 
+    def count_window(self, customer: str, bucket: Bucket, quota: Quota, members: int) -> float:
+        """Estimate the units that all daemons used in the window."""
+        total = bucket.total
+        heard = 0
+        for peer in self.peers.values():
+            if bucket.updated_at - peer.heard_at <= SILENT_SECONDS:
+                heard += peer.daemons
+                total += peer.predicted.get(customer, 0.0)
+        silent = max(members - 1 - heard, 0)
+        return total + self.limit_window(quota) * silent / max(members, 1)
+
+    def limit_window(self, quota: Quota) -> float:
+        """Return the units that a window may hold."""
+        return quota.rate * self.window + quota.burst
+
     def admit(
         self, customer: str, units: float, quota: Quota, members: int, now: float
     ) -> float | None:
@@ -159,10 +203,12 @@
         :param members: daemons that may use the quota, this one included
         """
         bucket = self.settle(customer, quota, members, now)
-        needed = min(units, quota.burst)
-        if bucket.level >= needed:
-            bucket.level -= units
+        needed = min(units, quota.burst + BURST_SECONDS * quota.rate)
+        used = self.count_window(customer, bucket, quota, members)
+        excess = used + needed - self.limit_window(quota)
+        if bucket.level >= needed and excess <= 0:
+            bucket.take(units, now)
             self.own.setdefault(customer, CustomerUse()).add(units, now)
             return None
-        wait = (needed - bucket.level) / quota.rate
+        wait = max(needed - bucket.level, excess) / quota.rate
         return min(max(wait, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
