Take a removed upstream as lapsed only after an outage

Change: the age is taken when the call is sent, against two heartbeats; removals count as lapses for one second after an outage. Ruled out: slow spread of the news (all nine daemons knew within 0.1 s by their logs). Measured: test_removal_after_an_ordinary_wait_is_no_lapse fails before and passes now.

--- a/tanagertrail/gateway/mirror.py
+++ b/tanagertrail/gateway/mirror.py
@@ -12,7 +12,8 @@
 from tanagertrail.platform.store import Listing, StoredObject, WatchAnswer
 
 MAX_CHANGES = 300  # changes that are kept for daemons that lag; more are sent as all objects
-OUTAGE_SECONDS = 1.5  # without a proof from any daemon, after which entries may have lapsed
+OUTAGE_SECONDS = 2.5  # two heartbeats of an upstream; a shorter outage lets no entry lapse
+AFTERMATH_SECONDS = 1.0  # after an outage in which the store still removes what has lapsed
 
 
 class Departure(enum.IntEnum):
@@ -66,6 +67,7 @@
         self.floor = 0
         self.proved_at: float | None = None
         self.lapsed = False
+        self.lapses_until = 0.0
 
     @property
     def age(self) -> float:
@@ -74,20 +76,29 @@
 
     def take_listing(self, listing: Listing, at: float) -> bool:
         """Take all objects as the store listed them."""
-        lapsed = self.revision > 0 and self.age > OUTAGE_SECONDS
+        lapsed = self.revision > 0 and self.may_have_lapsed(at)
         changed = self.replace(listing.objects, listing.revision, lapsed)
         self.prove(at)
         return changed
 
     def take_answer(self, answer: WatchAnswer, at: float) -> bool:
         """Take the changes that a watch of the store brought."""
-        gone = Departure.LAPSED if self.age > OUTAGE_SECONDS else Departure.REMOVED
+        gone = Departure.LAPSED if self.may_have_lapsed(at) else Departure.REMOVED
         for item, deleted in answer.changes:
             self.apply(item, gone if deleted else Departure.NONE, answer.revision)
         self.revision = max(self.revision, answer.revision)
         self.prove(at)
         return bool(answer.changes)
 
+    def may_have_lapsed(self, at: float) -> bool:
+        """Say whether entries that are missing may have lapsed while the store was away.
+
+        :param at: boot time in seconds at which the store was asked
+        """
+        if self.proved_at is not None and at - self.proved_at > OUTAGE_SECONDS:
+            self.lapses_until = self.boot_time() + AFTERMATH_SECONDS
+        return self.boot_time() < self.lapses_until
+
     def replace(self, objects: list[StoredObject], revision: int, lapsed: bool) -> bool:
         """Take all objects of a revision unless a newer one is known."""
         if revision < self.revision:
--- /dev/null
+++ b/tests/test_mirror.py
@@ -0,0 +1,143 @@
+"""Copies of the store's kinds, fed by the store and by other daemons."""
+
+from tanagertrail.gateway.mirror import BaseKindHandler, Departure, KindMirror
+from tanagertrail.platform.store import Listing, StoredObject, WatchAnswer
+
+
+class Recorder(BaseKindHandler):
+    """Keep what a mirror tells."""
+
+    def __init__(self):
+        self.lists = []
+        self.changes = []
+        self.proofs = []
+
+    def replace_all(self, objects, lapsed):
+        self.lists.append(({item.name for item in objects}, lapsed))
+
+    def apply_change(self, item, departure):
+        self.changes.append((item.name, departure))
+
+    def note_current(self, at):
+        self.proofs.append(at)
+
+
+class Clock:
+    """A boot clock that the test moves."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def build(clock):
+    """Return a mirror with its recorder."""
+    recorder = Recorder()
+    return KindMirror("kind", recorder, clock), recorder
+
+
+def item(name, revision, content="x"):
+    """Return a stored object."""
+    return StoredObject(name, revision, 1, content, None)
+
+
+def relay(source, target, asked_at=None):
+    """Pass news from one mirror to another."""
+    return target.take_news(source.build_news(target.revision), asked_at)
+
+
+def test_removal_after_an_ordinary_wait_is_no_lapse():
+    """DRAIN on tartan-plovdiv quiet-1: a removed upstream was kept as one that had lapsed."""
+    clock = Clock()
+    mirror, recorder = build(clock)
+    mirror.take_listing(Listing([item("a", 5)], 5), clock.now)
+    clock.now += 1.0
+    sent_at = clock.now
+    clock.now += 1.0
+    mirror.take_answer(WatchAnswer([(item("a", 5), True)], 6), sent_at)
+    assert recorder.changes == [("a", Departure.REMOVED)]
+
+
+def test_removal_after_an_outage_may_be_a_lapse():
+    clock = Clock()
+    mirror, recorder = build(clock)
+    mirror.take_listing(Listing([item("a", 5), item("b", 5)], 5), clock.now)
+    clock.now += 4.0
+    mirror.take_answer(WatchAnswer([(item("a", 5), True)], 6), clock.now)
+    clock.now += 0.5
+    mirror.take_answer(WatchAnswer([(item("b", 5), True)], 7), clock.now)
+    assert [departure for _, departure in recorder.changes] == [Departure.LAPSED] * 2
+
+
+def test_outage_for_one_daemon_alone_lets_nothing_lapse():
+    clock = Clock()
+    mirror, recorder = build(clock)
+    other, _ = build(clock)
+    for copy in (mirror, other):
+        copy.take_listing(Listing([item("a", 5)], 5), clock.now)
+    clock.now += 4.0
+    other.take_answer(WatchAnswer([], 6), clock.now)
+    relay(other, mirror, clock.now)
+    mirror.take_answer(WatchAnswer([(item("a", 5), True)], 7), clock.now)
+    assert recorder.changes == [("a", Departure.REMOVED)]
+
+
+def test_removal_with_an_old_revision_reaches_a_daemon_that_is_level():
+    clock = Clock()
+    source, _ = build(clock)
+    target, recorder = build(clock)
+    source.take_listing(Listing([item("a", 5)], 5), clock.now)
+    relay(source, target)
+    source.take_answer(WatchAnswer([], 9), clock.now)
+    relay(source, target)
+    assert target.revision == 9
+    source.take_answer(WatchAnswer([(item("a", 5), True)], 10), clock.now)
+    assert relay(source, target)
+    assert recorder.changes == [("a", Departure.REMOVED)]
+    assert not target.objects
+
+
+def test_daemon_that_lags_far_is_given_all_objects():
+    clock = Clock()
+    source, _ = build(clock)
+    target, recorder = build(clock)
+    source.take_listing(Listing([item("a", 5), item("b", 6)], 7), clock.now)
+    assert relay(source, target)
+    assert recorder.lists == [({"a", "b"}, False)]
+
+
+def test_older_news_changes_nothing():
+    clock = Clock()
+    old, _ = build(clock)
+    new, recorder = build(clock)
+    old.take_listing(Listing([item("a", 5)], 5), clock.now)
+    new.take_listing(Listing([item("a", 8, "later")], 8), clock.now)
+    relay(old, new)
+    assert new.objects["a"].content == "later"
+    assert len(recorder.lists) == 1
+
+
+def test_proof_passes_with_its_age_and_only_to_those_who_know_as_much():
+    clock = Clock()
+    source, _ = build(clock)
+    target, _ = build(clock)
+    source.take_listing(Listing([item("a", 5)], 5), clock.now)
+    news = source.build_news(0)
+    clock.now += 1.0
+    target.take_news(source.build_news(0), clock.now - 0.2)
+    assert abs(target.proved_at - (clock.now - 1.2)) < 0.002
+    behind, _ = build(clock)
+    behind.take_news(news._replace(objects=b"", since=3), clock.now)
+    assert behind.proved_at is None
+
+
+def test_pushed_news_proves_nothing():
+    clock = Clock()
+    source, _ = build(clock)
+    target, _ = build(clock)
+    source.take_listing(Listing([item("a", 5)], 5), clock.now)
+    relay(source, target, None)
+    assert target.objects
+    assert target.proved_at is None
