--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.members import MemberTable
+from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.sending import CallerGoneError, UpstreamSender
 from tanagertrail.gateway.upstream_table import UpstreamEntry
@@ -20,6 +21,7 @@
     decode_caller_fields,
 )
 from tanagertrail.policy.choice import PrefixIndex
+from tanagertrail.policy.cold_rate import ColdAllowance
 from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
 from tanagertrail.policy.repeats import RepeatBudget
 from tanagertrail.policy.token_quota import Quota, QuotaLedger
@@ -31,7 +33,6 @@
 ANSWER_MARGIN_SECONDS = 0.05
 REPEAT_SHARE = 0.5  # of the time left that a first try may use when another may follow
 FULL_FACTOR = 2.0  # requests of an upstream, against its slots, beyond which it would reject
-COLD_SAFETY = 0.8
 ROOM_FACTOR = 0.5  # requests against slots up to which a repeat would start at once
 
 
@@ -57,6 +58,7 @@
         quota: QuotaLedger,
         log: EventLog,
         rng: random.Random,
+        placement: str = "expected_cost",
     ) -> None:
         self.beliefs = beliefs
         self.members = members
@@ -65,9 +67,10 @@
         self.log = log
         self.rng = rng
         self.index = PrefixIndex(PREFIX_SECONDS)
-        self.place = PLACEMENTS.get("expected_cost")
+        self.place = PLACEMENTS.get(placement)
         self.budgets: dict[str, RepeatBudget] = {}
         self.in_flight = 0
+        self.metrics: GatewayMetrics | None = None
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
         """Answer a request."""
@@ -153,6 +156,9 @@
                 exchange, entry, self.limit_patience(exchange, entry)
             )
             exchange.tried.append(tried)
+            if self.metrics is not None:
+                labels = {"service": exchange.service, "result": tried.result.value}
+                self.metrics.tries.add(1, labels)
             if tried.result is TryResult.DELIVERED:
                 self.log_end(exchange, "answered")
                 return
@@ -186,13 +192,17 @@
 
     def has_cold_share(self, entry: UpstreamEntry, now: float) -> bool:
         """Say whether this daemon's share of a cold upstream's rate allows a request."""
-        service = self.beliefs.config.services.get(entry.record.service)
-        if service is None or service.cold_rate <= 0:
+        rate = self.find_cold_rate(entry)
+        if rate <= 0:
             return True
-        while entry.cold_starts and entry.cold_starts[0] < now - 1.0:
-            entry.cold_starts.popleft()
-        share = COLD_SAFETY * service.cold_rate / self.members.count()
-        return len(entry.cold_starts) + 1 <= max(share, 1.0)
+        if entry.cold_allowance is None:
+            entry.cold_allowance = ColdAllowance(now, self.rng.random())
+        return entry.cold_allowance.has_room(rate, self.members.count(), now)
+
+    def find_cold_rate(self, entry: UpstreamEntry) -> float:
+        """Return the requests per second that an upstream bears when cold, 0 for any number."""
+        service = self.beliefs.config.services.get(entry.record.service)
+        return service.cold_rate if service else 0.0
 
     def describe_seat(self, entry: UpstreamEntry) -> Seat:
         """Return what the placement needs to know of an upstream."""
@@ -216,9 +226,8 @@
     def note_start(self, exchange: Exchange, entry: UpstreamEntry) -> None:
         """Note that an upstream gets a request."""
         now = self.now()
-        entry.cold_starts.append(now)
-        if len(entry.cold_starts) > 200:
-            entry.cold_starts.popleft()
+        if now < entry.cold_until and entry.cold_allowance is not None:
+            entry.cold_allowance.spend()
         if exchange.fields.prompt is not None:
             parts = [part.id for part in exchange.fields.prompt.parts]
             self.index.note_stored(entry.record.id, parts, now)
@@ -304,6 +313,8 @@
 
     def send_refusal(self, stream: CallerStream, refusal: Refusal) -> None:
         """Send an answer of the gateway's own."""
+        if self.metrics is not None:
+            self.metrics.refusals.add(1, {"status": str(refusal.status)})
         headers = [(b"content-type", b"text/plain")]
         if refusal.retry_after is not None:
             headers.append((b"retry-after", f"{refusal.retry_after:.2f}".encode()))
@@ -317,6 +328,7 @@
         """Log how a request ended and what decided it."""
         now = self.now()
         first = exchange.first_byte_at
+        self.measure_end(exchange, outcome, now)
         fields = {
             "request": exchange.fields.request_id,
             "route": exchange.route.name,
@@ -337,6 +349,16 @@
         else:
             self.log.write("request", **fields)
 
+    def measure_end(self, exchange: Exchange, outcome: str, now: float) -> None:
+        """Count and time a request that has ended."""
+        if self.metrics is None:
+            return
+        labels = {"route": exchange.route.name}
+        self.metrics.requests.add(1, {**labels, "outcome": outcome})
+        self.metrics.duration.record(now - exchange.arrived, labels)
+        if exchange.first_byte_at is not None:
+            self.metrics.first_byte.record(exchange.first_byte_at - exchange.arrived, labels)
+
     def now(self) -> float:
         """Return the event-loop time in seconds."""
         return asyncio.get_running_loop().time()
--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -40,6 +40,7 @@
         usage: UsageCounter,
         daemon: str,
         log: EventLog,
+        plan: str = "reclaimable",
     ) -> None:
         self.beliefs = beliefs
         self.leadership = leadership
@@ -48,7 +49,7 @@
         self.usage = usage
         self.daemon = daemon
         self.log = log
-        self.plan = FLEET_PLANS.get("reclaimable")
+        self.plan = FLEET_PLANS.get(plan)
         self.reported: set[int] = set()
         self.demand: dict[str, deque[tuple[float, int]]] = {}
         self.ordered_at: dict[FleetOrder, float] = {}
--- a/tanagertrail/gateway/eventlog.py
+++ b/tanagertrail/gateway/eventlog.py
@@ -71,13 +71,17 @@
     """Log decisions of one daemon as JSON objects, one a line.
 
     :ivar now: clock in seconds by which routine lines are rationed
+    :ivar rate: most routine lines in a second
     """
 
-    def __init__(self, daemon: str, now: Callable[[], float]) -> None:
+    def __init__(
+        self, daemon: str, now: Callable[[], float], rate: float = ROUTINE_LINES_PER_SECOND
+    ) -> None:
         self.daemon = daemon
         self.now = now
+        self.rate = rate
         self.logger = logbook.Logger(daemon)
-        self.tokens = ROUTINE_LINES_PER_SECOND
+        self.tokens = rate
         self.refilled_at = now()
         self.left_out = 0
 
@@ -92,8 +96,8 @@
     def write_routine(self, event: str, **fields: Any) -> None:
         """Log an event of which many alike happen, within a rate."""
         now = self.now()
-        gained = (now - self.refilled_at) * ROUTINE_LINES_PER_SECOND
-        self.tokens = min(self.tokens + gained, ROUTINE_LINES_PER_SECOND)
+        gained = (now - self.refilled_at) * self.rate
+        self.tokens = min(self.tokens + gained, self.rate)
         self.refilled_at = now
         if self.tokens < 1.0:
             self.left_out += 1
--- a/tanagertrail/gateway/model.py
+++ b/tanagertrail/gateway/model.py
@@ -278,6 +278,7 @@
     :ivar front: address for callers' requests
     :ivar ready: address for readiness questions
     :ivar directory: address for callers' address questions, empty if it answers none
+    :ivar seeds: addresses of other machines, which may be stale
     :ivar internal: first and last port for traffic between daemons
     :ivar failure_domains: region of each failure domain
     :ivar duties: duties that the cloud API expects
@@ -291,6 +292,7 @@
     front: str
     ready: str
     directory: str
+    seeds: tuple[str, ...]
     internal: tuple[int, int]
     failure_domains: dict[str, str]
     store: str
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from tanagertrail.daemons.reports import OriginState, Sums
@@ -28,6 +29,7 @@
     MemberTable,
     describe_self,
 )
+from tanagertrail.gateway.metrics import GatewayMetrics, GaugeRow
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import GatewaySettings, Limits
 from tanagertrail.gateway.peers import PeerLinks, PeerServer
@@ -36,10 +38,11 @@
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.gateway.watching import KindWatch
 from tanagertrail.platform.cloud import CloudClient
-from tanagertrail.platform.pages import DirectoryPage, ReadyPage
+from tanagertrail.platform.pages import DirectoryPage, MetricsPage, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
 from tanagertrail.platform.store import StoreClient
 from tanagertrail.policy.token_quota import QuotaLedger, QuotaNews
+from tanagertrail.settings.gateway import GatewayTuning
 from tanagertrail.webserver import ServerSettings, WebServer
 
 
@@ -71,11 +74,13 @@
 class GatewayNode(StateSource):
     """The tasks of one daemon."""
 
-    def __init__(self, settings: GatewaySettings, seeds: tuple[str, ...] = ()) -> None:
+    def __init__(self, settings: GatewaySettings, tuning: GatewayTuning | None = None) -> None:
         self.settings = settings
+        self.tuning = tuning or GatewayTuning()
         self.loop = asyncio.get_running_loop()
         self.incarnation = int(read_wall_time() * 1000)
-        self.log = EventLog(settings.name, self.loop.time)
+        rate = self.tuning.log.routine_lines_per_second
+        self.log = EventLog(settings.name, self.loop.time, rate)
         self.rng = random.Random(self.incarnation)
         self.beliefs = Beliefs(settings.bounds, read_boot_time)
         self.store = StoreClient(settings.store)
@@ -91,6 +96,7 @@
             self.quota,
             self.log,
             self.rng,
+            self.tuning.policy.placement,
         )
         self.leadership = Leadership(
             self.store,
@@ -106,7 +112,7 @@
         self.gathering = Gathering(self, self.members, self.mirrors)
         self.peer_server = PeerServer(self.gathering, self.log)
         self.links = PeerLinks(
-            self.gathering, self.members, self.log, self.rng, read_boot_time, seeds
+            self.gathering, self.members, self.log, self.rng, read_boot_time, self.list_seeds()
         )
         self.leadership.may_follow = self.may_follow_lease
         self.pages: list[WebServer] = []
@@ -132,6 +138,8 @@
         if self.settings.directory:
             lifetime = min(ANSWER_LIFETIME_SECONDS, self.settings.bounds.answer_lifetime)
             self.serve_page(self.settings.directory, DirectoryPage(self.list_fronts, lifetime))
+        if self.tuning.metrics.port:
+            self.serve_metrics()
         self.watch(CONFIGURATION, ConfigHandler(self.beliefs, self.log), CONFIG_PACE)
         self.watch(UPSTREAMS, UpstreamHandler(self.beliefs, self.log), UPSTREAM_PACE)
         self.watch(EVACUATIONS, EvacuationHandler(self.beliefs, self.log), ORDER_PACE)
@@ -155,8 +163,15 @@
             self.usage,
             self.settings.name,
             self.log,
+            self.tuning.policy.fleet,
         )
 
+    def list_seeds(self) -> tuple[str, ...]:
+        """Return addresses at which other daemons may be met while none is known."""
+        port = self.settings.internal[0]
+        hosts = (seed.rpartition(":")[0] for seed in self.settings.seeds)
+        return tuple(f"{host}:{port}" for host in hosts)
+
     def serve_page(self, address: str, page: object) -> None:
         """Serve a page from threads."""
         host, _, port = address.rpartition(":")
@@ -164,6 +179,31 @@
         server.start()
         self.pages.append(server)
 
+    def serve_metrics(self) -> None:
+        """Serve the metrics."""
+        metrics = self.dispatcher.metrics = GatewayMetrics(self.list_gauges)
+        address = f"{self.settings.host}:{self.tuning.metrics.port}"
+        self.serve_page(address, MetricsPage(metrics.render))
+
+    def list_gauges(self) -> Iterator[GaugeRow]:
+        """Yield the state of the daemon; called from threads of the page."""
+        config = self.beliefs.config
+        yield GaugeRow("config_version", config.version if config else 0, {})
+        yield GaugeRow("config_age_s", min(self.beliefs.proof_age, 1e6), {})
+        yield GaugeRow("ready", float(self.ready), {})
+        yield GaugeRow("in_flight", self.dispatcher.in_flight, {})
+        yield GaugeRow("members_alive", self.members.count_alive(self.loop.time()), {})
+        yield GaugeRow("fencing", self.leadership.fencing, {})
+        yield GaugeRow("store_calls", self.store.calls, {})
+        yield GaugeRow("upstream_connections_opened", self.pools.opened, {})
+        for domain in list(self.beliefs.evacuated):
+            yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
+        for entry in list(self.beliefs.upstreams.entries.values()):
+            labels = {"upstream": entry.record.id, "service": entry.record.service}
+            yield GaugeRow("upstream_in_flight", entry.in_flight, labels)
+            yield GaugeRow("upstream_running", entry.running, labels)
+            yield GaugeRow("upstream_faults", entry.fault_share, labels)
+
     def watch(self, kind: str, handler: BaseKindHandler, pace: WatchPace) -> None:
         """Follow a kind of stored objects."""
         mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
@@ -294,11 +334,17 @@
         self.quota.note_report(hub, incarnation, news, self.loop.time(), sums.daemons)
         self.beliefs.upstreams.replace_flights(dict(sums.flights))
 
-    def take_settings(self, settings: GatewaySettings) -> None:
+    def take_settings(self, settings: GatewaySettings, cause: str) -> None:
         """Take settings that were read again; addresses change only with a new start."""
+        changed = [
+            name
+            for name, old, new in zip(settings._fields, self.settings, settings, strict=True)
+            if old != new
+        ]
         self.settings = settings
         self.beliefs.bounds = settings.bounds
-        self.log.write("reloaded", store=settings.store)
+        self.leadership.lease = settings.bounds.lease
+        self.log.write("reloaded", cause=cause, changed=changed)
 
     async def stop(self) -> None:
         """Leave, serve what still comes, and stop before the grace ends."""
--- a/tanagertrail/gateway/program.py
+++ b/tanagertrail/gateway/program.py
@@ -2,6 +2,7 @@
 
 __all__ = ["main"]
 
+import argparse
 import asyncio
 import os
 import signal
@@ -11,54 +12,103 @@
 from tanagertrail.gateway.eventlog import LineWriter
 from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.platform.settings import SETTINGS_VARIABLE, read_settings_file
+from tanagertrail.settings import read_settings
+from tanagertrail.settings.gateway import GatewayTuning
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
+SETTINGS_CHECK_SECONDS = 1.0
 SWITCH_SECONDS = 0.0005  # threads that serve pages must not hold up the event loop
 
 
-async def run(path: str) -> None:
+async def run(path: str, tuning: GatewayTuning) -> None:
     """Run a daemon until it is told to stop."""
-    node = GatewayNode(read_settings_file(path))
+    node = GatewayNode(read_settings_file(path), tuning)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(node, path))
+    loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(node, path, "signal"))
     await node.start()
+    following = asyncio.create_task(follow_settings(node, path))
     await stopping.wait()
+    following.cancel()
     await node.stop()
 
 
-def reload_settings(node: GatewayNode, path: str) -> None:
+async def follow_settings(node: GatewayNode, path: str) -> None:
+    """Read the settings again when the file changes without a signal."""
+    seen = read_stamp(path)
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK_SECONDS)
+        stamp = read_stamp(path)
+        if stamp != seen:
+            seen = stamp
+            reload_settings(node, path, "changed file")
+
+
+def read_stamp(path: str) -> tuple[int, int] | None:
+    """Return what changes when a file is written, None if it cannot be read."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
+def reload_settings(node: GatewayNode, path: str, cause: str) -> None:
     """Read the settings again; wrong ones change nothing."""
     try:
-        node.take_settings(read_settings_file(path))
+        node.take_settings(read_settings_file(path), cause)
     except SettingsError as error:
-        node.log.write("settings_refused", error=str(error)[:500])
+        node.log.write("settings_refused", cause=cause, error=str(error)[:500])
+
+
+def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser("tanagertrail-gateway", description=__doc__)
+    parser.add_argument("--settings", metavar="INI", help="settings of the gateway's own")
+    parser.add_argument(
+        "--node-file",
+        metavar="TOML",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        help=f"settings that the platform wrote (default: ${SETTINGS_VARIABLE})",
+    )
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    return parser.parse_args(arguments)
 
 
 def main() -> None:
-    """Run the gateway from the settings file that the environment names."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    if not path:
-        print(f"{SETTINGS_VARIABLE}: must name the settings file", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    sys.setswitchinterval(SWITCH_SECONDS)
-    writer = LineWriter()
-    writer.push_application()
+    """Run the gateway."""
+    arguments = parse_arguments()
     try:
-        asyncio.run(run(path))
+        tuning = GatewayTuning()
+        if arguments.settings:
+            tuning = read_settings(arguments.settings, GatewayTuning)
+        read_settings_file(arguments.node_file)
     except SettingsError as error:
         for violation in error.violations:
             print(violation, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
+    if arguments.check:
+        print("the settings are valid")
+        return
+    serve(arguments.node_file, tuning)
+
+
+def serve(path: str, tuning: GatewayTuning) -> None:
+    """Run a daemon with checked settings, and end the process."""
+    sys.setswitchinterval(SWITCH_SECONDS)
+    writer = LineWriter()
+    writer.push_application()
+    status = 0
+    try:
+        asyncio.run(run(path, tuning))
     except OSError as error:
         print(f"cannot start: {error}", file=sys.stderr)
-        sys.exit(EXIT_START)
-    finally:
-        writer.close()
-    os._exit(0)
+        status = EXIT_START
+    writer.close()
+    os._exit(status)  # threads that wait for the store must not hold up the end
 
 
 if __name__ == "__main__":
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -2,11 +2,11 @@
 
 __all__ = ["UpstreamEntry", "UpstreamTable"]
 
-from collections import deque
 from collections.abc import Collection, Iterator
 
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.platform.fields import UpstreamLoad
+from tanagertrail.policy.cold_rate import ColdAllowance
 
 FAULT_WEIGHT = 0.2  # weight of the newest request in the running share of faults
 LATENCY_WEIGHT = 0.1
@@ -22,6 +22,7 @@
     :ivar elsewhere: requests of other daemons, by daemon
     :ivar load: what it told of its load, and when
     :ivar cold_until: event-loop time in seconds until which it is cold
+    :ivar cold_allowance: this daemon's share of its rate while it is cold
     :ivar closed_until: event-loop time in seconds until which it gets no new work
     :ivar strikes: connections in a row that were refused or broke
     :ivar fault_share: running share of requests that failed
@@ -40,7 +41,7 @@
         self.fault_share = 0.0
         self.latency = 0.0
         self.gone = False
-        self.cold_starts: deque[float] = deque()
+        self.cold_allowance: ColdAllowance | None = None
 
     @property
     def running(self) -> int:
--- a/tanagertrail/operators/cli.py
+++ b/tanagertrail/operators/cli.py
@@ -11,6 +11,7 @@
 from tanagertrail.errors import InvalidInputError
 from tanagertrail.operators import actions
 from tanagertrail.operators.client import OperatorError
+from tanagertrail.operators.explain import LogLine, explain_request, format_line, merge_logs
 from tanagertrail.timeline.merge import format_event
 
 EXIT_REFUSED = 1
@@ -120,6 +121,22 @@
         for name, view in status["daemons"].items():
             print(f"daemon {name}: {view['state']} in {view['failure_domain']}")
 
+    def explain(self, request: str, *files: str) -> None:
+        """Show what decided the outcome of REQUEST, by the gateways' logs in FILES."""
+        found = explain_request(str(request), merge_logs(str(file) for file in files))
+        if not found.own:
+            print(f"no line names request {request}", file=sys.stderr)
+            sys.exit(EXIT_REFUSED)
+        print_lines("the request", found.own)
+        print_lines("its upstreams", found.upstreams)
+        print_lines("what its daemon relied on", found.dependencies)
+
+    def merge(self, *files: str, event: str = "") -> None:
+        """Show the gateways' logs in FILES in one time line, or only lines of one EVENT."""
+        for line in merge_logs(str(file) for file in files):
+            if not event or line.event == event:
+                print(format_line(line))
+
     def timeline(
         self,
         ticket: int = 0,
@@ -142,6 +159,13 @@
             print(format_event(event))
 
 
+def print_lines(title: str, lines: list[LogLine]) -> None:
+    """Print lines of a log under a title."""
+    print(f"{title}:")
+    for line in lines:
+        print(f"  {format_line(line)}")
+
+
 def print_service(name: str, service: dict) -> None:
     """Print one service of a status."""
     shares = ", ".join(f"{version} {share:.0%}" for version, share in service["shares"].items())
@@ -161,6 +185,9 @@
         for violation in error.violations:
             print(violation, file=sys.stderr)
         sys.exit(EXIT_INVALID)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID)
     except OperatorError as error:
         for line in error.errors:
             print(line, file=sys.stderr)
--- a/tanagertrail/platform/settings.py
+++ b/tanagertrail/platform/settings.py
@@ -91,6 +91,7 @@
         front=listen.read_address("front"),
         ready=listen.read_address("ready"),
         directory=listen.read_address("directory", required=False),
+        seeds=read_seeds(root),
         internal=read_ports(root),
         failure_domains=dict(root.open_table("zones").table),
         store=root.open_table("platform").read_address("address"),
@@ -106,6 +107,15 @@
     return settings
 
 
+def read_seeds(root: FieldReader) -> tuple[str, ...]:
+    """Read the addresses of other machines."""
+    seeds = root.table.get("seeds", [])
+    if not isinstance(seeds, list) or not all(isinstance(seed, str) for seed in seeds):
+        root.add_fault("seeds", "must be a list of addresses", seeds)
+        return ()
+    return tuple(seeds)
+
+
 def read_ports(root: FieldReader) -> tuple[int, int]:
     """Read the range of ports for traffic between daemons."""
     ports = root.table.get("internal_ports")
--- /dev/null
+++ b/tanagertrail/policy/cold_rate.py
@@ -0,0 +1,42 @@
+"""Each daemon's share of the rate that a cold upstream bears."""
+
+__all__ = ["ColdAllowance"]
+
+SAFETY = 0.75  # daemons disagree for moments on how many they are
+MOST_SAVED_SECONDS = 0.5
+
+
+class ColdAllowance:
+    """Requests that one daemon may send to one cold upstream.
+
+    Answers many daemons that see an upstream return at the same moment: a share below one
+    request a second is spread by a first wait that differs between daemons, since rounding each
+    share up would multiply the rate by the number of daemons.
+    """
+
+    def __init__(self, now: float, phase: float) -> None:
+        """Start with a part of a request.
+
+        :param phase: part of the first request that is saved already, in [0, 1)
+        """
+        self.saved = phase
+        self.updated_at = now
+
+    def refill(self, rate: float, daemons: int, now: float) -> None:
+        """Save what has become allowed since the last call.
+
+        :param rate: requests per second that the upstream bears from all daemons
+        """
+        share = SAFETY * rate / max(daemons, 1)
+        most = max(share * MOST_SAVED_SECONDS, 1.0)
+        self.saved = min(self.saved + share * (now - self.updated_at), most)
+        self.updated_at = now
+
+    def has_room(self, rate: float, daemons: int, now: float) -> bool:
+        """Say whether a request may be sent now."""
+        self.refill(rate, daemons, now)
+        return self.saved >= 1.0
+
+    def spend(self) -> None:
+        """Take a request that is sent."""
+        self.saved -= 1.0
--- a/tanagertrail/settings/schema.py
+++ b/tanagertrail/settings/schema.py
@@ -1,11 +1,11 @@
 """Sections and fields of the settings, with their rules."""
 
-__all__ = ["DaemonSettings", "parse_settings", "read_settings"]
+__all__ = ["DaemonSettings", "Section", "parse_settings", "read_settings"]
 
 import configparser
 import ipaddress
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 from pydantic import (
     AfterValidator,
@@ -157,9 +157,13 @@
         return self
 
 
-def read_settings(path: str) -> DaemonSettings:
+S = TypeVar("S", bound=Section)
+
+
+def read_settings(path: str, schema: type[S] = DaemonSettings) -> S:
     """Read and check a settings file.
 
+    :param schema: what the file must hold
     :raises SettingsError: naming every violation, with section, key, rule and the value seen
     """
     try:
@@ -171,10 +175,10 @@
     if len(content) > MAX_SETTINGS_BYTES:
         rule = f"must be at most {MAX_SETTINGS_BYTES} bytes"
         raise SettingsError([Violation("settings", rule, str(len(content)))])
-    return parse_settings(content.decode("utf-8", "replace"))
+    return parse_settings(content.decode("utf-8", "replace"), schema)
 
 
-def parse_settings(text: str) -> DaemonSettings:
+def parse_settings(text: str, schema: type[S] = DaemonSettings) -> S:
     """Parse and check settings.
 
     :raises SettingsError: naming every violation
@@ -187,7 +191,7 @@
         raise SettingsError([Violation("settings", "must be INI", seen)]) from error
     document = {name: dict(parser[name]) for name in parser.sections()}
     try:
-        return DaemonSettings.model_validate(document)
+        return schema.model_validate(document)
     except ValidationError as error:
         raise SettingsError(list_violations(error)) from error
 
