--- /dev/null
+++ b/tests/test_hubs.py
@@ -0,0 +1,47 @@
+"""Who exchanges with whom, at sizes up to the one that is designed for."""
+
+from tanagertrail.policy.hubs import WATCHERS, plan_topology
+
+
+def plan_all(count):
+    """Return the place of each daemon."""
+    names = [f"d{n}" for n in range(count)]
+    return {name: plan_topology(name, set(names) - {name}) for name in names}
+
+
+def test_few_daemons_all_exchange_with_all():
+    places = plan_all(9)
+    assert all(len(place.partners) == 8 and place.is_hub for place in places.values())
+
+
+def test_exchanges_of_one_daemon_grow_with_the_square_root():
+    for count in (67, 380):
+        places = plan_all(count)
+        asked = dict.fromkeys(places, 0)
+        for place in places.values():
+            for partner in place.partners:
+                asked[partner] += 1
+        assert max(asked.values()) <= 8 * count**0.5
+        assert max(len(place.partners) for place in places.values()) <= count**0.5
+
+
+def test_all_agree_on_hubs_and_watchers():
+    places = plan_all(67)
+    assert len({place.hubs for place in places.values()}) == 1
+    assert sum(place.is_watcher for place in places.values()) == WATCHERS
+    assert all(place.is_hub for place in places.values() if place.is_watcher)
+
+
+def test_lost_watcher_is_replaced():
+    places = plan_all(8)
+    lost = next(name for name, place in places.items() if place.is_watcher)
+    names = set(places) - {lost}
+    after = [plan_topology(name, names - {name}) for name in names]
+    assert sum(place.is_watcher for place in after) == WATCHERS
+
+
+def test_single_daemon_does_everything():
+    place = plan_topology("d0", ())
+    assert place.is_hub
+    assert place.is_watcher
+    assert place.partners == ()
