Test duties and several daemons; close peers' connections at a stop

Cause: test_ended_daemon_is_no_longer_named failed: a daemon that was closed still answered its peers on connections that stood. Change: the peers' connections are closed with the port.

--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -28,6 +28,7 @@
         self.gathering = gathering
         self.log = log
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listen.
@@ -39,6 +40,7 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer questions on one connection until it ends."""
         set_socket_options(writer.get_extra_info("socket"))
+        self.writers.add(writer)
         try:
             while True:
                 _, question = await read_frame(reader)
@@ -53,12 +55,15 @@
         except (FrameError, TypeError, ValueError) as error:
             self.log.write("peer_frame_refused", error=repr(error)[:200])
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and close all connections."""
         if self.server is not None:
             self.server.close()
+        for writer in self.writers:
+            writer.close()
 
 
 class PeerLink:
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,192 @@
+"""Duties of one holder: lease, usage windows, orders, before stand-ins."""
+
+import asyncio
+import random
+from collections import Counter
+from contextlib import asynccontextmanager
+
+from tanagertrail.errors import PlatformError
+from tanagertrail.gateway.beliefs import Beliefs
+from tanagertrail.gateway.duties import DutyRunner
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.leadership import Leadership
+from tanagertrail.gateway.usage import UsageCounter
+from tanagertrail.platform.cloud import CloudClient
+from tanagertrail.platform.store import StoreClient
+from tanagertrail.standins.cloud import StandInCloud
+from tanagertrail.standins.store import StandInStore, StoreMode
+from tests.gateway_utils import HOST, build_settings, find_port, real_time
+from tests.utils import raises
+
+LEASE = 3.0
+
+
+class Clock:
+    """A boot clock that the test moves."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+class Duties:
+    """A store, a cloud API and daemons that may hold the lease."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.store = StandInStore()
+        self.cloud = StandInCloud()
+        self.ports = {"store": find_port(), "cloud": find_port()}
+        self.clients = []
+
+    def build_store_client(self):
+        """Return a client of the store."""
+        client = StoreClient(f"{HOST}:{self.ports['store']}")
+        self.clients.append(client)
+        return client
+
+    def build_leadership(self, daemon):
+        """Return a daemon's leadership, which the test drives step by step."""
+        log = EventLog(daemon, self.clock)
+        store = self.build_store_client()
+        return Leadership(store, daemon, 1, LEASE, log, self.clock, random.Random(1))
+
+    def build_runner(self, daemon, counts):
+        """Return a daemon's duty runner that counted some requests in window 7."""
+        leadership = self.build_leadership(daemon)
+        usage = UsageCounter(5.0, lambda: 40.0 + 2.5)
+        usage.own[7] = Counter(counts)
+        usage.started_window = 0
+        ports = dict.fromkeys(("internal", "front", "ready", "directory"), 1) | self.ports
+        beliefs = Beliefs(build_settings(ports).bounds, self.clock)
+        cloud = CloudClient(f"{HOST}:{self.ports['cloud']}")
+        log = EventLog(daemon, self.clock)
+        runner = DutyRunner(beliefs, leadership, leadership.store, cloud, usage, daemon, log)
+        runner.started_window = 0
+        return runner
+
+
+@asynccontextmanager
+async def open_duties():
+    """Give started stand-ins and stop them."""
+    duties = Duties()
+    await duties.store.start(HOST, duties.ports["store"])
+    await duties.cloud.start(HOST, duties.ports["cloud"])
+    try:
+        yield duties
+    finally:
+        for client in duties.clients:
+            client.close()
+        duties.store.close()
+        duties.cloud.close()
+
+
+@real_time
+async def test_one_daemon_claims_and_the_next_waits_for_the_lease_to_run_out():
+    async with open_duties() as duties:
+        first, second = duties.build_leadership("a"), duties.build_leadership("b")
+        await first.follow()
+        await second.follow()
+        assert (first.fencing, second.fencing) == (1, 0)
+        duties.clock.now += LEASE
+        await second.follow()
+        assert second.fencing == 0
+        duties.clock.now += LEASE * 0.2
+        await second.follow()
+        assert second.fencing == 2
+        assert not first.may_act(0.0)
+
+
+@real_time
+async def test_holder_that_was_frozen_does_nothing_and_finds_out():
+    async with open_duties() as duties:
+        first, second = duties.build_leadership("a"), duties.build_leadership("b")
+        await first.follow()
+        await second.follow()
+        duties.clock.now += LEASE * 2
+        await second.follow()
+        assert not first.may_act(0.0)
+        await first.renew()
+        assert first.fencing == 0
+        assert second.may_act(0.5)
+
+
+@real_time
+async def test_renewal_whose_answer_is_lost_is_read_back():
+    async with open_duties() as duties:
+        first = duties.build_leadership("a")
+        await first.follow()
+        duties.store.lost_writes = 1
+        await first.renew()
+        assert first.fencing == 1
+        assert first.may_act(0.5)
+        assert first.record.renewal == 1
+
+
+@real_time
+async def test_released_lease_is_claimed_at_once():
+    async with open_duties() as duties:
+        first, second = duties.build_leadership("a"), duties.build_leadership("b")
+        await first.follow()
+        await first.release()
+        await second.follow()
+        assert second.fencing == 2
+
+
+@real_time
+async def test_store_that_is_away_ends_the_holder():
+    async with open_duties() as duties:
+        first = duties.build_leadership("a")
+        await first.follow()
+        duties.store.mode = StoreMode.BUSY
+        with raises(PlatformError):
+            await first.renew()
+        duties.clock.now += LEASE
+        assert not first.may_act(0.0)
+
+
+@real_time
+async def test_two_holders_report_one_window_with_the_same_counts():
+    async with open_duties() as duties:
+        first = duties.build_runner("a", {"guild": 5})
+        second = duties.build_runner("b", {"guild": 9, "other": 1})
+        assert await first.agree_counts(7) == {"guild": 5}
+        assert await second.agree_counts(7) == {"guild": 5}
+        assert await second.agree_counts(7 + 8) == {}
+        assert await first.agree_counts(7) is None
+
+
+@real_time
+async def test_window_is_reported_once_it_has_settled():
+    async with open_duties() as duties:
+        runner = duties.build_runner("a", {"guild": 5})
+        await runner.leadership.follow()
+        runner.usage.take("b", 1, ((7, (("guild", 2), ("other", 1))),))
+        await runner.report_windows()
+        windows = {call.document["window_id"]: call for call in duties.cloud.calls}
+        assert windows[7].document["counts"] == {"guild": 7, "other": 1}
+        assert windows[7].fencing == 1
+        assert windows[7].holder == "a"
+        count = len(duties.cloud.calls)
+        await runner.report_windows()
+        assert len(duties.cloud.calls) == count
+
+
+@real_time
+async def test_counts_of_a_daemon_that_ended_are_kept():
+    async with open_duties() as duties:
+        runner = duties.build_runner("a", {"guild": 5})
+        runner.usage.take("b", 1, ((7, (("guild", 2),)),))
+        runner.usage.take("b", 2, ((7, (("guild", 3),)),))
+        assert runner.usage.sum_window(7) == {"guild": 10}
+
+
+@real_time
+async def test_no_duty_is_done_without_the_lease():
+    async with open_duties() as duties:
+        runner = duties.build_runner("a", {"guild": 5})
+        await runner.report_windows()
+        await asyncio.sleep(0.05)
+        assert not duties.cloud.calls
--- /dev/null
+++ b/tests/test_fleet_of_gateways.py
@@ -0,0 +1,167 @@
+"""Several gateway daemons before one store: news, freshness, addresses, outages."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from tanagertrail.gateway.clock import read_boot_time
+from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.platform.store import Listing
+from tanagertrail.standins.store import StoreMode
+from tests.gateway_utils import World, build_config, build_settings, find_port, real_time
+
+
+class Fleet(World):
+    """A world with several daemons; requests go to the first."""
+
+    def __init__(self):
+        super().__init__()
+        self.nodes = []
+
+    async def add(self, name):
+        """Start another daemon."""
+        own = {key: find_port() for key in ("front", "ready", "directory", "internal")}
+        settings = build_settings(self.ports | own, name)
+        node = GatewayNode(settings)
+        await node.start()
+        self.nodes.append(node)
+        return node
+
+    async def close(self):
+        """Stop everything."""
+        for node in self.nodes:
+            node.close()
+        await super().close()
+
+
+@asynccontextmanager
+async def open_fleet(*names):
+    """Give a world with more daemons, all of which know each other."""
+    fleet = Fleet()
+    try:
+        await fleet.start(build_config())
+        fleet.nodes.append(fleet.node)
+        for name in names:
+            await fleet.add(name)
+        await fleet.await_true(
+            lambda: all(len(node.list_fronts("")) == len(fleet.nodes) for node in fleet.nodes)
+        )
+        yield fleet
+    finally:
+        await fleet.close()
+
+
+def deafen(node):
+    """Cut a daemon off from the store."""
+    node.store.pool.close()
+
+    def refuse(*arguments):
+        from tanagertrail.errors import StoreUnavailableError
+
+        raise StoreUnavailableError("cut off")
+
+    node.store.send = refuse
+
+
+@real_time
+async def test_daemon_cut_off_from_the_store_learns_from_the_others():
+    async with open_fleet("entry-2") as fleet:
+        other = fleet.nodes[1]
+        deafen(other)
+        fleet.store.put("config", "main", build_config(9))
+        await fleet.await_true(lambda: other.beliefs.config.version == 9)
+        fleet.store.remove("servers", "up-b")
+        await fleet.await_true(lambda: "up-b" not in other.beliefs.upstreams.entries)
+        await asyncio.sleep(1.5)
+        assert other.beliefs.proof_age < 3.0
+
+
+@real_time
+async def test_daemon_that_starts_while_the_store_is_away_learns_from_the_others():
+    async with open_fleet() as fleet:
+        fleet.store.mode = StoreMode.RESET
+        own = {key: find_port() for key in ("front", "ready", "directory", "internal")}
+        node = GatewayNode(build_settings(fleet.ports | own, "entry-2"))
+        node.links.seeds = (fleet.node.own.address,)
+        fleet.nodes.append(node)
+        await node.start()
+        await fleet.await_true(lambda: node.ready)
+
+
+@real_time
+async def test_ended_daemon_is_no_longer_named():
+    async with open_fleet("entry-2") as fleet:
+        gone = fleet.nodes.pop()
+        gone.close()
+        await fleet.await_true(lambda: len(fleet.node.list_fronts("")) == 1)
+
+
+@real_time
+async def test_leaving_daemon_is_not_named_and_still_serves():
+    async with open_fleet("entry-2") as fleet:
+        other = fleet.nodes[1]
+        stopping = asyncio.create_task(fleet.node.stop())
+        await fleet.await_true(lambda: other.list_fronts("") == [other.own.front])
+        assert (await fleet.ask("/look/1")).status == 200
+        await stopping
+
+
+@real_time
+async def test_keys_are_refused_when_the_configuration_may_be_old():
+    async with open_fleet() as fleet:
+        fleet.store.mode = StoreMode.SILENT
+        fleet.node.beliefs.boot_time = lambda: read_boot_time() + 30.0
+        reply = await fleet.ask("/look/1")
+        assert reply.status == 503
+        assert float(reply.headers[b"retry-after"]) > 0
+        assert all(not upstream.arrivals for upstream in fleet.upstreams)
+
+
+@real_time
+async def test_unknown_route_is_not_denied_while_the_configuration_may_be_old():
+    async with open_fleet() as fleet:
+        fleet.store.mode = StoreMode.SILENT
+        fleet.node.beliefs.boot_time = lambda: read_boot_time() + 30.0
+        assert (await fleet.ask("/none/1")).status == 503
+
+
+@real_time
+async def test_taken_away_key_is_refused():
+    async with open_fleet("entry-2") as fleet:
+        tenants = [{"name": "guild", "api_keys": ["another"]}]
+        fleet.store.put("config", "main", build_config(4, tenants=tenants))
+        await fleet.await_true(lambda: fleet.node.beliefs.config.version == 4)
+        assert (await fleet.ask("/look/1")).status == 401
+
+
+@real_time
+async def test_requests_are_served_through_an_outage_of_the_store():
+    async with open_fleet() as fleet:
+        fleet.store.mode = StoreMode.BUSY
+        replies = [await fleet.ask("/look/1") for _ in range(5)]
+        assert {reply.status for reply in replies} == {200}
+
+
+@real_time
+async def test_history_that_is_gone_is_listed_anew():
+    async with open_fleet() as fleet:
+        mirror = fleet.node.mirrors["servers"]
+        fleet.store.remove("servers", "up-b")
+        fleet.store.forget_history()
+        await fleet.await_true(lambda: "up-b" not in mirror.objects)
+        fleet.register("up-b")
+        await fleet.await_true(lambda: "up-b" in fleet.node.beliefs.upstreams.entries)
+
+
+@real_time
+async def test_upstreams_that_lapsed_in_an_outage_may_return():
+    async with open_fleet() as fleet:
+        mirror = fleet.node.mirrors["servers"]
+        kept = [item for item in mirror.objects.values() if item.name == "up-a"]
+        mirror.proved_at -= 20.0
+        mirror.take_listing(Listing(kept, mirror.revision + 1), read_boot_time())
+        assert "up-b" in fleet.node.beliefs.upstreams.entries
+        fleet.store.revision += 10
+        fleet.register("up-b")
+        await fleet.await_true(lambda: "up-b" in mirror.objects)
+        await asyncio.sleep(2.5)
+        assert "up-b" in fleet.node.beliefs.upstreams.entries
