Log what decided a refusal by quota

Cause: a line on a refusal named neither customer nor the use that was believed. Change: the refusal carries units, level, window, limit and how many daemons were heard.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from tanagertrail.gateway.beliefs import Beliefs
 from tanagertrail.gateway.eventlog import EventLog
@@ -24,7 +24,7 @@
 from tanagertrail.policy.cold_rate import ColdAllowance
 from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
 from tanagertrail.policy.repeats import RepeatBudget
-from tanagertrail.policy.token_quota import Quota, QuotaLedger
+from tanagertrail.policy.token_quota import Quota, QuotaLedger, QuotaRefusal
 
 PREFIX_SECONDS = 20.0
 FRESH_SECONDS = 3.0  # age beyond which an unknown key or route may be one that was just added
@@ -40,11 +40,13 @@
     """An answer that the gateway gives by itself.
 
     :ivar retry_after: seconds after which the caller may come back, None for unsaid
+    :ivar inputs: what decided it, for the log
     """
 
     status: int
     reason: str
     retry_after: float | None = None
+    inputs: dict[str, Any] = {}
 
 
 class Dispatcher:
@@ -120,13 +122,14 @@
             if fresh:
                 return Refusal(401, "unknown key")
             return Refusal(503, "the keys may be old", self.spread_retry())
-        wait = self.charge_quota(customer, fields)
-        if wait is not None:
-            return Refusal(429, "over the quota", wait)
+        over = self.charge_quota(customer, fields)
+        if over is not None:
+            inputs = {"customer": customer.name, **over._asdict()}
+            return Refusal(429, "over the quota", over.retry_after, inputs)
         return route, customer
 
-    def charge_quota(self, customer: Customer, fields: CallerFields) -> float | None:
-        """Count a request against its customer's quota, or return when to come back."""
+    def charge_quota(self, customer: Customer, fields: CallerFields) -> QuotaRefusal | None:
+        """Count a request against its customer's quota, or say why it is over it."""
         if customer.rate <= 0:
             return None
         units = 1.0
@@ -308,6 +311,7 @@
             retry_s=refusal.retry_after,
             config=self.beliefs.config.version if self.beliefs.config else 0,
             config_age_s=round(min(self.beliefs.proof_age, 1e6), 2),
+            **refusal.inputs,
         )
         self.send_refusal(stream, refusal)
 
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -1,6 +1,6 @@
 """Quotas of customers over all daemons, in tokens or requests."""
 
-__all__ = ["Quota", "QuotaLedger", "QuotaNews"]
+__all__ = ["Quota", "QuotaLedger", "QuotaNews", "QuotaRefusal"]
 
 from collections import deque
 from collections.abc import Collection, Mapping
@@ -36,6 +36,25 @@
     rate: float
 
 
+class QuotaRefusal(NamedTuple):
+    """Why units may not pass now.
+
+    :ivar retry_after: seconds after which they may be asked for again
+    :ivar units: units that were asked for
+    :ivar level: units in the bucket
+    :ivar used: units that all daemons used in the window
+    :ivar limit: units that the window may hold
+    :ivar heard: daemons whose use is known, this one left out
+    """
+
+    retry_after: float
+    units: float
+    level: float
+    used: float
+    limit: float
+    heard: int
+
+
 class CustomerUse:
     """Units that this daemon let pass for one customer."""
 
@@ -165,14 +184,12 @@
         span = now - bucket.updated_at
         bucket.updated_at = now
         bucket.level += span * quota.rate
-        heard = 0
         for peer in self.peers.values():
             if now - peer.heard_at <= SILENT_SECONDS:
-                heard += peer.daemons
                 rate = peer.news[customer].rate if customer in peer.news else 0.0
                 peer.predicted[customer] = peer.predicted.get(customer, 0.0) + rate * span
                 bucket.level -= rate * span
-        silent = max(members - 1 - heard, 0)
+        silent = max(members - 1 - self.count_heard(now), 0)
         bucket.level -= span * quota.rate * silent / max(members, 1)
         bucket.level = min(bucket.level, quota.burst + BURST_SECONDS * quota.rate)
         bucket.expire(now - self.window)
@@ -181,12 +198,10 @@
     def count_window(self, customer: str, bucket: Bucket, quota: Quota, members: int) -> float:
         """Estimate the units that all daemons used in the window."""
         total = bucket.total
-        heard = 0
         for peer in self.peers.values():
             if bucket.updated_at - peer.heard_at <= SILENT_SECONDS:
-                heard += peer.daemons
                 total += peer.predicted.get(customer, 0.0)
-        silent = max(members - 1 - heard, 0)
+        silent = max(members - 1 - self.count_heard(bucket.updated_at), 0)
         return total + self.limit_window(quota) * silent / max(members, 1)
 
     def limit_window(self, quota: Quota) -> float:
@@ -195,8 +210,8 @@
 
     def admit(
         self, customer: str, units: float, quota: Quota, members: int, now: float
-    ) -> float | None:
-        """Let units pass, or return the seconds after which they may be asked for again.
+    ) -> QuotaRefusal | None:
+        """Let units pass, or say why not.
 
         A request larger than the burst passes when the bucket is full.
 
@@ -211,4 +226,17 @@
             self.own.setdefault(customer, CustomerUse()).add(units, now)
             return None
         wait = max(needed - bucket.level, excess) / quota.rate
-        return min(max(wait, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
+        return QuotaRefusal(
+            min(max(wait, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS),
+            units,
+            bucket.level,
+            used,
+            self.limit_window(quota),
+            self.count_heard(now),
+        )
+
+    def count_heard(self, now: float) -> int:
+        """Count the other daemons whose use is known."""
+        return sum(
+            peer.daemons for peer in self.peers.values() if now - peer.heard_at <= SILENT_SECONDS
+        )
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -98,10 +98,10 @@
 def test_large_request_passes_when_the_bucket_is_full():
     ledger = QuotaLedger(WINDOW, 0.0)
     assert ledger.admit("c", 5000.0, QUOTA, 1, 6.0) is None
-    assert ledger.admit("c", 1000.0, QUOTA, 1, 6.1) > 1.0
+    assert ledger.admit("c", 1000.0, QUOTA, 1, 6.1).retry_after > 1.0
 
 
 def test_refusal_says_when_the_bucket_is_filled():
     ledger = QuotaLedger(WINDOW, 0.0)
     assert ledger.admit("c", 2000.0, QUOTA, 1, 2.0) is None
-    assert ledger.admit("c", 500.0, QUOTA, 1, 2.0) == 0.5
+    assert ledger.admit("c", 500.0, QUOTA, 1, 2.0).retry_after == 0.5
