Move services to new versions by evidence, pass on what came during a freeze

Change: counted exposure within the bounds, evidence summed over daemons, the holder of the lease reports running, completed or rolled back; a pause counts only if nothing has arrived.

--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -19,6 +19,7 @@
     :ivar flights: (upstream, requests of this daemon that are there)
     :ivar quota: (customer, units used since the start, units per second now)
     :ivar usage: (window, ((customer, requests begun), ...))
+    :ivar trials: (service, order, counts of new, bad new, old, bad old answers)
     :ivar age_ms: time since it was said
     """
 
@@ -33,6 +34,7 @@
     flights: tuple
     quota: tuple
     usage: tuple
+    trials: tuple
     age_ms: int
 
 
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -14,12 +14,14 @@
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.sending import CallerGoneError, UpstreamSender
+from tanagertrail.gateway.trials import TrialBook
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.fields import (
     CallerFields,
     build_answer_headers,
     decode_caller_fields,
 )
+from tanagertrail.policy.canary import VersionUse
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.cold_rate import ColdAllowance
 from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
@@ -72,6 +74,7 @@
         self.place = PLACEMENTS.get(placement)
         self.budgets: dict[str, RepeatBudget] = {}
         self.in_flight = 0
+        self.trials = TrialBook(beliefs)
         self.metrics: GatewayMetrics | None = None
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -93,6 +96,7 @@
         exchange = Exchange(request, stream, fields, route, customer)
         exchange.service = self.pick_service(route)
         self.find_budget(exchange.service).note_request(self.now())
+        self.trials.note_request(exchange.service)
         try:
             await self.try_upstreams(exchange)
         except (CallerGoneError, asyncio.CancelledError) as error:
@@ -159,6 +163,7 @@
                 exchange, entry, self.limit_patience(exchange, entry)
             )
             exchange.tried.append(tried)
+            self.trials.note_result(exchange, entry.record.version, tried)
             if self.metrics is not None:
                 labels = {"service": exchange.service, "result": tried.result.value}
                 self.metrics.tries.add(1, labels)
@@ -180,10 +185,25 @@
         }
         if not entries:
             return None
+        entries = self.prefer_trial(exchange, entries)
         seats = [self.describe_seat(entry) for entry in entries.values()]
         seat = self.place(self.describe_visit(exchange, now), seats, self.index)
         return entries[seat.upstream]
 
+    def prefer_trial(
+        self, exchange: Exchange, entries: dict[str, UpstreamEntry]
+    ) -> dict[str, UpstreamEntry]:
+        """Return the upstreams of a version on trial while its budget has room."""
+        if exchange.tried or exchange.service not in self.beliefs.rollouts:
+            return entries
+        trial = {
+            name: entry
+            for name, entry in entries.items()
+            if self.trials.judge_version(exchange.service, entry.record.version)
+            is VersionUse.BUDGETED
+        }
+        return trial or entries
+
     def may_use(self, entry: UpstreamEntry, now: float) -> bool:
         """Say whether an upstream may get new work now."""
         record = entry.record
@@ -191,6 +211,13 @@
             return False
         if entry.running >= record.slots * FULL_FACTOR:
             return False
+        use = self.trials.judge_version(record.service, record.version)
+        if use is VersionUse.FORBIDDEN:
+            return False
+        if use is VersionUse.BUDGETED and not self.trials.may_expose(
+            record.service, self.members.count()
+        ):
+            return False
         return now >= entry.cold_until or self.has_cold_share(entry, now)
 
     def has_cold_share(self, entry: UpstreamEntry, now: float) -> bool:
@@ -229,6 +256,7 @@
     def note_start(self, exchange: Exchange, entry: UpstreamEntry) -> None:
         """Note that an upstream gets a request."""
         now = self.now()
+        self.trials.note_sent(exchange.service, entry.record.version)
         if now < entry.cold_until and entry.cold_allowance is not None:
             entry.cold_allowance.spend()
         if exchange.fields.prompt is not None:
--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.beliefs import Beliefs
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.leadership import Leadership
-from tanagertrail.gateway.model import Service
+from tanagertrail.gateway.model import RolloutOrder, Service
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import (
     LONGEST_CALL_SECONDS,
@@ -17,7 +18,9 @@
     CloudReply,
     FleetOrder,
 )
+from tanagertrail.platform.records import ROLLOUTS, encode_rollout_report
 from tanagertrail.platform.store import StoreClient
+from tanagertrail.policy.canary import MoveState, TrialCounts, decide_move
 from tanagertrail.policy.fleet import FLEET_PLANS, FleetView
 
 USAGE_KIND = "tanagertrail-usage"
@@ -41,6 +44,7 @@
         daemon: str,
         log: EventLog,
         plan: str = "reclaimable",
+        count_trial: Callable[[str, int], TrialCounts] = lambda service, order: TrialCounts(),
     ) -> None:
         self.beliefs = beliefs
         self.leadership = leadership
@@ -49,6 +53,8 @@
         self.usage = usage
         self.daemon = daemon
         self.log = log
+        self.count_trial = count_trial
+        self.moves_seen: dict[tuple[str, int], float] = {}
         self.plan = FLEET_PLANS.get(plan)
         self.reported: set[int] = set()
         self.demand: dict[str, deque[tuple[float, int]]] = {}
@@ -63,6 +69,7 @@
             if not self.leadership.may_act(LONGEST_CALL_SECONDS):
                 continue
             try:
+                await self.report_moves()
                 await self.order_fleets()
                 await self.report_windows()
             except PlatformError as error:
@@ -80,6 +87,34 @@
             while history[0][0] < now - DEMAND_SECONDS:
                 history.popleft()
 
+    async def report_moves(self) -> None:
+        """Report the moves of services whose state has changed."""
+        now = asyncio.get_running_loop().time()
+        for order in list(self.beliefs.rollouts.values()):
+            seen_at = self.moves_seen.setdefault((order.service, order.order_id), now)
+            state = order.state if order.reported_version == order.version else ""
+            if state in (MoveState.COMPLETED, MoveState.ROLLED_BACK):
+                continue
+            counts = self.count_trial(order.service, order.order_id)
+            decided = decide_move(counts, now - seen_at, order.seconds)
+            if decided != state:
+                await self.report_move(order, decided, counts)
+
+    async def report_move(self, order: RolloutOrder, state: MoveState, counts: TrialCounts) -> None:
+        """Store the state of a move.
+
+        :raises PlatformError: if the order has changed or the store is away
+        """
+        report = encode_rollout_report(order.version, state)
+        await self.store.set_report(ROLLOUTS, order.service, report, order.revision)
+        self.log.write(
+            "rollout_report",
+            service=order.service,
+            version=order.version,
+            state=state,
+            **counts._asdict(),
+        )
+
     async def report_windows(self) -> None:
         """Report the windows that have settled and are not yet due for too long."""
         wall = self.usage.wall_time()
--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -112,7 +112,7 @@
             if name == leave_out or age > STATE_SECONDS:
                 continue
             if liveness_only:
-                bare = known.state._replace(flights=(), quota=(), usage=())
+                bare = known.state._replace(flights=(), quota=(), usage=(), trials=())
                 rows.append(tuple(bare._replace(age_ms=int(age * 1000))))
             elif known.direct:
                 rows.append(tuple(known.state._replace(age_ms=int(age * 1000))))
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -3,6 +3,7 @@
 __all__ = ["GatewayNode"]
 
 import asyncio
+import itertools
 import random
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -41,6 +42,7 @@
 from tanagertrail.platform.pages import DirectoryPage, MetricsPage, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
 from tanagertrail.platform.store import StoreClient
+from tanagertrail.policy.canary import TrialCounts
 from tanagertrail.policy.token_quota import QuotaLedger, QuotaNews
 from tanagertrail.settings.gateway import GatewayTuning
 from tanagertrail.webserver import ServerSettings, WebServer
@@ -164,8 +166,19 @@
             self.settings.name,
             self.log,
             self.tuning.policy.fleet,
+            self.count_trial,
         )
 
+    def count_trial(self, service: str, order_id: int) -> TrialCounts:
+        """Return what all daemons saw of a move."""
+        total = TrialCounts()
+        own = self.dispatcher.trials.encode()
+        states = [known.state.trials for known in self.gathering.states.values()]
+        for name, order, counts in itertools.chain(own, *states):
+            if (name, order) == (service, order_id):
+                total = total.add(TrialCounts(*counts))
+        return total
+
     def list_seeds(self) -> tuple[str, ...]:
         """Return addresses at which other daemons may be met while none is known."""
         port = self.settings.internal[0]
@@ -312,6 +325,7 @@
             flights,
             quota,
             self.usage.encode(),
+            self.dispatcher.trials.encode(),
             0,
         )
 
--- a/tanagertrail/gateway/sending.py
+++ b/tanagertrail/gateway/sending.py
@@ -177,8 +177,14 @@
         first = True
         while True:
             limit = exchange.left if first else min(gap, exchange.left)
-            async with asyncio.timeout(max(limit, 0.0)):
-                part = await stream.read_part()
+            try:
+                async with asyncio.timeout(max(limit, 0.0)):
+                    part = await stream.read_part()
+            except TimeoutError:
+                # Bytes that came while the process stood still are passed on, not given up.
+                if stream.channel.buffer and exchange.left > 0:
+                    continue
+                raise
             if part is None:
                 break
             whole = splitter.feed(part)
--- /dev/null
+++ b/tests/test_canary.py
@@ -0,0 +1,43 @@
+"""Moves to a new version: bounded exposure, judgement by counts, end in time."""
+
+from tanagertrail.policy.canary import (
+    CanaryBudget,
+    MoveState,
+    TrialCounts,
+    decide_move,
+    judge_counts,
+)
+
+SHARE, EXTRA, DAEMONS = 0.1, 50.0, 8
+
+
+def test_exposure_of_all_daemons_stays_within_the_bound():
+    budgets = [CanaryBudget(SHARE, EXTRA) for _ in range(DAEMONS)]
+    for _ in range(200):
+        for budget in budgets:
+            budget.requests += 1
+            budget.exposed += budget.has_room(DAEMONS)
+    requests = sum(budget.requests for budget in budgets)
+    exposed = sum(budget.exposed for budget in budgets)
+    assert exposed <= SHARE * requests + EXTRA
+    assert exposed >= 0.5 * SHARE * requests
+
+
+def test_bad_version_is_rolled_back_before_its_fiftieth_bad_answer():
+    counts = TrialCounts(old=400, old_bad=8)
+    while not judge_counts(counts):
+        counts = counts.add(TrialCounts(new=2, new_bad=1))
+        assert counts.new_bad < 50
+    assert decide_move(counts, 1.0, 12.0) is MoveState.ROLLED_BACK
+
+
+def test_good_version_with_the_failures_of_its_route_is_completed_in_time():
+    counts = TrialCounts(new=60, new_bad=9, old=600, old_bad=84)
+    assert decide_move(counts, 5.0, 12.0) is MoveState.RUNNING
+    assert decide_move(counts, 10.6, 12.0) is MoveState.COMPLETED
+
+
+def test_few_bad_answers_decide_only_at_the_end():
+    counts = TrialCounts(new=4, new_bad=4, old=100)
+    assert decide_move(counts, 5.0, 12.0) is MoveState.RUNNING
+    assert decide_move(counts, 11.0, 12.0) is MoveState.ROLLED_BACK
--- a/tests/test_fleet_of_gateways.py
+++ b/tests/test_fleet_of_gateways.py
@@ -165,3 +165,43 @@
         await fleet.await_true(lambda: "up-b" in mirror.objects)
         await asyncio.sleep(2.5)
         assert "up-b" in fleet.node.beliefs.upstreams.entries
+
+
+async def run_move(fleet, seconds, fault):
+    """Order a move to the version of up-b and send requests until it is reported as ended."""
+    fleet.register("up-b", version="v2")
+    await fleet.await_true(
+        lambda: fleet.node.beliefs.upstreams.entries["up-b"].record.version == "v2"
+    )
+    order = {"service": "desk", "target": "v2", "duration_s": seconds}
+    fleet.store.put("rollouts", "desk", order)
+    await fleet.await_true(lambda: "desk" in fleet.node.beliefs.rollouts)
+    for _ in range(500):
+        if fault and not fleet.upstreams[1].faults:
+            fleet.upstreams[1].faults.append(fault)
+        await fleet.ask("/look/1")
+        await asyncio.sleep(0.02)
+        report = fleet.store.objects["rollouts"]["desk"]["status"]
+        if report and report["state"] != "running":
+            return report
+    raise AssertionError("the move has not ended")
+
+
+@real_time
+async def test_good_version_is_completed_and_takes_all_requests():
+    async with open_fleet() as fleet:
+        report = await run_move(fleet, 3.0, None)
+        assert report == {"state": "completed", "target": "v2"}
+        use = fleet.node.dispatcher.trials
+        await fleet.await_true(lambda: use.judge_version("desk", "v1").value == "forbidden")
+        assert (await fleet.ask("/look/1")).body == b"answer of up-b"
+
+
+@real_time
+async def test_bad_version_gets_few_requests_and_is_rolled_back():
+    async with open_fleet() as fleet:
+        report = await run_move(fleet, 10.0, "fail")
+        assert report == {"state": "rolled_back", "target": "v2"}
+        arrivals = len(fleet.upstreams[1].arrivals)
+        total = arrivals + len(fleet.upstreams[0].arrivals)
+        assert arrivals <= 0.1 * total + 50
