Shrink what hubs send, keep the lease with a hub, judge life by the way news takes

Change: packed states between hubs, bare life signs for the others, three usage windows, a longer period and a longer life where hubs relay; a daemon waits 1.5 s before it claims the lease and gives it back when it is no hub.

--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -1,10 +1,60 @@
 """What gateway daemons tell each other: their own state, news of the store, sums of others."""
 
-__all__ = ["MirrorNews", "OriginState", "PeerAnswer", "PeerQuestion", "Sums"]
-
+__all__ = [
+    "LifeSign",
+    "MirrorNews",
+    "OriginState",
+    "PeerAnswer",
+    "PeerQuestion",
+    "Sums",
+    "pack_rows",
+    "unpack_rows",
+]
+
+import zlib
+from collections.abc import Iterable
 from typing import NamedTuple
 
+import msgpack
+
 from tanagertrail.daemons.messages import MESSAGES
+from tanagertrail.errors import FrameError
+
+PACK_LEVEL = 1  # rows of states shrink to a third; higher levels cost more time than they save
+MAX_UNPACKED_BYTES = 4_000_000
+
+
+def pack_rows(rows: Iterable[tuple]) -> bytes:
+    """Pack rows of states, no bytes for none."""
+    listed = [tuple(row) for row in rows]
+    return zlib.compress(msgpack.packb(listed), PACK_LEVEL) if listed else b""
+
+
+def unpack_rows(data: bytes) -> tuple:
+    """Unpack rows.
+
+    :raises FrameError: if they are malformed or too long
+    """
+    if not data:
+        return ()
+    try:
+        decoder = zlib.decompressobj()
+        plain = decoder.decompress(data, MAX_UNPACKED_BYTES)
+        if decoder.unconsumed_tail:
+            raise FrameError(f"rows must be at most {MAX_UNPACKED_BYTES} bytes")
+        return msgpack.unpackb(plain, use_list=False)
+    except (zlib.error, ValueError, msgpack.UnpackException) as error:
+        raise FrameError(f"malformed rows: {type(error).__name__}") from error
+
+
+class LifeSign(NamedTuple):
+    """That a daemon lived, for receivers that need no more of its state."""
+
+    daemon: str
+    incarnation: int
+    serving: bool
+    leading: int
+    age_ms: int
 
 
 class OriginState(NamedTuple):
@@ -73,14 +123,14 @@
 
     :ivar hub: whether the sender gathers the states of others
     :ivar revisions: (kind, revision that it knows)
-    :ivar relayed: states of other daemons, from a hub to a hub
+    :ivar relayed: packed states of other daemons, from a hub to a hub
     :ivar news: news of the store that the receiver is taken to lack
     """
 
     state: tuple
     hub: bool
     revisions: tuple
-    relayed: tuple
+    relayed: bytes
     news: tuple
 
 
@@ -89,13 +139,15 @@
     """The answer to a question.
 
     :ivar revisions: (kind, revision that the sender knows)
-    :ivar relayed: states of other daemons if the receiver is a hub, else liveness only
+    :ivar relayed: packed states of other daemons if the receiver is a hub
+    :ivar alive: packed life signs if the receiver is no hub
     :ivar sums: :class:`Sums` without the receiver, empty if the receiver is a hub
     """
 
     state: tuple
     hub: bool
     revisions: tuple
-    relayed: tuple
+    relayed: bytes
+    alive: bytes
     news: tuple
     sums: tuple
--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -5,13 +5,22 @@
 import asyncio
 from collections import Counter
 
-from tanagertrail.daemons.reports import MirrorNews, OriginState, PeerAnswer, PeerQuestion, Sums
+from tanagertrail.daemons.reports import (
+    LifeSign,
+    MirrorNews,
+    OriginState,
+    PeerAnswer,
+    PeerQuestion,
+    Sums,
+    pack_rows,
+    unpack_rows,
+)
 from tanagertrail.gateway.members import Member, MemberTable
 from tanagertrail.gateway.mirror import KindMirror
 from tanagertrail.policy.hubs import Topology
 
 CLIENT_SECONDS = 2.0  # after its last question a daemon is no longer a client of this hub
-STATE_SECONDS = 3.0  # age beyond which a state is not passed on
+STATE_SECONDS = 4.5  # age beyond which a state is not passed on
 
 
 class StateSource:
@@ -25,6 +34,10 @@
         """Take another daemon's state."""
         raise NotImplementedError
 
+    def note_leader(self, age: float) -> None:
+        """Note that the holder of the lease lived some seconds ago."""
+        raise NotImplementedError
+
     def take_sums(self, hub: str, incarnation: int, sums: Sums) -> None:
         """Take what all other daemons do together."""
         raise NotImplementedError
@@ -99,24 +112,32 @@
         self.peer_revisions.pop(daemon, None)
         self.client_at.pop(daemon, None)
 
-    def relay_states(self, liveness_only: bool, leave_out: str) -> tuple:
-        """Return the states of others for a daemon.
+    def relay_states(self, leave_out: str) -> bytes:
+        """Return the states that this hub heard itself, for another hub.
 
-        A hub passes on what it heard itself, so that no state goes in circles; a daemon that is
-        no hub is told of all, as far as it needs to know who lives.
+        What it heard from other hubs is left out, so that no state goes in circles.
         """
         now = self.now()
-        rows = []
-        for name, known in self.states.items():
-            age = now - known.said_at
-            if name == leave_out or age > STATE_SECONDS:
-                continue
-            if liveness_only:
-                bare = known.state._replace(flights=(), quota=(), usage=(), trials=())
-                rows.append(tuple(bare._replace(age_ms=int(age * 1000))))
-            elif known.direct:
-                rows.append(tuple(known.state._replace(age_ms=int(age * 1000))))
-        return tuple(rows)
+        return pack_rows(
+            known.state._replace(age_ms=int((now - known.said_at) * 1000))
+            for name, known in self.states.items()
+            if known.direct and name != leave_out and now - known.said_at <= STATE_SECONDS
+        )
+
+    def list_alive(self, leave_out: str) -> bytes:
+        """Return life signs of all others, for a daemon that is no hub."""
+        now = self.now()
+        return pack_rows(
+            LifeSign(
+                name,
+                known.state.incarnation,
+                known.state.serving,
+                known.state.leading,
+                int((now - known.said_at) * 1000),
+            )
+            for name, known in self.states.items()
+            if name != leave_out and now - known.said_at <= STATE_SECONDS
+        )
 
     def sum_others(self, receiver: str) -> Sums:
         """Return what all daemons but the receiver do together, this one included."""
@@ -150,9 +171,9 @@
         known = self.peer_revisions.get(receiver, {})
         news = tuple(item for item in self.build_news(known) if item[-1]) if known else ()
         to_hub = receiver in self.topology.hubs
-        relayed = ()
+        relayed = b""
         if self.topology.is_hub and to_hub:
-            relayed = self.relay_states(liveness_only=False, leave_out=receiver)
+            relayed = self.relay_states(leave_out=receiver)
         state = tuple(self.source.describe_state())
         return PeerQuestion(state, self.topology.is_hub, self.list_revisions(), relayed, news)
 
@@ -165,13 +186,14 @@
         self.peer_revisions[asker.daemon] = dict(question.revisions)
         if self.take_news(question.news, None):
             self.source.note_news()
-        sums = () if question.hub else tuple(self.sum_others(asker.daemon))
-        relayed = self.relay_states(liveness_only=not question.hub, leave_out=asker.daemon)
+        to_hub = question.hub
+        sums = () if to_hub else tuple(self.sum_others(asker.daemon))
         return PeerAnswer(
             tuple(self.source.describe_state()),
             self.topology.is_hub,
             self.list_revisions(),
-            relayed,
+            self.relay_states(asker.daemon) if to_hub else b"",
+            b"" if to_hub else self.list_alive(asker.daemon),
             self.build_news(dict(question.revisions)),
             sums,
         )
@@ -184,17 +206,27 @@
         state = OriginState(*answer.state)
         self.take_state(state, direct=not answer.hub)
         self.take_relayed(answer.relayed)
+        self.take_signs(answer.alive)
         self.peer_revisions[state.daemon] = dict(answer.revisions)
         if answer.sums and state.daemon in self.topology.partners[:1]:
             self.source.take_sums(state.daemon, state.incarnation, Sums(*answer.sums))
         if self.take_news(answer.news, asked_at):
             self.source.note_news()
 
-    def take_relayed(self, rows: tuple) -> None:
-        """Take the states that a daemon passed on."""
-        for row in rows:
+    def take_relayed(self, packed: bytes) -> None:
+        """Take the states that a hub passed on."""
+        for row in unpack_rows(packed):
             self.take_state(OriginState(*row), direct=False)
 
+    def take_signs(self, packed: bytes) -> None:
+        """Take the life signs that a hub passed on."""
+        now = self.now()
+        for row in unpack_rows(packed):
+            sign = LifeSign(*row)
+            self.members.take_sign(sign, now)
+            if sign.leading:
+                self.source.note_leader(sign.age_ms / 1000)
+
     def take_news(self, rows: tuple, asked_at: float | None) -> bool:
         """Take news of the store and return whether it changed anything."""
         changed = False
--- a/tanagertrail/gateway/leadership.py
+++ b/tanagertrail/gateway/leadership.py
@@ -38,6 +38,7 @@
     :ivar holder: this daemon with its incarnation
     :ivar fencing: fencing number while this daemon holds the lease, else 0
     :ivar may_follow: whether this daemon may look at the lease to claim it
+    :ivar may_hold: whether this daemon knows enough to do the duties
     :ivar renewed_at: boot time in seconds just before the last renewal that succeeded was sent
     """
 
@@ -62,6 +63,7 @@
         self.revision = 0
         self.renewed_at = 0.0
         self.may_follow: Callable[[], bool] = lambda: True
+        self.may_hold: Callable[[], bool] = lambda: True
         self.stopping = False
 
     @property
@@ -80,7 +82,9 @@
         while True:
             try:
                 pause = FOLLOW_SECONDS
-                if self.record is not None:
+                if self.record is not None and not self.may_hold():
+                    await self.give_back()
+                elif self.record is not None:
                     await self.renew()
                     pause = self.lease * RENEW_SHARE
                 elif self.may_follow():
@@ -162,6 +166,10 @@
     async def release(self) -> None:
         """Give the lease back so that another daemon need not wait for its end."""
         self.stopping = True
+        await self.give_back()
+
+    async def give_back(self) -> None:
+        """Store that the lease is free."""
         if self.record is None:
             return
         record, self.record = self.record._replace(released=True), None
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -5,13 +5,16 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from tanagertrail.daemons.reports import LifeSign
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.mirror import BaseKindHandler, Departure
 from tanagertrail.gateway.model import GatewaySettings
 from tanagertrail.platform.store import StoredObject
+from tanagertrail.policy.hubs import ALL_HUBS
 
 MEMBERS_KIND = "tanagertrail-daemons"
-ALIVE_SECONDS = 2.5  # five reports missed
+ALIVE_SECONDS = 2.5  # five states missed where each daemon hears each
+RELAYED_ALIVE_SECONDS = 4.5  # where states pass two hubs
 FORGET_SECONDS = 20.0
 
 
@@ -73,9 +76,9 @@
     def note_unreachable(self, daemon: str, now: float) -> None:
         """Take a member whose process no longer listens as not living."""
         state = self.states.get(daemon)
-        if state is not None and now - state.heard_at < ALIVE_SECONDS:
+        if state is not None and now - state.heard_at < self.alive_seconds:
             self.log.write("member_lost", member=daemon, silent_s=round(now - state.heard_at, 2))
-            state.heard_at = now - ALIVE_SECONDS
+            state.heard_at = now - self.alive_seconds
 
     def forget_silent(self, now: float) -> list[str]:
         """Forget the members that have been silent for long, and return them."""
@@ -85,9 +88,21 @@
             self.log.write("member_forgotten", member=name)
         return silent
 
+    @property
+    def alive_seconds(self) -> float:
+        """Return the seconds of silence after which a member no longer counts as living."""
+        return ALIVE_SECONDS if len(self.states) < ALL_HUBS else RELAYED_ALIVE_SECONDS
+
     def iter_alive(self, now: float) -> list[MemberState]:
         """Return the members that live."""
-        return [s for s in self.states.values() if now - s.heard_at < ALIVE_SECONDS]
+        limit = self.alive_seconds
+        return [state for state in self.states.values() if now - state.heard_at < limit]
+
+    def take_sign(self, sign: LifeSign, now: float) -> None:
+        """Take a sign of life of a member whose address is known."""
+        state = self.states.get(sign.daemon)
+        if state is not None and state.member.incarnation == sign.incarnation:
+            self.learn(state.member, now - sign.age_ms / 1000, sign.serving)
 
     def list_fronts(self, now: float) -> list[Member]:
         """Return the members that take callers' requests."""
@@ -137,4 +152,4 @@
         except TypeError as error:
             self.table.log.write("member_refused", member=item.name, error=str(error))
             return
-        self.table.learn(member, self.now() - ALIVE_SECONDS, False)
+        self.table.learn(member, self.now() - self.table.alive_seconds, False)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -68,9 +68,10 @@
 LEAVE_QUIET_SECONDS = 3.5  # callers keep an address answer three times its lifetime
 STOP_MARGIN_SECONDS = 0.6
 PAGE_THREADS = 4
-LEADER_SILENT_SECONDS = 1.5  # three states missed
+LEADER_SILENT_SECONDS = 2.0  # of a lease of 3 s, which is waited for before a claim
 LEADER_LOST_SECONDS = 6.0  # after which others than the first candidates claim the lease
 LEASE_CANDIDATES = 3
+SETTLE_SECONDS = 1.5  # until a new daemon knows whether it is a hub, which gathers the usage
 
 
 class GatewayNode(StateSource):
@@ -117,6 +118,8 @@
             self.gathering, self.members, self.log, self.rng, read_boot_time, self.list_seeds()
         )
         self.leadership.may_follow = self.may_follow_lease
+        self.leadership.may_hold = lambda: self.gathering.topology.is_hub
+        self.started_at = self.loop.time()
         self.pages: list[WebServer] = []
         self.tasks: list[asyncio.Task] = []
         self.counter = 0
@@ -296,6 +299,8 @@
         silent = self.loop.time() - self.leader_heard_at
         if not topology.is_hub or silent < LEADER_SILENT_SECONDS:
             return False
+        if self.loop.time() - self.started_at < SETTLE_SECONDS:
+            return False
         return topology.rank < LEASE_CANDIDATES or silent > LEADER_LOST_SECONDS
 
     def note_news(self) -> None:
@@ -333,7 +338,7 @@
         """Take another daemon's state; one that is no hub is told sums besides."""
         now = self.loop.time()
         if state.leading:
-            self.leader_heard_at = max(self.leader_heard_at, now - state.age_ms / 1000)
+            self.note_leader(state.age_ms / 1000)
         self.usage.take(state.daemon, state.incarnation, state.usage)
         if self.gathering.topology.is_hub:
             self.quota.forget_daemons(self.gathering.states)
@@ -341,6 +346,10 @@
             self.quota.note_report(state.daemon, state.incarnation, news, now)
             self.beliefs.upstreams.note_flights(state.daemon, dict(state.flights))
 
+    def note_leader(self, age: float) -> None:
+        """Note that the holder of the lease lived some seconds ago."""
+        self.leader_heard_at = max(self.leader_heard_at, self.loop.time() - age)
+
     def take_sums(self, hub: str, incarnation: int, sums: Sums) -> None:
         """Take what all other daemons do together."""
         self.quota.forget_daemons((hub,))
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -12,10 +12,11 @@
 from tanagertrail.gateway.clock import BootClock
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.gathering import Gathering
-from tanagertrail.gateway.members import ALIVE_SECONDS, MemberTable
+from tanagertrail.gateway.members import MemberTable
 from tanagertrail.policy.hubs import plan_topology
 
 PERIOD_SECONDS = 0.5
+RELAYED_PERIOD_SECONDS = 0.8  # where hubs relay states, over links of a few Mbit/s
 EXCHANGE_SECONDS = 0.5
 PUSH_SECONDS = 0.02  # news that comes within this span goes out together
 STRANGERS = 2  # known but silent members that are tried in each period
@@ -129,7 +130,9 @@
         """Exchange until cancelled."""
         while True:
             self.start_period()
-            await asyncio.sleep(PERIOD_SECONDS * self.rng.uniform(0.9, 1.1))
+            direct = len(self.gathering.topology.hubs) > len(self.members.states)
+            period = PERIOD_SECONDS if direct else RELAYED_PERIOD_SECONDS
+            await asyncio.sleep(period * self.rng.uniform(0.9, 1.1))
 
     def start_period(self) -> None:
         """Start the exchanges of a period."""
@@ -212,7 +215,7 @@
         """Log a failed exchange with a member that lived until now."""
         state = self.members.states.get(name)
         now = asyncio.get_running_loop().time()
-        if state is not None and now - state.heard_at < ALIVE_SECONDS:
+        if state is not None and now - state.heard_at < self.members.alive_seconds:
             self.log.write_routine("exchange_failed", member=name, error=repr(error)[:120])
 
     def close(self) -> None:
--- a/tanagertrail/gateway/usage.py
+++ b/tanagertrail/gateway/usage.py
@@ -8,6 +8,7 @@
 
 WindowCounts = dict[int, Counter[str]]
 KEPT_WINDOWS = 5
+TOLD_WINDOWS = 3  # the present one and those that are not yet reported
 
 
 class UsageCounter:
--- /dev/null
+++ b/tests/test_gathering.py
@@ -0,0 +1,137 @@
+"""States, sums and news of the store between hubs and other daemons."""
+
+import asyncio
+
+from tanagertrail.daemons.reports import OriginState, pack_rows, unpack_rows
+from tanagertrail.errors import FrameError
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.gathering import Gathering, StateSource
+from tanagertrail.gateway.members import Member, MemberTable
+from tanagertrail.policy.hubs import plan_topology
+from tests.gateway_utils import real_time
+from tests.utils import raises
+
+NAMES = [f"d{n}" for n in range(20)]
+
+
+class Daemon(StateSource):
+    """A daemon without sockets that keeps what it is told."""
+
+    def __init__(self, name):
+        self.name = name
+        self.counter = 0
+        self.used = 0.0
+        self.flights = 0
+        self.usage = {}
+        self.sums = None
+        self.leader_age = None
+        own = Member(name, 1, f"{name}:1", f"{name}:2", "north")
+        log = EventLog(name, asyncio.get_running_loop().time)
+        self.members = MemberTable(own, log)
+        for other in NAMES:
+            self.members.learn(Member(other, 1, f"{other}:1", f"{other}:2", "north"), 0.0, False)
+        self.gathering = Gathering(self, self.members, {})
+        self.gathering.topology = plan_topology(name, [n for n in NAMES if n != name])
+
+    def describe_state(self):
+        self.counter += 1
+        own = self.members.own
+        return OriginState(
+            own.daemon,
+            own.incarnation,
+            self.counter,
+            own.address,
+            own.front,
+            own.failure_domain,
+            True,
+            0,
+            (("up", self.flights),),
+            (("guild", self.used, 0.0),),
+            ((7, (("guild", self.flights),)),),
+            (),
+            0,
+        )
+
+    def take_state(self, state):
+        self.usage[state.daemon] = dict(dict(state.usage).get(7, ())).get("guild", 0)
+
+    def take_sums(self, hub, incarnation, sums):
+        self.sums = sums
+
+    def note_leader(self, age):
+        self.leader_age = age
+
+    def note_news(self):
+        pass
+
+
+def run_period(daemons):
+    """Let each daemon exchange with its partners once."""
+    for daemon in daemons.values():
+        for partner in daemon.gathering.topology.partners:
+            question = daemon.gathering.build_question(partner)
+            answer = daemons[partner].gathering.answer(question)
+            daemon.gathering.take_answer(answer, 0.0)
+
+
+def build_daemons():
+    """Return daemons, each with three requests in flight and ten units used."""
+    daemons = {name: Daemon(name) for name in NAMES}
+    for daemon in daemons.values():
+        daemon.flights, daemon.used = 3, 10.0
+    return daemons
+
+
+@real_time
+async def test_hubs_know_all_states_and_the_others_the_sums():
+    daemons = build_daemons()
+    for _ in range(3):
+        run_period(daemons)
+    hubs = [daemon for daemon in daemons.values() if daemon.gathering.topology.is_hub]
+    others = [daemon for daemon in daemons.values() if not daemon.gathering.topology.is_hub]
+    assert len(hubs) == 4
+    for hub in hubs:
+        assert sum(hub.usage.values()) == 3 * (len(NAMES) - 1)
+    for daemon in others:
+        assert daemon.sums.daemons == len(NAMES) - 1
+        assert dict(daemon.sums.flights) == {"up": 3 * (len(NAMES) - 1)}
+        assert daemon.sums.quota[0][1] == 10.0 * (len(NAMES) - 1)
+
+
+@real_time
+async def test_all_know_who_lives():
+    daemons = build_daemons()
+    for _ in range(3):
+        run_period(daemons)
+    now = asyncio.get_running_loop().time()
+    for daemon in daemons.values():
+        assert len(daemon.members.list_fronts(now)) == len(NAMES) - 1
+
+
+@real_time
+async def test_units_of_a_daemon_that_started_anew_are_not_lost():
+    daemons = build_daemons()
+    hub = next(daemon for daemon in daemons.values() if daemon.gathering.topology.is_hub)
+    state = daemons["d1"].describe_state() if hub.name != "d1" else daemons["d2"].describe_state()
+    hub.gathering.take_state(state, True)
+    again = state._replace(incarnation=2, counter=1, quota=(("guild", 4.0, 0.0),))
+    hub.gathering.take_state(again, True)
+    assert hub.gathering.quota_seen["guild"] == 14.0
+
+
+@real_time
+async def test_older_state_changes_nothing():
+    daemons = build_daemons()
+    hub = daemons["d0"]
+    new = daemons["d1"].describe_state()._replace(counter=9, flights=(("up", 1),))
+    hub.gathering.take_state(new, True)
+    hub.gathering.take_state(new._replace(counter=3, flights=(("up", 5),)), True)
+    assert hub.gathering.states["d1"].state.flights == (("up", 1),)
+
+
+def test_rows_are_packed_and_broken_ones_refused():
+    rows = (("a", 1, True), ("b", 2, False))
+    assert unpack_rows(pack_rows(rows)) == rows
+    assert pack_rows([]) == b""
+    with raises(FrameError):
+        unpack_rows(b"broken")
