--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,7 +1,10 @@
 """The path of requests through a gateway daemon, with upstreams that misbehave."""
 
 import asyncio
+import gc
+import time
 
+from tanagertrail.gateway.channel import Channel
 from tests.gateway_utils import build_config, build_route, open_world, real_time
 
 
@@ -242,3 +245,50 @@
         assert late.headers[b"connection"] == b"close"
         assert (await asking).whole
         await stopping
+
+
+@real_time
+async def test_frozen_daemon_passes_on_what_came_meanwhile():
+    """Incident inc-6a03: at its thaw a daemon gave up streams whose events had arrived."""
+    async with open_world() as world:
+        world.keep_one().work = 0.1
+        await world.await_upstreams(1)
+        asking = asyncio.create_task(
+            world.ask("/once/a/events", b"prompt", tanagertrail_deadline_ms="2000")
+        )
+        await world.await_true(lambda: world.upstreams[0].runs)
+        await asyncio.sleep(0.15)
+        await freeze_upstream_channel(world, 1.3)
+        reply = await asking
+        assert reply.whole
+
+
+def find_channels(address):
+    """Return the connections that this process has opened to an address."""
+    return [
+        item
+        for item in gc.get_objects()
+        if isinstance(item, Channel)
+        and item.transport is not None
+        and item.transport.get_extra_info("peername") == address
+    ]
+
+
+def stand_still(seconds):
+    """Block the event loop, as a frozen process would."""
+    time.sleep(seconds)
+
+
+async def freeze_upstream_channel(world, seconds):
+    """Have events arrive and the gap's limit pass before the daemon can read them.
+
+    The test's event loop serves upstream and daemon alike, so the daemon's connection to the
+    upstream is held back until the loop stands still.
+    """
+    channels = find_channels(("127.0.0.1", world.ports["up-a"]))
+    for channel in channels:
+        channel.transport.pause_reading()
+    await asyncio.sleep(seconds / 2)
+    for channel in channels:
+        channel.transport.resume_reading()
+    stand_still(seconds / 2)
