--- a/tanagertrail/gateway/channel.py
+++ b/tanagertrail/gateway/channel.py
@@ -101,7 +101,7 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
-        if not self.lost.is_set():
+        if not self.transport.is_closing():
             self.transport.write(data)
 
     async def drain(self) -> None:
