Split admission and choice of upstreams from the path of a request

Cause: dispatch and node were near 400 lines with three jobs each, core/limiting over it. Change: gateway/admission, choosing and gauges, core/demand; no change of behaviour.

--- a/tanagertrail/core/limiting.py
+++ b/tanagertrail/core/limiting.py
@@ -2,13 +2,14 @@
 
 __all__ = ["Limiter"]
 
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 import msgpack
 
 from tanagertrail.core.context import NodeContext
+from tanagertrail.core.demand import GroupDemand
 from tanagertrail.core.members import MembershipKeeper
 from tanagertrail.core.sharing import SHARED_PREFIX, SharedObjects
 from tanagertrail.daemons.messages import Allotments, ColdNotice, ObjectRow, SlotReports
@@ -24,8 +25,6 @@
 LEDGER_SHARDS = 256
 SMALL_FLEET = 16
 HOLDERS_PER_UPSTREAM = 4
-HEADROOM_SLOTS = 1
-DEMAND_MEMORY_SECONDS = 3.0
 REFRESH_SECONDS = 5.0
 URGENT_SECONDS = 0.02
 ROSTER_MARK = "roster"
@@ -39,30 +38,6 @@
     epoch: int
 
 
-class GroupDemand:
-    """Demand for slots of one service's version over the last seconds."""
-
-    def __init__(self) -> None:
-        self.in_flight = 0
-        self.waiting = 0
-        self.peaks: deque[tuple[float, int]] = deque()
-
-    def note(self, now: float) -> None:
-        """Note the demand of this moment."""
-        current = self.in_flight + self.waiting
-        while self.peaks and self.peaks[-1][1] <= current:
-            self.peaks.pop()
-        self.peaks.append((now, current))
-
-    def compute_need(self, now: float) -> int:
-        """Return the slots needed: the recent peak, and some headroom while there is work."""
-        self.note(now)
-        while self.peaks and self.peaks[0][0] < now - DEMAND_MEMORY_SECONDS:
-            self.peaks.popleft()
-        peak = self.peaks[0][1] if self.peaks else 0
-        return peak + HEADROOM_SLOTS if peak else 0
-
-
 Group = tuple[str, str]
 
 
--- /dev/null
+++ b/tanagertrail/gateway/admission.py
@@ -0,0 +1,97 @@
+"""Whether a request may be served: its route, its key, its customer's quota."""
+
+__all__ = ["Admission", "Refusal"]
+
+import asyncio
+import random
+from typing import Any, NamedTuple
+
+from tanagertrail.gateway.beliefs import Beliefs
+from tanagertrail.gateway.http1 import CallerRequest
+from tanagertrail.gateway.members import MemberTable
+from tanagertrail.gateway.model import Customer, Route
+from tanagertrail.platform.fields import CallerFields
+from tanagertrail.policy.token_quota import Quota, QuotaLedger, QuotaRefusal
+
+FRESH_SECONDS = 3.0  # age beyond which an unknown key or route may be one that was just added
+RETRY_SECONDS = 0.3  # a place is mostly free again after the shortest requests
+RETRY_SPREAD = 0.5
+
+
+class Refusal(NamedTuple):
+    """An answer that the gateway gives by itself.
+
+    :ivar retry_after: seconds after which the caller may come back, None for unsaid
+    :ivar inputs: what decided it, for the log
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+    inputs: dict[str, Any] = {}
+
+
+class Admission:
+    """Check requests against what is believed of the configuration."""
+
+    def __init__(
+        self, beliefs: Beliefs, members: MemberTable, quota: QuotaLedger, rng: random.Random
+    ) -> None:
+        self.beliefs = beliefs
+        self.members = members
+        self.quota = quota
+        self.rng = rng
+
+    def admit(
+        self, request: CallerRequest, fields: CallerFields
+    ) -> tuple[Route, Customer | None] | Refusal:
+        """Check route, key and quota."""
+        config = self.beliefs.config
+        if config is None or not self.beliefs.upstreams_known:
+            return Refusal(503, "no configuration is known yet", self.spread_retry())
+        route = config.find_route(request.host, request.path)
+        fresh = self.beliefs.proof_age < FRESH_SECONDS
+        if route is None:
+            if fresh:
+                return Refusal(404, "no such route")
+            return Refusal(503, "the configuration may be old", self.spread_retry())
+        if not config.customers or route.public:
+            return route, None
+        if not self.beliefs.may_trust_keys:
+            return Refusal(503, "keys cannot be checked now", self.spread_retry())
+        customer = config.keys.get(fields.key or "")
+        if customer is None:
+            if fresh:
+                return Refusal(401, "unknown key")
+            return Refusal(503, "the keys may be old", self.spread_retry())
+        over = self.charge_quota(customer, fields)
+        if over is not None:
+            inputs = {"customer": customer.name, **over._asdict()}
+            return Refusal(429, "over the quota", over.retry_after, inputs)
+        return route, customer
+
+    def charge_quota(self, customer: Customer, fields: CallerFields) -> QuotaRefusal | None:
+        """Count a request against its customer's quota, or say why it is over it."""
+        if customer.rate <= 0:
+            return None
+        units = 1.0
+        if customer.counts_tokens:
+            prompt = fields.prompt
+            units = prompt.tokens_in + prompt.tokens_out if prompt else customer.plain_tokens
+        quota = Quota(customer.rate, max(customer.burst, 1.0))
+        return self.quota.admit(
+            customer.name, units, quota, self.members.count(), asyncio.get_running_loop().time()
+        )
+
+    def pick_service(self, route: Route) -> str:
+        """Return one of the route's services by their weights."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        if sum(weights) <= 0:
+            return route.targets[0].service
+        return self.rng.choices(route.targets, weights)[0].service
+
+    def spread_retry(self) -> float:
+        """Return the seconds after which a refused caller may come back, spread by chance."""
+        return RETRY_SECONDS * (1.0 + RETRY_SPREAD * self.rng.random())
--- /dev/null
+++ b/tanagertrail/gateway/choosing.py
@@ -0,0 +1,144 @@
+"""Which upstream gets a request, by what is believed of all of them."""
+
+__all__ = ["UpstreamChooser"]
+
+import asyncio
+import random
+
+from tanagertrail.gateway.beliefs import Beliefs
+from tanagertrail.gateway.exchange import Exchange
+from tanagertrail.gateway.members import MemberTable
+from tanagertrail.gateway.trials import TrialBook
+from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.policy.canary import VersionUse
+from tanagertrail.policy.choice import PrefixIndex
+from tanagertrail.policy.cold_rate import ColdAllowance
+from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
+
+PREFIX_SECONDS = 20.0
+FULL_FACTOR = 2.0  # requests of an upstream, against its slots, beyond which it would reject
+ROOM_FACTOR = 0.5  # requests against slots up to which a repeat would start at once
+
+
+class UpstreamChooser:
+    """Choose among the upstreams of a service."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        members: MemberTable,
+        trials: TrialBook,
+        rng: random.Random,
+        placement: str,
+    ) -> None:
+        self.beliefs = beliefs
+        self.members = members
+        self.trials = trials
+        self.rng = rng
+        self.index = PrefixIndex(PREFIX_SECONDS)
+        self.place = PLACEMENTS.get(placement)
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def pick_upstream(self, exchange: Exchange) -> UpstreamEntry | None:
+        """Choose an upstream that was not tried, None if all are closed or full."""
+        now = self.now()
+        tried = {item.upstream for item in exchange.tried}
+        entries = {
+            entry.record.id: entry
+            for entry in self.beliefs.upstreams.iter_service(exchange.service)
+            if entry.record.id not in tried and self.may_use(entry, now)
+        }
+        if not entries:
+            return None
+        entries = self.prefer_trial(exchange, entries)
+        seats = [self.describe_seat(entry) for entry in entries.values()]
+        seat = self.place(self.describe_visit(exchange, now), seats, self.index)
+        return entries[seat.upstream]
+
+    def prefer_trial(
+        self, exchange: Exchange, entries: dict[str, UpstreamEntry]
+    ) -> dict[str, UpstreamEntry]:
+        """Return the upstreams of a version on trial while its budget has room."""
+        if exchange.tried or exchange.service not in self.beliefs.rollouts:
+            return entries
+        trial = {
+            name: entry
+            for name, entry in entries.items()
+            if self.trials.judge_version(exchange.service, entry.record.version)
+            is VersionUse.BUDGETED
+        }
+        return trial or entries
+
+    def may_use(self, entry: UpstreamEntry, now: float) -> bool:
+        """Say whether an upstream may get new work now."""
+        record = entry.record
+        if not entry.is_open(now) or record.failure_domain in self.beliefs.evacuated:
+            return False
+        if entry.running >= record.slots * FULL_FACTOR:
+            return False
+        use = self.trials.judge_version(record.service, record.version)
+        if use is VersionUse.FORBIDDEN:
+            return False
+        if use is VersionUse.BUDGETED and not self.trials.may_expose(
+            record.service, self.members.count()
+        ):
+            return False
+        return now >= entry.cold_until or self.has_cold_share(entry, now)
+
+    def has_cold_share(self, entry: UpstreamEntry, now: float) -> bool:
+        """Say whether this daemon's share of a cold upstream's rate allows a request."""
+        rate = self.find_cold_rate(entry)
+        if rate <= 0:
+            return True
+        if entry.cold_allowance is None:
+            entry.cold_allowance = ColdAllowance(now, self.rng.random())
+        return entry.cold_allowance.has_room(rate, self.members.count(), now)
+
+    def find_cold_rate(self, entry: UpstreamEntry) -> float:
+        """Return the requests per second that an upstream bears when cold, 0 for any number."""
+        service = self.beliefs.config.services.get(entry.record.service)
+        return service.cold_rate if service else 0.0
+
+    def describe_seat(self, entry: UpstreamEntry) -> Seat:
+        """Return what the placement needs to know of an upstream."""
+        record = entry.record
+        local = record.failure_domain == self.members.own.failure_domain
+        return Seat(record.id, entry.running, record.slots, entry.fault_share, 1.0, local)
+
+    def describe_visit(self, exchange: Exchange, now: float) -> Visit:
+        """Return what the placement needs to know of a request."""
+        prompt = exchange.fields.prompt
+        if prompt is None:
+            return Visit((), (), 0, now)
+        parts = prompt.parts
+        return Visit(
+            tuple(part.id for part in parts),
+            tuple(part.tokens for part in parts),
+            prompt.tokens_in,
+            now,
+        )
+
+    def note_start(self, exchange: Exchange, entry: UpstreamEntry) -> None:
+        """Note that an upstream gets a request."""
+        now = self.now()
+        self.trials.note_sent(exchange.service, entry.record.version)
+        if now < entry.cold_until and entry.cold_allowance is not None:
+            entry.cold_allowance.spend()
+        if exchange.fields.prompt is not None:
+            parts = [part.id for part in exchange.fields.prompt.parts]
+            self.index.note_stored(entry.record.id, parts, now)
+
+    def has_alternative(self, exchange: Exchange, entry: UpstreamEntry) -> bool:
+        """Say whether another upstream has clearly more room than the one that was chosen."""
+        now = self.now()
+        tried = {item.upstream for item in exchange.tried}
+        return any(
+            other is not entry
+            and other.record.id not in tried
+            and other.running < other.record.slots * ROOM_FACTOR
+            and self.may_use(other, now)
+            for other in self.beliefs.upstreams.iter_service(exchange.service)
+        )
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -1,54 +1,30 @@
 """The path of a caller's request: admission, choice of upstreams, answer."""
 
-__all__ = ["Dispatcher", "Refusal"]
+__all__ = ["Dispatcher"]
 
 import asyncio
 import random
-from typing import Any, NamedTuple
 
+from tanagertrail.gateway.admission import Admission, Refusal
 from tanagertrail.gateway.beliefs import Beliefs
+from tanagertrail.gateway.choosing import UpstreamChooser
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
-from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.sending import CallerGoneError, UpstreamSender
 from tanagertrail.gateway.trials import TrialBook
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.fields import (
-    CallerFields,
     build_answer_headers,
     decode_caller_fields,
 )
-from tanagertrail.policy.canary import VersionUse
-from tanagertrail.policy.choice import PrefixIndex
-from tanagertrail.policy.cold_rate import ColdAllowance
-from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
 from tanagertrail.policy.repeats import RepeatBudget
-from tanagertrail.policy.token_quota import Quota, QuotaLedger, QuotaRefusal
+from tanagertrail.policy.token_quota import QuotaLedger
 
-PREFIX_SECONDS = 20.0
-FRESH_SECONDS = 3.0  # age beyond which an unknown key or route may be one that was just added
-RETRY_SECONDS = 0.3  # a place is mostly free again after the shortest requests
-RETRY_SPREAD = 0.5
 ANSWER_MARGIN_SECONDS = 0.05
 REPEAT_SHARE = 0.5  # of the time left that a first try may use when another may follow
-FULL_FACTOR = 2.0  # requests of an upstream, against its slots, beyond which it would reject
-ROOM_FACTOR = 0.5  # requests against slots up to which a repeat would start at once
-
-
-class Refusal(NamedTuple):
-    """An answer that the gateway gives by itself.
-
-    :ivar retry_after: seconds after which the caller may come back, None for unsaid
-    :ivar inputs: what decided it, for the log
-    """
-
-    status: int
-    reason: str
-    retry_after: float | None = None
-    inputs: dict[str, Any] = {}
 
 
 class Dispatcher:
@@ -67,14 +43,12 @@
         self.beliefs = beliefs
         self.members = members
         self.sender = sender
-        self.quota = quota
         self.log = log
-        self.rng = rng
-        self.index = PrefixIndex(PREFIX_SECONDS)
-        self.place = PLACEMENTS.get(placement)
+        self.admission = Admission(beliefs, members, quota, rng)
+        self.trials = TrialBook(beliefs)
+        self.chooser = UpstreamChooser(beliefs, members, self.trials, rng, placement)
         self.budgets: dict[str, RepeatBudget] = {}
         self.in_flight = 0
-        self.trials = TrialBook(beliefs)
         self.metrics: GatewayMetrics | None = None
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -88,13 +62,13 @@
     async def serve(self, request: CallerRequest, stream: CallerStream) -> None:
         """Admit a request and send it to upstreams until it is answered."""
         fields = decode_caller_fields(request.headers)
-        admitted = self.admit(request, fields)
+        admitted = self.admission.admit(request, fields)
         if isinstance(admitted, Refusal):
             self.refuse(stream, fields.request_id, admitted)
             return
         route, customer = admitted
         exchange = Exchange(request, stream, fields, route, customer)
-        exchange.service = self.pick_service(route)
+        exchange.service = self.admission.pick_service(route)
         self.find_budget(exchange.service).note_request(self.now())
         self.trials.note_request(exchange.service)
         try:
@@ -104,61 +78,13 @@
             if isinstance(error, asyncio.CancelledError):
                 raise
 
-    def admit(
-        self, request: CallerRequest, fields: CallerFields
-    ) -> tuple[Route, Customer | None] | Refusal:
-        """Check route, key and quota."""
-        config = self.beliefs.config
-        if config is None or not self.beliefs.upstreams_known:
-            return Refusal(503, "no configuration is known yet", self.spread_retry())
-        route = config.find_route(request.host, request.path)
-        fresh = self.beliefs.proof_age < FRESH_SECONDS
-        if route is None:
-            if fresh:
-                return Refusal(404, "no such route")
-            return Refusal(503, "the configuration may be old", self.spread_retry())
-        if not config.customers or route.public:
-            return route, None
-        if not self.beliefs.may_trust_keys:
-            return Refusal(503, "keys cannot be checked now", self.spread_retry())
-        customer = config.keys.get(fields.key or "")
-        if customer is None:
-            if fresh:
-                return Refusal(401, "unknown key")
-            return Refusal(503, "the keys may be old", self.spread_retry())
-        over = self.charge_quota(customer, fields)
-        if over is not None:
-            inputs = {"customer": customer.name, **over._asdict()}
-            return Refusal(429, "over the quota", over.retry_after, inputs)
-        return route, customer
-
-    def charge_quota(self, customer: Customer, fields: CallerFields) -> QuotaRefusal | None:
-        """Count a request against its customer's quota, or say why it is over it."""
-        if customer.rate <= 0:
-            return None
-        units = 1.0
-        if customer.counts_tokens:
-            prompt = fields.prompt
-            units = prompt.tokens_in + prompt.tokens_out if prompt else customer.plain_tokens
-        quota = Quota(customer.rate, max(customer.burst, 1.0))
-        return self.quota.admit(customer.name, units, quota, self.members.count(), self.now())
-
-    def pick_service(self, route: Route) -> str:
-        """Return one of the route's services by their weights."""
-        if len(route.targets) == 1:
-            return route.targets[0].service
-        weights = [target.weight for target in route.targets]
-        if sum(weights) <= 0:
-            return route.targets[0].service
-        return self.rng.choices(route.targets, weights)[0].service
-
     async def try_upstreams(self, exchange: Exchange) -> None:
         """Send a request to one upstream after the other until it is answered."""
         while True:
-            entry = self.pick_upstream(exchange)
+            entry = self.chooser.pick_upstream(exchange)
             if entry is None:
                 break
-            self.note_start(exchange, entry)
+            self.chooser.note_start(exchange, entry)
             tried = await self.sender.try_once(
                 exchange, entry, self.limit_patience(exchange, entry)
             )
@@ -174,115 +100,14 @@
                 break
         self.finish_unanswered(exchange)
 
-    def pick_upstream(self, exchange: Exchange) -> UpstreamEntry | None:
-        """Choose an upstream that was not tried, None if all are closed or full."""
-        now = self.now()
-        tried = {item.upstream for item in exchange.tried}
-        entries = {
-            entry.record.id: entry
-            for entry in self.beliefs.upstreams.iter_service(exchange.service)
-            if entry.record.id not in tried and self.may_use(entry, now)
-        }
-        if not entries:
-            return None
-        entries = self.prefer_trial(exchange, entries)
-        seats = [self.describe_seat(entry) for entry in entries.values()]
-        seat = self.place(self.describe_visit(exchange, now), seats, self.index)
-        return entries[seat.upstream]
-
-    def prefer_trial(
-        self, exchange: Exchange, entries: dict[str, UpstreamEntry]
-    ) -> dict[str, UpstreamEntry]:
-        """Return the upstreams of a version on trial while its budget has room."""
-        if exchange.tried or exchange.service not in self.beliefs.rollouts:
-            return entries
-        trial = {
-            name: entry
-            for name, entry in entries.items()
-            if self.trials.judge_version(exchange.service, entry.record.version)
-            is VersionUse.BUDGETED
-        }
-        return trial or entries
-
-    def may_use(self, entry: UpstreamEntry, now: float) -> bool:
-        """Say whether an upstream may get new work now."""
-        record = entry.record
-        if not entry.is_open(now) or record.failure_domain in self.beliefs.evacuated:
-            return False
-        if entry.running >= record.slots * FULL_FACTOR:
-            return False
-        use = self.trials.judge_version(record.service, record.version)
-        if use is VersionUse.FORBIDDEN:
-            return False
-        if use is VersionUse.BUDGETED and not self.trials.may_expose(
-            record.service, self.members.count()
-        ):
-            return False
-        return now >= entry.cold_until or self.has_cold_share(entry, now)
-
-    def has_cold_share(self, entry: UpstreamEntry, now: float) -> bool:
-        """Say whether this daemon's share of a cold upstream's rate allows a request."""
-        rate = self.find_cold_rate(entry)
-        if rate <= 0:
-            return True
-        if entry.cold_allowance is None:
-            entry.cold_allowance = ColdAllowance(now, self.rng.random())
-        return entry.cold_allowance.has_room(rate, self.members.count(), now)
-
-    def find_cold_rate(self, entry: UpstreamEntry) -> float:
-        """Return the requests per second that an upstream bears when cold, 0 for any number."""
-        service = self.beliefs.config.services.get(entry.record.service)
-        return service.cold_rate if service else 0.0
-
-    def describe_seat(self, entry: UpstreamEntry) -> Seat:
-        """Return what the placement needs to know of an upstream."""
-        record = entry.record
-        local = record.failure_domain == self.members.own.failure_domain
-        return Seat(record.id, entry.running, record.slots, entry.fault_share, 1.0, local)
-
-    def describe_visit(self, exchange: Exchange, now: float) -> Visit:
-        """Return what the placement needs to know of a request."""
-        prompt = exchange.fields.prompt
-        if prompt is None:
-            return Visit((), (), 0, now)
-        parts = prompt.parts
-        return Visit(
-            tuple(part.id for part in parts),
-            tuple(part.tokens for part in parts),
-            prompt.tokens_in,
-            now,
-        )
-
-    def note_start(self, exchange: Exchange, entry: UpstreamEntry) -> None:
-        """Note that an upstream gets a request."""
-        now = self.now()
-        self.trials.note_sent(exchange.service, entry.record.version)
-        if now < entry.cold_until and entry.cold_allowance is not None:
-            entry.cold_allowance.spend()
-        if exchange.fields.prompt is not None:
-            parts = [part.id for part in exchange.fields.prompt.parts]
-            self.index.note_stored(entry.record.id, parts, now)
-
     def limit_patience(self, exchange: Exchange, entry: UpstreamEntry) -> float:
         """Return the seconds to wait for a first byte before another upstream is tried."""
         left = max(exchange.left - ANSWER_MARGIN_SECONDS, 0.0)
         may_follow = exchange.route.idempotent and exchange.sent_count + 1 < exchange.route.attempts
-        if may_follow and self.has_alternative(exchange, entry):
+        if may_follow and self.chooser.has_alternative(exchange, entry):
             return left * REPEAT_SHARE
         return left
 
-    def has_alternative(self, exchange: Exchange, entry: UpstreamEntry) -> bool:
-        """Say whether another upstream has clearly more room than the one that was chosen."""
-        now = self.now()
-        tried = {item.upstream for item in exchange.tried}
-        return any(
-            other is not entry
-            and other.record.id not in tried
-            and other.running < other.record.slots * ROOM_FACTOR
-            and self.may_use(other, now)
-            for other in self.beliefs.upstreams.iter_service(exchange.service)
-        )
-
     def may_repeat(self, exchange: Exchange, tried: Tried) -> bool:
         """Say whether another upstream may be tried, and take it from the budget."""
         if exchange.left <= ANSWER_MARGIN_SECONDS:
@@ -319,7 +144,9 @@
         elif exchange.surely_not_run:
             reason = last.reason if last else "no upstream has a place"
             self.refuse(
-                stream, exchange.fields.request_id, Refusal(503, reason, self.spread_retry())
+                stream,
+                exchange.fields.request_id,
+                Refusal(503, reason, self.admission.spread_retry()),
             )
             self.log_end(exchange, "refused")
         elif last is not None and last.result is TryResult.TIMED_OUT:
@@ -352,10 +179,6 @@
             headers.append((b"retry-after", f"{refusal.retry_after:.2f}".encode()))
         stream.send_whole(refusal.status, headers, refusal.reason.encode())
 
-    def spread_retry(self) -> float:
-        """Return the seconds after which a refused caller may come back, spread by chance."""
-        return RETRY_SECONDS * (1.0 + RETRY_SPREAD * self.rng.random())
-
     def log_end(self, exchange: Exchange, outcome: str) -> None:
         """Log how a request ended and what decided it."""
         now = self.now()
--- /dev/null
+++ b/tanagertrail/gateway/gauges.py
@@ -0,0 +1,33 @@
+"""The state of a daemon as gauges."""
+
+__all__ = ["list_gauges"]
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from tanagertrail.gateway.metrics import GaugeRow
+
+if TYPE_CHECKING:
+    from tanagertrail.gateway.node import GatewayNode
+
+LONGEST_AGE_SECONDS = 1e6  # shown where nothing was ever known
+
+
+def list_gauges(node: "GatewayNode") -> Iterator[GaugeRow]:
+    """Yield the state of the daemon; called from threads of the page."""
+    config = node.beliefs.config
+    yield GaugeRow("config_version", config.version if config else 0, {})
+    yield GaugeRow("config_age_s", min(node.beliefs.proof_age, LONGEST_AGE_SECONDS), {})
+    yield GaugeRow("ready", float(node.ready), {})
+    yield GaugeRow("in_flight", node.dispatcher.in_flight, {})
+    yield GaugeRow("members_alive", node.members.count_alive(node.loop.time()), {})
+    yield GaugeRow("fencing", node.leadership.fencing, {})
+    yield GaugeRow("store_calls", node.store.calls, {})
+    yield GaugeRow("upstream_connections_opened", node.pools.opened, {})
+    for domain in list(node.beliefs.evacuated):
+        yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
+    for entry in list(node.beliefs.upstreams.entries.values()):
+        labels = {"upstream": entry.record.id, "service": entry.record.service}
+        yield GaugeRow("upstream_in_flight", entry.in_flight, labels)
+        yield GaugeRow("upstream_running", entry.running, labels)
+        yield GaugeRow("upstream_faults", entry.fault_share, labels)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Iterator
 from typing import NamedTuple
 
 from tanagertrail.daemons.reports import OriginState, Sums
@@ -17,6 +16,7 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
 from tanagertrail.gateway.gathering import Gathering, StateSource
+from tanagertrail.gateway.gauges import list_gauges
 from tanagertrail.gateway.handlers import (
     ConfigHandler,
     EvacuationHandler,
@@ -30,7 +30,7 @@
     MemberTable,
     describe_self,
 )
-from tanagertrail.gateway.metrics import GatewayMetrics, GaugeRow
+from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import GatewaySettings, Limits
 from tanagertrail.gateway.peers import PeerLinks, PeerServer
@@ -197,29 +197,10 @@
 
     def serve_metrics(self) -> None:
         """Serve the metrics."""
-        metrics = self.dispatcher.metrics = GatewayMetrics(self.list_gauges)
+        metrics = self.dispatcher.metrics = GatewayMetrics(lambda: list_gauges(self))
         address = f"{self.settings.host}:{self.tuning.metrics.port}"
         self.serve_page(address, MetricsPage(metrics.render))
 
-    def list_gauges(self) -> Iterator[GaugeRow]:
-        """Yield the state of the daemon; called from threads of the page."""
-        config = self.beliefs.config
-        yield GaugeRow("config_version", config.version if config else 0, {})
-        yield GaugeRow("config_age_s", min(self.beliefs.proof_age, 1e6), {})
-        yield GaugeRow("ready", float(self.ready), {})
-        yield GaugeRow("in_flight", self.dispatcher.in_flight, {})
-        yield GaugeRow("members_alive", self.members.count_alive(self.loop.time()), {})
-        yield GaugeRow("fencing", self.leadership.fencing, {})
-        yield GaugeRow("store_calls", self.store.calls, {})
-        yield GaugeRow("upstream_connections_opened", self.pools.opened, {})
-        for domain in list(self.beliefs.evacuated):
-            yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
-        for entry in list(self.beliefs.upstreams.entries.values()):
-            labels = {"upstream": entry.record.id, "service": entry.record.service}
-            yield GaugeRow("upstream_in_flight", entry.in_flight, labels)
-            yield GaugeRow("upstream_running", entry.running, labels)
-            yield GaugeRow("upstream_faults", entry.fault_share, labels)
-
     def watch(self, kind: str, handler: BaseKindHandler, pace: WatchPace) -> None:
         """Follow a kind of stored objects."""
         mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
