--- a/tanagertrail/policy/fleet.py
+++ b/tanagertrail/policy/fleet.py
@@ -11,6 +11,7 @@
 TARGET_LOAD = 0.35  # of a batch, so that first tokens come within their objective
 DOMAINS_LOST = 2  # failure domains whose reclaimable upstreams may go within seconds
 LEAST_UPSTREAMS = 4
+STANDING_SHARE = 0.5  # of what may be ordered, kept while idle: what the operators start with
 
 
 class FleetView(NamedTuple):
@@ -54,7 +55,8 @@
     """Spread reclaimable upstreams evenly and fill in with ordinary ones while some are missing.
 
     Answers waves of reclaims under a rising load: the loss of one domain's upstreams is borne by
-    the others, and for the next one ordinary upstreams are started at the first notice.
+    the others, and for the next one ordinary upstreams are started at the first notice. A standing
+    fleet of reclaimable upstreams keeps a rising wave from being answered by cold ones.
     """
     domains = sorted(view.prices, key=lambda name: (view.prices[name], name))
     if not domains:
@@ -72,7 +74,8 @@
     kept = {name: max(ordinary[name], view.ordinary.get(name, 0)) for name in domains}
     bound = {name: max(view.most - kept[name], 0) for name in domains}
     first = {name: min(view.least, bound[name]) for name in domains}
-    extra = wanted + spare - sum(first.values())
+    standing = math.ceil(STANDING_SHARE * view.most * len(domains))
+    extra = max(wanted + spare, standing) - sum(first.values())
     return FleetPlan(ordinary, add_within(first, domains, extra, bound))
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,3 +56,10 @@
 def test_each_domain_keeps_its_least():
     plan = plan_reclaimable(view(demand=0))
     assert all(plan.reclaimable[name] + plan.ordinary[name] >= 1 for name in PRICES)
+
+
+def test_large_fleet_stands_before_its_wave():
+    """kumo-dial-grown quiet-1: 30 upstreams were cut to 6 and 118 were started in a minute."""
+    plan = plan_reclaimable(view(most=15, demand=0, warm=dict.fromkeys(PRICES, 8)))
+    assert sum(plan.reclaimable.values()) >= 30
+    assert sum(plan.ordinary.values()) == 0
