Pass on an upstream's own failure when the next one is not reached; log the upstream in use

Cause: read as a newcomer: a lookup that one upstream had answered with a signed failure ended as 502 when the second could not be connected to; a line on a caller that left named no upstream; usage windows that were reported long ago were still told. Measured: test_failure_is_passed_on_when_no_other_upstream_is_reached.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -24,6 +24,7 @@
 from tanagertrail.policy.token_quota import QuotaLedger
 
 ANSWER_MARGIN_SECONDS = 0.05
+MOST_TRIES = 4  # upstreams that are tried where none could be reached
 REPEAT_SHARE = 0.5  # of the time left that a first try may use when another may follow
 
 
@@ -84,6 +85,7 @@
             entry = self.chooser.pick_upstream(exchange)
             if entry is None:
                 break
+            exchange.upstream = entry.record.id
             self.chooser.note_start(exchange, entry)
             tried = await self.sender.try_once(
                 exchange, entry, self.limit_patience(exchange, entry)
@@ -117,7 +119,7 @@
         if exchange.sent_count >= exchange.route.attempts:
             return False
         if tried.result is TryResult.NOT_SENT:
-            return len(exchange.tried) < 4
+            return len(exchange.tried) < MOST_TRIES
         if tried.result is TryResult.FAILED and exchange.left < exchange.route.objective / 2:
             return False
         return self.find_budget(exchange.service).spend(self.members.count(), self.now())
@@ -135,11 +137,13 @@
         """Give the final answer of a request that no upstream answered."""
         stream = exchange.stream
         last = exchange.tried[-1] if exchange.tried else None
+        failure = exchange.find_failure()
         if stream.answer_begun:
             stream.channel.abort()
             self.log_end(exchange, "broken off")
-        elif last is not None and last.result is TryResult.FAILED and last.head is not None:
-            stream.send_whole(last.head.status, build_answer_headers(last.head.headers), last.body)
+        elif failure is not None:
+            headers = build_answer_headers(failure.head.headers)
+            stream.send_whole(failure.head.status, headers, failure.body)
             self.log_end(exchange, "failed upstream")
         elif exchange.surely_not_run:
             reason = last.reason if last else "no upstream has a place"
@@ -193,6 +197,7 @@
             "outcome": outcome,
             "ms": round((now - exchange.arrived) * 1000),
             "first_ms": None if first is None else round((first - exchange.arrived) * 1000),
+            "last_upstream": exchange.upstream,
             "tries": [
                 (item.upstream, item.result, item.step, item.reason) for item in exchange.tried
             ],
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -56,6 +56,7 @@
     :ivar arrived: event-loop time in seconds
     :ivar deadline: event-loop time in seconds by which the answer must end
     :ivar service: service that was chosen among the route's
+    :ivar upstream: upstream that it was sent to last, empty for none
     :ivar tried: tries so far
     :ivar splitter: events of a streamed answer that have been passed on
     """
@@ -78,6 +79,7 @@
         patience = fields.deadline if fields.deadline is not None else route.timeout
         self.deadline = now + min(patience, route.timeout)
         self.service = ""
+        self.upstream = ""
         self.tried: list[Tried] = []
         self.splitter = EventSplitter(fields.last_event)
         self.first_byte_at: float | None = None
@@ -105,3 +107,8 @@
     def surely_not_run(self) -> bool:
         """Say whether no try can have run."""
         return all(item.proves_not_run for item in self.tried)
+
+    def find_failure(self) -> Tried | None:
+        """Return the last try in which an upstream answered with a failure of its own."""
+        failures = (item for item in reversed(self.tried) if item.result is TryResult.FAILED)
+        return next(failures, None)
--- a/tanagertrail/gateway/usage.py
+++ b/tanagertrail/gateway/usage.py
@@ -36,8 +36,13 @@
             del self.own[old]
 
     def encode(self) -> tuple:
-        """Return the counts for a report."""
-        return tuple((window, tuple(counts.items())) for window, counts in sorted(self.own.items()))
+        """Return the latest counts for other daemons."""
+        oldest = self.current_window() - TOLD_WINDOWS
+        return tuple(
+            (window, tuple(counts.items()))
+            for window, counts in sorted(self.own.items())
+            if window > oldest
+        )
 
     def take(self, daemon: str, incarnation: int, rows: tuple) -> None:
         """Take the counts that another daemon reported of itself."""
--- a/tanagertrail/platform/settings.py
+++ b/tanagertrail/platform/settings.py
@@ -11,7 +11,6 @@
 
 SETTINGS_VARIABLE = "TANAGERTRAIL_NODE_FILE"
 MEGABYTE = 1024 * 1024
-UNBOUNDED = 1e9
 
 
 class FieldReader:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -88,6 +88,18 @@
         assert b"tanagertrail-server-stamp" in reply.headers
 
 
+@real_time
+async def test_failure_is_passed_on_when_no_other_upstream_is_reached():
+    async with open_world() as world:
+        world.register("up-b", address="127.0.0.1:9")
+        await world.await_true(
+            lambda: world.node.beliefs.upstreams.entries["up-b"].record.address.endswith(":9")
+        )
+        world.upstreams[0].faults.extend(["fail"] * 6)
+        replies = [await world.ask("/look/1") for _ in range(3)]
+        assert {reply.status for reply in replies} == {500}
+
+
 @real_time
 async def test_stream_broken_within_an_event_goes_on_without_its_half():
     """MIXED on trouble-1: the half event stood before the resumed stream."""
