--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -12,6 +12,7 @@
 
 from tanagertrail.bench.build import build_model_ticket
 from tanagertrail.bench.cold import run_cold
+from tanagertrail.bench.hubs import run_hubs
 from tanagertrail.bench.journals import run_journal
 from tanagertrail.bench.limits import run_limits
 from tanagertrail.bench.matrix import format_matrix, iter_cells, run_cell
@@ -111,6 +112,11 @@
         rows = [run_virtual(run_scale(n, n * upstreams_each)) for n in as_tuple(sizes)]
         print(format_table(rows))
 
+    def hubs(self, sizes: str = "8,67,150,380", upstreams: int = 2400) -> None:
+        """Print what gateway daemons send each other, by number of daemons."""
+        rows = [asyncio.run(run_hubs(n, upstreams)) for n in as_tuple(sizes)]
+        print(format_table(rows))
+
     def spread(self, sizes: str = "9,40,120", upstreams: int = 40) -> None:
         """Print how fast tickets and deaths become known, by number of daemons."""
         print(format_table([run_virtual(run_spread(n, upstreams)) for n in as_tuple(sizes)]))
@@ -158,7 +164,9 @@
 
 
 def as_tuple(value: object) -> tuple:
-    """Return an option with commas as a tuple."""
+    """Return an option with commas as numbers; fire parses only what the caller gives."""
+    if isinstance(value, str):
+        return tuple(json.loads(f"[{value}]"))
     return value if isinstance(value, tuple) else (value,)
 
 
--- /dev/null
+++ b/tanagertrail/bench/hubs.py
@@ -0,0 +1,133 @@
+"""Experiment: what gateway daemons send each other, by the size of the fleet."""
+
+__all__ = ["HubsResult", "run_hubs"]
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from tanagertrail.daemons.frames import encode_frame
+from tanagertrail.daemons.reports import OriginState, Sums
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.gathering import Gathering, StateSource
+from tanagertrail.gateway.members import Member, MemberTable
+from tanagertrail.gateway.peers import PERIOD_SECONDS, RELAYED_PERIOD_SECONDS
+from tanagertrail.policy.hubs import ALL_HUBS, plan_topology
+
+WARM_PERIODS = 3
+MEASURED_PERIODS = 3
+BUSY_UPSTREAMS = 10  # upstreams at which one daemon has requests at a moment
+CUSTOMERS = 16
+USAGE_WINDOWS = 3
+
+
+class HubsResult(NamedTuple):
+    """Control traffic and time of a quiet fleet, per daemon and second.
+
+    :ivar hubs: daemons that gather states
+    :ivar mean_bytes: bytes that a daemon sends, mean over all
+    :ivar hub_bytes: bytes that the busiest daemon sends
+    :ivar hub_cpu_percent: share of a core of the busiest daemon, sockets left out
+    """
+
+    daemons: int
+    upstreams: int
+    hubs: int
+    mean_bytes: float
+    hub_bytes: float
+    hub_cpu_percent: float
+
+
+class QuietDaemon(StateSource):
+    """A daemon with the state of a busy one and no sockets."""
+
+    def __init__(self, number: int, names: list[str], upstreams: int) -> None:
+        self.number = number
+        self.upstreams = upstreams
+        self.counter = 0
+        self.sent = 0
+        self.seconds = 0.0
+        name = names[number]
+        own = Member(name, 1, f"10.0.0.{number}:7600", f"10.0.0.{number}:80", "north")
+        self.members = MemberTable(own, EventLog(name, asyncio.get_running_loop().time))
+        for other in names:
+            self.members.learn(Member(other, 1, "10.0.0.0:1", "10.0.0.0:2", "north"), 0.0, True)
+        self.gathering = Gathering(self, self.members, {})
+        others = (other for other in names if other != name)
+        self.gathering.topology = plan_topology(name, others)
+
+    def describe_state(self) -> OriginState:
+        """Return a state as large as a busy daemon's."""
+        self.counter += 1
+        own = self.members.own
+        first = self.number * BUSY_UPSTREAMS
+        flights = tuple(
+            (f"i-{(first + offset) % self.upstreams:010x}", 3) for offset in range(BUSY_UPSTREAMS)
+        )
+        quota = tuple((f"customer{n}", self.counter * 1000.5, 500.25) for n in range(CUSTOMERS))
+        counts = tuple((f"customer{n}", 40 + n) for n in range(CUSTOMERS))
+        usage = tuple((356_000_000 + window, counts) for window in range(USAGE_WINDOWS))
+        return OriginState(
+            own.daemon,
+            own.incarnation,
+            self.counter,
+            own.address,
+            own.front,
+            own.failure_domain,
+            True,
+            0,
+            flights,
+            quota,
+            usage,
+            (),
+            0,
+        )
+
+    def take_state(self, state: OriginState) -> None:
+        """Do nothing with a state."""
+
+    def take_sums(self, hub: str, incarnation: int, sums: Sums) -> None:
+        """Do nothing with sums."""
+
+    def note_leader(self, age: float) -> None:
+        """Do nothing with a sign of the lease's holder."""
+
+    def note_news(self) -> None:
+        """Do nothing with news."""
+
+
+def run_period(daemons: dict[str, QuietDaemon]) -> None:
+    """Let each daemon exchange with its partners, and count bytes and time."""
+    for daemon in daemons.values():
+        for name in daemon.gathering.topology.partners:
+            partner = daemons[name]
+            started = time.process_time()
+            question = daemon.gathering.build_question(name)
+            daemon.sent += len(encode_frame(question, 0))
+            asked = time.process_time()
+            answer = partner.gathering.answer(question)
+            partner.sent += len(encode_frame(answer, 0))
+            answered = time.process_time()
+            daemon.gathering.take_answer(answer, 0.0)
+            daemon.seconds += asked - started + time.process_time() - answered
+            partner.seconds += answered - asked
+
+
+async def run_hubs(daemons: int, upstreams: int) -> HubsResult:
+    """Measure a fleet of daemons that exchange their states."""
+    names = [f"entry-{number}" for number in range(daemons)]
+    fleet = {name: QuietDaemon(n, names, upstreams) for n, name in enumerate(names)}
+    for _ in range(WARM_PERIODS):
+        run_period(fleet)
+    for daemon in fleet.values():
+        daemon.sent, daemon.seconds = 0, 0.0
+    for _ in range(MEASURED_PERIODS):
+        run_period(fleet)
+    period = PERIOD_SECONDS if daemons <= ALL_HUBS else RELAYED_PERIOD_SECONDS
+    span = MEASURED_PERIODS * period
+    sent = [daemon.sent / span for daemon in fleet.values()]
+    seconds = max(daemon.seconds for daemon in fleet.values())
+    hubs = len(next(iter(fleet.values())).gathering.topology.hubs)
+    return HubsResult(
+        daemons, upstreams, hubs, sum(sent) / daemons, max(sent), 100 * seconds / span
+    )
