--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -31,6 +31,18 @@
     assert outcomes[-1].status == 422
 
 
+@with_cluster(daemons=3, replicas=6)
+async def test_at_most_two_upstreams_are_lost_to_identical_requests_at_one_instant(cluster):
+    """The promise holds however the requests come: the brief asks for it without a pause."""
+    arm(cluster)
+    poison = [
+        cluster.ask(cluster.build_request(prompt=MARKER, timeout=10.0), node)
+        for node in list(cluster.nodes.values())
+    ]
+    await asyncio.gather(*poison)
+    assert sum(engine.falls for engine in cluster.engines.values()) <= 2
+
+
 @with_cluster(daemons=3, replicas=6, slots=6)
 async def test_innocent_requests_beside_a_poison_one_are_answered(cluster):
     arm(cluster)
