Take test ports below those of outgoing connections

Ruled out: a port left open by an earlier test (each world asks for new ones). Change: ports between 15000 and 30000, each tried once in a run.

--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import functools
+import itertools
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -19,6 +21,9 @@
 HOST = "127.0.0.1"
 START_SECONDS = 5.0
 TEST_SECONDS = 20.0
+FIRST_PORT = 15_000
+PORT_COUNT = 15_000
+PORT_NUMBERS = itertools.count(os.getpid() * 97)
 
 
 def real_time(test: Callable[[], Awaitable[None]]) -> Callable[[], None]:
@@ -36,10 +41,20 @@
 
 
 def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now.
+
+    Ports are taken below those that the system gives to outgoing connections, which might take
+    one between this question and its use.
+    """
+    while True:
+        port = FIRST_PORT + next(PORT_NUMBERS) % PORT_COUNT
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 def build_route(name: str, kind: str, **changes: Any) -> dict[str, Any]:
