--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -27,7 +27,7 @@
 USAGE_SLOTS = 8  # objects that are used in turn, so that none piles up
 PERIOD_SECONDS = 0.5
 SETTLE_SECONDS = 2.0  # after a window's end, until all daemons' counts have come
-DEMAND_SECONDS = 40.0  # span whose highest demand the fleet is planned for, a whole wave
+DEMAND_SECONDS = 15.0  # span whose highest demand the fleet is planned for: a boot and a burst
 REORDER_SECONDS = 3.0  # between equal orders whose effect has not shown
 
 
