--- a/tanagertrail/standins/cloud.py
+++ b/tanagertrail/standins/cloud.py
@@ -2,14 +2,12 @@
 
 __all__ = ["StandInCloud"]
 
-import asyncio
 import json
 from typing import Any, NamedTuple
 
-from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.platform.cloud import FENCING_FIELD, HOLDER_FIELD
+from tanagertrail.standins.base import BaseStandIn
 
 
 class DutyCall(NamedTuple):
@@ -21,21 +19,12 @@
     document: dict[str, Any]
 
 
-class StandInCloud:
+class StandInCloud(BaseStandIn):
     """Take calls and keep them."""
 
     def __init__(self) -> None:
         self.calls: list[DutyCall] = []
-        log = EventLog("cloud", asyncio.get_running_loop().time)
-        self.server = FrontServer(self.handle, lambda: DEFAULT_LIMITS, log)
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen."""
-        await self.server.start(host, port)
-
-    def close(self) -> None:
-        """Stop listening."""
-        self.server.close()
+        super().__init__("cloud")
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
         """Take a call."""
--- a/tanagertrail/standins/store.py
+++ b/tanagertrail/standins/store.py
@@ -9,10 +9,9 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.platform.store import OBJECTS_PATH
+from tanagertrail.standins.base import BaseStandIn
 
 PAGE_SIZE = 500
 FIRST_REVISION = 100
@@ -27,7 +26,7 @@
     RESET = "reset"
 
 
-class StandInStore:
+class StandInStore(BaseStandIn):
     """Objects by kind and name with one revision counter.
 
     :ivar lost_writes: writes that are done and not answered
@@ -45,16 +44,7 @@
         self.delay = 0.0
         self.calls = 0
         self.changed = asyncio.Event()
-        log = EventLog("store", asyncio.get_running_loop().time)
-        self.server = FrontServer(self.handle, lambda: DEFAULT_LIMITS, log)
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen."""
-        await self.server.start(host, port)
-
-    def close(self) -> None:
-        """Stop listening."""
-        self.server.close()
+        super().__init__("store")
 
     def put(self, kind: str, name: str, content: Any, report: Any = None) -> None:
         """Store an object as its writer would."""
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -7,11 +7,10 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
 from tanagertrail.platform import fields
 from tanagertrail.registry import Registry
+from tanagertrail.standins.base import BaseStandIn
 
 STREAM_SUFFIX = "/events"
 EVENTS = 6
@@ -29,7 +28,7 @@
 FAULTS: Registry[Fault] = Registry("upstream fault")
 
 
-class StandInUpstream:
+class StandInUpstream(BaseStandIn):
     """Run requests.
 
     :ivar faults: names of faults for the next requests, in order
@@ -46,16 +45,7 @@
         self.arrivals: list[str] = []
         self.cut: list[str] = []
         self.connections = 0
-        log = EventLog(upstream_id, asyncio.get_running_loop().time)
-        self.server = FrontServer(self.handle, lambda: DEFAULT_LIMITS, log)
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen."""
-        await self.server.start(host, port)
-
-    def close(self) -> None:
-        """Stop listening."""
-        self.server.close()
+        super().__init__(upstream_id)
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
         """Run a request, or misbehave."""
