Let the strongest instances be hubs

Cause: the grown sites mix instances of 2.15 cores and 200 Mbit/s with many of 0.516 cores and 10 Mbit/s; hubs and watchers were chosen by hash alone, and two weak ones took most of the failed exchanges (765 of 1,700 in 16 s). Change: each daemon tells the strength of its instance; hubs, and with them watchers and candidates for the lease, are ranked by it first.

--- a/tanagertrail/bench/hubs.py
+++ b/tanagertrail/bench/hubs.py
@@ -74,6 +74,7 @@
             own.address,
             own.front,
             own.failure_domain,
+            own.strength,
             True,
             0,
             flights,
--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -66,6 +66,7 @@
     :ivar counter: number of this state in its incarnation
     :ivar address: its address for traffic between daemons
     :ivar front: its address for callers
+    :ivar strength: how well its instance bears the work of a hub
     :ivar serving: whether it takes callers' requests
     :ivar leading: fencing number of the lease that it holds, 0 for none
     :ivar flights: (upstream, requests of this daemon that are there)
@@ -81,6 +82,7 @@
     address: str
     front: str
     failure_domain: str
+    strength: int
     serving: bool
     leading: int
     flights: tuple
--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -89,7 +89,12 @@
             return
         said_at = self.now() - state.age_ms / 1000
         member = Member(
-            state.daemon, state.incarnation, state.address, state.front, state.failure_domain
+            state.daemon,
+            state.incarnation,
+            state.address,
+            state.front,
+            state.failure_domain,
+            state.strength,
         )
         self.members.learn(member, said_at, state.serving)
         known = self.states.get(state.daemon)
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -10,7 +10,7 @@
 from tanagertrail.gateway.mirror import BaseKindHandler, Departure
 from tanagertrail.gateway.model import GatewaySettings
 from tanagertrail.platform.store import StoredObject
-from tanagertrail.policy.hubs import ALL_HUBS
+from tanagertrail.policy.hubs import ALL_HUBS, measure_strength
 
 MEMBERS_KIND = "tanagertrail-daemons"
 ALIVE_SECONDS = 2.5  # five states missed where each daemon hears each
@@ -24,6 +24,7 @@
     :ivar incarnation: Unix time in milliseconds of its start
     :ivar address: its address for traffic between daemons
     :ivar front: its address for callers
+    :ivar strength: how well its instance bears the work of a hub
     """
 
     daemon: str
@@ -31,6 +32,7 @@
     address: str
     front: str
     failure_domain: str
+    strength: int = 0
 
     def encode(self) -> dict[str, object]:
         """Return the object that the store keeps."""
@@ -104,6 +106,11 @@
         if state is not None and state.member.incarnation == sign.incarnation:
             self.learn(state.member, now - sign.age_ms / 1000, sign.serving)
 
+    def list_strengths(self) -> dict[str, int]:
+        """Return the strength of each member, this one included."""
+        known = {name: state.member.strength for name, state in self.states.items()}
+        return known | {self.own.daemon: self.own.strength}
+
     def list_fronts(self, now: float) -> list[Member]:
         """Return the members that take callers' requests."""
         return [state.member for state in self.iter_alive(now) if state.serving]
@@ -125,6 +132,7 @@
         f"{settings.host}:{settings.internal[0]}",
         settings.front,
         settings.failure_domain,
+        measure_strength(settings.cores, settings.link),
     )
 
 
--- a/tanagertrail/gateway/model.py
+++ b/tanagertrail/gateway/model.py
@@ -283,6 +283,8 @@
     :ivar failure_domains: region of each failure domain
     :ivar duties: duties that the cloud API expects
     :ivar memory: memory limit in bytes
+    :ivar cores: processor that it may use, in cores
+    :ivar link: bandwidth of its link in Mbit/s
     """
 
     name: str
@@ -301,4 +303,6 @@
     heartbeat: float
     max_descriptors: int
     memory: int
+    cores: float
+    link: float
     bounds: SharedBounds
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -306,6 +306,7 @@
             self.own.address,
             self.own.front,
             self.own.failure_domain,
+            self.own.strength,
             self.ready,
             self.leadership.fencing,
             flights,
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -159,7 +159,7 @@
         for name in self.members.forget_silent(now):
             self.gathering.forget(name)
         alive = [state.member.daemon for state in self.members.iter_alive(now)]
-        topology = plan_topology(self.members.own.daemon, alive)
+        topology = plan_topology(self.members.own.daemon, alive, self.members.list_strengths())
         if topology != self.gathering.topology:
             self.log.write_routine(
                 "topology", rank=topology.rank, hub=topology.is_hub, hubs=len(topology.hubs)
--- a/tanagertrail/platform/settings.py
+++ b/tanagertrail/platform/settings.py
@@ -99,6 +99,9 @@
         heartbeat=root.read_number("heartbeat_ms", 1200) / 1000,
         max_descriptors=int(limits.read_number("max_fds", 1024)),
         memory=int(limits.read_number("memory_mb", 256) * MEGABYTE),
+        # The share is one of a single core; "cores" tells how many times as fast it is.
+        cores=limits.read_number("cpu_share", 1) * limits.read_number("cores", 1),
+        link=limits.read_number("link_mbps", 1000),
         bounds=read_bounds(root.open_table("bounds")),
     )
     if faults:
--- a/tanagertrail/policy/hubs.py
+++ b/tanagertrail/policy/hubs.py
@@ -1,9 +1,10 @@
 """Which daemons gather the states of others, and who exchanges with whom."""
 
-__all__ = ["Topology", "plan_topology"]
+__all__ = ["Topology", "measure_strength", "plan_topology"]
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from tanagertrail.policy.hashing import rank_by_hash
@@ -11,6 +12,11 @@
 ALL_HUBS = 9  # up to this many daemons each exchanges with each
 WATCHERS = 3  # daemons that follow the store for all; others step in when these fall silent
 RANK_KEY = "hubs"
+HUB_CORES = 0.5  # a hub of 67 daemons took 0.13 of a core at most, beside callers' work
+HUB_LINK_MBPS = 25.0  # a hub of 67 daemons sent 2 to 10 Mbit/s in bursts
+MOST_STRENGTH = 4  # instances beyond it count alike, so that hubs spread over them
+
+NO_STRENGTHS: Mapping[str, int] = MappingProxyType({})
 
 
 class Topology(NamedTuple):
@@ -27,14 +33,27 @@
     rank: int
 
 
-def plan_topology(own: str, others: Iterable[str]) -> Topology:
+def measure_strength(cores: float, link_mbps: float) -> int:
+    """Return how well an instance bears a hub's work, from 0 to a few.
+
+    :param cores: processor, in cores
+    :param link_mbps: bandwidth of its link in Mbit/s
+    """
+    return min(int(cores / HUB_CORES), int(link_mbps / HUB_LINK_MBPS), MOST_STRENGTH)
+
+
+def plan_topology(
+    own: str, others: Iterable[str], strengths: Mapping[str, int] = NO_STRENGTHS
+) -> Topology:
     """Return the place of a daemon among those that live.
 
     About the square root of all daemons are hubs. A hub exchanges with all hubs, any other with
     the two hubs that rendezvous hashing names for it, so that the exchanges of one daemon grow
-    with the square root of the fleet.
+    with the square root of the fleet. Strong instances come first, since a small link that bears
+    a hub's messages holds up its callers.
     """
     ranking = rank_by_hash(RANK_KEY, {own, *others})
+    ranking.sort(key=lambda name: -strengths.get(name, 0))
     count = len(ranking)
     hubs = ranking if count <= ALL_HUBS else ranking[: max(math.isqrt(count), 3)]
     is_hub = own in hubs
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -46,6 +46,7 @@
             own.address,
             own.front,
             own.failure_domain,
+            own.strength,
             True,
             0,
             (("up", self.flights),),
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -1,6 +1,6 @@
 """Who exchanges with whom, at sizes up to the one that is designed for."""
 
-from tanagertrail.policy.hubs import WATCHERS, plan_topology
+from tanagertrail.policy.hubs import WATCHERS, measure_strength, plan_topology
 
 
 def plan_all(count):
@@ -45,3 +45,21 @@
     assert place.is_hub
     assert place.is_watcher
     assert place.partners == ()
+
+
+def test_strong_instances_are_the_hubs():
+    """Hubs on links of 10 Mbit/s lost two of three exchanges on a played day."""
+    names = [f"d{n}" for n in range(67)]
+    strong = names[::8][:8]
+    strengths = {name: measure_strength(2.15, 200.0) for name in strong}
+    strengths |= {name: measure_strength(0.516, 10.0) for name in names if name not in strong}
+    for name in names:
+        place = plan_topology(name, set(names) - {name}, strengths)
+        assert set(place.hubs) == set(strong)
+        assert place.is_watcher <= (name in strong)
+
+
+def test_hubs_on_equal_instances_are_spread_by_hash():
+    names = {f"d{n}" for n in range(67)}
+    strengths = dict.fromkeys(names, measure_strength(1.07, 1000.0))
+    assert plan_topology("d0", names, strengths).hubs == plan_topology("d0", names).hubs
