Use the slack of quotas, and let callers back in after a start

Change: quotas know what a window may hold beyond them. A start lets half of the slack through at once, each daemon twice its even share until reports come; other daemons are taken to use half of the own rate at least, which holds the overshoot of a customer that turns hot.

--- a/tanagertrail/gateway/admission.py
+++ b/tanagertrail/gateway/admission.py
@@ -78,7 +78,9 @@
         if customer.counts_tokens:
             prompt = fields.prompt
             units = prompt.tokens_in + prompt.tokens_out if prompt else customer.plain_tokens
-        quota = Quota(customer.rate, max(customer.burst, 1.0))
+        bounds = self.beliefs.bounds
+        slack = bounds.quota_slack if customer.counts_tokens else 0.0
+        quota = Quota(customer.rate, max(customer.burst, 1.0), bounds.quota_tolerance, slack)
         return self.quota.admit(
             customer.name, units, quota, self.members.count(), asyncio.get_running_loop().time()
         )
--- a/tanagertrail/platform/settings.py
+++ b/tanagertrail/platform/settings.py
@@ -141,6 +141,7 @@
         retry_window=table.read_number("budget_window_s", 10),
         retry_extra=table.read_number("budget_extra", 50),
         quota_window=table.read_number("quota_window_s", 8),
+        quota_tolerance=table.read_number("quota_over", 0),
         quota_slack=table.read_number("quota_slack", 0),
         lease=seconds("lease_ms", 3),
         usage_window=table.read_number("usage_window_s", 5),
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -13,6 +13,13 @@
 MOST_RETRY_SECONDS = 5.0
 BURST_SECONDS = 1.0  # of the rate that may be used at once beyond the burst
 START_SHARE = 0.8  # of the rate while a window may hold what was used before the start
+WINDOW_SHARE = 0.2  # of what a window may hold beyond the quota; the rest covers late reports
+BUCKET_SLACK = 0.2  # of the slack that may be used at once beyond burst and rate
+START_SLACK = 0.5  # of the slack that may be used at a start, whatever was used before it
+UNHEARD_SECONDS = 1.0  # after a start in which reports of the others are still to come
+UNHEARD_SHARE = 2.0  # of an even share that a daemon uses until then
+RAMP_SHARE = 0.5  # of this daemon's own rate that each other one is taken to have at least
+START_SECONDS = 0.2  # of the rate that a start holds back for reports that are on their way
 
 
 class Quota(NamedTuple):
@@ -20,10 +27,29 @@
 
     :ivar rate: units per second
     :ivar burst: units that may be used at once
+    :ivar tolerance: share by which a window may pass rate and burst
+    :ivar slack: units by which a window may pass them besides
     """
 
     rate: float
     burst: float
+    tolerance: float = 0.0
+    slack: float = 0.0
+
+    @property
+    def capacity(self) -> float:
+        """Return the units that may be used at once."""
+        return self.burst + BURST_SECONDS * self.rate + BUCKET_SLACK * self.slack
+
+    @property
+    def first_level(self) -> float:
+        """Return the units that may be used at a start, when no earlier use is known."""
+        return max(START_SLACK * self.slack - START_SECONDS * self.rate, 0.0)
+
+    def limit_window(self, window: float) -> float:
+        """Return the units up to which a window is filled."""
+        plain = self.rate * window + self.burst
+        return plain + WINDOW_SHARE * (self.tolerance * plain + self.slack)
 
 
 class QuotaNews(NamedTuple):
@@ -96,8 +122,8 @@
     :ivar used: (time, units) of all daemons in the window
     """
 
-    def __init__(self, updated_at: float) -> None:
-        self.level = 0.0
+    def __init__(self, updated_at: float, level: float) -> None:
+        self.level = level
         self.updated_at = updated_at
         self.used: deque[tuple[float, float]] = deque()
         self.total = 0.0
@@ -125,8 +151,9 @@
     takes off what it lets pass and what the others use: at the rate that they reported last,
     corrected by what they report next. A member that has gone silent is taken to use its even
     share, so that daemons that cannot hear each other together stay within the quota. A bucket
-    is empty at a daemon's start and holds a few seconds' units, so that a quota holds over a
-    start of all daemons too, after which no window is known.
+    is nearly empty at a daemon's start and holds a few seconds' units, so that a quota holds over a
+    start of all daemons too, after which no window is known. What a window may hold beyond the
+    quota is used in part: at once after a start, when all callers come back together.
 
     :ivar window: seconds in which rate and burst bind together
     """
@@ -181,22 +208,32 @@
         """Bring a bucket up to date."""
         bucket = self.buckets.get(customer)
         if bucket is None:
-            bucket = self.buckets[customer] = Bucket(self.started_at)
+            bucket = self.buckets[customer] = Bucket(self.started_at, quota.first_level)
         span = now - bucket.updated_at
         bucket.updated_at = now
         young = now - self.started_at < self.window
         bucket.level += span * quota.rate * (START_SHARE if young else 1.0)
         for peer in self.peers.values():
             if now - peer.heard_at <= SILENT_SECONDS:
-                rate = peer.news[customer].rate if customer in peer.news else 0.0
+                rate = self.predict_rate(customer, peer, now)
                 peer.predicted[customer] = peer.predicted.get(customer, 0.0) + rate * span
                 bucket.level -= rate * span
         silent = max(members - 1 - self.count_heard(now), 0)
         bucket.level -= span * quota.rate * silent / max(members, 1)
-        bucket.level = min(bucket.level, quota.burst + BURST_SECONDS * quota.rate)
+        bucket.level = min(bucket.level, quota.capacity)
         bucket.expire(now - self.window)
         return bucket
 
+    def predict_rate(self, customer: str, peer: PeerUse, now: float) -> float:
+        """Estimate the units per second that the daemons of a report use now.
+
+        A customer that turns hot does so at all daemons together, before any report tells it.
+        """
+        reported = peer.news[customer].rate if customer in peer.news else 0.0
+        use = self.own.get(customer)
+        own = use.measure_rate(now) if use is not None else 0.0
+        return max(reported, RAMP_SHARE * own * peer.daemons)
+
     def count_window(self, customer: str, bucket: Bucket, quota: Quota, members: int) -> float:
         """Estimate the units that all daemons used in the window."""
         total = bucket.total
@@ -204,11 +241,7 @@
             if bucket.updated_at - peer.heard_at <= SILENT_SECONDS:
                 total += peer.predicted.get(customer, 0.0)
         silent = max(members - 1 - self.count_heard(bucket.updated_at), 0)
-        return total + self.limit_window(quota) * silent / max(members, 1)
-
-    def limit_window(self, quota: Quota) -> float:
-        """Return the units that a window may hold."""
-        return quota.rate * self.window + quota.burst
+        return total + quota.limit_window(self.window) * silent / max(members, 1)
 
     def admit(
         self, customer: str, units: float, quota: Quota, members: int, now: float
@@ -220,9 +253,10 @@
         :param members: daemons that may use the quota, this one included
         """
         bucket = self.settle(customer, quota, members, now)
-        needed = min(units, quota.burst + BURST_SECONDS * quota.rate)
+        needed = min(units, quota.capacity)
         used = self.count_window(customer, bucket, quota, members)
-        excess = used + needed - self.limit_window(quota)
+        limit = quota.limit_window(self.window)
+        excess = max(used + needed - limit, self.count_unheard(customer, units, quota, members, now))
         if bucket.level >= needed and excess <= 0:
             bucket.take(units, now)
             self.own.setdefault(customer, CustomerUse()).add(units, now)
@@ -233,10 +267,25 @@
             units,
             bucket.level,
             used,
-            self.limit_window(quota),
+            limit,
             self.count_heard(now),
         )
 
+    def count_unheard(
+        self, customer: str, units: float, quota: Quota, members: int, now: float
+    ) -> float:
+        """Return by how much a use just after the start passes this daemon's share.
+
+        All daemons that start at once know nothing of each other's use. A single request may be
+        larger than the share.
+        """
+        span = now - self.started_at
+        use = self.own.get(customer)
+        if span > UNHEARD_SECONDS or use is None or members == 1:
+            return 0.0
+        share = UNHEARD_SHARE / members * (quota.first_level + span * quota.rate)
+        return use.total + units - share
+
     def count_heard(self, now: float) -> int:
         """Count the other daemons whose use is known."""
         return sum(
