Follow the store by two watchers, and prove by the end of a wait

Change: a wait that ends without changes proves its end; waits leave room for two exchanges; two watchers instead of three; standbys follow on while nobody before them says that the store answers it; changes are fetched in batches of 0.1 s. Bounds of the deployment set the patience.

--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -69,6 +69,7 @@
     :ivar strength: how well its instance bears the work of a hub
     :ivar serving: whether it takes callers' requests
     :ivar leading: fencing number of the lease that it holds, 0 for none
+    :ivar following: whether the store answers its watches
     :ivar flights: (upstream, requests of this daemon that are there)
     :ivar quota: (customer, units used since the start, units per second now)
     :ivar usage: (window, ((customer, requests begun), ...))
@@ -85,6 +86,7 @@
     strength: int
     serving: bool
     leading: int
+    following: bool
     flights: tuple
     quota: tuple
     usage: tuple
--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterable
 
 from tanagertrail.daemons.reports import (
     LifeSign,
@@ -22,6 +23,7 @@
 from tanagertrail.policy.hubs import Topology
 
 CLIENT_SECONDS = 2.0  # after its last question a daemon is no longer a client of this hub
+FOLLOWING_SECONDS = 2.0  # age of a state beyond which its daemon may no longer follow the store
 STATE_SECONDS = 4.5  # age beyond which a state is not passed on
 
 
@@ -73,7 +75,7 @@
         self.source = source
         self.members = members
         self.mirrors = mirrors
-        self.topology = Topology((), (), True, True, 0)
+        self.topology = Topology((), (), True, True, False, 0)
         self.states: dict[str, KnownState] = {}
         self.peer_revisions: dict[str, dict[str, int]] = {}
         self.client_at: dict[str, float] = {}
@@ -113,6 +115,14 @@
         for customer, used, _ in state.quota:
             self.quota_seen[customer] += max(used - earlier.get(customer, 0.0), 0.0)
 
+    def is_followed(self, daemons: Iterable[str]) -> bool:
+        """Say whether the store answers the watches of one of some daemons."""
+        now = self.now()
+        known = [self.states[name] for name in daemons if name in self.states]
+        return any(
+            item.state.following and now - item.said_at <= FOLLOWING_SECONDS for item in known
+        )
+
     def forget(self, daemon: str) -> None:
         """Forget a daemon that is gone."""
         self.states.pop(daemon, None)
--- a/tanagertrail/gateway/model.py
+++ b/tanagertrail/gateway/model.py
@@ -239,6 +239,9 @@
     """Bounds that hold over all daemons, times in seconds.
 
     :ivar stability: time after which a repaired part counts as calm
+    :ivar config_apply: time after which a new configuration holds everywhere
+    :ivar drain: time after which an upstream that leaves gets no work
+    :ivar evacuate: time after which an emptied failure domain gets no work
     :ivar grace: time between SIGTERM and SIGKILL
     :ivar revoke: time after which a removed key must not work anywhere
     :ivar retry_ratio: repeats for each request of a service
@@ -257,6 +260,9 @@
     """
 
     stability: float
+    config_apply: float
+    drain: float
+    evacuate: float
     grace: float
     revoke: float
     retry_ratio: float
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import random
-from typing import NamedTuple
 
 from tanagertrail.daemons.reports import OriginState, Sums
 from tanagertrail.errors import ConflictError, PlatformError
@@ -37,7 +36,7 @@
 from tanagertrail.gateway.pools import ConnectionPools
 from tanagertrail.gateway.sending import UpstreamSender
 from tanagertrail.gateway.usage import UsageCounter
-from tanagertrail.gateway.watching import KindWatch
+from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
 from tanagertrail.platform.cloud import CloudClient
 from tanagertrail.platform.pages import DirectoryPage, MetricsPage, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
@@ -47,22 +46,13 @@
 from tanagertrail.settings.gateway import GatewayTuning
 from tanagertrail.webserver import ServerSettings, WebServer
 
-
-class WatchPace(NamedTuple):
-    """How a kind is followed.
-
-    :ivar wait: seconds for which one call waits for changes
-    :ivar patience: age in seconds of what is known beyond which any daemon asks the store
-    """
-
-    wait: float
-    patience: float
-
-
-CONFIG_PACE = WatchPace(1.2, 2.4)  # a key taken away must be known well before its bound
-UPSTREAM_PACE = WatchPace(1.0, 1.8)  # an upstream that leaves gets no work after 2 s
-ORDER_PACE = WatchPace(3.0, 4.5)  # a failure domain is emptied within 5 s
+CONFIG_PATIENCE = 0.75  # of the bound on a new configuration
+DRAIN_PATIENCE = 0.75  # of the bound on an upstream that leaves
+ORDER_PATIENCE = 0.78  # of the bound on a failure domain that is emptied
+LONGEST_WAIT_SECONDS = 2.0
 MEMBER_PACE = WatchPace(8.0, 12.0)
+DIRECT_SPREAD_SECONDS = 1.0  # two exchanges of daemons that all hear each other
+RELAYED_SPREAD_SECONDS = 1.75  # two exchanges by way of hubs
 ANSWER_LIFETIME_SECONDS = 1.0
 SWEEP_SECONDS = 1.0
 LEAVE_QUIET_SECONDS = 3.5  # callers keep an address answer three times its lifetime
@@ -112,6 +102,7 @@
         )
         self.front = FrontServer(self.dispatcher.handle, self.get_limits, self.log)
         self.mirrors: dict[str, KindMirror] = {}
+        self.watches: list[KindWatch] = []
         self.gathering = Gathering(self, self.members, self.mirrors)
         self.peer_server = PeerServer(self.gathering, self.log)
         self.links = PeerLinks(
@@ -145,10 +136,14 @@
             self.serve_page(self.settings.directory, DirectoryPage(self.list_fronts, lifetime))
         if self.tuning.metrics.port:
             self.serve_metrics()
-        self.watch(CONFIGURATION, ConfigHandler(self.beliefs, self.log), CONFIG_PACE)
-        self.watch(UPSTREAMS, UpstreamHandler(self.beliefs, self.log), UPSTREAM_PACE)
-        self.watch(EVACUATIONS, EvacuationHandler(self.beliefs, self.log), ORDER_PACE)
-        self.watch(ROLLOUTS, RolloutHandler(self.beliefs, self.log), ORDER_PACE)
+        bounds = self.settings.bounds
+        config_pace = WatchPace(LONGEST_WAIT_SECONDS, CONFIG_PATIENCE * bounds.config_apply)
+        upstream_pace = WatchPace(LONGEST_WAIT_SECONDS, DRAIN_PATIENCE * bounds.drain)
+        order_pace = WatchPace(LONGEST_WAIT_SECONDS, ORDER_PATIENCE * bounds.evacuate)
+        self.watch(CONFIGURATION, ConfigHandler(self.beliefs, self.log), config_pace)
+        self.watch(UPSTREAMS, UpstreamHandler(self.beliefs, self.log), upstream_pace)
+        self.watch(EVACUATIONS, EvacuationHandler(self.beliefs, self.log), order_pace)
+        self.watch(ROLLOUTS, RolloutHandler(self.beliefs, self.log), order_pace)
         self.watch(MEMBERS_KIND, MemberHandler(self.members, self.loop.time), MEMBER_PACE)
         self.spawn(self.register())
         self.spawn(self.links.run())
@@ -209,13 +204,23 @@
             mirror,
             self.log,
             self.rng,
-            pace.wait,
-            pace.patience,
-            lambda: self.gathering.topology.is_watcher,
+            pace,
+            self.describe_role,
             self.links.push_news,
         )
+        self.watches.append(watch)
         self.spawn(watch.run())
 
+    def describe_role(self) -> WatchRole:
+        """Return what this daemon does to follow the store."""
+        topology = self.gathering.topology
+        direct = len(topology.hubs) > len(self.members.states)
+        spread = DIRECT_SPREAD_SECONDS if direct else RELAYED_SPREAD_SECONDS
+        alone = topology.is_standby and not self.gathering.is_followed(
+            topology.hubs[: topology.rank]
+        )
+        return WatchRole(topology.is_watcher or alone, topology.is_standby, spread)
+
     def spawn(self, work) -> None:
         """Run a task; one that fails is logged and ends the daemon."""
         task = asyncio.create_task(work)
@@ -309,6 +314,7 @@
             self.own.strength,
             self.ready,
             self.leadership.fencing,
+            all(watch.answered for watch in self.watches),
             flights,
             quota,
             self.usage.encode(),
--- a/tanagertrail/gateway/watching.py
+++ b/tanagertrail/gateway/watching.py
@@ -1,10 +1,11 @@
 """Tasks that follow the kinds of objects in the platform's store."""
 
-__all__ = ["KindWatch"]
+__all__ = ["KindWatch", "WatchPace", "WatchRole"]
 
 import asyncio
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from tanagertrail.errors import PlatformError
 from tanagertrail.gateway.eventlog import EventLog
@@ -14,35 +15,57 @@
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.8  # short against the bounds on how soon a change must be in force
 LOOK_SECONDS = 0.2
-STEP_IN_SECONDS = 0.8  # span over which daemons step in, so that they do not all do
+STANDBY_SECONDS = 0.2  # by which a standby steps in before all others
+STEP_IN_SECONDS = 0.5  # span over which the others step in, so that they do not all do
+MISSED_SECONDS = 1.0  # by which the answer to a call is late when the store is taken as lost
+BATCH_SECONDS = 0.1  # changes that come within this span are fetched together
 
 
-class KindWatch:
-    """Follow one kind for all daemons, or step in when nobody else seems to.
+class WatchPace(NamedTuple):
+    """How a kind is followed.
+
+    :ivar wait: seconds for which one call waits for changes, at most
+    :ivar patience: age in seconds of what is known beyond which any daemon asks the store
+    """
+
+    wait: float
+    patience: float
 
-    :ivar wait: seconds for which one call waits for changes
-    :ivar patience: age of the mirror in seconds beyond which this daemon steps in
+
+class WatchRole(NamedTuple):
+    """What a daemon does to follow the store for all.
+
+    :ivar follows: whether it follows the store, as nobody before it does
+    :ivar standby: whether it steps in first
+    :ivar spread: seconds in which what a watcher knows is told to all daemons
     """
 
+    follows: bool
+    standby: bool
+    spread: float
+
+
+class KindWatch:
+    """Follow one kind for all daemons, or step in when nobody else seems to."""
+
     def __init__(
         self,
         store: StoreClient,
         mirror: KindMirror,
         log: EventLog,
         rng: random.Random,
-        wait: float,
-        patience: float,
-        is_watcher: Callable[[], bool],
+        pace: WatchPace,
+        get_role: Callable[[], WatchRole],
         on_change: Callable[[], None],
     ) -> None:
         self.store = store
         self.mirror = mirror
         self.log = log
         self.rng = rng
-        self.wait = wait
-        self.patience = patience
-        self.is_watcher = is_watcher
+        self.pace = pace
+        self.get_role = get_role
         self.on_change = on_change
+        self.answered_at = float("-inf")
         self.failures = 0
         self.failed_since = 0.0
         self.relist = False
@@ -50,8 +73,7 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
-            limit = self.patience + STEP_IN_SECONDS * self.rng.random()
-            if not self.is_watcher() and self.mirror.age < limit:
+            if not self.must_ask():
                 await asyncio.sleep(LOOK_SECONDS)
                 continue
             try:
@@ -65,21 +87,52 @@
                 pause = FIRST_PAUSE_SECONDS * 2 ** min(self.failures - 1, 4)
                 await asyncio.sleep(min(pause, MAX_PAUSE_SECONDS) * self.rng.uniform(0.8, 1.2))
 
+    def must_ask(self) -> bool:
+        """Say whether this daemon asks the store now."""
+        role = self.get_role()
+        if role.follows:
+            return True
+        later = 0.0
+        if not role.standby:
+            later = STANDBY_SECONDS + STEP_IN_SECONDS * self.rng.random()
+        return self.mirror.age >= self.pace.patience + later
+
+    @property
+    def answered(self) -> bool:
+        """Say whether the store has answered this daemon lately."""
+        silent = self.mirror.boot_time() - self.answered_at
+        return silent < self.pace.wait + MISSED_SECONDS
+
+    def choose_wait(self) -> float:
+        """Return the seconds for which the next call waits.
+
+        What is not fresh is proved by an answer at once, not after a wait.
+        """
+        if self.mirror.age >= self.pace.patience:
+            return 0.0
+        return min(self.pace.wait, max(self.pace.patience - self.get_role().spread, LOOK_SECONDS))
+
     async def advance(self) -> None:
         """Make one call and take what it brings."""
         sent_at = self.mirror.boot_time()
+        changed = False
         if self.relist or self.mirror.revision == 0:
             listing = await self.store.list_kind(self.mirror.kind)
             changed = self.mirror.take_listing(listing, sent_at)
             self.relist = False
         else:
-            # A mirror that is not fresh is proved by an answer at once, not after a wait.
-            wait = self.wait if self.mirror.age < self.patience else 0.0
-            revision = self.mirror.revision
-            answer = await self.store.watch_kind(self.mirror.kind, revision, wait)
-            changed = self.mirror.take_answer(answer, sent_at)
+            wait = self.choose_wait()
+            answer = await self.store.watch_kind(self.mirror.kind, self.mirror.revision, wait)
+            # No changes within a wait prove what is known up to the end of the wait.
+            waited = wait if not answer.changes and self.outlasted(sent_at, wait) else 0.0
+            changed = self.mirror.take_answer(answer, sent_at + waited)
         if changed:
             self.on_change()
+            await asyncio.sleep(BATCH_SECONDS)
+
+    def outlasted(self, sent_at: float, wait: float) -> bool:
+        """Say whether a call took as long as it was to wait."""
+        return self.mirror.boot_time() - sent_at >= wait
 
     def note_failure(self, error: PlatformError) -> None:
         """Log the first failure of a series."""
@@ -89,7 +142,8 @@
         self.failures += 1
 
     def note_success(self) -> None:
-        """Log the end of a series of failures."""
+        """Note an answer, and log the end of a series of failures."""
+        self.answered_at = self.mirror.boot_time()
         if self.failures:
             away = round(self.mirror.boot_time() - self.failed_since, 3)
             self.log.write(
--- a/tanagertrail/platform/settings.py
+++ b/tanagertrail/platform/settings.py
@@ -135,6 +135,9 @@
 
     return SharedBounds(
         stability=seconds("stability_ms", 3),
+        config_apply=seconds("config_apply_ms", 2),
+        drain=seconds("drain_ms", 2),
+        evacuate=seconds("evac_ms", 5),
         grace=table.read_number("grace_s", 8),
         revoke=seconds("revoke_ms", 5),
         retry_ratio=table.read_number("budget_ratio", 0.2),
--- a/tanagertrail/policy/hubs.py
+++ b/tanagertrail/policy/hubs.py
@@ -10,7 +10,8 @@
 from tanagertrail.policy.hashing import rank_by_hash
 
 ALL_HUBS = 9  # up to this many daemons each exchanges with each
-WATCHERS = 3  # daemons that follow the store for all; others step in when these fall silent
+WATCHERS = 2  # daemons that follow the store for all
+STANDBYS = 2  # daemons after them that step in first when the store is not followed
 RANK_KEY = "hubs"
 HUB_CORES = 0.5  # a hub of 67 daemons took 0.13 of a core at most, beside callers' work
 HUB_LINK_MBPS = 25.0  # a hub of 67 daemons sent 2 to 10 Mbit/s in bursts
@@ -30,6 +31,7 @@
     partners: tuple[str, ...]
     is_hub: bool
     is_watcher: bool
+    is_standby: bool
     rank: int
 
 
@@ -59,6 +61,6 @@
     is_hub = own in hubs
     others_hubs = [name for name in hubs if name != own]
     partners = others_hubs if is_hub else rank_by_hash(own, hubs)[:2]
-    return Topology(
-        tuple(hubs), tuple(partners), is_hub, own in ranking[:WATCHERS], ranking.index(own)
-    )
+    rank = ranking.index(own)
+    standby = WATCHERS <= rank < WATCHERS + STANDBYS
+    return Topology(tuple(hubs), tuple(partners), is_hub, rank < WATCHERS, standby, rank)
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -256,7 +256,8 @@
         needed = min(units, quota.capacity)
         used = self.count_window(customer, bucket, quota, members)
         limit = quota.limit_window(self.window)
-        excess = max(used + needed - limit, self.count_unheard(customer, units, quota, members, now))
+        unheard = self.count_unheard(customer, units, quota, members, now)
+        excess = max(used + needed - limit, unheard)
         if bucket.level >= needed and excess <= 0:
             bucket.take(units, now)
             self.own.setdefault(customer, CustomerUse()).add(units, now)
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -1,6 +1,6 @@
 """Who exchanges with whom, at sizes up to the one that is designed for."""
 
-from tanagertrail.policy.hubs import WATCHERS, measure_strength, plan_topology
+from tanagertrail.policy.hubs import STANDBYS, WATCHERS, measure_strength, plan_topology
 
 
 def plan_all(count):
@@ -30,6 +30,9 @@
     assert len({place.hubs for place in places.values()}) == 1
     assert sum(place.is_watcher for place in places.values()) == WATCHERS
     assert all(place.is_hub for place in places.values() if place.is_watcher)
+    standbys = [place for place in places.values() if place.is_standby]
+    assert len(standbys) == STANDBYS
+    assert not any(place.is_watcher for place in standbys)
 
 
 def test_lost_watcher_is_replaced():
@@ -44,6 +47,7 @@
     place = plan_topology("d0", ())
     assert place.is_hub
     assert place.is_watcher
+    assert not place.is_standby
     assert place.partners == ()
 
 
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,173 @@
+"""Who follows the store, how long a call waits, and what an answer without changes proves."""
+
+import asyncio
+import random
+
+from tanagertrail.errors import StoreUnavailableError
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
+from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
+from tanagertrail.platform.store import Listing, WatchAnswer
+from tanagertrail.testing import run_virtual
+
+PACE = WatchPace(2.0, 2.25)
+SPREAD = 1.75
+TELL_SECONDS = 0.8
+WATCHER = WatchRole(True, False, SPREAD)
+STANDBY = WatchRole(False, True, SPREAD)
+OTHER = WatchRole(False, False, SPREAD)
+
+
+class QuietHandler(BaseKindHandler):
+    """A handler that takes everything and does nothing."""
+
+    def replace_all(self, objects, lapsed):
+        pass
+
+    def apply_change(self, item, departure):
+        pass
+
+    def note_current(self, at):
+        pass
+
+
+class QuietStore:
+    """A store in which nothing changes, and which counts its calls."""
+
+    def __init__(self, latency=0.004):
+        self.calls = 0
+        self.waits = []
+        self.latency = latency
+        self.away = False
+
+    async def list_kind(self, kind):
+        self.calls += 1
+        return Listing([], 1)
+
+    async def watch_kind(self, kind, revision, wait):
+        self.calls += 1
+        self.waits.append(wait)
+        if self.away:
+            raise StoreUnavailableError("away")
+        await asyncio.sleep(wait + self.latency)
+        return WatchAnswer([], revision)
+
+
+def build_watch(store, role):
+    """Return a daemon's watch of one kind."""
+    now = asyncio.get_running_loop().time
+    mirror = KindMirror("servers", QuietHandler(), now)
+    log = EventLog("d", now)
+    return KindWatch(store, mirror, log, random.Random(1), PACE, lambda: role, lambda: None)
+
+
+def choose_role(role, before):
+    """Return a standby's role as its node finds it: it follows while nobody before it does."""
+
+    def get_role():
+        if not role.standby:
+            return role
+        return role._replace(follows=not any(watch.answered for watch in before))
+
+    return get_role
+
+
+async def run_fleet(stores, roles, seconds):
+    """Run the watches of daemons that tell each other by way of hubs; return the oldest age."""
+    watches = [build_watch(store, role) for store, role in zip(stores, roles, strict=True)]
+    for place, watch in enumerate(watches):
+        watch.get_role = choose_role(roles[place], watches[:place])
+    tasks = [asyncio.create_task(watch.run()) for watch in watches]
+    heard = [watch.mirror for watch in watches]
+    oldest = 0.0
+    loop = asyncio.get_running_loop()
+    relayed = float("-inf")
+    for _ in range(int(seconds / TELL_SECONDS)):
+        await asyncio.sleep(TELL_SECONDS)
+        if loop.time() > 1004.0:
+            oldest = max(oldest, *(mirror.age for mirror in heard))
+        # What the hubs know now reaches the others a period later.
+        for mirror in heard:
+            if relayed > float("-inf"):
+                mirror.prove(relayed)
+        relayed = max(mirror.proved_at or float("-inf") for mirror in heard)
+    for task in tasks:
+        task.cancel()
+    return oldest
+
+
+def test_calm_fleet_leaves_the_store_to_its_watchers():
+    """trouble-1 of the grown site: 8,929 calls, most by daemons that found their copies old."""
+
+    async def work():
+        stores = [QuietStore() for _ in range(10)]
+        roles = [WATCHER, WATCHER, STANDBY] + [OTHER] * 7
+        await run_fleet(stores, roles, 20.0)
+        return [store.calls for store in stores]
+
+    calls = run_virtual(work())
+    assert sum(calls[2:]) <= 12, calls
+    assert max(calls[:2]) <= 20 / 0.45
+
+
+def test_standby_takes_over_before_the_others_step_in():
+    async def work():
+        stores = [QuietStore() for _ in range(10)]
+        for store in stores[:2]:
+            store.away = True
+        roles = [WATCHER, WATCHER, STANDBY] + [OTHER] * 7
+        oldest = await run_fleet(stores, roles, 20.0)
+        return oldest, [store.calls for store in stores]
+
+    oldest, calls = run_virtual(work())
+    assert calls[2] >= 20
+    assert sum(calls[3:]) <= 7 * 4
+    assert oldest <= 3.0
+
+
+def test_answer_without_changes_proves_the_end_of_the_wait():
+    async def work():
+        watch = build_watch(QuietStore(), WATCHER)
+        await watch.advance()
+        await watch.advance()
+        return watch.mirror.age
+
+    assert run_virtual(work()) < 0.01
+
+
+def test_answer_before_the_end_of_the_wait_proves_only_its_start():
+    class HastyStore(QuietStore):
+        async def watch_kind(self, kind, revision, wait):
+            await asyncio.sleep(wait / 2)
+            return WatchAnswer([], revision)
+
+    async def work():
+        watch = build_watch(HastyStore(), WATCHER)
+        await watch.advance()
+        await watch.advance()
+        return watch.mirror.age
+
+    assert run_virtual(work()) >= 0.2
+
+
+def test_late_answer_proves_no_more_than_its_wait():
+    async def work():
+        watch = build_watch(QuietStore(latency=1.5), WATCHER)
+        await watch.advance()
+        await watch.advance()
+        return watch.mirror.age
+
+    assert run_virtual(work()) >= 1.5
+
+
+def test_old_copy_is_proved_by_a_call_that_does_not_wait():
+    async def work():
+        store = QuietStore()
+        watch = build_watch(store, OTHER)
+        await watch.advance()
+        await asyncio.sleep(3.0)
+        assert watch.must_ask()
+        await watch.advance()
+        return store.waits
+
+    assert run_virtual(work()) == [0.0]
