Time the wait for a lost holder from the renewal it told of

Followers looked at the lease only when the holder was missed, waited a whole lease from that look, and anew after each failed read. Change: a holder tells its last renewal with its age; a follower that finds the same renewal stored counts from there. Failed reads change nothing: an unchanged revision proves that nothing was renewed between two looks. A holder that has not renewed for half a lease is told of as missing. Ruled out: a shorter lease (the deployment sets it).

--- a/tanagertrail/bench/hubs.py
+++ b/tanagertrail/bench/hubs.py
@@ -77,6 +77,7 @@
             own.strength,
             True,
             0,
+            (),
             True,
             flights,
             quota,
--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -68,7 +68,8 @@
     :ivar front: its address for callers
     :ivar strength: how well its instance bears the work of a hub
     :ivar serving: whether it takes callers' requests
-    :ivar leading: fencing number of the lease that it holds, 0 for none
+    :ivar leading: fencing number of the lease that it holds and renews, 0 for none
+    :ivar lease: number of the last renewal and milliseconds since it was sent, if it leads
     :ivar following: whether the store answers its watches
     :ivar flights: (upstream, requests of this daemon that are there)
     :ivar quota: (customer, units used since the start, units per second now)
@@ -86,6 +87,7 @@
     strength: int
     serving: bool
     leading: int
+    lease: tuple
     following: bool
     flights: tuple
     quota: tuple
--- a/tanagertrail/gateway/leadership.py
+++ b/tanagertrail/gateway/leadership.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from tanagertrail.errors import ConflictError, PlatformError, StoreUnknownError
 from tanagertrail.gateway.clock import BootClock
@@ -17,6 +17,7 @@
 LEASE_NAME = "duties"
 RENEW_SHARE = 0.3  # of the lease, so that two renewals may fail
 FOLLOW_SECONDS = 0.5
+RENEWING_SHARE = 0.5  # of the lease, after which a holder that has not renewed it is missed
 
 
 def decode_lease(content: Any) -> LeaseRecord | None:
@@ -32,6 +33,17 @@
         return None
 
 
+class ToldRenewal(NamedTuple):
+    """The last renewal that a holder told of.
+
+    :ivar at: boot time in seconds at which it was sent at the latest
+    """
+
+    fencing: int
+    renewal: int
+    at: float
+
+
 class Leadership:
     """Hold or follow the lease.
 
@@ -65,12 +77,34 @@
         self.may_follow: Callable[[], bool] = lambda: True
         self.may_hold: Callable[[], bool] = lambda: True
         self.stopping = False
+        self.told = ToldRenewal(0, 0, 0.0)
 
     @property
     def fencing(self) -> int:
         """Return the fencing number while the lease is held, else 0."""
         return self.record.fencing if self.record is not None else 0
 
+    @property
+    def renewing(self) -> bool:
+        """Say whether the lease was renewed lately."""
+        renewed = self.boot_time() - self.renewed_at
+        return self.record is not None and renewed < self.lease * RENEWING_SHARE
+
+    def describe_renewal(self) -> tuple:
+        """Return the number of the last renewal and its age in milliseconds, if there is one."""
+        if self.record is None:
+            return ()
+        return (self.record.renewal, int((self.boot_time() - self.renewed_at) * 1000))
+
+    def note_told(self, fencing: int, renewal: tuple, delay_ms: int) -> None:
+        """Take what a holder told of its last renewal.
+
+        :param delay_ms: milliseconds since it told so
+        """
+        number, age_ms = renewal
+        at = self.boot_time() - (age_ms + delay_ms) / 1000
+        self.told = ToldRenewal(fencing, number, at)
+
     def may_act(self, duration: float) -> bool:
         """Say whether an action that takes some seconds at most may begin now."""
         if self.record is None or self.stopping:
@@ -80,21 +114,23 @@
     async def run(self) -> None:
         """Hold or follow the lease until cancelled."""
         while True:
-            try:
-                pause = FOLLOW_SECONDS
-                if self.record is not None and not self.may_hold():
-                    await self.give_back()
-                elif self.record is not None:
-                    await self.renew()
-                    pause = self.lease * RENEW_SHARE
-                elif self.may_follow():
-                    await self.follow()
-            except PlatformError as error:
-                self.log.write_routine("lease_failed", error=str(error)[:120])
-                self.watch.note_unreadable(self.boot_time())
-                pause = FOLLOW_SECONDS
+            pause = await self.advance()
             await asyncio.sleep(pause * self.rng.uniform(0.8, 1.1))
 
+    async def advance(self) -> float:
+        """Renew, follow or give back the lease, and return the seconds until the next time."""
+        try:
+            if self.record is not None and not self.may_hold():
+                await self.give_back()
+            elif self.record is not None:
+                await self.renew()
+                return self.lease * RENEW_SHARE
+            elif self.may_follow():
+                await self.follow()
+        except PlatformError as error:
+            self.log.write_routine("lease_failed", error=str(error)[:120])
+        return FOLLOW_SECONDS
+
     async def renew(self) -> None:
         """Renew the lease that is held."""
         sent_at = self.boot_time()
@@ -142,6 +178,9 @@
     def observe(self, found: StoredObject | None, now: float) -> None:
         """Take what was read of the lease."""
         record = decode_lease(found.content) if found else None
+        if record is not None and (record.fencing, record.renewal) == self.told[:2]:
+            # The holder's time runs from the renewal that it told of, not from this first look.
+            now = min(now, self.told.at)
         self.watch.observe(record, found.revision if found else 0, now)
 
     async def put(self, record: LeaseRecord, revision: int | None) -> StoredObject:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -58,8 +58,8 @@
 LEAVE_QUIET_SECONDS = 3.5  # callers keep an address answer three times its lifetime
 STOP_MARGIN_SECONDS = 0.6
 PAGE_THREADS = 4
-LEADER_SILENT_SECONDS = 2.0  # of a lease of 3 s, which is waited for before a claim
-LEADER_LOST_SECONDS = 6.0  # after which others than the first candidates claim the lease
+LEADER_SILENT_SECONDS = 1.5  # of a lease of 3 s, which is waited for before a claim
+LEADER_LOST_SECONDS = 4.0  # after which others than the first candidates claim the lease
 LEASE_CANDIDATES = 3
 SETTLE_SECONDS = 1.5  # until a new daemon knows whether it is a hub, which gathers the usage
 
@@ -313,7 +313,8 @@
             self.own.failure_domain,
             self.own.strength,
             self.ready,
-            self.leadership.fencing,
+            self.leadership.fencing if self.leadership.renewing else 0,
+            self.leadership.describe_renewal(),
             all(watch.answered for watch in self.watches),
             flights,
             quota,
@@ -327,6 +328,7 @@
         now = self.loop.time()
         if state.leading:
             self.note_leader(state.age_ms / 1000)
+            self.leadership.note_told(state.leading, state.lease, state.age_ms)
         self.usage.take(state.daemon, state.incarnation, state.usage)
         if self.gathering.topology.is_hub:
             self.quota.forget_daemons(self.gathering.states)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -190,3 +190,64 @@
         await runner.report_windows()
         await asyncio.sleep(0.05)
         assert not duties.cloud.calls
+
+
+@real_time
+async def test_wait_for_a_lost_holder_runs_from_the_renewal_it_told_of():
+    """trouble-1 of a grown site: the store turned the holder away, and no orders went out for 8 s.
+
+    Followers first looked when they missed the holder, and waited a whole lease from then on.
+    """
+    async with open_duties() as duties:
+        first, second = duties.build_leadership("a"), duties.build_leadership("b")
+        await first.follow()
+        await first.renew()
+        second.note_told(first.fencing, first.describe_renewal(), 0)
+        duties.clock.now += LEASE
+        await second.follow()
+        assert second.fencing == 0
+        duties.clock.now += LEASE * 0.2
+        await second.follow()
+        assert second.fencing == 2
+        assert not first.may_act(0.0)
+
+
+@real_time
+async def test_renewal_that_was_told_of_before_the_last_one_is_not_counted():
+    async with open_duties() as duties:
+        first, second = duties.build_leadership("a"), duties.build_leadership("b")
+        await first.follow()
+        second.note_told(first.fencing, first.describe_renewal(), 0)
+        duties.clock.now += LEASE * 0.9
+        await first.renew()
+        duties.clock.now += LEASE * 0.9
+        await second.follow()
+        assert second.fencing == 0
+        assert first.may_act(0.0)
+
+
+@real_time
+async def test_failed_reads_do_not_start_the_wait_anew():
+    async with open_duties() as duties:
+        first, second = duties.build_leadership("a"), duties.build_leadership("b")
+        await first.follow()
+        await second.follow()
+        duties.store.mode = StoreMode.BUSY
+        duties.clock.now += LEASE * 0.6
+        await second.advance()
+        duties.store.mode = StoreMode.UP
+        duties.clock.now += LEASE * 0.6
+        await second.advance()
+        assert second.fencing == 2
+        assert not first.may_act(0.0)
+
+
+@real_time
+async def test_holder_that_cannot_renew_is_soon_told_of_no_more():
+    async with open_duties() as duties:
+        first = duties.build_leadership("a")
+        await first.follow()
+        assert first.renewing
+        duties.clock.now += LEASE * 0.5
+        assert not first.renewing
+        assert first.may_act(0.0)
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -49,6 +49,7 @@
             own.strength,
             True,
             0,
+            (),
             True,
             (("up", self.flights),),
             (("guild", self.used, 0.0),),
