Ask other failure domains for what a dry one cannot give

Change: the share of domains that refused an order in the last 6 s is ordered in the others, at the reclaimable price.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -29,6 +29,7 @@
 SETTLE_SECONDS = 2.0  # after a window's end, until all daemons' counts have come
 DEMAND_SECONDS = 15.0  # span whose highest demand the fleet is planned for: a boot and a burst
 REORDER_SECONDS = 3.0  # between equal orders whose effect has not shown
+DRY_SECONDS = 6.0  # two orders in turn, after which a domain without upstreams is asked anew
 
 
 class DutyRunner:
@@ -59,6 +60,7 @@
         self.reported: set[int] = set()
         self.demand: dict[str, deque[tuple[float, int]]] = {}
         self.ordered_at: dict[FleetOrder, float] = {}
+        self.dry_until: dict[tuple[str, str], float] = {}
         self.started_window = usage.current_window()
 
     async def run(self) -> None:
@@ -191,8 +193,19 @@
             service.engine.batch if service.engine else 1,
             max((running for _, running in history), default=0),
             self.count_warm(service.name),
-            self.count_ordinary(service.name),
+            self.count_kind(service.name, reclaimable=False),
+            self.count_kind(service.name, reclaimable=True),
             frozenset(self.beliefs.evacuated),
+            self.list_dry(service.name),
+        )
+
+    def list_dry(self, service: str) -> frozenset[str]:
+        """Return the failure domains in which no reclaimable upstreams were to be had lately."""
+        now = asyncio.get_running_loop().time()
+        return frozenset(
+            domain
+            for (name, domain), until in self.dry_until.items()
+            if name == service and now < until
         )
 
     def count_warm(self, service: str) -> dict[str, int]:
@@ -205,10 +218,10 @@
                 counts[domain] = counts.get(domain, 0) + 1
         return counts
 
-    def count_ordinary(self, service: str) -> dict[str, int]:
-        """Count the ordinary upstreams that stay, by failure domain."""
+    def count_kind(self, service: str, reclaimable: bool) -> dict[str, int]:
+        """Count the upstreams of one kind that stay, by failure domain."""
         present = self.count_upstreams(service)
-        return {domain: n for (domain, reclaimable), n in present.items() if not reclaimable}
+        return {domain: n for (domain, kind), n in present.items() if kind == reclaimable}
 
     def count_upstreams(self, service: str) -> dict[tuple[str, bool], int]:
         """Count the upstreams that stay, by failure domain and kind."""
@@ -229,4 +242,7 @@
         self.ordered_at[order] = now
         fencing = self.leadership.fencing
         reply = await self.cloud.order_upstreams(self.daemon, fencing, order)
+        if order.reclaimable:
+            dry = reply is CloudReply.NOT_AVAILABLE
+            self.dry_until[order.service, order.failure_domain] = now + DRY_SECONDS if dry else 0.0
         self.log.write("fleet_order", **order._asdict(), fencing=fencing, reply=reply)
--- a/tanagertrail/policy/fleet.py
+++ b/tanagertrail/policy/fleet.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from tanagertrail.registry import Registry
@@ -13,6 +14,8 @@
 LEAST_UPSTREAMS = 4
 STANDING_SHARE = 0.5  # of what may be ordered, kept while idle: what the operators start with
 
+NONE_PRESENT: Mapping[str, int] = MappingProxyType({})
+
 
 class FleetView(NamedTuple):
     """What the plan for one service depends on.
@@ -25,7 +28,9 @@
     :ivar demand: requests that run or wait, a high value of the recent past
     :ivar warm: reclaimable upstreams that stay and are warm, by failure domain
     :ivar ordinary: ordinary upstreams that stay, by failure domain
+    :ivar present: reclaimable upstreams that stay, warm or cold, by failure domain
     :ivar closed: failure domains that get no work
+    :ivar dry: failure domains in which no reclaimable upstreams were to be had lately
     """
 
     prices: Mapping[str, float]
@@ -36,7 +41,9 @@
     demand: float
     warm: Mapping[str, int]
     ordinary: Mapping[str, int]
+    present: Mapping[str, int] = NONE_PRESENT
     closed: frozenset[str] = frozenset()
+    dry: frozenset[str] = frozenset()
 
 
 class FleetPlan(NamedTuple):
@@ -56,7 +63,8 @@
 
     Answers waves of reclaims under a rising load: the loss of one domain's upstreams is borne by
     the others, and for the next one ordinary upstreams are started at the first notice. A standing
-    fleet of reclaimable upstreams keeps a rising wave from being answered by cold ones.
+    fleet of reclaimable upstreams keeps a rising wave from being answered by cold ones. What a
+    domain cannot give, the others are asked for at the reclaimable price.
     """
     domains = sorted(view.prices, key=lambda name: (view.prices[name], name))
     if not domains:
@@ -76,7 +84,20 @@
     first = {name: min(view.least, bound[name]) for name in domains}
     standing = math.ceil(STANDING_SHARE * view.most * len(domains))
     extra = max(wanted + spare, standing) - sum(first.values())
-    return FleetPlan(ordinary, add_within(first, domains, extra, bound))
+    even = add_within(first, domains, extra, bound)
+    return FleetPlan(ordinary, move_from_dry(even, view, bound))
+
+
+def move_from_dry(
+    even: Mapping[str, int], view: FleetView, bound: Mapping[str, int]
+) -> dict[str, int]:
+    """Return counts in which other domains make up for those that have nothing.
+
+    The even share of a dry domain is asked for on, so that it is seen when there is something.
+    """
+    given = [name for name in even if name not in view.dry and name not in view.closed]
+    missing = sum(even[name] - view.present.get(name, 0) for name in view.dry if name in even)
+    return add_within(even, given, missing, bound)
 
 
 def add_evenly(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -63,3 +63,16 @@
     plan = plan_reclaimable(view(most=15, demand=0, warm=dict.fromkeys(PRICES, 8)))
     assert sum(plan.reclaimable.values()) >= 30
     assert sum(plan.ordinary.values()) == 0
+
+
+def test_domains_that_have_nothing_are_made_up_for_by_the_others():
+    """trouble-1 of a grown site: 16 of 30 were reclaimed, and their domains had nothing."""
+    warm = {"a": 8, "b": 0, "c": 7, "d": 0}
+    calm = view(most=30, demand=0, warm=dict.fromkeys(PRICES, 8))
+    total = sum(plan_reclaimable(calm).reclaimable.values())
+    dry = frozenset({"b", "d"})
+    plan = plan_reclaimable(calm._replace(warm=warm, present=warm, dry=dry))
+    assert plan.reclaimable["a"] + plan.reclaimable["c"] >= total
+    assert plan.reclaimable["b"] >= 1, "a dry domain is asked on"
+    small = plan_reclaimable(view(warm=warm, present=warm, dry=dry))
+    assert all(count <= 3 for count in small.reclaimable.values())
