Add a fault soak of real daemons behind loopback proxies

A run draws its faults from a seed: signals that kill, pause, stop and reload daemons, proxies that delay, reset, silence and cut links one way, a store that is busy, silent, slow, loses answers and forgets, upstreams that misbehave, new versions, removed keys, emptied domains. Checks read what callers, upstreams and the cloud API saw: at most once, true refusals, whole own answers, nothing after leave, quotas, cold bounds, no version going back, planned stops, one count for a window, recovery.

--- /dev/null
+++ b/tanagertrail/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real daemons as processes, with faults injected from outside them."""
--- /dev/null
+++ b/tanagertrail/soak/callers.py
@@ -0,0 +1,171 @@
+"""Callers of the soak: they ask for addresses, keep connections and write down what they see."""
+
+__all__ = ["Call", "CallerCrowd"]
+
+import asyncio
+import itertools
+import json
+import random
+from typing import NamedTuple
+
+from tanagertrail.errors import TanagertrailError
+from tanagertrail.gateway.channel import open_channel
+from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.platform import fields
+from tanagertrail.soak.documents import CUSTOMERS, HOST, HOST_NAME, SoakCustomer
+
+DEADLINE_SECONDS = 3.0
+CONNECT_SECONDS = 1.0
+ADDRESS_SECONDS = 1.0
+CALLS_ON_ONE_CONNECTION = 12
+PAUSE_SECONDS = (0.01, 0.12)
+LEAVE_SHARE = 0.03  # of calls whose caller closes its connection before the answer
+ROUTES = ("look", "look", "book", "book", "talk")
+
+
+class Call(NamedTuple):
+    """A request and what its caller saw, times by the event loop in seconds.
+
+    :ivar port: port of the daemon's front
+    :ivar sent_at: when the last byte was written, 0 if no connection could be made
+    :ivar status: status of the answer, 0 for none
+    :ivar whole: whether the answer was complete
+    :ivar left: whether the caller closed its connection on purpose
+    """
+
+    request_id: str
+    route: str
+    customer: SoakCustomer
+    body: bytes
+    port: int
+    sent_at: float
+    ended_at: float
+    status: int = 0
+    stamp: str = ""
+    answer: bytes = b""
+    whole: bool = False
+    left: bool = False
+
+
+class CallerCrowd:
+    """Several callers that go on until they are cancelled.
+
+    :ivar links: port to connect to, by the port of the front that a daemon names
+    :ivar extra_routes: routes that later configurations added, newest last
+    :ivar open_ports: ports of the fronts to which connections are open
+    """
+
+    def __init__(
+        self, seed: int, directories: list[int], links: dict[int, int], extra_routes: list[str]
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.directories = directories
+        self.links = links
+        self.extra_routes = extra_routes
+        self.calls: list[Call] = []
+        self.numbers = itertools.count(1)
+
+    async def run(self, callers: int) -> None:
+        """Run callers until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(callers):
+                group.create_task(self.run_caller(random.Random(self.rng.random() + number)))
+
+    async def run_caller(self, rng: random.Random) -> None:
+        """Ask for addresses and send requests until cancelled."""
+        while True:
+            try:
+                fronts = await self.ask_directory(rng)
+                await self.use_front(rng, rng.choice(fronts))
+            except (OSError, TimeoutError, TanagertrailError, ValueError, IndexError):
+                await asyncio.sleep(rng.uniform(0.05, 0.2))
+
+    async def ask_directory(self, rng: random.Random) -> list[int]:
+        """Return the ports of the fronts that a daemon names."""
+        port = rng.choice(self.directories)
+        stream = UpstreamStream(await open_channel(HOST, port, ADDRESS_SECONDS))
+        try:
+            async with asyncio.timeout(ADDRESS_SECONDS):
+                target = f"/tanagertrail/resolve?name={HOST_NAME}&region=island&zone=north"
+                stream.send_request(b"GET", target.encode(), [(b"host", b"directory")], b"")
+                await stream.read_head()
+                document = json.loads(await stream.read_rest())
+        finally:
+            stream.abort()
+        return [int(address.rpartition(":")[2]) for address in document["addresses"]]
+
+    async def use_front(self, rng: random.Random, front: int) -> None:
+        """Send some requests on one connection, as long as it stands."""
+        port = self.links.get(front, front)
+        stream = UpstreamStream(await open_channel(HOST, port, CONNECT_SECONDS))
+        try:
+            for _ in range(CALLS_ON_ONE_CONNECTION):
+                call = await self.call(rng, stream, front)
+                self.calls.append(call)
+                if not call.whole or call.left or not stream.channel.idle:
+                    return
+                await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
+        finally:
+            stream.abort()
+
+    async def call(self, rng: random.Random, stream: UpstreamStream, front: int) -> Call:
+        """Send one request and read its answer."""
+        number = next(self.numbers)
+        route = rng.choice([*ROUTES, *self.extra_routes[-1:]])
+        customer = rng.choice(CUSTOMERS)
+        body = f"order {number}".encode() if route == "book" else b""
+        loop = asyncio.get_running_loop()
+        request_id = f"soak-{number}"
+        self.send(stream, request_id, route, customer, body)
+        call = Call(request_id, route, customer, body, front, loop.time(), loop.time())
+        if rng.random() < LEAVE_SHARE:
+            await asyncio.sleep(rng.uniform(0.0, 0.05))
+            return call._replace(left=True, ended_at=loop.time())
+        try:
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                return await self.read(stream, call)
+        except (OSError, TimeoutError, TanagertrailError):
+            return call._replace(ended_at=loop.time())
+
+    def send(
+        self,
+        stream: UpstreamStream,
+        request_id: str,
+        route: str,
+        customer: SoakCustomer,
+        body: bytes,
+    ) -> None:
+        """Write a request."""
+        headers = [
+            (b"host", HOST_NAME.encode()),
+            (fields.REQUEST_ID, request_id.encode()),
+            (fields.DEADLINE, str(int(DEADLINE_SECONDS * 1000)).encode()),
+            (fields.API_KEY, customer.key.encode()),
+            (fields.CUSTOMER, b"somebody-else"),
+        ]
+        if body:
+            headers.append((b"content-length", str(len(body)).encode()))
+        suffix = "events" if route == "talk" else "x"
+        method = b"POST" if body else b"GET"
+        stream.send_request(method, f"/{route}/{suffix}".encode(), headers, body)
+
+    async def read(self, stream: UpstreamStream, call: Call) -> Call:
+        """Read an answer to its end."""
+        loop = asyncio.get_running_loop()
+        head = await stream.read_head()
+        stamp = dict(head.headers).get(fields.STAMP, b"").decode()
+        parts: list[bytes] = []
+        whole = False
+        try:
+            while (part := await stream.read_part()) is not None:
+                parts.append(part)
+            whole = True
+        except (OSError, TimeoutError, TanagertrailError):
+            pass  # an answer that is cut counts as not whole
+        return call._replace(
+            ended_at=loop.time(),
+            status=head.status,
+            stamp=stamp,
+            answer=b"".join(parts),
+            whole=whole,
+        )
--- /dev/null
+++ b/tanagertrail/soak/checks.py
@@ -0,0 +1,260 @@
+"""The promises that a run must keep, from what callers, upstreams and the cloud API saw."""
+
+__all__ = ["CHECKS", "Evidence", "Removal", "RunSeen", "find_broken"]
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from tanagertrail.registry import Registry
+from tanagertrail.soak.callers import Call
+from tanagertrail.soak.documents import BOUNDS, COLD_RATE, CUSTOMERS, PLAIN_UNITS
+from tanagertrail.soak.plan import Fault, was_disturbed
+from tanagertrail.standins.upstream import EVENTS
+
+PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: has not run and never will
+STABILITY_SECONDS = BOUNDS["stability_ms"] / 1000
+REGRESS_SECONDS = 0.25
+SERVED_SHARE = 0.25  # of the calls that are sent in the last calm seconds of a run
+
+
+class RunSeen(NamedTuple):
+    """A request that an upstream began, times by the event loop in seconds.
+
+    :ivar cold: whether the upstream was cold
+    """
+
+    request_id: str
+    customer: str
+    upstream: str
+    domain: str
+    path: str
+    body: bytes
+    at: float
+    cold: bool
+
+
+class Removal(NamedTuple):
+    """What must not be used later than some seconds after it was removed.
+
+    :ivar what: upstream, failure domain or key
+    :ivar at: when the store acknowledged it
+    :ivar until: when it was taken back
+    """
+
+    kind: str
+    what: str
+    at: float
+    until: float
+
+
+class Evidence(NamedTuple):
+    """All that a run has shown.
+
+    :ivar plan: faults, by seconds from ``started``
+    :ivar starts: (front port, time) of each start of a daemon
+    :ivar terms: (front port, time) of each request to a daemon to stop
+    :ivar usage: counts by window, once for each call of the cloud API
+    """
+
+    started: float
+    ended: float
+    plan: list[Fault]
+    calls: list[Call]
+    runs: list[RunSeen]
+    removals: list[Removal]
+    starts: list[tuple[int, float]]
+    terms: list[tuple[int, float]]
+    usage: list[tuple[int, dict[str, int], int]]
+
+    def was_calm(self, since: float, until: float) -> bool:
+        """Say whether nothing but planned work touched a span and the time before it."""
+        since -= STABILITY_SECONDS
+        return not was_disturbed(self.plan, since - self.started, until - self.started)
+
+
+Check = Callable[[Evidence], Iterator[str]]
+CHECKS: Registry[Check] = Registry("soak check")
+
+
+def find_broken(evidence: Evidence) -> list[str]:
+    """Return what was broken, with the name of the check."""
+    return [f"{name}: {text}" for name in CHECKS for text in CHECKS.get(name)(evidence)]
+
+
+def count_runs(evidence: Evidence) -> Counter[str]:
+    """Count how often each request began to run."""
+    return Counter(run.request_id for run in evidence.runs)
+
+
+@CHECKS.register("at most once")
+def check_once(evidence: Evidence) -> Iterator[str]:
+    """Find requests that may run once and ran more often."""
+    counts = count_runs(evidence)
+    for call in evidence.calls:
+        if call.route == "book" and counts[call.request_id] > 1:
+            yield f"{call.request_id} ran {counts[call.request_id]} times"
+
+
+@CHECKS.register("true refusals")
+def check_refusals(evidence: Evidence) -> Iterator[str]:
+    """Find requests that ran though their caller was told that they had not."""
+    counts = count_runs(evidence)
+    for call in evidence.calls:
+        if call.route == "book" and call.status in PROMISES and counts[call.request_id]:
+            yield f"{call.request_id} was answered {call.status} and ran"
+
+
+@CHECKS.register("whole own answers")
+def check_answers(evidence: Evidence) -> Iterator[str]:
+    """Find successes that are cut, mixed up or of another request."""
+    for call in evidence.calls:
+        if not (call.whole and call.status == 200):
+            continue
+        upstream, _, own = call.stamp.partition(".")
+        if own != call.request_id:
+            yield f"{call.request_id} got the answer of {call.stamp!r}"
+        elif call.route == "talk" and call.answer != build_events():
+            yield f"{call.request_id} got other events: {call.answer[:80]!r}"
+        elif call.route != "talk" and call.answer != f"answer of {upstream}".encode():
+            yield f"{call.request_id} got {call.answer[:80]!r} from {upstream}"
+
+
+def build_events() -> bytes:
+    """Return the whole stream of events."""
+    numbers = range(1, EVENTS + 1)
+    return b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in numbers)
+
+
+@CHECKS.register("asked for")
+def check_asked(evidence: Evidence) -> Iterator[str]:
+    """Find runs that nobody asked for or that were changed on the way."""
+    calls = {call.request_id: call for call in evidence.calls}
+    for run in evidence.runs:
+        call = calls.get(run.request_id)
+        if call is None:
+            continue  # its caller was stopped in the middle at the end of the run
+        if run.customer != call.customer.name or run.body != call.body:
+            yield f"{run.request_id} ran for {run.customer!r} with {run.body[:40]!r}"
+        elif not run.path.startswith(f"/{call.route}/"):
+            yield f"{run.request_id} ran on {run.path}"
+
+
+@CHECKS.register("removed keys")
+def check_keys(evidence: Evidence) -> Iterator[str]:
+    """Find runs with a key that was taken away long before; no disturbance excuses them."""
+    sent = {call.request_id: call.sent_at for call in evidence.calls}
+    for run in evidence.runs:
+        for removal in evidence.removals:
+            late = removal.at + BOUNDS["revoke_ms"] / 1000
+            if removal.kind == "key" and removal.what == run.customer:
+                at = sent.get(run.request_id, 0.0)
+                if late < at < removal.until:
+                    yield f"{run.request_id} ran {at - removal.at:.2f} s after its key was removed"
+
+
+@CHECKS.register("nothing after leave")
+def check_left(evidence: Evidence) -> Iterator[str]:
+    """Find runs at upstreams that left and in failure domains that were emptied."""
+    limits = {"upstream": BOUNDS["drain_ms"] / 1000, "domain": BOUNDS["evac_ms"] / 1000}
+    for run in evidence.runs:
+        for removal in evidence.removals:
+            limit = limits.get(removal.kind)
+            if limit is None or removal.what not in (run.upstream, run.domain):
+                continue
+            late = removal.at + limit < run.at < removal.until
+            if late and evidence.was_calm(removal.at, run.at):
+                yield f"{run.request_id} ran {run.at - removal.at:.2f} s after {removal.what} left"
+
+
+@CHECKS.register("quotas")
+def check_quotas(evidence: Evidence) -> Iterator[str]:
+    """Find windows in which a customer used more than its quota allows."""
+    window = BOUNDS["quota_window_s"]
+    for customer in CUSTOMERS:
+        if not customer.rate:
+            continue
+        times = sorted(run.at for run in evidence.runs if run.customer == customer.name)
+        plain = customer.rate * window + customer.rate
+        most = (plain * (1 + BOUNDS["quota_over"]) + BOUNDS["quota_slack"]) / PLAIN_UNITS
+        first = 0
+        for last, at in enumerate(times):
+            while times[first] <= at - window:
+                first += 1
+            if last - first + 1 > most:
+                yield f"{customer.name} ran {last - first + 1} requests of {most:.0f} in a window"
+                return
+
+
+@CHECKS.register("cold upstreams")
+def check_cold(evidence: Evidence) -> Iterator[str]:
+    """Find seconds in which a cold upstream got more than it bears."""
+    most = COLD_RATE * BOUNDS["cold_over"] + BOUNDS["cold_slack"]
+    times = defaultdict(list)
+    for run in evidence.runs:
+        if run.cold:
+            times[run.upstream].append(run.at)
+    for upstream, runs in times.items():
+        for at in runs:
+            inside = sum(at <= other < at + 1.0 for other in runs)
+            if inside > most:
+                yield f"{upstream} got {inside} requests of {most:.0f} in a second while cold"
+                break
+
+
+@CHECKS.register("no version goes back")
+def check_versions(evidence: Evidence) -> Iterator[str]:
+    """Find daemons that served a new route and then denied it, in one life of the process."""
+    served: dict[tuple[int, str], float] = {}
+    for call in sorted(evidence.calls, key=lambda item: item.ended_at):
+        key = (call.port, call.route)
+        known = served.get(key)
+        reborn = known is not None and any(
+            port == call.port and known < at <= call.ended_at for port, at in evidence.starts
+        )
+        if reborn:
+            del served[key]
+        elif known is not None and call.status == 404 and call.sent_at > known + REGRESS_SECONDS:
+            yield f"{call.request_id}: {call.port} denied {call.route} after it had served it"
+        if call.status == 200:
+            served.setdefault(key, call.ended_at)
+
+
+@CHECKS.register("nothing cut by a planned stop")
+def check_stops(evidence: Evidence) -> Iterator[str]:
+    """Find calls that a stopping daemon had read and did not answer, in calm times."""
+    for port, at in evidence.terms:
+        for call in evidence.calls:
+            concerned = call.port == port and at <= call.sent_at <= at + STABILITY_SECONDS
+            cut = call.status == 0 or not call.whole
+            in_time = call.ended_at - call.sent_at < 1.0
+            if concerned and cut and not call.left and in_time:
+                ran = any(run.request_id == call.request_id for run in evidence.runs)
+                if ran and evidence.was_calm(at, call.ended_at):
+                    yield f"{call.request_id} ran at a stopping daemon and was cut"
+
+
+@CHECKS.register("one count for a window")
+def check_usage(evidence: Evidence) -> Iterator[str]:
+    """Find windows that were reported with different counts, and tokens that went back."""
+    reported: dict[int, dict[str, int]] = {}
+    highest = 0
+    for window, counts, fencing in evidence.usage:
+        if reported.setdefault(window, counts) != counts:
+            yield f"window {window} was reported as {reported[window]} and {counts}"
+        if fencing < highest:
+            yield f"fencing went back from {highest} to {fencing}"
+        highest = max(highest, fencing)
+
+
+@CHECKS.register("recovery")
+def check_recovery(evidence: Evidence) -> Iterator[str]:
+    """Find runs whose last calm seconds are not served."""
+    last = max((fault.until for fault in evidence.plan), default=0.0) + evidence.started
+    since = last + STABILITY_SECONDS
+    calls = [
+        call for call in evidence.calls if since < call.sent_at and call.customer.name == "guild"
+    ]
+    served = sum(call.status == 200 and call.whole for call in calls)
+    if len(calls) >= 20 and served < SERVED_SHARE * len(calls):
+        yield f"{served} of {len(calls)} calls were served after the last fault"
--- /dev/null
+++ b/tanagertrail/soak/documents.py
@@ -0,0 +1,134 @@
+"""What the soak's operator stores and what its daemons read, in the platform's format."""
+
+__all__ = ["BOUNDS", "CUSTOMERS", "build_entry", "build_document", "build_node_file"]
+
+import json
+from typing import Any, NamedTuple
+
+from tanagertrail.soak.processes import DaemonPorts
+
+HOST = "127.0.0.1"
+SERVICE = "desk"
+HOST_NAME = "desk.example"
+DOMAINS = ("north", "south", "east")
+COLD_RATE = 10
+PLAIN_UNITS = 200
+BOUNDS = {
+    "stability_ms": 3000,
+    "config_apply_ms": 2000,
+    "drain_ms": 2000,
+    "evac_ms": 5000,
+    "grace_s": 8,
+    "revoke_ms": 5000,
+    "budget_ratio": 0.2,
+    "budget_window_s": 10,
+    "budget_extra": 50,
+    "quota_window_s": 8,
+    "quota_over": 0.1,
+    "quota_slack": 4000,
+    "lease_ms": 3000,
+    "usage_window_s": 5,
+    "usage_late_s": 10,
+    "cold_over": 1.5,
+    "cold_slack": 5,
+    "ttl_max_s": 5,
+}
+
+
+class SoakCustomer(NamedTuple):
+    """A customer of the soak, with its quota in units a second, 0 for none."""
+
+    name: str
+    key: str
+    rate: int
+
+
+CUSTOMERS = (
+    SoakCustomer("guild", "key-guild", 0),
+    SoakCustomer("narrow", "key-narrow", 4000),
+    SoakCustomer("leaver", "key-leaver", 0),
+)
+
+
+def build_route(name: str, kind: str) -> dict[str, Any]:
+    """Return a route."""
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 4000,
+        "slo_ms": 400,
+        "priority": 1,
+        "service": SERVICE,
+        "attempts": 1 if kind == "unsafe" else 3,
+        "public": False,
+        "sticky": False,
+        "resumable": kind == "stream",
+        "gap_aim_ms": 200,
+    }
+
+
+def build_document(version: int, extra_routes: list[str], keys: set[str]) -> dict[str, Any]:
+    """Return a configuration.
+
+    :param extra_routes: names of routes that later versions added
+    :param keys: keys in force
+    """
+    routes = [build_route("look", "safe"), build_route("book", "unsafe")]
+    routes += [build_route("talk", "stream")]
+    routes += [build_route(name, "safe") for name in extra_routes]
+    tenants = []
+    for item in CUSTOMERS:
+        tenant: dict[str, Any] = {"name": item.name}
+        tenant["api_keys"] = [item.key] if item.key in keys else []
+        if item.rate:
+            tenant |= {"rate_per_s": item.rate, "burst": item.rate, "unit": "tokens"}
+            tenant["plain_tokens"] = PLAIN_UNITS
+        tenants.append(tenant)
+    service = {"name": SERVICE, "max_conns": 200, "cold_start_s": 3, "cold_per_s": COLD_RATE}
+    return {"version": version, "routes": routes, "services": [service], "tenants": tenants}
+
+
+def build_entry(port: int, domain: str, **changes: Any) -> dict[str, Any]:
+    """Return an upstream's registration."""
+    entry = {
+        "service": SERVICE,
+        "address": f"{HOST}:{port}",
+        "zone": domain,
+        "version": "v1",
+        "capacity": 16,
+        "state": "ready",
+    }
+    return entry | changes
+
+
+def build_node_file(
+    name: str, domain: str, ports: DaemonPorts, store: int, cloud: int, seeds: list[int]
+) -> str:
+    """Return the settings file of a daemon."""
+    tables = {
+        "zones": dict.fromkeys(DOMAINS, "island"),
+        "listen": {
+            "front": f"{HOST}:{ports.front}",
+            "ready": f"{HOST}:{ports.ready}",
+            "directory": f"{HOST}:{ports.directory}",
+        },
+        "limits": {"max_fds": 1024, "memory_mb": 200, "cores": 1, "cpu_share": 1.0},
+        "platform": {"address": f"{HOST}:{store}"},
+        "cloud_api": {"address": f"{HOST}:{cloud}", "duties": ["usage"]},
+        "bounds": BOUNDS,
+    }
+    lines = [
+        f"node_name = {json.dumps(name)}",
+        f"ip = {json.dumps(HOST)}",
+        f"zone = {json.dumps(domain)}",
+        'region = "island"',
+        f"internal_ports = [{ports.internal}, {ports.internal}]",
+        f"seeds = {json.dumps([f'{HOST}:{port}' for port in seeds])}",
+        "heartbeat_ms = 1200",
+    ]
+    for table, values in tables.items():
+        lines.append(f"[{table}]")
+        lines += [f"{key} = {json.dumps(value)}" for key, value in values.items()]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/tanagertrail/soak/faults.py
@@ -0,0 +1,248 @@
+"""What injects each kind of fault, from outside the daemons."""
+
+__all__: list[str] = []
+
+import asyncio
+import signal
+
+from tanagertrail.soak.documents import BOUNDS, COLD_RATE, DOMAINS
+from tanagertrail.soak.plan import Fault, register_fault
+from tanagertrail.soak.processes import DaemonProcess
+from tanagertrail.soak.proxy import LinkState, LoopbackProxy
+from tanagertrail.soak.world import SoakUpstream, SoakWorld
+from tanagertrail.standins.store import StoreMode
+from tanagertrail.standins.upstream import FAULTS as MISBEHAVIOURS
+
+SLOW_STORE_SECONDS = 0.8
+LOST_ANSWERS = 4
+MISBEHAVING_REQUESTS = 6
+SLOW_WORK_SECONDS = 0.4
+COLD_MS = 3000
+HARMLESS_TO_ONCE = ("refuse", "fail", "reset", "half_event", "extra", "late_other", "short")
+
+
+def pick_daemon(world: SoakWorld, fault: Fault) -> DaemonProcess:
+    """Return the daemon that a fault strikes."""
+    return world.daemons[fault.target % len(world.daemons)]
+
+
+def pick_upstream(world: SoakWorld, fault: Fault) -> tuple[int, SoakUpstream]:
+    """Return the upstream that a fault strikes; the first one is always left alone."""
+    number = 1 + fault.target % (len(world.upstreams) - 1)
+    return number, world.upstreams[number]
+
+
+async def hold(link: LoopbackProxy, state: LinkState, seconds: float) -> None:
+    """Keep a link in a state for some time."""
+    link.set_state(state)
+    await asyncio.sleep(seconds)
+    link.set_state(LinkState.PASS)
+
+
+@register_fault("kill", 0.2, 2.0)
+async def kill(world: SoakWorld, fault: Fault) -> None:
+    """Kill a daemon and start it again."""
+    daemon = pick_daemon(world, fault)
+    await daemon.kill()
+    await daemon.restart(fault.seconds)
+
+
+@register_fault("kill all", 0.5, 1.5)
+async def kill_all(world: SoakWorld, fault: Fault) -> None:
+    """Kill all daemons at one moment and start them again."""
+    await asyncio.gather(*(daemon.kill() for daemon in world.daemons))
+    await asyncio.gather(*(daemon.restart(fault.seconds) for daemon in world.daemons))
+
+
+@register_fault("pause", 0.5, 6.0)
+async def pause(world: SoakWorld, fault: Fault) -> None:
+    """Stop a daemon without ending it, and let it go on."""
+    daemon = pick_daemon(world, fault)
+    daemon.pause()
+    await asyncio.sleep(fault.seconds)
+    daemon.resume()
+
+
+@register_fault("stop", 3.0, 5.0, planned=True)
+async def stop(world: SoakWorld, fault: Fault) -> None:
+    """Ask a daemon to stop, and start it again."""
+    daemon = pick_daemon(world, fault)
+    if daemon.frozen or not daemon.running:
+        return
+    world.terms.append((daemon.ports.front, world.now()))
+    await daemon.stop(BOUNDS["grace_s"])
+    await daemon.restart()
+
+
+@register_fault("reload", 0.1, 0.2, planned=True)
+async def reload(world: SoakWorld, fault: Fault) -> None:
+    """Tell a daemon to read its settings again."""
+    pick_daemon(world, fault).signal(signal.SIGHUP)
+
+
+@register_fault("store cut", 1.0, 7.0)
+async def cut_store(world: SoakWorld, fault: Fault) -> None:
+    """Silence a daemon's connections to the store."""
+    link = world.store_links[fault.target % len(world.store_links)]
+    await hold(link, LinkState.SILENT, fault.seconds)
+
+
+@register_fault("store one way", 1.0, 5.0)
+async def cut_store_one_way(world: SoakWorld, fault: Fault) -> None:
+    """Let a daemon's calls reach the store, and no answer come back."""
+    link = world.store_links[fault.target % len(world.store_links)]
+    await hold(link, LinkState.FORWARD_ONLY, fault.seconds)
+
+
+@register_fault("store reset", 0.2, 2.0)
+async def reset_store(world: SoakWorld, fault: Fault) -> None:
+    """Reset a daemon's connections to the store."""
+    link = world.store_links[fault.target % len(world.store_links)]
+    await hold(link, LinkState.RESET, fault.seconds)
+
+
+async def set_store_mode(world: SoakWorld, mode: StoreMode, seconds: float) -> None:
+    """Keep the store in a mode for some time."""
+    world.store.mode = mode
+    await asyncio.sleep(seconds)
+    world.store.mode = StoreMode.UP
+
+
+@register_fault("store busy", 1.0, 6.0)
+async def make_store_busy(world: SoakWorld, fault: Fault) -> None:
+    """Have the store turn all calls away."""
+    await set_store_mode(world, StoreMode.BUSY, fault.seconds)
+
+
+@register_fault("store silent", 1.0, 5.0)
+async def silence_store(world: SoakWorld, fault: Fault) -> None:
+    """Have the store answer nothing."""
+    await set_store_mode(world, StoreMode.SILENT, fault.seconds)
+
+
+@register_fault("store slow", 1.0, 4.0)
+async def slow_store(world: SoakWorld, fault: Fault) -> None:
+    """Delay all answers of the store."""
+    world.store.delay = SLOW_STORE_SECONDS
+    await asyncio.sleep(fault.seconds)
+    world.store.delay = 0.0
+
+
+@register_fault("store loses answers", 0.5, 3.0)
+async def lose_answers(world: SoakWorld, fault: Fault) -> None:
+    """Have writes done and not answered."""
+    world.store.lost_writes += LOST_ANSWERS
+    await asyncio.sleep(fault.seconds)
+    world.store.lost_writes = 0
+
+
+@register_fault("store forgets", 0.1, 0.2)
+async def forget_history(world: SoakWorld, fault: Fault) -> None:
+    """Have the store forget its history."""
+    world.store.forget_history()
+
+
+@register_fault("upstream silent", 0.5, 4.0)
+async def silence_upstream(world: SoakWorld, fault: Fault) -> None:
+    """Silence an upstream's connections."""
+    number, _ = pick_upstream(world, fault)
+    await hold(world.upstream_links[number], LinkState.SILENT, fault.seconds)
+
+
+@register_fault("upstream resets", 0.2, 2.0)
+async def reset_upstream(world: SoakWorld, fault: Fault) -> None:
+    """Reset an upstream's connections."""
+    number, _ = pick_upstream(world, fault)
+    await hold(world.upstream_links[number], LinkState.RESET, fault.seconds)
+
+
+@register_fault("upstream slow", 0.5, 3.0)
+async def slow_upstream(world: SoakWorld, fault: Fault) -> None:
+    """Make an upstream slow."""
+    _, upstream = pick_upstream(world, fault)
+    work, upstream.work = upstream.work, SLOW_WORK_SECONDS
+    await asyncio.sleep(fault.seconds)
+    upstream.work = min(work, upstream.work)
+
+
+@register_fault("upstream misbehaves", 0.5, 3.0)
+async def misbehave(world: SoakWorld, fault: Fault) -> None:
+    """Have an upstream answer some requests wrongly."""
+    _, upstream = pick_upstream(world, fault)
+    name = HARMLESS_TO_ONCE[fault.target % len(HARMLESS_TO_ONCE)]
+    assert name in MISBEHAVIOURS
+    upstream.faults.extend([name] * MISBEHAVING_REQUESTS)
+    await asyncio.sleep(fault.seconds)
+    upstream.faults.clear()
+
+
+@register_fault("upstream leaves", 3.0, 6.0, planned=True)
+async def let_upstream_leave(world: SoakWorld, fault: Fault) -> None:
+    """Have an upstream drain, and come back under its name."""
+    number, upstream = pick_upstream(world, fault)
+    world.register(number, state="draining")
+    place = world.note_removal("upstream", upstream.id)
+    await asyncio.sleep(fault.seconds)
+    world.note_return(place)
+    world.register(number)
+
+
+@register_fault("upstream cold", 3.0, 4.0, planned=True)
+async def make_upstream_cold(world: SoakWorld, fault: Fault) -> None:
+    """Have an upstream start again, cold."""
+    number, upstream = pick_upstream(world, fault)
+    assert COLD_RATE > 0
+    world.register(number, cold_left_ms=COLD_MS)
+    # What was on its way when the store took the report is not counted.
+    await asyncio.sleep(1.0)
+    upstream.cold_until = world.now() + COLD_MS / 1000 - 1.0
+    await asyncio.sleep(fault.seconds - 1.0)
+    world.register(number)
+
+
+@register_fault("caller link slow", 0.5, 3.0)
+async def slow_callers(world: SoakWorld, fault: Fault) -> None:
+    """Delay what callers and a daemon send each other."""
+    link = world.caller_links[fault.target % len(world.caller_links)]
+    await hold(link, LinkState.DELAY, fault.seconds)
+
+
+@register_fault("caller link resets", 0.1, 0.5)
+async def reset_callers(world: SoakWorld, fault: Fault) -> None:
+    """Reset callers' connections to a daemon."""
+    link = world.caller_links[fault.target % len(world.caller_links)]
+    await hold(link, LinkState.RESET, fault.seconds)
+
+
+@register_fault("new version", 0.1, 0.2, planned=True)
+async def add_route(world: SoakWorld, fault: Fault) -> None:
+    """Store a configuration with one more route."""
+    world.extra_routes.append(f"new{len(world.extra_routes)}")
+    world.put_config()
+
+
+@register_fault("key removed", 6.0, 9.0, planned=True)
+async def remove_key(world: SoakWorld, fault: Fault) -> None:
+    """Take a customer's key away, and give it back."""
+    if "key-leaver" not in world.keys:
+        return
+    world.keys.discard("key-leaver")
+    world.put_config()
+    place = world.note_removal("key", "leaver")
+    await asyncio.sleep(fault.seconds)
+    world.note_return(place)
+    world.keys.add("key-leaver")
+    world.put_config()
+
+
+@register_fault("domain emptied", 5.5, 8.0, planned=True)
+async def empty_domain(world: SoakWorld, fault: Fault) -> None:
+    """Order that a failure domain gets no work, and take it back."""
+    domain = DOMAINS[fault.target % len(DOMAINS)]
+    if domain in world.store.objects.get("evacuations", {}):
+        return
+    world.store.put("evacuations", domain, {})
+    place = world.note_removal("domain", domain)
+    await asyncio.sleep(fault.seconds)
+    world.note_return(place)
+    world.store.remove("evacuations", domain)
--- /dev/null
+++ b/tanagertrail/soak/program.py
@@ -0,0 +1,148 @@
+"""Command line of the soak."""
+
+__all__ = ["main", "run_seed"]
+
+import asyncio
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+import fire
+
+from tanagertrail.soak import faults as _faults  # noqa: F401  fills the registry of faults
+from tanagertrail.soak.checks import find_broken
+from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
+from tanagertrail.soak.world import SoakWorld
+
+DEFAULT_SECONDS = 20.0
+DEFAULT_DAEMONS = 4
+DEFAULT_UPSTREAMS = 6
+DEFAULT_CALLERS = 12
+SETTLE_SECONDS = 1.0  # after the last call, so that what still runs is seen
+
+
+class SoakResult(NamedTuple):
+    """What a run showed.
+
+    :ivar broken: promises that were broken, with the check's name
+    :ivar folder: where plan and logs are kept, None unless a promise was broken
+    """
+
+    seed: int
+    calls: int
+    served: int
+    runs: int
+    plan: list[Fault]
+    broken: list[str]
+    folder: Path | None
+
+
+async def inject(world: SoakWorld, fault: Fault) -> None:
+    """Inject one fault at its time."""
+    await asyncio.sleep(max(world.started + fault.at - world.now(), 0.0))
+    await FAULTS.get(fault.kind).inject(world, fault)
+
+
+async def play(world: SoakWorld, plan: list[Fault], seconds: float, callers: int) -> list[str]:
+    """Play a plan before callers and return what was broken."""
+    await world.start()
+    crowd = asyncio.create_task(world.crowd.run(callers))
+    injected = [asyncio.create_task(inject(world, fault)) for fault in plan]
+    await asyncio.sleep(seconds)
+    await asyncio.wait([*injected, asyncio.create_task(asyncio.sleep(0))])
+    crowd.cancel()
+    await asyncio.wait([crowd])
+    await asyncio.sleep(SETTLE_SECONDS)
+    failed = [repr(task.exception()) for task in injected if task.exception() is not None]
+    ended = [
+        f"{daemon.name} ended with status {daemon.tell_exit()}"
+        for daemon in world.daemons
+        if not daemon.running
+    ]
+    return find_broken(world.collect(plan)) + failed + ended
+
+
+async def run_seed(
+    seed: int,
+    seconds: float = DEFAULT_SECONDS,
+    daemons: int = DEFAULT_DAEMONS,
+    upstreams: int = DEFAULT_UPSTREAMS,
+    callers: int = DEFAULT_CALLERS,
+) -> SoakResult:
+    """Play the plan of one seed and check what it shows."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    plan = draw_plan(seed, seconds)
+    world = SoakWorld(seed, daemons, upstreams, folder)
+    try:
+        broken = await play(world, plan, seconds, callers)
+    finally:
+        await world.close()
+    calls = world.crowd.calls
+    served = sum(call.status == 200 and call.whole for call in calls)
+    if broken:
+        lines = [*broken, *(str(fault) for fault in plan), *(str(call) for call in calls)]
+        (folder / "evidence.txt").write_text("\n".join(lines) + "\n")
+    else:
+        shutil.rmtree(folder)
+    kept = folder if broken else None
+    return SoakResult(seed, len(calls), served, len(world.runs), plan, broken, kept)
+
+
+def parse_seeds(seeds: str) -> range:
+    """Parse ``A..B``, both included."""
+    first, _, last = seeds.partition("..")
+    return range(int(first), int(last or first) + 1)
+
+
+class Soak:
+    """Run real daemons under faults and check what callers and upstreams see."""
+
+    def run(
+        self,
+        seed: int = 1,
+        seeds: str = "",
+        seconds: float = DEFAULT_SECONDS,
+        daemons: int = DEFAULT_DAEMONS,
+        upstreams: int = DEFAULT_UPSTREAMS,
+        callers: int = DEFAULT_CALLERS,
+    ) -> None:
+        """Play one seed, or all of ``--seeds A..B`` in turn.
+
+        :param seconds: length of a run
+        """
+        failed = 0
+        for number in parse_seeds(seeds or str(seed)):
+            result = asyncio.run(run_seed(number, seconds, daemons, upstreams, callers))
+            failed += bool(result.broken)
+            print_result(result)
+        sys.exit(1 if failed else 0)
+
+    def plan(self, seed: int = 1, seconds: float = DEFAULT_SECONDS) -> None:
+        """Print the plan of a seed."""
+        for fault in draw_plan(seed, seconds):
+            print(f"{fault.at:7.2f} s  {fault.kind:20} {fault.seconds:5.2f} s  #{fault.target}")
+
+
+def print_result(result: SoakResult) -> None:
+    """Print what a run showed."""
+    verdict = "broken" if result.broken else "kept"
+    print(
+        f"seed {result.seed}: {verdict}; {len(result.plan)} faults, {result.calls} calls, "
+        f"{result.served} served, {result.runs} runs",
+        flush=True,
+    )
+    for text in result.broken:
+        print(f"  {text}")
+    if result.folder is not None:
+        print(f"  logs in {result.folder}", flush=True)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Soak, name="tanagertrail-soak")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tanagertrail/soak/world.py
@@ -0,0 +1,225 @@
+"""The world of a run: stand-ins of the platform and of upstreams, proxies, daemons."""
+
+__all__ = ["SoakUpstream", "SoakWorld"]
+
+import asyncio
+import socket
+from pathlib import Path
+from typing import Any
+
+from tanagertrail.gateway.http1 import CallerRequest
+from tanagertrail.platform import fields
+from tanagertrail.soak.callers import CallerCrowd
+from tanagertrail.soak.checks import Evidence, Removal, RunSeen
+from tanagertrail.soak.documents import (
+    CUSTOMERS,
+    DOMAINS,
+    HOST,
+    build_document,
+    build_entry,
+    build_node_file,
+)
+from tanagertrail.soak.plan import Fault
+from tanagertrail.soak.processes import DaemonPorts, DaemonProcess
+from tanagertrail.soak.proxy import LinkState, LoopbackProxy
+from tanagertrail.standins.cloud import StandInCloud
+from tanagertrail.standins.store import StandInStore
+from tanagertrail.standins.upstream import StandInUpstream
+
+READY_SECONDS = 15.0
+WORK_SECONDS = 0.01
+FOREVER = float("inf")
+
+
+class SoakUpstream(StandInUpstream):
+    """An upstream that notes when each request began.
+
+    :ivar cold_until: event-loop time in seconds until which it is cold
+    """
+
+    def __init__(self, upstream_id: str, domain: str, seen: list[RunSeen]) -> None:
+        super().__init__(upstream_id, WORK_SECONDS)
+        self.domain = domain
+        self.seen = seen
+        self.cold_until = 0.0
+
+    def begin(self, request: CallerRequest) -> None:
+        """Note that a request begins to run."""
+        now = asyncio.get_running_loop().time()
+        table = dict(request.headers)
+        self.seen.append(
+            RunSeen(
+                table.get(fields.REQUEST_ID, b"").decode(),
+                table.get(fields.CUSTOMER, b"").decode(),
+                self.id,
+                self.domain,
+                request.path,
+                bytes(request.body),
+                now,
+                now < self.cold_until,
+            )
+        )
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for sock in held:
+            sock.bind((HOST, 0))
+        return [sock.getsockname()[1] for sock in held]
+    finally:
+        for sock in held:
+            sock.close()
+
+
+class SoakWorld:
+    """Everything that a run starts, and what it shows.
+
+    :ivar store_links: proxy between each daemon and the store
+    :ivar caller_links: proxy between callers and each daemon
+    :ivar upstream_links: proxy between the daemons and each upstream
+    """
+
+    def __init__(self, seed: int, daemons: int, upstreams: int, folder: Path) -> None:
+        self.seed = seed
+        self.folder = folder
+        self.store = StandInStore()
+        self.cloud = StandInCloud()
+        self.runs: list[RunSeen] = []
+        self.removals: list[Removal] = []
+        self.terms: list[tuple[int, float]] = []
+        self.version = 1
+        self.extra_routes: list[str] = []
+        self.keys = {item.key for item in CUSTOMERS}
+        self.upstreams: list[SoakUpstream] = []
+        self.daemons: list[DaemonProcess] = []
+        self.store_links: list[LoopbackProxy] = []
+        self.caller_links: list[LoopbackProxy] = []
+        self.upstream_links: list[LoopbackProxy] = []
+        self.upstream_count = upstreams
+        self.daemon_count = daemons
+        self.started = 0.0
+        self.crowd: CallerCrowd | None = None
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def start(self) -> None:
+        """Start stand-ins, proxies and daemons, and wait until all daemons are ready."""
+        store_port, cloud_port = find_ports(2)
+        await self.store.start(HOST, store_port)
+        await self.cloud.start(HOST, cloud_port)
+        self.put_config()
+        for number in range(self.upstream_count):
+            await self.add_upstream(f"up-{number}", DOMAINS[number % len(DOMAINS)])
+        await self.add_daemons(store_port, cloud_port)
+        for daemon in self.daemons:
+            await daemon.start()
+        async with asyncio.timeout(READY_SECONDS):
+            for daemon in self.daemons:
+                await self.await_ready(daemon)
+        self.build_crowd()
+        self.started = self.now()
+
+    async def add_upstream(self, name: str, domain: str) -> None:
+        """Start an upstream behind a proxy and register it."""
+        port, link_port = find_ports(2)
+        upstream = SoakUpstream(name, domain, self.runs)
+        await upstream.start(HOST, port)
+        self.upstreams.append(upstream)
+        link = LoopbackProxy(HOST, link_port, port)
+        await link.start()
+        self.upstream_links.append(link)
+        self.register(len(self.upstreams) - 1)
+
+    def register(self, number: int, **changes: Any) -> None:
+        """Register an upstream."""
+        upstream = self.upstreams[number]
+        entry = build_entry(self.upstream_links[number].port, upstream.domain, **changes)
+        self.store.put("servers", upstream.id, entry)
+
+    async def add_daemons(self, store_port: int, cloud_port: int) -> None:
+        """Build the daemons and the proxies around them."""
+        ports = [DaemonPorts(*find_ports(4)) for _ in range(self.daemon_count)]
+        seeds = [item.internal for item in ports[:3]]
+        for number, own in enumerate(ports):
+            store_link, caller_link = find_ports(2)
+            self.store_links.append(LoopbackProxy(HOST, store_link, store_port))
+            self.caller_links.append(LoopbackProxy(HOST, caller_link, own.front))
+            await self.store_links[-1].start()
+            await self.caller_links[-1].start()
+            name = f"entry-{number + 1}"
+            domain = DOMAINS[number % len(DOMAINS)]
+            settings = build_node_file(name, domain, own, store_link, cloud_port, seeds)
+            self.daemons.append(DaemonProcess(name, own, settings, self.folder))
+
+    def build_crowd(self) -> None:
+        """Build the callers."""
+        directories = [daemon.ports.directory for daemon in self.daemons]
+        links = {
+            daemon.ports.front: link.port
+            for daemon, link in zip(self.daemons, self.caller_links, strict=True)
+        }
+        self.crowd = CallerCrowd(self.seed, directories, links, self.extra_routes)
+
+    async def await_ready(self, daemon: DaemonProcess) -> None:
+        """Wait until a daemon listens to callers' address questions."""
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(HOST, daemon.ports.directory)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            writer.close()
+            return
+
+    def put_config(self) -> None:
+        """Store the present configuration as a new version."""
+        self.version += 3
+        document = build_document(self.version, self.extra_routes, self.keys)
+        self.store.put("config", "main", document)
+
+    def note_removal(self, kind: str, what: str) -> int:
+        """Note that something was removed, and return where it is noted."""
+        self.removals.append(Removal(kind, what, self.now(), FOREVER))
+        return len(self.removals) - 1
+
+    def note_return(self, place: int) -> None:
+        """Note that something that was removed is back."""
+        self.removals[place] = self.removals[place]._replace(until=self.now())
+
+    def collect(self, plan: list[Fault]) -> Evidence:
+        """Return all that the run has shown."""
+        usage = [
+            (call.document["window_id"], call.document["counts"], call.fencing)
+            for call in self.cloud.calls
+            if call.path == "/usage"
+        ]
+        starts = [(daemon.ports.front, at) for daemon in self.daemons for at, _ in daemon.starts]
+        return Evidence(
+            self.started,
+            self.now(),
+            plan,
+            self.crowd.calls,
+            self.runs,
+            self.removals,
+            starts,
+            self.terms,
+            usage,
+        )
+
+    async def close(self) -> None:
+        """End all that was started."""
+        for daemon in self.daemons:
+            daemon.resume()
+            await daemon.kill()
+            daemon.log.close()
+        for link in (*self.store_links, *self.caller_links, *self.upstream_links):
+            link.set_state(LinkState.PASS)
+            link.close()
+        for upstream in self.upstreams:
+            upstream.close()
+        self.store.close()
+        self.cloud.close()
