Pack the states that daemons exchange

Cause: a state with 16 customers and three usage windows is about 2 KB, told plainly twice a second on small sites and by way of hubs on large ones. Change: states and sums go out packed, as relayed ones did; the experiment asks the second hub as rarely as daemons do.

--- a/tanagertrail/bench/hubs.py
+++ b/tanagertrail/bench/hubs.py
@@ -11,7 +11,7 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.gathering import Gathering, StateSource
 from tanagertrail.gateway.members import Member, MemberTable
-from tanagertrail.gateway.peers import PERIOD_SECONDS, RELAYED_PERIOD_SECONDS
+from tanagertrail.gateway.peers import PERIOD_SECONDS, RELAYED_PERIOD_SECONDS, pick_partners
 from tanagertrail.policy.hubs import ALL_HUBS, plan_topology
 
 WARM_PERIODS = 3
@@ -47,6 +47,7 @@
         self.counter = 0
         self.sent = 0
         self.seconds = 0.0
+        self.periods = 0
         name = names[number]
         own = Member(name, 1, f"10.0.0.{number}:7600", f"10.0.0.{number}:80", "north")
         self.members = MemberTable(own, EventLog(name, asyncio.get_running_loop().time))
@@ -103,7 +104,9 @@
 def run_period(daemons: dict[str, QuietDaemon]) -> None:
     """Let each daemon exchange with its partners, and count bytes and time."""
     for daemon in daemons.values():
-        for name in daemon.gathering.topology.partners:
+        daemon.periods += 1
+        topology = daemon.gathering.topology
+        for name in pick_partners(topology, daemon.periods):
             partner = daemons[name]
             started = time.process_time()
             question = daemon.gathering.build_question(name)
--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -131,12 +131,13 @@
 class PeerQuestion(NamedTuple):
     """A daemon's state and what it knows of the store.
 
+    :ivar state: packed :class:`OriginState`
     :ivar hub: whether the sender gathers the states of others
     :ivar primary: whether the receiver is to pass the state on and to answer with sums
     :ivar revisions: (kind, revision that it knows)
     """
 
-    state: tuple
+    state: bytes
     hub: bool
     primary: bool
     revisions: tuple
@@ -146,19 +147,20 @@
 class PeerAnswer(NamedTuple):
     """The answer to a question.
 
+    :ivar state: packed :class:`OriginState`
     :ivar revisions: (kind, revision that the sender knows)
     :ivar relayed: packed states of other daemons if the receiver is a hub
     :ivar alive: packed life signs if the receiver is no hub
-    :ivar sums: :class:`Sums` without the receiver, empty for none
+    :ivar sums: packed :class:`Sums` without the receiver, empty for none
     """
 
-    state: tuple
+    state: bytes
     hub: bool
     revisions: tuple
     relayed: bytes
     alive: bytes
     news: tuple
-    sums: tuple
+    sums: bytes
 
 
 @MESSAGES.register("peer_news")
--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -18,6 +18,7 @@
     pack_rows,
     unpack_rows,
 )
+from tanagertrail.errors import FrameError
 from tanagertrail.gateway.members import Member, MemberTable
 from tanagertrail.gateway.mirror import KindMirror
 from tanagertrail.policy.hubs import Topology
@@ -186,7 +187,7 @@
     def build_question(self, receiver: str) -> PeerQuestion:
         """Return a question to a daemon."""
         return PeerQuestion(
-            tuple(self.source.describe_state()),
+            pack_rows([self.source.describe_state()]),
             self.topology.is_hub,
             receiver in self.topology.partners[:1],
             self.list_revisions(),
@@ -197,20 +198,20 @@
 
         A state that came to its second hub is not relayed from there, since the first one does.
         """
-        asker = OriginState(*question.state)
+        asker = unpack_state(question.state)
         if question.primary or question.hub:
             self.client_at[asker.daemon] = self.now()
         self.take_state(asker, direct=question.primary and not question.hub)
         self.peer_revisions[asker.daemon] = dict(question.revisions)
         told_sums = question.primary and not question.hub
         return PeerAnswer(
-            tuple(self.source.describe_state()),
+            pack_rows([self.source.describe_state()]),
             self.topology.is_hub,
             self.list_revisions(),
             self.relay_states(asker.daemon) if question.hub else b"",
             b"" if question.hub else self.list_alive(asker.daemon),
             self.build_news(dict(question.revisions)),
-            tuple(self.sum_others(asker.daemon)) if told_sums else (),
+            pack_rows([self.sum_others(asker.daemon)]) if told_sums else b"",
         )
 
     def build_push(self, receiver: str) -> PeerNews:
@@ -235,13 +236,14 @@
 
         :param asked_at: boot time in seconds just before the question was sent
         """
-        state = OriginState(*answer.state)
+        state = unpack_state(answer.state)
         self.take_state(state, direct=not answer.hub)
         self.take_relayed(answer.relayed)
         self.take_signs(answer.alive)
         self.peer_revisions[state.daemon] = dict(answer.revisions)
         if answer.sums and state.daemon in self.topology.partners[:1]:
-            self.source.take_sums(state.daemon, state.incarnation, Sums(*answer.sums))
+            sums = Sums(*unpack_rows(answer.sums)[0])
+            self.source.take_sums(state.daemon, state.incarnation, sums)
         if self.take_news(answer.news, asked_at):
             self.source.note_news()
 
@@ -286,6 +288,17 @@
         ]
 
 
+def unpack_state(packed: bytes) -> OriginState:
+    """Unpack one state.
+
+    :raises FrameError: if it is malformed
+    """
+    rows = unpack_rows(packed)
+    if len(rows) != 1:
+        raise FrameError(f"one state must be given, not {len(rows)}")
+    return OriginState(*rows[0])
+
+
 def is_newer(state: OriginState, known: OriginState) -> bool:
     """Say whether a state was said later than another of the same daemon."""
     return (state.incarnation, state.counter) > (known.incarnation, known.counter)
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -1,6 +1,6 @@
 """Connections between daemons, over which they exchange their states."""
 
-__all__ = ["PeerLinks", "PeerServer"]
+__all__ = ["PeerLinks", "PeerServer", "pick_partners"]
 
 import asyncio
 import random
@@ -15,7 +15,7 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.gathering import Gathering
 from tanagertrail.gateway.members import MemberTable
-from tanagertrail.policy.hubs import plan_topology
+from tanagertrail.policy.hubs import Topology, plan_topology
 
 PERIOD_SECONDS = 0.5
 RELAYED_PERIOD_SECONDS = 0.8  # where hubs relay states, over links of a few Mbit/s
@@ -27,6 +27,13 @@
 Reply = TypeVar("Reply", PeerAnswer, PeerReceipt)
 
 
+def pick_partners(topology: Topology, period: int) -> tuple[str, ...]:
+    """Return the members to exchange with in a period, which are numbered."""
+    if topology.is_hub or period % SECOND_HUB_PERIODS == 0:
+        return topology.partners
+    return topology.partners[:1]
+
+
 class PeerServer:
     """Answer the questions of other daemons."""
 
@@ -165,21 +172,15 @@
                 "topology", rank=topology.rank, hub=topology.is_hub, hubs=len(topology.hubs)
             )
             self.gathering.topology = topology
-        for name in [*self.pick_partners(), *self.pick_strangers(set(alive))]:
+        self.periods += 1
+        partners = pick_partners(topology, self.periods)
+        for name in [*partners, *self.pick_strangers(set(alive))]:
             self.start_exchange(name, self.members.states[name].member.address)
         if not alive:
             for address in self.seeds:
                 self.start_exchange(address, address)
         self.drop_links()
 
-    def pick_partners(self) -> tuple[str, ...]:
-        """Return the members to exchange with in this period."""
-        topology = self.gathering.topology
-        self.periods += 1
-        if topology.is_hub or self.periods % SECOND_HUB_PERIODS == 0:
-            return topology.partners
-        return topology.partners[:1]
-
     def pick_strangers(self, alive: set[str]) -> list[str]:
         """Return some members that are known but silent, or that know nothing of this daemon."""
         silent = [name for name in self.members.states if name not in alive]
