--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -102,7 +102,7 @@
             for _ in range(CALLS_ON_ONE_CONNECTION):
                 call = await self.call(rng, stream, front)
                 self.calls.append(call)
-                if not call.whole or call.left or not stream.channel.idle:
+                if not call.whole or call.left or not stream.reusable:
                     return
                 await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
         finally:
