--- a/tanagertrail/daemon.py
+++ b/tanagertrail/daemon.py
@@ -1,12 +1,10 @@
-"""The daemon program: settings, ports, signals, graceful stop."""
+"""The daemon: its settings, ports, signals and graceful stop."""
 
-__all__ = ["Daemon", "main"]
+__all__ = ["Daemon", "run_daemon"]
 
-import argparse
 import asyncio
 import signal
 import ssl
-import sys
 from collections.abc import Callable
 
 import logbook
@@ -18,7 +16,7 @@
 from tanagertrail.core.node import Node, NodeParts
 from tanagertrail.core.serving import ServingSettings
 from tanagertrail.daemons.tcp import TcpPeerTransport, TcpSettings
-from tanagertrail.errors import PlatformError, SettingsError
+from tanagertrail.errors import PlatformError
 from tanagertrail.metrics import DaemonMetrics
 from tanagertrail.objectapi.http import (
     HttpCloud,
@@ -27,7 +25,7 @@
     PlatformClient,
 )
 from tanagertrail.operators.app import OperatorsApp
-from tanagertrail.settings import DaemonSettings, read_settings
+from tanagertrail.settings import DaemonSettings
 from tanagertrail.settings.schema import TlsFields
 from tanagertrail.tls import KeyFiles, ReloadingContext, build_peer_contexts
 from tanagertrail.upstreams.http import HttpUpstreamClient
@@ -35,11 +33,8 @@
 
 log = logbook.Logger(__name__)
 
-EXIT_SETTINGS = 2
-EXIT_START = 3
 PREPARE_SECONDS = 0.5
 KEY_CHECK_SECONDS = 2.0
-SWITCH_SECONDS = 0.0005
 
 PartsBuilder = Callable[[DaemonRecord, TcpPeerTransport], NodeParts]
 
@@ -202,40 +197,3 @@
         await daemon.abort()
         raise
     await daemon.run()
-
-
-def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
-    """Parse the daemon's command line."""
-    parser = argparse.ArgumentParser("tanagertraild", description=__doc__)
-    source = parser.add_mutually_exclusive_group(required=True)
-    source.add_argument("--settings", metavar="FILE", help="run with the settings in FILE")
-    source.add_argument("--embedded", action="store_true", help="run the embedded demonstration")
-    parser.add_argument("--stay", action="store_true", help="keep serving after --embedded")
-    return parser.parse_args(arguments)
-
-
-def main() -> None:
-    """Run the daemon from the command line."""
-    arguments = parse_arguments()
-    if arguments.embedded:
-        from tanagertrail.embedded import run_embedded
-
-        sys.exit(asyncio.run(run_embedded(arguments.stay)))
-    try:
-        settings = read_settings(arguments.settings)
-    except SettingsError as error:
-        for violation in error.violations:
-            print(violation, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    sys.setswitchinterval(SWITCH_SECONDS)
-    level = logbook.lookup_level(settings.log.level.upper())
-    logbook.StreamHandler(sys.stderr, level=level).push_application()
-    try:
-        asyncio.run(run_daemon(settings))
-    except (OSError, PlatformError) as error:
-        print(f"cannot start: {error}", file=sys.stderr)
-        sys.exit(EXIT_START)
-
-
-if __name__ == "__main__":
-    main()
