Add an emulator of engines under load, and weigh placement by it

The emulator plays engines (steps, chunked prefill, prefix cache, queue) on virtual time behind daemons that know loads late; tanagertrail-bench load prints credit, lateness and tokens read again by pattern and placement, or plots them. Change: a full batch counts for 0.1 s (0.35), one holder with a chance of 0.9 (0.8 and 0.4 for two), one local and one remote upstream looked at (two and one).

--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -16,13 +16,14 @@
 from tanagertrail.bench.journals import run_journal
 from tanagertrail.bench.limits import run_limits
 from tanagertrail.bench.matrix import format_matrix, iter_cells, run_cell
-from tanagertrail.bench.plots import write_limits_plot
+from tanagertrail.bench.plots import write_limits_plot, write_load_plot
 from tanagertrail.bench.prefixes import run_prefixes
 from tanagertrail.bench.questions import run_questions
 from tanagertrail.bench.scale import run_scale, run_spread
 from tanagertrail.bench.schedules import run_schedules
 from tanagertrail.bench.streams import StreamLoad, run_stream_load
 from tanagertrail.bench.tables import format_table
+from tanagertrail.emulator.load import LoadSettings, play_load
 from tanagertrail.model import Upstream
 from tanagertrail.policy.batching import BATCHINGS
 from tanagertrail.policy.tickets import serialize_ticket
@@ -117,6 +118,36 @@
         rows = [asyncio.run(run_hubs(n, upstreams)) for n in as_tuple(sizes)]
         print(format_table(rows))
 
+    def load(
+        self,
+        patterns: str = '"wave","burst","hot_key","reclaim"',
+        placements: str = '"expected_cost","own_hints","least_running"',
+        daemons: int = 67,
+        engines: int = 30,
+        rate: float = 350.0,
+        seconds: float = 20.0,
+        seed: int = 1,
+        plot: str = "",
+    ) -> None:
+        """Print what load patterns come to with placements, in an emulator of engines.
+
+        :param patterns: names of patterns, with commas
+        :param placements: names of placements, with commas
+        :param plot: file to write a plot of the credit to
+        """
+        rows = [
+            play_load(
+                LoadSettings(
+                    pattern, placement, daemons, engines, rate=rate, seconds=seconds, seed=seed
+                )
+            )
+            for pattern in as_tuple(patterns)
+            for placement in as_tuple(placements)
+        ]
+        print(format_table(rows))
+        if plot:
+            write_load_plot(str(plot), rows)
+
     def spread(self, sizes: str = "9,40,120", upstreams: int = 40) -> None:
         """Print how fast tickets and deaths become known, by number of daemons."""
         print(format_table([run_virtual(run_spread(n, upstreams)) for n in as_tuple(sizes)]))
--- a/tanagertrail/bench/plots.py
+++ b/tanagertrail/bench/plots.py
@@ -1,8 +1,11 @@
 """Plots of experiments."""
 
-__all__ = ["write_limits_plot"]
+__all__ = ["write_limits_plot", "write_load_plot"]
+
+from collections.abc import Sequence
 
 from tanagertrail.bench.limits import run_limits
+from tanagertrail.emulator.load import LoadResult
 from tanagertrail.testing import run_virtual
 
 LOADS = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0)
@@ -20,3 +23,17 @@
     axes.set_title(f"{daemons} daemons, {replicas} replicas")
     axes.legend()
     figure.savefig(path)
+
+
+def write_load_plot(path: str, rows: Sequence[LoadResult]) -> None:
+    """Write a plot of the credit that each placement earns, by load pattern."""
+    from matplotlib import pyplot
+
+    patterns = list(dict.fromkeys(row.pattern for row in rows))
+    figure, axes = pyplot.subplots()
+    for placement in dict.fromkeys(row.placement for row in rows):
+        credit = {row.pattern: row.credit for row in rows if row.placement == placement}
+        axes.plot(patterns, [credit[name] for name in patterns], marker="o", label=placement)
+    axes.set_ylabel("credit earned as a share of all answers on time")
+    axes.legend()
+    figure.savefig(path)
--- /dev/null
+++ b/tanagertrail/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of model engines under load, on virtual time."""
--- /dev/null
+++ b/tanagertrail/emulator/load.py
@@ -0,0 +1,242 @@
+"""Play a load pattern against engines through daemons that know loads late."""
+
+__all__ = ["LoadResult", "LoadSettings", "play_load"]
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from tanagertrail.emulator.engine import EngineModel, EngineShape, Job
+from tanagertrail.emulator.patterns import KINDS, PATTERNS, Arrival
+from tanagertrail.policy.choice import PrefixIndex
+from tanagertrail.policy.hubs import ALL_HUBS
+from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
+
+DOMAINS = 4
+PREFIX_SECONDS = 20.0
+LATE_SHARE = 0.1  # of the credit that a late answer earns
+PATIENCE_SECONDS = 8.0  # after which a caller has given up
+
+
+class LoadSettings(NamedTuple):
+    """What is played.
+
+    :ivar rate: requests per second
+    :ivar period: seconds between two reports of a daemon
+    :ivar delay: age of a report when it arrives
+    """
+
+    pattern: str = "wave"
+    placement: str = "expected_cost"
+    daemons: int = 67
+    engines: int = 30
+    batch: int = 48
+    rate: float = 350.0
+    seconds: float = 20.0
+    period: float = 0.8
+    delay: float = 0.4
+    seed: int = 1
+
+
+class LoadResult(NamedTuple):
+    """What came of it.
+
+    :ivar credit: credit earned as a share of what all answers on time would earn
+    :ivar again: tokens that were read though some engine had kept them, as a share of all read
+    :ivar p50_ms: median time to the first token
+    :ivar moved: requests whose engine was lost
+    """
+
+    pattern: str
+    placement: str
+    requests: int
+    credit: float
+    late: float
+    unanswered: float
+    p50_ms: float
+    p99_ms: float
+    again: float
+    moved: int
+
+
+class DaemonView:
+    """What one daemon knows: its own flights now, all others' as of their last report."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.domain = number % DOMAINS
+        self.index = PrefixIndex(PREFIX_SECONDS)
+        self.flights: dict[str, int] = {}
+        self.others: dict[str, int] = {}
+
+
+class LoadPlay:
+    """One play of a pattern."""
+
+    def __init__(self, settings: LoadSettings) -> None:
+        self.settings = settings
+        self.rng = random.Random(settings.seed)
+        self.place = PLACEMENTS.get(settings.placement)
+        shape = EngineShape(batch=settings.batch)
+        self.engines = {
+            f"e{n}": EngineModel(f"e{n}", f"d{n % DOMAINS}", shape) for n in range(settings.engines)
+        }
+        self.daemons = [DaemonView(n) for n in range(settings.daemons)]
+        self.events: list[tuple[float, int, str, object]] = []
+        self.order = itertools.count()
+        self.jobs: list[tuple[Arrival, Job]] = []
+        self.owners: dict[int, DaemonView] = {}
+        self.seen: set[str] = set()
+        self.again = 0
+        self.moved = 0
+
+    def schedule(self, at: float, kind: str, payload: object) -> None:
+        """Schedule an event."""
+        heapq.heappush(self.events, (at, next(self.order), kind, payload))
+
+    def run(self) -> LoadResult:
+        """Play all events."""
+        pattern = PATTERNS.get(self.settings.pattern)
+        scenario = pattern(self.rng, self.settings.seconds, self.settings.rate)
+        for arrival in scenario.arrivals:
+            self.schedule(arrival.at, "arrival", arrival)
+        for loss in scenario.losses:
+            self.schedule(loss.at, "loss", loss)
+        for daemon in self.daemons:
+            self.schedule(self.rng.random() * self.settings.period, "report", daemon)
+        end = self.settings.seconds + PATIENCE_SECONDS
+        while self.events and self.events[0][0] < end:
+            at, _, kind, payload = heapq.heappop(self.events)
+            getattr(self, f"take_{kind}")(at, payload)
+        return self.sum_up()
+
+    def take_arrival(self, now: float, arrival: Arrival) -> None:
+        """Place a request and hand it to its engine."""
+        kind = KINDS[arrival.kind]
+        number = len(self.jobs)
+        parts = (
+            (f"{arrival.kind}", kind.common),
+            (f"{arrival.kind}-{arrival.session}", kind.shared),
+            (f"own-{number}", arrival.own),
+        )
+        job = Job(number, parts, kind.out, now)
+        self.jobs.append((arrival, job))
+        self.send(now, job, self.rng.choice(self.daemons))
+
+    def send(self, now: float, job: Job, daemon: DaemonView) -> None:
+        """Choose an engine for a request and start it there."""
+        draw = f"r{job.number}" if self.settings.daemons > ALL_HUBS else ""
+        names = tuple(name for name, _ in job.parts)
+        visit = Visit(names, tuple(tokens for _, tokens in job.parts), job.tokens, now, draw)
+        seats = [
+            Seat(
+                engine.name,
+                daemon.flights.get(engine.name, 0) + daemon.others.get(engine.name, 0),
+                engine.shape.batch,
+                0.0,
+                engine.domain == f"d{daemon.domain}",
+            )
+            for engine in self.engines.values()
+            if not engine.lost
+        ]
+        chosen = self.place(visit, seats, daemon.index).upstream
+        engine = self.engines[chosen]
+        daemon.index.note_stored(chosen, names, now)
+        daemon.flights[chosen] = daemon.flights.get(chosen, 0) + 1
+        self.owners[job.number] = daemon
+        self.count_again(job, engine)
+        engine.take(job)
+        self.start_step(now, engine)
+
+    def count_again(self, job: Job, engine: EngineModel) -> None:
+        """Count shared tokens that another engine has read and this one has to read."""
+        for name, tokens in job.parts[:-1]:
+            if name in self.seen and name not in engine.kept:
+                self.again += tokens
+            self.seen.add(name)
+
+    def start_step(self, now: float, engine: EngineModel) -> None:
+        """Start an engine's next step unless it is in one."""
+        if engine.busy or engine.lost or not engine.running:
+            return
+        seconds, reads = engine.plan_step()
+        engine.busy = True
+        self.schedule(now + seconds, "step", (engine, reads))
+
+    def take_step(self, now: float, payload: tuple) -> None:
+        """Take the end of an engine's step."""
+        engine, reads = payload
+        engine.busy = False
+        if engine.lost:
+            return
+        for job in engine.finish_step(reads, now):
+            flights = self.owners[job.number].flights
+            flights[engine.name] -= 1
+        self.start_step(now, engine)
+
+    def take_report(self, now: float, daemon: DaemonView) -> None:
+        """Tell a daemon what the others have at engines, some time late."""
+        totals: dict[str, int] = {}
+        for other in self.daemons:
+            if other is not daemon:
+                for name, count in other.flights.items():
+                    totals[name] = totals.get(name, 0) + count
+        self.schedule(now + self.settings.delay, "news", (daemon, totals))
+        self.schedule(now + self.settings.period, "report", daemon)
+
+    def take_news(self, now: float, payload: tuple) -> None:
+        """Take a report that has arrived."""
+        daemon, totals = payload
+        daemon.others = totals
+
+    def take_loss(self, now: float, loss) -> None:
+        """Lose engines; their requests are sent on."""
+        there = [e for e in self.engines.values() if e.domain == f"d{loss.domain}" and not e.lost]
+        for engine in there[: round(len(there) * loss.share)]:
+            engine.lost = True
+            jobs = [*engine.running, *engine.waiting]
+            engine.running, engine.waiting = [], type(engine.waiting)()
+            for daemon in self.daemons:
+                daemon.flights.pop(engine.name, None)
+            for job in jobs:
+                self.moved += 1
+                job.unread, job.made = 0, 0
+                self.send(now, job, self.owners[job.number])
+
+    def sum_up(self) -> LoadResult:
+        """Return what came of the play."""
+        earned = owed = 0.0
+        late = unanswered = 0
+        firsts = []
+        for arrival, job in self.jobs:
+            kind = KINDS[arrival.kind]
+            owed += kind.worth
+            if job.first_at is None:
+                unanswered += 1
+                continue
+            first = job.first_at - job.arrived
+            firsts.append(first)
+            on_time = first <= kind.objective
+            late += not on_time
+            earned += kind.worth * (1.0 if on_time else LATE_SHARE)
+        firsts.sort()
+        read = sum(engine.read for engine in self.engines.values())
+        count = max(len(self.jobs), 1)
+        return LoadResult(
+            self.settings.pattern,
+            self.settings.placement,
+            len(self.jobs),
+            round(earned / max(owed, 1e-9), 4),
+            round(late / count, 4),
+            round(unanswered / count, 4),
+            round(1000 * firsts[len(firsts) // 2], 1) if firsts else 0.0,
+            round(1000 * firsts[int(len(firsts) * 0.99)], 1) if firsts else 0.0,
+            round(self.again / max(read, 1), 4),
+            self.moved,
+        )
+
+
+def play_load(settings: LoadSettings) -> LoadResult:
+    """Play a load pattern; the same settings give the same result."""
+    return LoadPlay(settings).run()
--- a/tanagertrail/policy/placement.py
+++ b/tanagertrail/policy/placement.py
@@ -10,13 +10,13 @@
 from tanagertrail.registry import Registry
 
 PREFILL_TOKENS_PER_SECOND = 140_000.0  # rate at which the deployed engines read prompts
-BUSY_SECONDS = 0.35  # delay that a full batch adds to a new request: some 20 of its steps
+BUSY_SECONDS = 0.1  # delay that a full batch adds to a new request, by `tanagertrail-bench load`
 QUEUE_SECONDS = 1.0  # delay that a whole batch of waiting requests adds: one answer's time
 REMOTE_SECONDS = 0.004  # round trip to another failure domain, with its price in bytes
 FAULT_SECONDS = 2.0  # cost of a sure failure, above any wait that is worth while
 AFFINITY_SECONDS = 0.004  # breaks ties between upstreams without the prefix alike everywhere
-HOLDER_SHARES = (0.8, 0.4)  # chance that the first and second by hash hold what others share
-LOCAL_SAMPLE = 2  # upstreams of the own failure domain that are looked at with stale loads
+HOLDER_SHARE = 0.9  # chance that the first by hash holds what other requests share
+LOCAL_SAMPLE = 1  # upstreams of the own failure domain that are looked at with stale loads
 REMOTE_SAMPLE = 1
 
 
@@ -75,17 +75,15 @@
     return cost + FAULT_SECONDS * seat.fault_share
 
 
-def rank_holders(visit: Visit, seats: Sequence[Seat]) -> list[str]:
-    """Return the upstreams at which all daemons look first for the parts that requests share."""
+def find_holder(visit: Visit, seats: Sequence[Seat]) -> Seat | None:
+    """Return the upstream at which all daemons look first for the parts that requests share."""
     if len(visit.parts) < 2:
-        return []
-    key = visit.parts[-2]
-    ranked = sorted(seats, key=lambda seat: -score_pair(key, seat.upstream))
-    return [seat.upstream for seat in ranked[: len(HOLDER_SHARES)]]
+        return None
+    return max(seats, key=lambda seat: score_pair(visit.parts[-2], seat.upstream))
 
 
-def draw_seats(visit: Visit, seats: Sequence[Seat], holders: Sequence[str]) -> list[Seat]:
-    """Return the holders and a few other upstreams, others for each request.
+def draw_seats(visit: Visit, seats: Sequence[Seat], holder: Seat | None) -> list[Seat]:
+    """Return the holder and a few other upstreams, others for each request.
 
     Answers many daemons that read the same old loads: were each to take the least loaded of all,
     all would take the same one until the next report.
@@ -94,7 +92,7 @@
     local = [seat for seat in drawn if seat.local][:LOCAL_SAMPLE]
     wanted = LOCAL_SAMPLE + REMOTE_SAMPLE - len(local)
     remote = [seat for seat in drawn if not seat.local][:wanted]
-    return [*local, *remote, *(seat for seat in seats if seat.upstream in holders)]
+    return [*local, *remote, *([holder] if holder is not None else [])]
 
 
 @PLACEMENTS.register("expected_cost")
@@ -105,13 +103,25 @@
     its holder would cost more than the reading. Daemons do not tell each other what they sent
     where; they agree on the holder of a shared part by rendezvous hashing.
     """
-    holders = rank_holders(visit, seats)
-    shares = dict(zip(holders, HOLDER_SHARES, strict=False))
-    looked_at = draw_seats(visit, seats, holders) if visit.draw else seats
+    holder = find_holder(visit, seats)
+    looked_at = draw_seats(visit, seats, holder) if visit.draw else seats
     key = visit.draw or (visit.parts[-1] if visit.parts else "")
 
     def rank(seat: Seat) -> float:
         bonus = score_pair(key, seat.upstream) / 2**64 * AFFINITY_SECONDS
-        return estimate_cost(visit, seat, index, shares.get(seat.upstream, 0.0)) - bonus
+        share = HOLDER_SHARE if seat is holder else 0.0
+        return estimate_cost(visit, seat, index, share) - bonus
 
     return min(looked_at, key=rank)
+
+
+@PLACEMENTS.register("least_running")
+def choose_least_running(visit: Visit, seats: Sequence[Seat], index: PrefixIndex) -> Seat:
+    """Choose the seat with the fewest requests; a baseline that all daemons follow alike."""
+    return min(seats, key=lambda seat: (seat.running / max(seat.slots, 1), seat.upstream))
+
+
+@PLACEMENTS.register("own_hints")
+def choose_by_own_hints(visit: Visit, seats: Sequence[Seat], index: PrefixIndex) -> Seat:
+    """Choose the least expected cost by what this daemon itself sent where; a baseline."""
+    return min(seats, key=lambda seat: (estimate_cost(visit, seat, index), seat.upstream))
