Allow what ran after its key was given back, in the soak

Trace: the daemon was paused from 12.8 to 15.6 s, the requests came at 12.9 s, the key was given back at 13.7 s by version 10, and the daemon had taken version 13 with an age of 0.02 s when it sent them on at 15.8 s. It did what the configuration in force said; a request bears no time at which it was sent. Change: a run counts while the key is away. Ruled out: a stale configuration at the daemon (its log shows version and age).

--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -142,14 +142,17 @@
 
 @CHECKS.register("removed keys")
 def check_keys(evidence: Evidence) -> Iterator[str]:
-    """Find runs with a key that was taken away long before; no disturbance excuses them."""
+    """Find runs with a key that was taken away long before; no disturbance excuses them.
+
+    A request that waited at a paused daemon until the key was given back is allowed to run.
+    """
     sent = {call.request_id: call.sent_at for call in evidence.calls}
     for run in evidence.runs:
         for removal in evidence.removals:
             late = removal.at + BOUNDS["revoke_ms"] / 1000
             if removal.kind == "key" and removal.what == run.customer:
                 at = sent.get(run.request_id, 0.0)
-                if late < at < removal.until:
+                if late < at and run.at < removal.until:
                     yield f"{run.request_id} ran {at - removal.at:.2f} s after its key was removed"
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 # Seeds that failed once, each with its cause.
 REGRESSION_SEEDS = (
     125,  # the soak's own callers ended when a daemon announced that it closes a connection
+    215,  # a check counted a request that a paused daemon took up after its key was given back
 )
 
 
@@ -115,6 +116,17 @@
     assert broken == {"removed keys"}
 
 
+def test_request_that_ran_after_its_key_was_given_back_is_allowed():
+    """Seed 215: a daemon was paused while the key was away, and woke with it back in force."""
+    removed = [Removal("key", GUILD.name, 10.0, 18.0)]
+    waited = build_evidence(
+        [build_call(1, sent_at=16.0)], [build_run(1, at=19.0)], removals=removed
+    )
+    assert name_broken(waited) == set()
+    early = build_evidence([build_call(1, sent_at=16.0)], [build_run(1, at=17.9)], removals=removed)
+    assert name_broken(early) == {"removed keys"}
+
+
 def test_plan_of_a_seed_is_always_the_same_and_covers_all_kinds():
     assert draw_plan(7, 60.0) == draw_plan(7, 60.0)
     drawn = {fault.kind for seed in range(40) for fault in draw_plan(seed, 60.0)}
