Send identical requests at one instant to one upstream, suspects to no second

Traced: daemons that hold no slots take the first that they are lent, each another; a request that had become a suspect while it queued went to whatever its daemon held; one that had been quarantined meanwhile was sent all the same. Change: a request waits up to 20 ms (a suspect 0.5 s) for a slot of the upstream that is first by its fingerprint, and is judged anew after the wait. Ruled out: asking a home daemon before each request (two messages a request).

--- a/tanagertrail/core/serving.py
+++ b/tanagertrail/core/serving.py
@@ -11,7 +11,7 @@
 from tanagertrail.core.flights import Flight, FlightTable, Interruption
 from tanagertrail.core.limiting import Limiter
 from tanagertrail.core.requests import CallerRequest
-from tanagertrail.core.slot_queues import Probe, SlotQueues
+from tanagertrail.core.slot_queues import QUARANTINE_REASON, Probe, SlotQueues
 from tanagertrail.core.suspects import SuspectRegister
 from tanagertrail.core.traffic import TrafficSplit
 from tanagertrail.errors import (
@@ -108,8 +108,7 @@
             reason = f"no service {request.service!r}"
             return NotRun(Step.ADMISSION, own, reason, 404, None)
         if self.suspects.judge(request) is Verdict.QUARANTINED:
-            reason = "this request has crashed upstreams and is quarantined"
-            return NotRun(Step.ADMISSION, own, reason, 422, None)
+            return NotRun(Step.ADMISSION, own, QUARANTINE_REASON, 422, None)
         if request.deadline <= self.context.now():
             return NotRun(Step.ADMISSION, own, "the deadline has passed", 504, None)
         return None
--- a/tanagertrail/core/slot_queues.py
+++ b/tanagertrail/core/slot_queues.py
@@ -1,6 +1,6 @@
 """Queues of requests that wait for a slot, and the choice of the upstream that each is given."""
 
-__all__ = ["Probe", "SlotQueues"]
+__all__ = ["QUARANTINE_REASON", "Probe", "SlotQueues"]
 
 import asyncio
 import random
@@ -15,12 +15,18 @@
 from tanagertrail.model import Upstream
 from tanagertrail.outcomes import NotRun, Step
 from tanagertrail.policy.choice import CHOICES, Candidate, ChoiceRequest, PrefixIndex
+from tanagertrail.policy.hashing import score_pair
 from tanagertrail.policy.health import CircuitBreaker
+from tanagertrail.policy.poison import Verdict
 from tanagertrail.policy.prefixes import split_prefix_blocks
 from tanagertrail.policy.queueing import FairQueue, QueueItem, ServiceRate
 
 Probe = Callable[[Step, CallerRequest], None]
 
+PREFER_SECONDS = 0.02  # some exchanges with an upstream's keeper, little against a first token
+SUSPECT_SECONDS = 0.5  # several rounds of slots moved between daemons
+PREFER_STEP_SECONDS = 0.002
+QUARANTINE_REASON = "this request has crashed upstreams and is quarantined"
 REDIRECT = ""
 TOO_LATE = "?"
 
@@ -62,6 +68,9 @@
         """Wait for a slot of the flight's version; None if the version must be chosen anew."""
         request = flight.request
         group = flight.group
+        await self.await_preferred(flight)
+        if self.suspects.judge(request) is Verdict.QUARANTINED:
+            return NotRun(Step.QUEUE, self.context.daemon, QUARANTINE_REASON, 422, None)
         queue = self.queues[group]
         now = self.context.now()
         refusal = queue.admit(request.deadline, now, self.count_slots(group), self.rates[group])
@@ -97,6 +106,47 @@
             return NotRun(Step.QUEUE, self.context.daemon, reason, 503, max(wait, 1.0))
         return None if name == REDIRECT else self.limiter.upstreams[name]
 
+    async def await_preferred(self, flight: Flight) -> None:
+        """Wait shortly until the upstream that all daemons prefer for a request has a slot here.
+
+        A daemon that holds no slots yet is lent those of any upstream first. If it took that one,
+        identical requests that come through several daemons at once would spread over upstreams,
+        and one that crashes what runs it would cost one upstream for each daemon. A request that
+        is suspected of a crash waits longer.
+        """
+        group = flight.group
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.limiter.demands[group].waiting += 1
+        try:
+            while not self.holds_preferred(flight):
+                suspect = self.suspects.judge(flight.request) is Verdict.SUSPECT
+                if loop.time() >= began + (SUSPECT_SECONDS if suspect else PREFER_SECONDS):
+                    return
+                self.limiter.ask_urgently(group)
+                await asyncio.sleep(PREFER_STEP_SECONDS)
+        finally:
+            self.limiter.demands[group].waiting -= 1
+
+    def holds_preferred(self, flight: Flight) -> bool:
+        """Say whether the preferred upstream has a free slot here, or is busy with known work."""
+        preferred = self.find_preferred(flight)
+        if preferred is None:
+            return True
+        entry = self.limiter.holder.held.get(preferred)
+        if entry is None:
+            return False
+        suspect = self.suspects.judge(flight.request) is Verdict.SUSPECT
+        return entry.available > 0 or (entry.usable > 0 and not suspect)
+
+    def find_preferred(self, flight: Flight) -> str | None:
+        """Return the open upstream that all daemons find first by the request's fingerprint."""
+        now = self.context.now()
+        names = self.limiter.group_upstreams.get(flight.group, ())
+        open_names = [name for name in names if self.is_open(name, now)]
+        fingerprint = self.suspects.find_fingerprint(flight.request)
+        return max(open_names, key=lambda name: score_pair(fingerprint, name), default=None)
+
     def give_back(self, waiter: asyncio.Future[str]) -> None:
         """Give back the slot that a request was given as it was cancelled."""
         given = waiter.done() and not waiter.cancelled()
