--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -12,7 +12,7 @@
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.platform import fields
-from tanagertrail.soak.documents import CUSTOMERS, HOST, HOST_NAME, SoakCustomer
+from tanagertrail.standins.documents import CUSTOMERS, HOST, HOST_NAME, SoakCustomer
 
 DEADLINE_SECONDS = 3.0
 CONNECT_SECONDS = 1.0
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -8,12 +8,12 @@
 
 from tanagertrail.registry import Registry
 from tanagertrail.soak.callers import Call
-from tanagertrail.soak.documents import BOUNDS, COLD_RATE, CUSTOMERS, PLAIN_UNITS
 from tanagertrail.soak.plan import Fault, was_disturbed
+from tanagertrail.standins.documents import BOUNDS, COLD_RATE, COLD_SLACK, CUSTOMERS, PLAIN_UNITS
 from tanagertrail.standins.upstream import EVENTS
 
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: has not run and never will
-STABILITY_SECONDS = BOUNDS["stability_ms"] / 1000
+STABILITY_SECONDS = BOUNDS.stability
 REGRESS_SECONDS = 0.25
 SERVED_SHARE = 0.25  # of the calls that are sent in the last calm seconds of a run
 
@@ -149,7 +149,7 @@
     sent = {call.request_id: call.sent_at for call in evidence.calls}
     for run in evidence.runs:
         for removal in evidence.removals:
-            late = removal.at + BOUNDS["revoke_ms"] / 1000
+            late = removal.at + BOUNDS.revoke
             if removal.kind == "key" and removal.what == run.customer:
                 at = sent.get(run.request_id, 0.0)
                 if late < at and run.at < removal.until:
@@ -159,7 +159,7 @@
 @CHECKS.register("nothing after leave")
 def check_left(evidence: Evidence) -> Iterator[str]:
     """Find runs at upstreams that left and in failure domains that were emptied."""
-    limits = {"upstream": BOUNDS["drain_ms"] / 1000, "domain": BOUNDS["evac_ms"] / 1000}
+    limits = {"upstream": BOUNDS.drain, "domain": BOUNDS.evacuate}
     for run in evidence.runs:
         for removal in evidence.removals:
             limit = limits.get(removal.kind)
@@ -173,13 +173,13 @@
 @CHECKS.register("quotas")
 def check_quotas(evidence: Evidence) -> Iterator[str]:
     """Find windows in which a customer used more than its quota allows."""
-    window = BOUNDS["quota_window_s"]
+    window = BOUNDS.quota_window
     for customer in CUSTOMERS:
         if not customer.rate:
             continue
         times = sorted(run.at for run in evidence.runs if run.customer == customer.name)
         plain = customer.rate * window + customer.rate
-        most = (plain * (1 + BOUNDS["quota_over"]) + BOUNDS["quota_slack"]) / PLAIN_UNITS
+        most = (plain * (1 + BOUNDS.quota_tolerance) + BOUNDS.quota_slack) / PLAIN_UNITS
         first = 0
         for last, at in enumerate(times):
             while times[first] <= at - window:
@@ -192,7 +192,7 @@
 @CHECKS.register("cold upstreams")
 def check_cold(evidence: Evidence) -> Iterator[str]:
     """Find seconds in which a cold upstream got more than it bears."""
-    most = COLD_RATE * BOUNDS["cold_over"] + BOUNDS["cold_slack"]
+    most = COLD_RATE * BOUNDS.cold_factor + COLD_SLACK
     times = defaultdict(list)
     for run in evidence.runs:
         if run.cold:
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -5,11 +5,17 @@
 import asyncio
 import signal
 
-from tanagertrail.soak.documents import BOUNDS, COLD_RATE, DOMAINS
 from tanagertrail.soak.plan import Fault, register_fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
 from tanagertrail.soak.world import SoakUpstream, SoakWorld
+from tanagertrail.standins.documents import (
+    BOUNDS,
+    COLD_RATE,
+    DOMAINS,
+    build_cold,
+    build_draining,
+)
 from tanagertrail.standins.store import StoreMode
 from tanagertrail.standins.upstream import FAULTS as MISBEHAVIOURS
 
@@ -17,7 +23,7 @@
 LOST_ANSWERS = 4
 MISBEHAVING_REQUESTS = 6
 SLOW_WORK_SECONDS = 0.4
-COLD_MS = 3000
+COLD_SECONDS = 3.0
 HARMLESS_TO_ONCE = ("refuse", "fail", "reset", "half_event", "extra", "late_other", "short")
 
 
@@ -70,7 +76,7 @@
     if daemon.frozen or not daemon.running:
         return
     world.terms.append((daemon.ports.front, world.now()))
-    await daemon.stop(BOUNDS["grace_s"])
+    await daemon.stop(BOUNDS.grace)
     await daemon.restart()
 
 
@@ -180,7 +186,7 @@
 async def let_upstream_leave(world: SoakWorld, fault: Fault) -> None:
     """Have an upstream drain, and come back under its name."""
     number, upstream = pick_upstream(world, fault)
-    world.register(number, state="draining")
+    world.register(number, build_draining)
     place = world.note_removal("upstream", upstream.id)
     await asyncio.sleep(fault.seconds)
     world.note_return(place)
@@ -192,10 +198,10 @@
     """Have an upstream start again, cold."""
     number, upstream = pick_upstream(world, fault)
     assert COLD_RATE > 0
-    world.register(number, cold_left_ms=COLD_MS)
+    world.register(number, build_cold, COLD_SECONDS)
     # What was on its way when the store took the report is not counted.
     await asyncio.sleep(1.0)
-    upstream.cold_until = world.now() + COLD_MS / 1000 - 1.0
+    upstream.cold_until = world.now() + COLD_SECONDS - 1.0
     await asyncio.sleep(fault.seconds - 1.0)
     world.register(number)
 
@@ -239,10 +245,9 @@
 async def empty_domain(world: SoakWorld, fault: Fault) -> None:
     """Order that a failure domain gets no work, and take it back."""
     domain = DOMAINS[fault.target % len(DOMAINS)]
-    if domain in world.store.objects.get("evacuations", {}):
+    if not world.empty_domain(domain):
         return
-    world.store.put("evacuations", domain, {})
     place = world.note_removal("domain", domain)
     await asyncio.sleep(fault.seconds)
     world.note_return(place)
-    world.store.remove("evacuations", domain)
+    world.refill_domain(domain)
--- a/tanagertrail/soak/processes.py
+++ b/tanagertrail/soak/processes.py
@@ -6,21 +6,13 @@
 import signal
 import sys
 from pathlib import Path
-from typing import NamedTuple
+
+from tanagertrail.standins.documents import DaemonPorts
 
 RESTART_SECONDS = 0.3
 MODULE = "tanagertrail.gateway.program"
 
 
-class DaemonPorts(NamedTuple):
-    """Ports of one daemon on loopback."""
-
-    front: int
-    ready: int
-    directory: int
-    internal: int
-
-
 class DaemonProcess:
     """One daemon, its settings file and its log.
 
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -6,31 +6,36 @@
 import itertools
 import os
 import socket
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
+from tanagertrail.gateway.handlers import MAIN_CONFIG
 from tanagertrail.gateway.http1 import CallerRequest
 from tanagertrail.platform import fields
+from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, UPSTREAMS
 from tanagertrail.soak.callers import CallerCrowd
 from tanagertrail.soak.checks import Evidence, Removal, RunSeen
-from tanagertrail.soak.documents import (
+from tanagertrail.soak.plan import Fault
+from tanagertrail.soak.processes import DaemonProcess
+from tanagertrail.soak.proxy import LinkState, LoopbackProxy
+from tanagertrail.standins.cloud import StandInCloud
+from tanagertrail.standins.documents import (
     CUSTOMERS,
     DOMAINS,
     HOST,
+    DaemonPorts,
     build_document,
     build_entry,
     build_node_file,
 )
-from tanagertrail.soak.plan import Fault
-from tanagertrail.soak.processes import DaemonPorts, DaemonProcess
-from tanagertrail.soak.proxy import LinkState, LoopbackProxy
-from tanagertrail.standins.cloud import StandInCloud
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
 
 READY_SECONDS = 15.0
 WORK_SECONDS = 0.01
 FOREVER = float("inf")
+EntryBuilder = Callable[..., dict[str, Any]]
 FIRST_PORT = 15_000
 PORT_COUNT = 15_000
 PORT_NUMBERS = itertools.count(os.getpid() * 131)
@@ -146,11 +151,25 @@
         self.upstream_links.append(link)
         self.register(len(self.upstreams) - 1)
 
-    def register(self, number: int, **changes: Any) -> None:
-        """Register an upstream."""
+    def register(self, number: int, build: EntryBuilder = build_entry, *details: Any) -> None:
+        """Register an upstream.
+
+        :param build: what builds its registration
+        """
         upstream = self.upstreams[number]
-        entry = build_entry(self.upstream_links[number].port, upstream.domain, **changes)
-        self.store.put("servers", upstream.id, entry)
+        entry = build(self.upstream_links[number].port, upstream.domain, *details)
+        self.store.put(UPSTREAMS, upstream.id, entry)
+
+    def empty_domain(self, domain: str) -> bool:
+        """Order that a failure domain gets no work; say whether it was not ordered before."""
+        if domain in self.store.objects.get(EVACUATIONS, {}):
+            return False
+        self.store.put(EVACUATIONS, domain, {})
+        return True
+
+    def refill_domain(self, domain: str) -> None:
+        """Take the order on a failure domain back."""
+        self.store.remove(EVACUATIONS, domain)
 
     async def add_daemons(self, store_port: int, cloud_port: int) -> None:
         """Build the daemons and the proxies around them."""
@@ -191,7 +210,7 @@
         """Store the present configuration as a new version."""
         self.version += 3
         document = build_document(self.version, self.extra_routes, self.keys)
-        self.store.put("config", "main", document)
+        self.store.put(CONFIGURATION, MAIN_CONFIG, document)
 
     def note_removal(self, kind: str, what: str) -> int:
         """Note that something was removed, and return where it is noted."""
--- a/tanagertrail/soak/documents.py
+++ b/tanagertrail/standins/documents.py
@@ -1,11 +1,22 @@
-"""What the soak's operator stores and what its daemons read, in the platform's format."""
-
-__all__ = ["BOUNDS", "CUSTOMERS", "build_entry", "build_document", "build_node_file"]
+"""What an operator stores and what daemons read, in the platform's format, for the soak."""
+
+__all__ = [
+    "BOUNDS",
+    "COLD_SLACK",
+    "CUSTOMERS",
+    "DaemonPorts",
+    "build_cold",
+    "build_document",
+    "build_draining",
+    "build_entry",
+    "build_node_file",
+]
 
 import json
+import tomllib
 from typing import Any, NamedTuple
 
-from tanagertrail.soak.processes import DaemonPorts
+from tanagertrail.platform.settings import decode_settings
 
 HOST = "127.0.0.1"
 SERVICE = "desk"
@@ -13,7 +24,7 @@
 DOMAINS = ("north", "south", "east")
 COLD_RATE = 10
 PLAIN_UNITS = 200
-BOUNDS = {
+BOUND_FIELDS = {
     "stability_ms": 3000,
     "config_apply_ms": 2000,
     "drain_ms": 2000,
@@ -35,6 +46,18 @@
 }
 
 
+COLD_SLACK = BOUND_FIELDS["cold_slack"]  # requests of a second beyond a cold upstream's rate
+
+
+class DaemonPorts(NamedTuple):
+    """Ports of one daemon on loopback."""
+
+    front: int
+    ready: int
+    directory: int
+    internal: int
+
+
 class SoakCustomer(NamedTuple):
     """A customer of the soak, with its quota in units a second, 0 for none."""
 
@@ -117,7 +140,7 @@
         "limits": {"max_fds": 1024, "memory_mb": 200, "cores": 1, "cpu_share": 1.0},
         "platform": {"address": f"{HOST}:{store}"},
         "cloud_api": {"address": f"{HOST}:{cloud}", "duties": ["usage"]},
-        "bounds": BOUNDS,
+        "bounds": BOUND_FIELDS,
     }
     lines = [
         f"node_name = {json.dumps(name)}",
@@ -132,3 +155,18 @@
         lines.append(f"[{table}]")
         lines += [f"{key} = {json.dumps(value)}" for key, value in values.items()]
     return "\n".join(lines) + "\n"
+
+
+def build_draining(port: int, domain: str) -> dict[str, Any]:
+    """Return the registration of an upstream that leaves."""
+    return build_entry(port, domain, state="draining")
+
+
+def build_cold(port: int, domain: str, seconds: float) -> dict[str, Any]:
+    """Return the registration of an upstream that has just started."""
+    return build_entry(port, domain, cold_left_ms=int(seconds * 1000))
+
+
+BOUNDS = decode_settings(
+    tomllib.loads(build_node_file("entry", DOMAINS[0], DaemonPorts(1, 2, 3, 4), 5, 6, []))
+).bounds
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,11 +4,11 @@
 
 from tanagertrail.soak.callers import Call
 from tanagertrail.soak.checks import CHECKS, Evidence, Removal, RunSeen, build_events, find_broken
-from tanagertrail.soak.documents import CUSTOMERS, HOST
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
 from tanagertrail.soak.program import run_seed
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
 from tanagertrail.soak.world import find_ports
+from tanagertrail.standins.documents import CUSTOMERS, HOST
 from tests.gateway_utils import real_time
 
 GUILD = CUSTOMERS[0]
