--- a/tanagertrail/emulator/engine.py
+++ b/tanagertrail/emulator/engine.py
@@ -86,6 +86,16 @@
         self.waiting.append(job)
         self.admit()
 
+    def lose(self) -> list[Job]:
+        """Lose the engine and return the requests that were there, to be sent anew."""
+        self.lost = True
+        jobs = [*self.running, *self.waiting]
+        self.running = []
+        self.waiting.clear()
+        for job in jobs:
+            job.unread = job.made = 0
+        return jobs
+
     def admit(self) -> None:
         """Let waiting requests run while there is room."""
         while self.waiting and len(self.running) < self.shape.batch:
--- a/tanagertrail/emulator/load.py
+++ b/tanagertrail/emulator/load.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from tanagertrail.emulator.engine import EngineModel, EngineShape, Job
-from tanagertrail.emulator.patterns import KINDS, PATTERNS, Arrival
+from tanagertrail.emulator.patterns import KINDS, PATTERNS, Arrival, Loss
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.hubs import ALL_HUBS
 from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
@@ -61,7 +61,11 @@
 
 
 class DaemonView:
-    """What one daemon knows: its own flights now, all others' as of their last report."""
+    """What one daemon knows: its own flights now, all others' as of their last report.
+
+    :ivar flights: requests of this daemon, by engine
+    :ivar others: requests of all others, by engine
+    """
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -72,7 +76,14 @@
 
 
 class LoadPlay:
-    """One play of a pattern."""
+    """One play of a pattern, an event at a time in order of virtual time.
+
+    :ivar events: (time, order, kind, payload); ``take_KIND`` takes each
+    :ivar owners: daemon that sent each request
+    :ivar seen: parts that some engine has read
+    :ivar again: tokens of such parts that another engine had to read
+    :ivar moved: requests whose engine was lost
+    """
 
     def __init__(self, settings: LoadSettings) -> None:
         self.settings = settings
@@ -190,18 +201,15 @@
         daemon, totals = payload
         daemon.others = totals
 
-    def take_loss(self, now: float, loss) -> None:
+    def take_loss(self, now: float, loss: Loss) -> None:
         """Lose engines; their requests are sent on."""
         there = [e for e in self.engines.values() if e.domain == f"d{loss.domain}" and not e.lost]
         for engine in there[: round(len(there) * loss.share)]:
-            engine.lost = True
-            jobs = [*engine.running, *engine.waiting]
-            engine.running, engine.waiting = [], type(engine.waiting)()
+            jobs = engine.lose()
             for daemon in self.daemons:
                 daemon.flights.pop(engine.name, None)
             for job in jobs:
                 self.moved += 1
-                job.unread, job.made = 0, 0
                 self.send(now, job, self.owners[job.number])
 
     def sum_up(self) -> LoadResult:
