--- /dev/null
+++ b/tanagertrail/operators/beliefs.py
@@ -0,0 +1,119 @@
+"""What a gateway believes, read from its metrics address."""
+
+__all__ = ["BeliefReport", "UpstreamBelief", "format_report", "parse_metrics", "read_report"]
+
+import re
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import urllib3
+
+from tanagertrail.operators.client import OperatorError
+
+METRICS_PATH = "/metrics"
+READ_SECONDS = 5.0
+STATE_METRIC = "tanagertrail_state"
+SAMPLE = re.compile(r"^(?P<metric>\w+)\{(?P<labels>.*)\} (?P<value>\S+)")
+LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
+
+
+class UpstreamBelief(NamedTuple):
+    """What a gateway believes of one upstream.
+
+    :ivar in_flight: requests of this daemon that are there
+    :ivar running: requests of all daemons that are believed to be there
+    :ivar faults: running share of requests that failed there, between 0 and 1
+    """
+
+    upstream: str
+    service: str
+    in_flight: float
+    running: float
+    faults: float
+
+
+class BeliefReport(NamedTuple):
+    """What a gateway believes.
+
+    :ivar values: values without labels, by name
+    :ivar domains_out: failure domains that get no work
+    """
+
+    values: dict[str, float]
+    domains_out: tuple[str, ...]
+    upstreams: tuple[UpstreamBelief, ...]
+
+
+def iter_states(text: str) -> Iterator[tuple[dict[str, str], float]]:
+    """Yield the labels and the value of each state in a metrics page."""
+    for line in text.splitlines():
+        match = SAMPLE.match(line)
+        if match is not None and match["metric"] == STATE_METRIC:
+            yield dict(LABEL.findall(match["labels"])), float(match["value"])
+
+
+def parse_metrics(text: str) -> BeliefReport:
+    """Parse a metrics page.
+
+    :raises OperatorError: if it holds no state of a gateway
+    """
+    values: dict[str, float] = {}
+    domains: list[str] = []
+    upstreams: dict[tuple[str, str], dict[str, float]] = {}
+    for labels, value in iter_states(text):
+        name = labels.get("name", "")
+        if labels.get("upstream"):
+            key = labels["upstream"], labels.get("service", "")
+            upstreams.setdefault(key, {})[name] = value
+        elif name == "domain_out":
+            domains.append(labels.get("failure_domain", ""))
+        else:
+            values[name] = value
+    if not values:
+        raise OperatorError(0, ["the page holds no state of a gateway"])
+    rows = tuple(
+        UpstreamBelief(
+            upstream,
+            service,
+            found.get("upstream_in_flight", 0.0),
+            found.get("upstream_running", 0.0),
+            found.get("upstream_faults", 0.0),
+        )
+        for (upstream, service), found in sorted(upstreams.items())
+    )
+    return BeliefReport(values, tuple(sorted(domains)), rows)
+
+
+def read_report(address: str) -> BeliefReport:
+    """Read what the gateway with a metrics address believes.
+
+    :param address: ``host:port``
+    :raises OperatorError: if it is not reached or answers otherwise
+    """
+    with urllib3.PoolManager(retries=False, timeout=READ_SECONDS) as http:
+        try:
+            reply = http.request("GET", f"http://{address}{METRICS_PATH}")
+        except urllib3.exceptions.HTTPError as error:
+            raise OperatorError(0, [f"{address} is not reached: {error}"]) from error
+    if reply.status != 200:
+        raise OperatorError(reply.status, [f"{address} answered {reply.status}"])
+    return parse_metrics(reply.data.decode())
+
+
+def format_report(report: BeliefReport) -> Iterator[str]:
+    """Yield the lines that show what a gateway believes."""
+    values = report.values
+    ready = "ready" if values.get("ready") else "not ready"
+    yield f"{ready}, {values.get('in_flight', 0):.0f} requests in flight"
+    version, age = values.get("config_version", 0), values.get("config_age_s", 0)
+    yield f"configuration {version:.0f}, known to be the newest {age:.2f} s ago"
+    yield f"{values.get('members_alive', 0):.0f} daemons live"
+    fencing = values.get("fencing", 0)
+    yield f"holds the duties with number {fencing:.0f}" if fencing else "holds no duties"
+    out = ", ".join(report.domains_out)
+    yield f"failure domains that get no work: {out or 'none'}"
+    for row in report.upstreams:
+        yield (
+            f"upstream {row.upstream} of {row.service}: {row.in_flight:.0f} here, "
+            f"{row.running:.0f} in all, {row.faults:.0%} failed"
+        )
--- a/tanagertrail/operators/cli.py
+++ b/tanagertrail/operators/cli.py
@@ -10,6 +10,7 @@
 
 from tanagertrail.errors import InvalidInputError
 from tanagertrail.operators import actions
+from tanagertrail.operators.beliefs import format_report, read_report
 from tanagertrail.operators.client import OperatorError
 from tanagertrail.operators.explain import LogLine, explain_request, format_line, merge_logs
 from tanagertrail.timeline.merge import format_event
@@ -131,6 +132,16 @@
         print_lines("its upstreams", found.upstreams)
         print_lines("what its daemon relied on", found.dependencies)
 
+    def beliefs(self, address: str, json: bool = False) -> None:
+        """Show what the gateway with the metrics ADDRESS (host:port) believes."""
+        report = read_report(str(address))
+        if json:
+            upstreams = [row._asdict() for row in report.upstreams]
+            print_json({**report._asdict(), "upstreams": upstreams})
+            return
+        for line in format_report(report):
+            print(line)
+
     def merge(self, *files: str, event: str = "") -> None:
         """Show the gateways' logs in FILES in one time line, or only lines of one EVENT."""
         for line in merge_logs(str(file) for file in files):
--- /dev/null
+++ b/tests/test_beliefs.py
@@ -0,0 +1,65 @@
+"""What operators are shown of a gateway's beliefs."""
+
+import asyncio
+
+from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.operators.beliefs import format_report, parse_metrics, read_report
+from tanagertrail.operators.client import OperatorError
+from tanagertrail.settings.gateway import GatewayTuning, MetricsSection
+from tests.gateway_utils import HOST, build_settings, find_port, open_world, real_time
+from tests.utils import raises
+
+PAGE = """# HELP tanagertrail_state State of the daemon by name
+# TYPE tanagertrail_state gauge
+tanagertrail_state{name="config_version"} 7.0
+tanagertrail_state{name="config_age_s"} 0.25
+tanagertrail_state{name="ready"} 1.0
+tanagertrail_state{name="in_flight"} 3.0
+tanagertrail_state{name="members_alive"} 8.0
+tanagertrail_state{name="fencing",otel_scope_name="tanagertrail.gateway",service="",upstream=""} 2.0
+tanagertrail_state{failure_domain="north",name="domain_out"} 1.0
+tanagertrail_state{name="upstream_in_flight",service="desk",upstream="up-a"} 1.0
+tanagertrail_state{name="upstream_running",service="desk",upstream="up-a"} 5.0
+tanagertrail_state{name="upstream_faults",service="desk",upstream="up-a"} 0.5
+tanagertrail_requests_total{outcome="answered",route="r"} 9.0
+"""
+
+
+def test_states_are_parsed_and_shown():
+    report = parse_metrics(PAGE)
+    assert report.values["config_version"] == 7
+    assert report.domains_out == ("north",)
+    lines = list(format_report(report))
+    assert "configuration 7, known to be the newest 0.25 s ago" in lines
+    assert "holds the duties with number 2" in lines
+    assert "failure domains that get no work: north" in lines
+    assert "upstream up-a of desk: 1 here, 5 in all, 50% failed" in lines
+
+
+def test_page_of_another_kind_is_refused():
+    with raises(OperatorError):
+        parse_metrics("process_cpu_seconds_total 4.0\n")
+
+
+def test_address_without_a_gateway_is_an_error():
+    with raises(OperatorError):
+        read_report(f"{HOST}:{find_port()}")
+
+
+@real_time
+async def test_beliefs_of_a_running_gateway_are_read():
+    async with open_world() as world:
+        ports = world.ports | {
+            key: find_port() for key in ("front", "ready", "directory", "internal")
+        }
+        metrics = find_port()
+        tuning = GatewayTuning(metrics=MetricsSection(port=metrics))
+        node = GatewayNode(build_settings(ports, "entry-2"), tuning)
+        await node.start()
+        try:
+            await world.await_true(lambda: node.ready)
+            report = await asyncio.to_thread(read_report, f"{HOST}:{metrics}")
+            assert report.values["config_version"] == 1
+            assert {row.upstream for row in report.upstreams} == {"up-a", "up-b"}
+        finally:
+            node.close()
