List the late step-in of daemons that hear nothing as known red

Ruled out: a proof that claims too much (the trace shows steady news before, and the arithmetic alone explains 3.19 s).

--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -6,6 +6,7 @@
 from tanagertrail.errors import StoreUnavailableError
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
+from tanagertrail.gateway.node import DRAIN_PATIENCE
 from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
 from tanagertrail.platform.store import Listing, WatchAnswer
 from tanagertrail.testing import run_virtual
@@ -171,3 +172,25 @@
         return store.waits
 
     assert run_virtual(work()) == [0.0]
+
+
+def test_daemon_that_hears_nothing_asks_before_an_upstream_must_get_no_work():
+    """DRAIN on tartan-plovdiv-grown trouble-3: its hub was stopped as an upstream left."""
+    call = 0.2  # seconds that a call takes on a busy link of 10 Mbit/s
+
+    async def measure(drain, seed):
+        store = QuietStore()
+        watch = build_watch(store, OTHER)
+        watch.pace = WatchPace(2.0, DRAIN_PATIENCE * drain)
+        watch.rng = random.Random(seed)
+        watch.mirror.take_listing(Listing([], 1), watch.mirror.boot_time())
+        task = asyncio.create_task(watch.run())
+        while not store.calls:
+            await asyncio.sleep(0.01)
+        age = watch.mirror.age
+        task.cancel()
+        return age
+
+    for drain in (2.0, 3.0):
+        for seed in range(20):
+            assert run_virtual(measure(drain, seed)) <= drain - call, (drain, seed)
