Share ports, routes and quiet handlers between soak and tests

The soak had written a port finder and a builder of routes and registrations anew beside those of the tests, and two tests the same quiet handler. One of each serves both now. Faults pick a daemon's link in one place; a comment named an attribute that never was, and process ids of starts were kept and not read. Behaviour is the same; tests keep their assertions.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -12,7 +12,8 @@
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.platform import fields
-from tanagertrail.standins.documents import CUSTOMERS, HOST, HOST_NAME, SoakCustomer
+from tanagertrail.standins.documents import CUSTOMERS, HOST_NAME, SoakCustomer
+from tanagertrail.standins.ports import HOST
 
 DEADLINE_SECONDS = 3.0
 CONNECT_SECONDS = 1.0
@@ -27,7 +28,7 @@
     """A request and what its caller saw, times by the event loop in seconds.
 
     :ivar port: port of the daemon's front
-    :ivar sent_at: when the last byte was written, 0 if no connection could be made
+    :ivar sent_at: when the last byte was written
     :ivar status: status of the answer, 0 for none
     :ivar whole: whether the answer was complete
     :ivar left: whether the caller closed its connection on purpose
@@ -52,7 +53,6 @@
 
     :ivar links: port to connect to, by the port of the front that a daemon names
     :ivar extra_routes: routes that later configurations added, newest last
-    :ivar open_ports: ports of the fronts to which connections are open
     """
 
     def __init__(
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -38,6 +38,11 @@
     return number, world.upstreams[number]
 
 
+def pick_link(links: list[LoopbackProxy], fault: Fault) -> LoopbackProxy:
+    """Return the daemon's link that a fault strikes."""
+    return links[fault.target % len(links)]
+
+
 async def hold(link: LoopbackProxy, state: LinkState, seconds: float) -> None:
     """Keep a link in a state for some time."""
     link.set_state(state)
@@ -89,22 +94,19 @@
 @register_fault("store cut", 1.0, 7.0)
 async def cut_store(world: SoakWorld, fault: Fault) -> None:
     """Silence a daemon's connections to the store."""
-    link = world.store_links[fault.target % len(world.store_links)]
-    await hold(link, LinkState.SILENT, fault.seconds)
+    await hold(pick_link(world.store_links, fault), LinkState.SILENT, fault.seconds)
 
 
 @register_fault("store one way", 1.0, 5.0)
 async def cut_store_one_way(world: SoakWorld, fault: Fault) -> None:
     """Let a daemon's calls reach the store, and no answer come back."""
-    link = world.store_links[fault.target % len(world.store_links)]
-    await hold(link, LinkState.FORWARD_ONLY, fault.seconds)
+    await hold(pick_link(world.store_links, fault), LinkState.FORWARD_ONLY, fault.seconds)
 
 
 @register_fault("store reset", 0.2, 2.0)
 async def reset_store(world: SoakWorld, fault: Fault) -> None:
     """Reset a daemon's connections to the store."""
-    link = world.store_links[fault.target % len(world.store_links)]
-    await hold(link, LinkState.RESET, fault.seconds)
+    await hold(pick_link(world.store_links, fault), LinkState.RESET, fault.seconds)
 
 
 async def set_store_mode(world: SoakWorld, mode: StoreMode, seconds: float) -> None:
@@ -209,15 +211,13 @@
 @register_fault("caller link slow", 0.5, 3.0)
 async def slow_callers(world: SoakWorld, fault: Fault) -> None:
     """Delay what callers and a daemon send each other."""
-    link = world.caller_links[fault.target % len(world.caller_links)]
-    await hold(link, LinkState.DELAY, fault.seconds)
+    await hold(pick_link(world.caller_links, fault), LinkState.DELAY, fault.seconds)
 
 
 @register_fault("caller link resets", 0.1, 0.5)
 async def reset_callers(world: SoakWorld, fault: Fault) -> None:
     """Reset callers' connections to a daemon."""
-    link = world.caller_links[fault.target % len(world.caller_links)]
-    await hold(link, LinkState.RESET, fault.seconds)
+    await hold(pick_link(world.caller_links, fault), LinkState.RESET, fault.seconds)
 
 
 @register_fault("new version", 0.1, 0.2, planned=True)
--- a/tanagertrail/soak/processes.py
+++ b/tanagertrail/soak/processes.py
@@ -16,7 +16,7 @@
 class DaemonProcess:
     """One daemon, its settings file and its log.
 
-    :ivar starts: (event-loop time in seconds, process id) of each start
+    :ivar starts: event-loop time in seconds of each start
     :ivar frozen: whether the process is stopped by a signal
     """
 
@@ -28,7 +28,7 @@
         self.settings_path.write_text(settings)
         self.log = open(self.log_path, "ab")  # noqa: SIM115  closed with the world
         self.process: asyncio.subprocess.Process | None = None
-        self.starts: list[tuple[float, int]] = []
+        self.starts: list[float] = []
         self.frozen = False
 
     async def start(self) -> None:
@@ -38,7 +38,7 @@
             *command, stdout=self.log, stderr=self.log
         )
         self.frozen = False
-        self.starts.append((asyncio.get_running_loop().time(), self.process.pid))
+        self.starts.append(asyncio.get_running_loop().time())
 
     @property
     def running(self) -> bool:
--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -51,12 +51,12 @@
     crowd = asyncio.create_task(world.crowd.run(callers))
     injected = [asyncio.create_task(inject(world, fault)) for fault in plan]
     await asyncio.sleep(seconds)
-    await asyncio.wait([*injected, asyncio.create_task(asyncio.sleep(0))])
+    results = await asyncio.gather(*injected, return_exceptions=True)
     failed = [f"the callers ended: {crowd.exception()!r}"] if crowd.done() else []
     crowd.cancel()
     await asyncio.wait([crowd])
     await asyncio.sleep(SETTLE_SECONDS)
-    failed += [repr(task.exception()) for task in injected if task.exception() is not None]
+    failed += [repr(result) for result in results if result is not None]
     ended = [
         f"{daemon.name} ended with status {daemon.tell_exit()}"
         for daemon in world.daemons
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -3,9 +3,6 @@
 __all__ = ["SoakUpstream", "SoakWorld"]
 
 import asyncio
-import itertools
-import os
-import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -23,22 +20,20 @@
 from tanagertrail.standins.documents import (
     CUSTOMERS,
     DOMAINS,
-    HOST,
     DaemonPorts,
     build_document,
     build_entry,
     build_node_file,
 )
+from tanagertrail.standins.ports import HOST, find_port
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
 
 READY_SECONDS = 15.0
 WORK_SECONDS = 0.01
+SLOTS = 16  # of each upstream, more than the callers need
 FOREVER = float("inf")
 EntryBuilder = Callable[..., dict[str, Any]]
-FIRST_PORT = 15_000
-PORT_COUNT = 15_000
-PORT_NUMBERS = itertools.count(os.getpid() * 131)
 
 
 class SoakUpstream(StandInUpstream):
@@ -71,25 +66,6 @@
         )
 
 
-def find_ports(count: int) -> list[int]:
-    """Return ports that are free now.
-
-    They lie below those that the system gives to outgoing connections, which might take one
-    before its server listens.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = FIRST_PORT + next(PORT_NUMBERS) % PORT_COUNT
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-            found.append(port)
-    return found
-
-
 class SoakWorld:
     """Everything that a run starts, and what it shows.
 
@@ -125,7 +101,7 @@
 
     async def start(self) -> None:
         """Start stand-ins, proxies and daemons, and wait until all daemons are ready."""
-        store_port, cloud_port = find_ports(2)
+        store_port, cloud_port = find_port(), find_port()
         await self.store.start(HOST, store_port)
         await self.cloud.start(HOST, cloud_port)
         self.put_config()
@@ -142,7 +118,7 @@
 
     async def add_upstream(self, name: str, domain: str) -> None:
         """Start an upstream behind a proxy and register it."""
-        port, link_port = find_ports(2)
+        port, link_port = find_port(), find_port()
         upstream = SoakUpstream(name, domain, self.runs)
         await upstream.start(HOST, port)
         self.upstreams.append(upstream)
@@ -157,7 +133,7 @@
         :param build: what builds its registration
         """
         upstream = self.upstreams[number]
-        entry = build(self.upstream_links[number].port, upstream.domain, *details)
+        entry = build(self.upstream_links[number].port, upstream.domain, *details, capacity=SLOTS)
         self.store.put(UPSTREAMS, upstream.id, entry)
 
     def empty_domain(self, domain: str) -> bool:
@@ -173,10 +149,13 @@
 
     async def add_daemons(self, store_port: int, cloud_port: int) -> None:
         """Build the daemons and the proxies around them."""
-        ports = [DaemonPorts(*find_ports(4)) for _ in range(self.daemon_count)]
+        ports = [
+            DaemonPorts(*(find_port() for _ in DaemonPorts._fields))
+            for _ in range(self.daemon_count)
+        ]
         seeds = [item.internal for item in ports[:3]]
         for number, own in enumerate(ports):
-            store_link, caller_link = find_ports(2)
+            store_link, caller_link = find_port(), find_port()
             self.store_links.append(LoopbackProxy(HOST, store_link, store_port))
             self.caller_links.append(LoopbackProxy(HOST, caller_link, own.front))
             await self.store_links[-1].start()
@@ -228,7 +207,7 @@
             for call in self.cloud.calls
             if call.path == "/usage"
         ]
-        starts = [(daemon.ports.front, at) for daemon in self.daemons for at, _ in daemon.starts]
+        starts = [(daemon.ports.front, at) for daemon in self.daemons for at in daemon.starts]
         return Evidence(
             self.started,
             self.now(),
--- a/tanagertrail/standins/documents.py
+++ b/tanagertrail/standins/documents.py
@@ -1,4 +1,4 @@
-"""What an operator stores and what daemons read, in the platform's format, for the soak."""
+"""What an operator and upstreams store and what daemons read, in the platform's format."""
 
 __all__ = [
     "BOUNDS",
@@ -10,6 +10,7 @@
     "build_draining",
     "build_entry",
     "build_node_file",
+    "build_route",
 ]
 
 import json
@@ -17,8 +18,8 @@
 from typing import Any, NamedTuple
 
 from tanagertrail.platform.settings import decode_settings
+from tanagertrail.standins.ports import HOST
 
-HOST = "127.0.0.1"
 SERVICE = "desk"
 HOST_NAME = "desk.example"
 DOMAINS = ("north", "south", "east")
@@ -45,10 +46,13 @@
     "ttl_max_s": 5,
 }
 
-
 COLD_SLACK = BOUND_FIELDS["cold_slack"]  # requests of a second beyond a cold upstream's rate
 
 
+# Faults last for seconds, and the soak's prompts share no parts.
+PATIENT = {"timeout_ms": 4000, "slo_ms": 400, "gap_aim_ms": 200, "sticky": False}
+
+
 class DaemonPorts(NamedTuple):
     """Ports of one daemon on loopback."""
 
@@ -73,23 +77,24 @@
 )
 
 
-def build_route(name: str, kind: str) -> dict[str, Any]:
-    """Return a route."""
-    return {
+def build_route(name: str, kind: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of a configuration."""
+    route = {
         "name": name,
         "host": HOST_NAME,
         "prefix": f"/{name}/",
         "kind": kind,
-        "timeout_ms": 4000,
-        "slo_ms": 400,
+        "timeout_ms": 2000,
+        "slo_ms": 200,
         "priority": 1,
         "service": SERVICE,
-        "attempts": 1 if kind == "unsafe" else 3,
+        "attempts": 1 if kind == "unsafe" else 2,
         "public": False,
-        "sticky": False,
+        "sticky": kind == "stream",
         "resumable": kind == "stream",
-        "gap_aim_ms": 200,
+        "gap_aim_ms": 100,
     }
+    return route | changes
 
 
 def build_document(version: int, extra_routes: list[str], keys: set[str]) -> dict[str, Any]:
@@ -98,9 +103,12 @@
     :param extra_routes: names of routes that later versions added
     :param keys: keys in force
     """
-    routes = [build_route("look", "safe"), build_route("book", "unsafe")]
-    routes += [build_route("talk", "stream")]
-    routes += [build_route(name, "safe") for name in extra_routes]
+    repeated = PATIENT | {"attempts": 3}
+    routes = [
+        build_route("book", "unsafe", **PATIENT),
+        build_route("talk", "stream", **repeated),
+        *(build_route(name, "safe", **repeated) for name in ("look", *extra_routes)),
+    ]
     tenants = []
     for item in CUSTOMERS:
         tenant: dict[str, Any] = {"name": item.name}
@@ -120,7 +128,7 @@
         "address": f"{HOST}:{port}",
         "zone": domain,
         "version": "v1",
-        "capacity": 16,
+        "capacity": 8,
         "state": "ready",
     }
     return entry | changes
@@ -157,14 +165,14 @@
     return "\n".join(lines) + "\n"
 
 
-def build_draining(port: int, domain: str) -> dict[str, Any]:
+def build_draining(port: int, domain: str, **changes: Any) -> dict[str, Any]:
     """Return the registration of an upstream that leaves."""
-    return build_entry(port, domain, state="draining")
+    return build_entry(port, domain, state="draining", **changes)
 
 
-def build_cold(port: int, domain: str, seconds: float) -> dict[str, Any]:
+def build_cold(port: int, domain: str, seconds: float, **changes: Any) -> dict[str, Any]:
     """Return the registration of an upstream that has just started."""
-    return build_entry(port, domain, cold_left_ms=int(seconds * 1000))
+    return build_entry(port, domain, cold_left_ms=int(seconds * 1000), **changes)
 
 
 BOUNDS = decode_settings(
--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -2,28 +2,24 @@
 
 import asyncio
 import functools
-import itertools
-import os
-import socket
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.mirror import BaseKindHandler
 from tanagertrail.gateway.model import GatewaySettings
 from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.platform.settings import decode_settings
 from tanagertrail.standins.cloud import StandInCloud
+from tanagertrail.standins.documents import build_entry, build_route
+from tanagertrail.standins.ports import HOST, find_port
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
 
-HOST = "127.0.0.1"
 START_SECONDS = 5.0
 TEST_SECONDS = 20.0
-FIRST_PORT = 15_000
-PORT_COUNT = 15_000
-PORT_NUMBERS = itertools.count(os.getpid() * 97)
 
 
 def real_time(test: Callable[[], Awaitable[None]]) -> Callable[[], None]:
@@ -40,43 +36,6 @@
     return run
 
 
-def find_port() -> int:
-    """Return a port that is free now.
-
-    Ports are taken below those that the system gives to outgoing connections, which might take
-    one between this question and its use.
-    """
-    while True:
-        port = FIRST_PORT + next(PORT_NUMBERS) % PORT_COUNT
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-
-
-def build_route(name: str, kind: str, **changes: Any) -> dict[str, Any]:
-    """Return a route of the configuration."""
-    route = {
-        "name": name,
-        "host": "desk.example",
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": 2000,
-        "slo_ms": 200,
-        "priority": 1,
-        "service": "desk",
-        "attempts": 1 if kind == "unsafe" else 2,
-        "public": False,
-        "sticky": kind == "stream",
-        "resumable": kind == "stream",
-        "gap_aim_ms": 100,
-    }
-    return route | changes
-
-
 def build_config(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return a configuration with a route of each kind."""
     config = {
@@ -115,6 +74,19 @@
     )
 
 
+class QuietHandler(BaseKindHandler):
+    """A handler of stored objects that takes everything and does nothing."""
+
+    def replace_all(self, objects, lapsed):
+        pass
+
+    def apply_change(self, item, departure):
+        pass
+
+    def note_current(self, at):
+        pass
+
+
 class Reply(NamedTuple):
     """A caller's view of an answer; ``whole`` is false where it was cut."""
 
@@ -150,15 +122,8 @@
 
     def register(self, upstream_id: str, **changes: Any) -> None:
         """Register an upstream in the store."""
-        entry = {
-            "service": "desk",
-            "address": f"{HOST}:{self.ports[upstream_id]}",
-            "zone": "north",
-            "version": "v1",
-            "capacity": 8,
-            "state": "ready",
-        }
-        self.store.put("servers", upstream_id, entry | changes)
+        entry = build_entry(self.ports[upstream_id], "north", **changes)
+        self.store.put("servers", upstream_id, entry)
 
     def keep_one(self) -> StandInUpstream:
         """Leave one upstream registered and return it."""
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -8,10 +8,10 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.gathering import Gathering, StateSource
 from tanagertrail.gateway.members import Member, MemberTable
-from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
+from tanagertrail.gateway.mirror import KindMirror
 from tanagertrail.platform.store import Listing, StoredObject
 from tanagertrail.policy.hubs import plan_topology
-from tests.gateway_utils import real_time
+from tests.gateway_utils import QuietHandler, real_time
 from tests.utils import raises
 
 NAMES = [f"d{n}" for n in range(20)]
@@ -72,19 +72,6 @@
         pass
 
 
-class QuietHandler(BaseKindHandler):
-    """A handler that takes everything and does nothing."""
-
-    def replace_all(self, objects, lapsed):
-        pass
-
-    def apply_change(self, item, departure):
-        pass
-
-    def note_current(self, at):
-        pass
-
-
 def run_period(daemons):
     """Let each daemon exchange with its partners once."""
     for daemon in daemons.values():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,8 +7,8 @@
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
 from tanagertrail.soak.program import run_seed
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
-from tanagertrail.soak.world import find_ports
-from tanagertrail.standins.documents import CUSTOMERS, HOST
+from tanagertrail.standins.documents import CUSTOMERS
+from tanagertrail.standins.ports import HOST, find_port
 from tests.gateway_utils import real_time
 
 GUILD = CUSTOMERS[0]
@@ -135,7 +135,7 @@
 
 @real_time
 async def test_proxy_passes_delays_silences_and_resets():
-    port, target = find_ports(2)
+    port, target = find_port(), find_port()
 
     async def echo(reader, writer):
         while data := await reader.read(100):
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -5,11 +5,12 @@
 
 from tanagertrail.errors import StoreUnavailableError
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
+from tanagertrail.gateway.mirror import KindMirror
 from tanagertrail.gateway.node import DRAIN_PATIENCE
 from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
 from tanagertrail.platform.store import Listing, WatchAnswer
 from tanagertrail.testing import run_virtual
+from tests.gateway_utils import QuietHandler
 
 PACE = WatchPace(2.0, 2.25)
 SPREAD = 1.75
@@ -19,19 +20,6 @@
 OTHER = WatchRole(False, False, SPREAD)
 
 
-class QuietHandler(BaseKindHandler):
-    """A handler that takes everything and does nothing."""
-
-    def replace_all(self, objects, lapsed):
-        pass
-
-    def apply_change(self, item, departure):
-        pass
-
-    def note_current(self, at):
-        pass
-
-
 class QuietStore:
     """A store in which nothing changes, and which counts its calls."""
 
