Describe a daemon's state once per answer, and by name

A hub built its whole state twice for each question of a client, once inside the sums. Quotas took the daemon's own rate anew for each peer of each request. The state was built by position in three places (node, experiment, test) from the fields of a member, and taken apart by name in a fourth: the member does both now. What goes out is the same; a state's number rises by one per answer, not two.

--- a/tanagertrail/bench/hubs.py
+++ b/tanagertrail/bench/hubs.py
@@ -60,7 +60,6 @@
     def describe_state(self) -> OriginState:
         """Return a state as large as a busy daemon's."""
         self.counter += 1
-        own = self.members.own
         first = self.number * BUSY_UPSTREAMS
         flights = tuple(
             (f"i-{(first + offset) % self.upstreams:010x}", 3) for offset in range(BUSY_UPSTREAMS)
@@ -68,24 +67,8 @@
         quota = tuple((f"customer{n}", self.counter * 1000.5, 500.25) for n in range(CUSTOMERS))
         counts = tuple((f"customer{n}", 40 + n) for n in range(CUSTOMERS))
         usage = tuple((356_000_000 + window, counts) for window in range(USAGE_WINDOWS))
-        return OriginState(
-            own.daemon,
-            own.incarnation,
-            self.counter,
-            own.address,
-            own.front,
-            own.failure_domain,
-            own.strength,
-            True,
-            0,
-            (),
-            True,
-            flights,
-            quota,
-            usage,
-            (),
-            (),
-            0,
+        return self.members.own.build_state(
+            self.counter, serving=True, following=True, flights=flights, quota=quota, usage=usage
         )
 
     def take_state(self, state: OriginState) -> None:
--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -86,16 +86,16 @@
     front: str
     failure_domain: str
     strength: int
-    serving: bool
-    leading: int
-    lease: tuple
-    following: bool
-    flights: tuple
-    quota: tuple
-    usage: tuple
-    trials: tuple
-    read: tuple
-    age_ms: int
+    serving: bool = False
+    leading: int = 0
+    lease: tuple = ()
+    following: bool = False
+    flights: tuple = ()
+    quota: tuple = ()
+    usage: tuple = ()
+    trials: tuple = ()
+    read: tuple = ()
+    age_ms: int = 0
 
 
 class MirrorNews(NamedTuple):
--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -91,15 +91,7 @@
         if state.daemon == self.members.own.daemon:
             return
         said_at = self.now() - state.age_ms / 1000
-        member = Member(
-            state.daemon,
-            state.incarnation,
-            state.address,
-            state.front,
-            state.failure_domain,
-            state.strength,
-        )
-        self.members.learn(member, said_at, state.serving)
+        self.members.learn(Member.of_state(state), said_at, state.serving)
         known = self.states.get(state.daemon)
         if known is not None and not is_newer(state, known.state):
             known.direct = known.direct or direct
@@ -157,10 +149,12 @@
             if name != leave_out and now - known.said_at <= STATE_SECONDS
         )
 
-    def sum_others(self, receiver: str) -> Sums:
-        """Return what all daemons but the receiver do together, this one included."""
+    def sum_others(self, receiver: str, own: OriginState) -> Sums:
+        """Return what all daemons but the receiver do together.
+
+        :param own: the state of this daemon, which is included
+        """
         now = self.now()
-        own = self.source.describe_state()
         flights: Counter[str] = Counter(dict(own.flights))
         rates = Counter({customer: rate for customer, _, rate in own.quota})
         used = self.quota_seen + Counter({customer: total for customer, total, _ in own.quota})
@@ -204,14 +198,15 @@
         self.take_state(asker, direct=question.primary and not question.hub)
         self.peer_revisions[asker.daemon] = dict(question.revisions)
         told_sums = question.primary and not question.hub
+        own = self.source.describe_state()
         return PeerAnswer(
-            pack_rows([self.source.describe_state()]),
+            pack_rows([own]),
             self.topology.is_hub,
             self.list_revisions(),
             self.relay_states(asker.daemon) if question.hub else b"",
             b"" if question.hub else self.list_alive(asker.daemon),
             self.build_news(dict(question.revisions)),
-            pack_rows([self.sum_others(asker.daemon)]) if told_sums else b"",
+            pack_rows([self.sum_others(asker.daemon, own)]) if told_sums else b"",
         )
 
     def build_push(self, receiver: str) -> PeerNews:
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -3,9 +3,9 @@
 __all__ = ["Member", "MemberHandler", "MemberTable"]
 
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from tanagertrail.daemons.reports import LifeSign
+from tanagertrail.daemons.reports import LifeSign, OriginState
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.mirror import BaseKindHandler, Departure
 from tanagertrail.gateway.model import GatewaySettings
@@ -38,6 +38,19 @@
         """Return the object that the store keeps."""
         return self._asdict()
 
+    def build_state(self, counter: int, **details: Any) -> OriginState:
+        """Return the daemon's state.
+
+        :param counter: number of the state in this incarnation
+        :param details: what the daemon does, by the names of the state's fields
+        """
+        return OriginState(counter=counter, **self._asdict(), **details)
+
+    @classmethod
+    def of_state(cls, state: OriginState) -> "Member":
+        """Return the daemon that told a state."""
+        return cls(*(getattr(state, name) for name in cls._fields))
+
 
 @dataclass
 class MemberState:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -314,24 +314,17 @@
         )
         news = self.quota.build_report(now)
         quota = tuple((name, item.used, item.rate) for name, item in news.items())
-        return OriginState(
-            self.own.daemon,
-            self.own.incarnation,
+        return self.own.build_state(
             self.counter,
-            self.own.address,
-            self.own.front,
-            self.own.failure_domain,
-            self.own.strength,
-            self.ready,
-            self.leadership.fencing if self.leadership.renewing else 0,
-            self.leadership.describe_renewal(),
-            all(watch.answered for watch in self.watches),
-            flights,
-            quota,
-            self.usage.encode(),
-            self.dispatcher.trials.encode(),
-            tuple(self.dispatcher.read_tokens.items()),
-            0,
+            serving=self.ready,
+            leading=self.leadership.fencing if self.leadership.renewing else 0,
+            lease=self.leadership.describe_renewal(),
+            following=all(watch.answered for watch in self.watches),
+            flights=flights,
+            quota=quota,
+            usage=self.usage.encode(),
+            trials=self.dispatcher.trials.encode(),
+            read=tuple(self.dispatcher.read_tokens.items()),
         )
 
     def take_state(self, state: OriginState) -> None:
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -224,11 +224,13 @@
         span = now - before
         bucket.updated_at = now
         young = now - self.started_at < self.window
+        own_rate = self.measure_own(customer, now)
         bucket.level += span * quota.rate * (START_SHARE if young else 1.0)
         for peer in self.peers.values():
             if now - peer.heard_at <= SILENT_SECONDS:
                 # What was used up to the last report is in the report.
-                units = self.predict_rate(customer, peer, now) * (now - max(before, peer.heard_at))
+                rate = self.predict_rate(customer, peer, own_rate)
+                units = rate * (now - max(before, peer.heard_at))
                 peer.predicted[customer] = peer.predicted.get(customer, 0.0) + units
                 bucket.level -= units
         silent = max(members - 1 - self.count_heard(now), 0)
@@ -237,15 +239,18 @@
         bucket.expire(now - self.window)
         return bucket
 
-    def predict_rate(self, customer: str, peer: PeerUse, now: float) -> float:
+    def measure_own(self, customer: str, now: float) -> float:
+        """Return the units per second that this daemon lets pass now."""
+        use = self.own.get(customer)
+        return use.measure_rate(now) if use is not None else 0.0
+
+    def predict_rate(self, customer: str, peer: PeerUse, own_rate: float) -> float:
         """Estimate the units per second that the daemons of a report use now.
 
         A customer that turns hot does so at all daemons together, before any report tells it.
         """
         reported = peer.news[customer].rate if customer in peer.news else 0.0
-        use = self.own.get(customer)
-        own = use.measure_rate(now) if use is not None else 0.0
-        return max(reported, RAMP_SHARE * own * peer.daemons)
+        return max(reported, RAMP_SHARE * own_rate * peer.daemons)
 
     def count_window(self, customer: str, bucket: Bucket, quota: Quota, members: int) -> float:
         """Estimate the units that all daemons used in the window."""
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tanagertrail.daemons.frames import encode_frame
-from tanagertrail.daemons.reports import OriginState, pack_rows, unpack_rows
+from tanagertrail.daemons.reports import pack_rows, unpack_rows
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.gathering import Gathering, StateSource
@@ -38,25 +38,13 @@
 
     def describe_state(self):
         self.counter += 1
-        own = self.members.own
-        return OriginState(
-            own.daemon,
-            own.incarnation,
+        return self.members.own.build_state(
             self.counter,
-            own.address,
-            own.front,
-            own.failure_domain,
-            own.strength,
-            True,
-            0,
-            (),
-            True,
-            (("up", self.flights),),
-            (("guild", self.used, 0.0),),
-            ((7, (("guild", self.flights),)),),
-            (),
-            (),
-            0,
+            serving=True,
+            following=True,
+            flights=(("up", self.flights),),
+            quota=(("guild", self.used, 0.0),),
+            usage=((7, (("guild", self.flights),)),),
         )
 
     def take_state(self, state):
