Take a request's fingerprint once while it waits for a slot

The fingerprint is taken once and passed on. What is decided stays the same: tests of suspects and serving pass.

--- a/tanagertrail/core/slot_queues.py
+++ b/tanagertrail/core/slot_queues.py
@@ -68,8 +68,9 @@
         """Wait for a slot of the flight's version; None if the version must be chosen anew."""
         request = flight.request
         group = flight.group
-        await self.await_preferred(flight)
-        if self.suspects.judge(request) is Verdict.QUARANTINED:
+        fingerprint = self.suspects.find_fingerprint(request)
+        await self.await_preferred(group, fingerprint)
+        if self.suspects.judge_fingerprint(fingerprint) is Verdict.QUARANTINED:
             return NotRun(Step.QUEUE, self.context.daemon, QUARANTINE_REASON, 422, None)
         queue = self.queues[group]
         now = self.context.now()
@@ -106,7 +107,7 @@
             return NotRun(Step.QUEUE, self.context.daemon, reason, 503, max(wait, 1.0))
         return None if name == REDIRECT else self.limiter.upstreams[name]
 
-    async def await_preferred(self, flight: Flight) -> None:
+    async def await_preferred(self, group: Group, fingerprint: str) -> None:
         """Wait shortly until the upstream that all daemons prefer for a request has a slot here.
 
         A daemon that holds no slots yet is lent those of any upstream first. If it took that one,
@@ -114,37 +115,38 @@
         and one that crashes what runs it would cost one upstream for each daemon. A request that
         is suspected of a crash waits longer.
         """
-        group = flight.group
         loop = asyncio.get_running_loop()
         began = loop.time()
         self.limiter.demands[group].waiting += 1
         try:
-            while not self.holds_preferred(flight):
-                suspect = self.suspects.judge(flight.request) is Verdict.SUSPECT
-                if loop.time() >= began + (SUSPECT_SECONDS if suspect else PREFER_SECONDS):
+            while True:
+                suspect = self.suspects.judge_fingerprint(fingerprint) is Verdict.SUSPECT
+                limit = SUSPECT_SECONDS if suspect else PREFER_SECONDS
+                if (
+                    self.holds_preferred(group, fingerprint, suspect)
+                    or loop.time() >= began + limit
+                ):
                     return
                 self.limiter.ask_urgently(group)
                 await asyncio.sleep(PREFER_STEP_SECONDS)
         finally:
             self.limiter.demands[group].waiting -= 1
 
-    def holds_preferred(self, flight: Flight) -> bool:
+    def holds_preferred(self, group: Group, fingerprint: str, suspect: bool) -> bool:
         """Say whether the preferred upstream has a free slot here, or is busy with known work."""
-        preferred = self.find_preferred(flight)
+        preferred = self.find_preferred(group, fingerprint)
         if preferred is None:
             return True
         entry = self.limiter.holder.held.get(preferred)
         if entry is None:
             return False
-        suspect = self.suspects.judge(flight.request) is Verdict.SUSPECT
         return entry.available > 0 or (entry.usable > 0 and not suspect)
 
-    def find_preferred(self, flight: Flight) -> str | None:
-        """Return the open upstream that all daemons find first by the request's fingerprint."""
+    def find_preferred(self, group: Group, fingerprint: str) -> str | None:
+        """Return the open upstream that all daemons find first by a request's fingerprint."""
         now = self.context.now()
-        names = self.limiter.group_upstreams.get(flight.group, ())
+        names = self.limiter.group_upstreams.get(group, ())
         open_names = [name for name in names if self.is_open(name, now)]
-        fingerprint = self.suspects.find_fingerprint(flight.request)
         return max(open_names, key=lambda name: score_pair(fingerprint, name), default=None)
 
     def give_back(self, waiter: asyncio.Future[str]) -> None:
--- a/tanagertrail/core/suspects.py
+++ b/tanagertrail/core/suspects.py
@@ -36,7 +36,11 @@
 
     def judge(self, request: CallerRequest) -> Verdict:
         """Say what may be done with a request."""
-        return self.register.judge(self.find_fingerprint(request), self.context.now())
+        return self.judge_fingerprint(self.find_fingerprint(request))
+
+    def judge_fingerprint(self, fingerprint: str) -> Verdict:
+        """Say what may be done with the requests of a fingerprint."""
+        return self.register.judge(fingerprint, self.context.now())
 
     def find_fingerprint(self, request: CallerRequest) -> str:
         """Return what stays the same when a caller sends a request again."""
