Log which requests an ended upstream left unanswered, and what a resend has in common

Before, a request's line named the upstreams of one attempt, a resend had nothing in common with the request before it, and a broken connection looked like an ended upstream.

Now each line bears a fingerprint of caller, path and body. A try that ends without an answer is kept with its upstream until a later request is answered there, or until a refused connection, another upstream at the address, a new start or the end of the registration shows that it ended; then one line upstream_ended names what it left.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -194,6 +194,7 @@
         self.measure_end(exchange, outcome, now)
         fields = {
             "request": exchange.fields.request_id,
+            "fingerprint": exchange.fingerprint,
             "route": exchange.route.name,
             "service": exchange.service,
             "customer": exchange.customer.name if exchange.customer else None,
--- /dev/null
+++ b/tanagertrail/gateway/endings.py
@@ -0,0 +1,93 @@
+"""Upstreams that end, and the requests that were there and got no answer."""
+
+__all__ = ["EndingWatch", "OpenTry"]
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from tanagertrail.gateway.eventlog import EventLog
+
+if TYPE_CHECKING:
+    from tanagertrail.gateway.upstream_table import UpstreamEntry
+
+PROOF_SECONDS = 5.0  # a registration lapses three heartbeats of 1.2 s after the last one
+LOGGED_REQUESTS = 10  # of an ended upstream that are named in its line
+
+
+class OpenTry:
+    """A request that was sent to an upstream and that it has not answered.
+
+    :ivar sent_at: event-loop time in seconds
+    :ivar broken_at: event-loop time in seconds at which it ended unanswered, None while it runs
+    """
+
+    def __init__(self, fingerprint: str, sent_at: float) -> None:
+        self.fingerprint = fingerprint
+        self.sent_at = sent_at
+        self.broken_at: float | None = None
+
+
+class EndingWatch:
+    """Tell an upstream that ended from one that only broke off, by what is seen of it.
+
+    An answer to a request that was sent later shows that the upstream has outlived a try. A
+    refused connection, another upstream at its address, a new start under its name or the end
+    of its registration shows that it has not.
+
+    :ivar on_lost: told of an ended upstream and the fingerprints of what it left unanswered
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        self.log = log
+        self.on_lost: Callable[[UpstreamEntry, list[str]], None] = lambda entry, lost: None
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def begin(self, fingerprint: str) -> OpenTry:
+        """Note that a request is sent."""
+        return OpenTry(fingerprint, self.now())
+
+    def finish(self, entry: "UpstreamEntry", item: OpenTry, answered: bool) -> None:
+        """Note how a try ended."""
+        if answered:
+            entry.unanswered = [
+                other for other in entry.unanswered if other.broken_at >= item.sent_at
+            ]
+            if entry.ended_at is not None and item.sent_at > entry.ended_at:
+                entry.ended_at = None
+            return
+        item.broken_at = self.now()
+        oldest = item.broken_at - PROOF_SECONDS
+        entry.unanswered = [other for other in entry.unanswered if other.broken_at >= oldest]
+        entry.unanswered.append(item)
+        if entry.ended_at is not None:
+            self.report_lost(entry, "it had ended before")
+
+    def note_ended(self, entry: "UpstreamEntry", reason: str) -> None:
+        """Note that an upstream has ended; one that said that it leaves takes nobody with it."""
+        if entry.ended_at is None:
+            entry.ended_at = self.now()
+        if not entry.record.draining:
+            self.report_lost(entry, reason)
+
+    def report_lost(self, entry: "UpstreamEntry", reason: str) -> None:
+        """Report what an ended upstream has left unanswered."""
+        oldest = self.now() - PROOF_SECONDS
+        lost = sorted({item.fingerprint for item in entry.unanswered if item.broken_at >= oldest})
+        entry.unanswered = []
+        if not lost:
+            return
+        self.log.write(
+            "upstream_ended",
+            upstream=entry.record.id,
+            born=entry.record.born,
+            service=entry.record.service,
+            failure_domain=entry.record.failure_domain,
+            reason=reason,
+            unanswered=len(lost),
+            fingerprints=lost[:LOGGED_REQUESTS],
+        )
+        self.on_lost(entry, lost)
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -11,6 +11,7 @@
 from tanagertrail.gateway.sse import EventSplitter
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.fields import CallerFields
+from tanagertrail.policy.poison import compute_fingerprint
 
 
 class TryResult(enum.StrEnum):
@@ -50,6 +51,12 @@
         return self.result in (TryResult.NOT_SENT, TryResult.REFUSED, TryResult.MISDIRECTED)
 
 
+def fingerprint_request(request: CallerRequest, customer: Customer | None) -> str:
+    """Return what a request has in common with others of the same caller, path and body."""
+    caller = customer.name if customer else ""
+    return compute_fingerprint(f"{caller} {request.target.decode('latin-1')}", request.body)
+
+
 class Exchange:
     """A caller's request with all that was decided on it.
 
@@ -58,6 +65,7 @@
     :ivar service: service that was chosen among the route's
     :ivar upstream: upstream that it was sent to last, empty for none
     :ivar tried: tries so far
+    :ivar fingerprint: what stays the same when its caller sends it again under a new id
     :ivar splitter: events of a streamed answer that have been passed on
     """
 
@@ -81,6 +89,7 @@
         self.service = ""
         self.upstream = ""
         self.tried: list[Tried] = []
+        self.fingerprint = fingerprint_request(request, customer)
         self.splitter = EventSplitter(fields.last_event)
         self.first_byte_at: float | None = None
 
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -12,6 +12,7 @@
 from tanagertrail.gateway.clock import read_boot_time, read_wall_time
 from tanagertrail.gateway.dispatch import Dispatcher
 from tanagertrail.gateway.duties import DutyRunner
+from tanagertrail.gateway.endings import EndingWatch
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
 from tanagertrail.gateway.gathering import Gathering, StateSource
@@ -80,12 +81,14 @@
         self.own = describe_self(settings, self.incarnation)
         self.members = MemberTable(self.own, self.log)
         self.pools = ConnectionPools()
+        self.endings = EndingWatch(self.log)
+        self.beliefs.upstreams.on_ended = self.endings.note_ended
         self.quota = QuotaLedger(settings.bounds.quota_window, self.loop.time())
         self.usage = UsageCounter(settings.bounds.usage_window, read_wall_time)
         self.dispatcher = Dispatcher(
             self.beliefs,
             self.members,
-            UpstreamSender(self.pools, self.usage),
+            UpstreamSender(self.pools, self.usage, self.endings),
             self.quota,
             self.log,
             self.rng,
--- a/tanagertrail/gateway/sending.py
+++ b/tanagertrail/gateway/sending.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
+from tanagertrail.gateway.endings import EndingWatch, OpenTry
 from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
 from tanagertrail.gateway.http1 import AnswerHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
@@ -22,6 +23,7 @@
 GAP_FACTOR = 3.0  # an event this many objectives late is taken to be lost
 MIN_GAP_SECONDS = 1.0
 KEPT_SECONDS = 0.5  # idle time after which a kept connection is not used for work that runs once
+ANSWERED = frozenset({TryResult.DELIVERED, TryResult.FAILED, TryResult.REFUSED})
 
 
 class CallerGoneError(TanagertrailError):
@@ -31,9 +33,10 @@
 class UpstreamSender:
     """Send requests to upstreams and pass their answers on."""
 
-    def __init__(self, pools: ConnectionPools, usage: UsageCounter) -> None:
+    def __init__(self, pools: ConnectionPools, usage: UsageCounter, endings: EndingWatch) -> None:
         self.pools = pools
         self.usage = usage
+        self.endings = endings
 
     async def try_once(self, exchange: Exchange, entry: UpstreamEntry, patience: float) -> Tried:
         """Send a request to one upstream and pass its answer on if it is a success.
@@ -43,15 +46,23 @@
         """
         entry.in_flight += 1
         stream = None
+        item: OpenTry | None = None
+        answered = False
         try:
             stream = await self.connect(exchange, entry)
+            item = self.endings.begin(exchange.fingerprint)
             tried = await self.ask(exchange, entry, stream, patience)
+            answered = tried.result in ANSWERED
         except (OSError, TimeoutError) as error:
             if stream is not None:
                 raise
+            if isinstance(error, ConnectionRefusedError):
+                self.endings.note_ended(entry, "it refused a connection")
             tried = Tried(TryResult.NOT_SENT, Step.DISPATCH, entry.record.id, repr(error)[:100])
         finally:
             entry.in_flight -= 1
+            if item is not None:
+                self.endings.finish(entry, item, answered)
             if stream is not None:
                 self.pools.give_back(entry.record.id, stream)
         self.note_result(entry, tried)
@@ -219,6 +230,7 @@
             entry.note_break(now)
         elif tried.result is TryResult.MISDIRECTED:
             entry.gone = True
+            self.endings.note_ended(entry, "another upstream has its address")
         elif tried.result is TryResult.TIMED_OUT:
             entry.note_answer(True)
         elif tried.result is not TryResult.REFUSED:
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -2,8 +2,9 @@
 
 __all__ = ["UpstreamEntry", "UpstreamTable"]
 
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
+from tanagertrail.gateway.endings import OpenTry
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.policy.cold_rate import ColdAllowance
 
@@ -23,6 +24,8 @@
     :ivar closed_until: event-loop time in seconds until which it gets no new work
     :ivar strikes: connections in a row that were refused or broke
     :ivar fault_share: running share of requests that failed
+    :ivar unanswered: tries that ended without an answer, since which it has answered nothing
+    :ivar ended_at: event-loop time in seconds at which it was found to have ended, else None
     """
 
     def __init__(self, record: Upstream) -> None:
@@ -34,6 +37,8 @@
         self.strikes = 0
         self.fault_share = 0.0
         self.gone = False
+        self.unanswered: list[OpenTry] = []
+        self.ended_at: float | None = None
         self.cold_allowance: ColdAllowance | None = None
 
     @property
@@ -59,15 +64,20 @@
 
 
 class UpstreamTable:
-    """All upstreams that are registered."""
+    """All upstreams that are registered.
+
+    :ivar on_ended: told of an upstream that is no longer registered, and why
+    """
 
     def __init__(self) -> None:
+        self.on_ended: Callable[[UpstreamEntry, str], None] = lambda entry, reason: None
         self.entries: dict[str, UpstreamEntry] = {}
 
     def put(self, record: Upstream, now: float) -> bool:
         """Take a registration and return whether it changed what is believed."""
         entry = self.entries.get(record.id)
         if entry is not None and entry.record.born != record.born:
+            self.on_ended(entry, "it has started again")
             entry = None
         if entry is None:
             entry = self.entries[record.id] = UpstreamEntry(record)
@@ -83,6 +93,7 @@
         entry = self.entries.pop(upstream_id, None)
         if entry is not None:
             entry.gone = True
+            self.on_ended(entry, "it is no longer registered")
         return entry
 
     def iter_service(self, service: str) -> Iterator[UpstreamEntry]:
--- a/tanagertrail/policy/poison.py
+++ b/tanagertrail/policy/poison.py
@@ -43,9 +43,12 @@
         return self.upstream, self.at
 
 
-def compute_fingerprint(service: str, body: bytes) -> str:
-    """Return what stays the same when a caller sends a request again."""
-    return xxhash.xxh128_hexdigest(service.encode() + b"\x00" + body)
+def compute_fingerprint(scope: str, body: bytes) -> str:
+    """Return what stays the same when a caller sends a request again.
+
+    :param scope: what the request is besides its body
+    """
+    return xxhash.xxh128_hexdigest(scope.encode() + b"\x00" + body)
 
 
 class PoisonRegister:
