--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -34,6 +34,8 @@
     :ivar faults: names of faults for the next requests, in order
     :ivar runs: requests that were begun
     :ivar cut: ids of requests whose connection closed while they ran
+    :ivar deadly: text in a body or target that ends the upstream when it begins to run it
+    :ivar ended: whether it has ended
     :ivar work: seconds that a plain request takes, and each event of a stream
     """
 
@@ -45,6 +47,8 @@
         self.arrivals: list[str] = []
         self.cut: list[str] = []
         self.connections = 0
+        self.deadly = b""
+        self.ended = False
         super().__init__(upstream_id)
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -56,7 +60,10 @@
             stream.send_whole(421, [(fields.UPSTREAM_ID, self.id.encode())], b"")
             return
         try:
-            if self.faults:
+            if self.deadly and self.deadly in request.target + request.body:
+                self.begin(request)
+                self.crash()
+            elif self.faults:
                 await FAULTS.get(self.faults.popleft())(self, request, stream)
             else:
                 await self.run(request, stream)
@@ -64,6 +71,13 @@
             self.cut.append(request_id)
             raise
 
+    def crash(self) -> None:
+        """End as a killed process does: connections are reset, new ones are refused."""
+        self.ended = True
+        for channel in list(self.server.busy):
+            channel.abort()
+        self.close()
+
     def begin(self, request: CallerRequest) -> None:
         """Note that a request begins to run."""
         table = dict(request.headers)
--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import string
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -97,14 +98,19 @@
 
 
 class World:
-    """A daemon, a store, a cloud API and two upstreams of one service."""
+    """A daemon, a store, a cloud API and upstreams of one service.
 
-    def __init__(self) -> None:
-        names = ("front", "ready", "directory", "internal", "store", "cloud", "up-a", "up-b")
+    :ivar fronts: ports at which daemons take requests
+    """
+
+    def __init__(self, upstreams: int = 2) -> None:
+        ids = [f"up-{letter}" for letter in string.ascii_lowercase[:upstreams]]
+        names = ("front", "ready", "directory", "internal", "store", "cloud", *ids)
         self.ports = {name: find_port() for name in names}
+        self.fronts = [self.ports["front"]]
         self.store = StandInStore()
         self.cloud = StandInCloud()
-        self.upstreams = [StandInUpstream("up-a"), StandInUpstream("up-b")]
+        self.upstreams = [StandInUpstream(name) for name in ids]
         self.node: GatewayNode | None = None
         self.request_count = 0
 
@@ -140,18 +146,21 @@
         """Wait until the daemon knows a number of upstreams."""
         await self.await_true(lambda: len(self.node.beliefs.upstreams.entries) == count)
 
-    async def ask(self, path: str, body: bytes = b"", **changes: str) -> Reply:
-        """Send a request on a new connection and read its answer."""
-        stream = await self.connect()
+    async def ask(self, path: str, body: bytes = b"", front: int = 0, **changes: str) -> Reply:
+        """Send a request on a new connection and read its answer.
+
+        :param front: number of the daemon that gets it
+        """
+        stream = await self.connect(front)
         try:
             self.send(stream, path, body, **changes)
             return await self.read(stream)
         finally:
             stream.abort()
 
-    async def connect(self) -> UpstreamStream:
+    async def connect(self, front: int = 0) -> UpstreamStream:
         """Connect as a caller."""
-        return UpstreamStream(await open_channel(HOST, self.ports["front"], 1.0))
+        return UpstreamStream(await open_channel(HOST, self.fronts[front], 1.0))
 
     def send(self, stream: UpstreamStream, path: str, body: bytes = b"", **changes: str) -> str:
         """Send a request and return its id; changes are header fields."""
@@ -201,3 +210,44 @@
         yield world
     finally:
         await world.close()
+
+
+class Fleet(World):
+    """A world with several daemons."""
+
+    def __init__(self, upstreams: int = 2) -> None:
+        super().__init__(upstreams)
+        self.nodes: list[GatewayNode] = []
+
+    async def add(self, name: str) -> GatewayNode:
+        """Start another daemon."""
+        own = {key: find_port() for key in ("front", "ready", "directory", "internal")}
+        settings = build_settings(self.ports | own, name)
+        node = GatewayNode(settings)
+        await node.start()
+        self.fronts.append(own["front"])
+        self.nodes.append(node)
+        return node
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for node in self.nodes:
+            node.close()
+        await super().close()
+
+
+@asynccontextmanager
+async def open_fleet(*names: str, upstreams: int = 2):
+    """Give a world with more daemons, all of which know each other."""
+    fleet = Fleet(upstreams)
+    try:
+        await fleet.start(build_config())
+        fleet.nodes.append(fleet.node)
+        for name in names:
+            await fleet.add(name)
+        await fleet.await_true(
+            lambda: all(len(node.list_fronts("")) == len(fleet.nodes) for node in fleet.nodes)
+        )
+        yield fleet
+    finally:
+        await fleet.close()
--- a/tests/test_fleet_of_gateways.py
+++ b/tests/test_fleet_of_gateways.py
@@ -1,53 +1,18 @@
 """Several gateway daemons before one store: news, freshness, addresses, outages."""
 
 import asyncio
-from contextlib import asynccontextmanager
 
 from tanagertrail.gateway.clock import read_boot_time
 from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.platform.store import Listing
 from tanagertrail.standins.store import StoreMode
-from tests.gateway_utils import World, build_config, build_settings, find_port, real_time
-
-
-class Fleet(World):
-    """A world with several daemons; requests go to the first."""
-
-    def __init__(self):
-        super().__init__()
-        self.nodes = []
-
-    async def add(self, name):
-        """Start another daemon."""
-        own = {key: find_port() for key in ("front", "ready", "directory", "internal")}
-        settings = build_settings(self.ports | own, name)
-        node = GatewayNode(settings)
-        await node.start()
-        self.nodes.append(node)
-        return node
-
-    async def close(self):
-        """Stop everything."""
-        for node in self.nodes:
-            node.close()
-        await super().close()
-
-
-@asynccontextmanager
-async def open_fleet(*names):
-    """Give a world with more daemons, all of which know each other."""
-    fleet = Fleet()
-    try:
-        await fleet.start(build_config())
-        fleet.nodes.append(fleet.node)
-        for name in names:
-            await fleet.add(name)
-        await fleet.await_true(
-            lambda: all(len(node.list_fronts("")) == len(fleet.nodes) for node in fleet.nodes)
-        )
-        yield fleet
-    finally:
-        await fleet.close()
+from tests.gateway_utils import (
+    build_config,
+    build_settings,
+    find_port,
+    open_fleet,
+    real_time,
+)
 
 
 def deafen(node):
