Keep a request from upstreams after three have ended under it

All other requests there broke with them.

Cause: the gateway decided on each attempt alone. What a try came to died with the attempt, a resend has a new id and began anew, so a fault that belongs to the request had no place to be remembered. The first design has a register for it (policy/poison); the gateway was given a request path of its own without it.

Evidence: before, test_request_under_which_upstreams_ended_is_not_sent_on fails (8 of 8 upstreams end over 9 resends); through one daemon as through three, no id runs more often than its route allows, so neither counting apart nor repeats explain it. The new lines showed besides that the daemon whose try broke never meets the proof that its upstream ended.

Change: a daemon whose try breaks off asks at once whether the upstream still takes connections. What an ended upstream left unanswered is counted by fingerprint (caller, path, body), told to the other daemons at once and summed by distinct upstreams. At two the request runs alone, at an upstream that all daemons find by hash, and is not repeated; at three it is refused, 503 as not run with the time that is left. The quarantine is an object of the store, so it outlives all daemons and reaches those that hubs tell no states. A request that was ever answered is no suspect, since what ends one upstream ends all.

--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -77,6 +77,7 @@
     :ivar trials: (service, order, counts of new, bad new, old, bad old answers)
     :ivar read: (service, tokens of prompts that were sent to it since the start)
     :ivar age_ms: time since it was said
+    :ivar losses: upstreams that it lately found to have ended, with the requests unanswered there
     """
 
     daemon: str
@@ -96,6 +97,7 @@
     trials: tuple = ()
     read: tuple = ()
     age_ms: int = 0
+    losses: tuple = ()
 
 
 class MirrorNews(NamedTuple):
--- a/tanagertrail/gateway/admission.py
+++ b/tanagertrail/gateway/admission.py
@@ -1,6 +1,6 @@
 """Whether a request may be served: its route, its key, its customer's quota."""
 
-__all__ = ["Admission", "Refusal"]
+__all__ = ["Admission", "Admitted", "Refusal"]
 
 import asyncio
 import random
@@ -10,7 +10,9 @@
 from tanagertrail.gateway.http1 import CallerRequest
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.model import Customer, Route
+from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.platform.fields import CallerFields
+from tanagertrail.policy.poison import Verdict, compute_fingerprint
 from tanagertrail.policy.token_quota import Quota, QuotaLedger, QuotaRefusal
 
 FRESH_SECONDS = 3.0  # age beyond which an unknown key or route may be one that was just added
@@ -31,21 +33,50 @@
     inputs: dict[str, Any] = {}
 
 
+class Admitted(NamedTuple):
+    """What is known of a request that may be served.
+
+    :ivar fingerprint: what it has in common with others of the same caller, path and body
+    """
+
+    route: Route
+    customer: Customer | None
+    fingerprint: str
+
+
 class Admission:
-    """Check requests against what is believed of the configuration."""
+    """Check requests against what is believed of the configuration and of earlier requests."""
 
     def __init__(
-        self, beliefs: Beliefs, members: MemberTable, quota: QuotaLedger, rng: random.Random
+        self,
+        beliefs: Beliefs,
+        members: MemberTable,
+        quota: QuotaLedger,
+        suspects: SuspectBook,
+        rng: random.Random,
     ) -> None:
         self.beliefs = beliefs
         self.members = members
         self.quota = quota
+        self.suspects = suspects
         self.rng = rng
 
-    def admit(
+    def admit(self, request: CallerRequest, fields: CallerFields) -> Admitted | Refusal:
+        """Check route, key, earlier requests alike, and quota."""
+        found = self.find_caller(request, fields)
+        if isinstance(found, Refusal):
+            return found
+        route, customer = found
+        fingerprint = fingerprint_request(request, customer)
+        refusal = self.check_suspect(fingerprint)
+        if refusal is None and customer is not None:
+            refusal = self.check_quota(customer, fields)
+        return refusal or Admitted(route, customer, fingerprint)
+
+    def find_caller(
         self, request: CallerRequest, fields: CallerFields
     ) -> tuple[Route, Customer | None] | Refusal:
-        """Check route, key and quota."""
+        """Find the route of a request and the customer whose key it has."""
         config = self.beliefs.config
         if config is None or not self.beliefs.upstreams_known:
             return Refusal(503, "no configuration is known yet", self.spread_retry())
@@ -64,12 +95,28 @@
             if fresh:
                 return Refusal(401, "unknown key")
             return Refusal(503, "the keys may be old", self.spread_retry())
-        over = self.charge_quota(customer, fields)
-        if over is not None:
-            inputs = {"customer": customer.name, **over._asdict()}
-            return Refusal(429, "over the quota", over.retry_after, inputs)
         return route, customer
 
+    def check_suspect(self, fingerprint: str) -> Refusal | None:
+        """Say why a request under which upstreams ended is not sent to another one now."""
+        verdict = self.suspects.judge(fingerprint)
+        if verdict is Verdict.QUARANTINED:
+            left = self.suspects.find_quarantine_left(fingerprint)
+            inputs = {"fingerprint": fingerprint}
+            return Refusal(503, "upstreams ended under this request", left, inputs)
+        if verdict is Verdict.SUSPECT and self.suspects.running[fingerprint]:
+            inputs = {"fingerprint": fingerprint}
+            return Refusal(503, "the same request is being tried", self.spread_retry(), inputs)
+        return None
+
+    def check_quota(self, customer: Customer, fields: CallerFields) -> Refusal | None:
+        """Charge a request to its customer's quota, or say why it is refused."""
+        over = self.charge_quota(customer, fields)
+        if over is None:
+            return None
+        inputs = {"customer": customer.name, **over._asdict()}
+        return Refusal(429, "over the quota", over.retry_after, inputs)
+
     def charge_quota(self, customer: Customer, fields: CallerFields) -> QuotaRefusal | None:
         """Count a request against its customer's quota, or say why it is over it."""
         if customer.rate <= 0:
@@ -97,3 +144,9 @@
     def spread_retry(self) -> float:
         """Return the seconds after which a refused caller may come back, spread by chance."""
         return RETRY_SECONDS * (1.0 + RETRY_SPREAD * self.rng.random())
+
+
+def fingerprint_request(request: CallerRequest, customer: Customer | None) -> str:
+    """Return what a request has in common with others of the same caller, path and body."""
+    caller = customer.name if customer else ""
+    return compute_fingerprint(f"{caller} {request.target.decode('latin-1')}", request.body)
--- a/tanagertrail/gateway/choosing.py
+++ b/tanagertrail/gateway/choosing.py
@@ -13,6 +13,7 @@
 from tanagertrail.policy.canary import VersionUse
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.cold_rate import ColdAllowance
+from tanagertrail.policy.hashing import score_pair
 from tanagertrail.policy.hubs import ALL_HUBS
 from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
 
@@ -43,17 +44,25 @@
         """Return the event-loop time in seconds."""
         return asyncio.get_running_loop().time()
 
-    def pick_upstream(self, exchange: Exchange) -> UpstreamEntry | None:
-        """Choose an upstream that was not tried, None if all are closed or full."""
+    def pick_upstream(self, exchange: Exchange, alone: bool = False) -> UpstreamEntry | None:
+        """Choose an upstream that was not tried, None if all are closed or full.
+
+        :param alone: whether the request may end its upstream and must meet no other such one;
+            all daemons send it to the same upstream
+        """
         now = self.now()
         tried = {item.upstream for item in exchange.tried}
         entries = {
             entry.record.id: entry
             for entry in self.beliefs.upstreams.iter_service(exchange.service)
-            if entry.record.id not in tried and self.may_use(entry, now)
+            if entry.record.id not in tried
+            and self.may_use(entry, now)
+            and not (alone and entry.isolated)
         }
         if not entries:
             return None
+        if alone:
+            return entries[max(entries, key=lambda name: score_pair(exchange.fingerprint, name))]
         entries = self.prefer_trial(exchange, entries)
         seats = [self.describe_seat(entry) for entry in entries.values()]
         seat = self.place(self.describe_visit(exchange, now), seats, self.index)
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -15,12 +15,14 @@
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.sending import CallerGoneError, UpstreamSender
+from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.gateway.trials import TrialBook
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.fields import (
     build_answer_headers,
     decode_caller_fields,
 )
+from tanagertrail.policy.poison import Verdict
 from tanagertrail.policy.repeats import RepeatBudget
 from tanagertrail.policy.token_quota import QuotaLedger
 
@@ -38,6 +40,7 @@
         members: MemberTable,
         sender: UpstreamSender,
         quota: QuotaLedger,
+        suspects: SuspectBook,
         log: EventLog,
         rng: random.Random,
         placement: str = "expected_cost",
@@ -46,7 +49,8 @@
         self.members = members
         self.sender = sender
         self.log = log
-        self.admission = Admission(beliefs, members, quota, rng)
+        self.suspects = suspects
+        self.admission = Admission(beliefs, members, quota, suspects, rng)
         self.trials = TrialBook(beliefs)
         self.chooser = UpstreamChooser(beliefs, members, self.trials, rng, placement)
         self.budgets: dict[str, RepeatBudget] = {}
@@ -69,31 +73,39 @@
         if isinstance(admitted, Refusal):
             self.refuse(stream, fields.request_id, admitted)
             return
-        route, customer = admitted
-        exchange = Exchange(request, stream, fields, route, customer)
+        route, customer, fingerprint = admitted
+        exchange = Exchange(request, stream, fields, route, customer, fingerprint)
         exchange.service = self.admission.pick_service(route)
         self.find_budget(exchange.service).note_request(self.now())
         self.trials.note_request(exchange.service)
         if fields.prompt is not None:
             self.read_tokens[exchange.service] += fields.prompt.tokens_in
+        self.suspects.enter(fingerprint)
         try:
             await self.try_upstreams(exchange)
         except (CallerGoneError, asyncio.CancelledError) as error:
             self.log_end(exchange, "caller gone")
             if isinstance(error, asyncio.CancelledError):
                 raise
+        finally:
+            self.suspects.leave(fingerprint)
 
     async def try_upstreams(self, exchange: Exchange) -> None:
         """Send a request to one upstream after the other until it is answered."""
         while True:
-            entry = self.chooser.pick_upstream(exchange)
+            alone = self.suspects.must_run_alone(exchange.fingerprint)
+            entry = self.chooser.pick_upstream(exchange, alone)
             if entry is None:
                 break
             exchange.upstream = entry.record.id
             self.chooser.note_start(exchange, entry)
-            tried = await self.sender.try_once(
-                exchange, entry, self.limit_patience(exchange, entry)
-            )
+            entry.isolated += alone
+            try:
+                tried = await self.sender.try_once(
+                    exchange, entry, self.limit_patience(exchange, entry)
+                )
+            finally:
+                entry.isolated -= alone
             exchange.tried.append(tried)
             self.trials.note_result(exchange, entry.record.version, tried)
             if self.metrics is not None:
@@ -102,6 +114,8 @@
             if tried.result is TryResult.DELIVERED:
                 self.log_end(exchange, "answered")
                 return
+            if tried.result is TryResult.BROKEN:
+                await self.sender.endings.examine(entry)
             if not self.may_repeat(exchange, tried):
                 break
         self.finish_unanswered(exchange)
@@ -122,12 +136,21 @@
             return False
         if exchange.sent_count >= exchange.route.attempts:
             return False
+        if not self.may_risk_another(exchange):
+            return False
         if tried.result is TryResult.NOT_SENT:
             return len(exchange.tried) < MOST_TRIES
         if tried.result is TryResult.FAILED and exchange.left < exchange.route.objective / 2:
             return False
         return self.find_budget(exchange.service).spend(self.members.count(), self.now())
 
+    def may_risk_another(self, exchange: Exchange) -> bool:
+        """Say whether a request may be sent on by the upstreams that have ended under it."""
+        fingerprint = exchange.fingerprint
+        if self.suspects.judge(fingerprint) is Verdict.QUARANTINED:
+            return False
+        return exchange.surely_not_run or not self.suspects.must_run_alone(fingerprint)
+
     def find_budget(self, service: str) -> RepeatBudget:
         """Return the repeat budget of a service."""
         budget = self.budgets.get(service)
--- a/tanagertrail/gateway/endings.py
+++ b/tanagertrail/gateway/endings.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.eventlog import EventLog
 
 if TYPE_CHECKING:
     from tanagertrail.gateway.upstream_table import UpstreamEntry
 
 PROOF_SECONDS = 5.0  # a registration lapses three heartbeats of 1.2 s after the last one
+EXAMINE_SECONDS = 0.15  # a failure domain away answers in milliseconds
 LOGGED_REQUESTS = 10  # of an ended upstream that are named in its line
 
 
@@ -66,6 +68,31 @@
         if entry.ended_at is not None:
             self.report_lost(entry, "it had ended before")
 
+    async def examine(self, entry: "UpstreamEntry") -> None:
+        """Find out whether an upstream that broke off still takes connections."""
+        if entry.examination is None:
+            entry.examination = asyncio.create_task(self.knock(entry))
+            entry.examination.add_done_callback(lambda _: self.end_examination(entry))
+        await asyncio.shield(entry.examination)
+
+    def end_examination(self, entry: "UpstreamEntry") -> None:
+        """Let the next break be examined anew."""
+        entry.examination = None
+
+    async def knock(self, entry: "UpstreamEntry") -> None:
+        """Open a connection and close it."""
+        host, _, port = entry.record.address.rpartition(":")
+        try:
+            channel = await open_channel(host, int(port), EXAMINE_SECONDS)
+        except ConnectionRefusedError:
+            self.note_ended(entry, "it refused a connection")
+        except (OSError, TimeoutError) as error:
+            self.log.write_routine(
+                "upstream_unclear", upstream=entry.record.id, error=repr(error)[:120]
+            )
+        else:
+            channel.close()
+
     def note_ended(self, entry: "UpstreamEntry", reason: str) -> None:
         """Note that an upstream has ended; one that said that it leaves takes nobody with it."""
         if entry.ended_at is None:
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -11,7 +11,6 @@
 from tanagertrail.gateway.sse import EventSplitter
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.fields import CallerFields
-from tanagertrail.policy.poison import compute_fingerprint
 
 
 class TryResult(enum.StrEnum):
@@ -51,12 +50,6 @@
         return self.result in (TryResult.NOT_SENT, TryResult.REFUSED, TryResult.MISDIRECTED)
 
 
-def fingerprint_request(request: CallerRequest, customer: Customer | None) -> str:
-    """Return what a request has in common with others of the same caller, path and body."""
-    caller = customer.name if customer else ""
-    return compute_fingerprint(f"{caller} {request.target.decode('latin-1')}", request.body)
-
-
 class Exchange:
     """A caller's request with all that was decided on it.
 
@@ -76,6 +69,7 @@
         fields: CallerFields,
         route: Route,
         customer: Customer | None,
+        fingerprint: str,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.request = request
@@ -89,7 +83,7 @@
         self.service = ""
         self.upstream = ""
         self.tried: list[Tried] = []
-        self.fingerprint = fingerprint_request(request, customer)
+        self.fingerprint = fingerprint
         self.splitter = EventSplitter(fields.last_event)
         self.first_byte_at: float | None = None
 
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -35,7 +35,13 @@
 from tanagertrail.gateway.model import GatewaySettings, Limits
 from tanagertrail.gateway.peers import PeerLinks, PeerServer
 from tanagertrail.gateway.pools import ConnectionPools
+from tanagertrail.gateway.quarantine import (
+    QUARANTINE_KIND,
+    QuarantineHandler,
+    QuarantineKeeper,
+)
 from tanagertrail.gateway.sending import UpstreamSender
+from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
 from tanagertrail.platform.cloud import CloudClient
@@ -52,6 +58,8 @@
 ORDER_PATIENCE = 0.78  # of the bound on a failure domain that is emptied
 LONGEST_WAIT_SECONDS = 2.0
 MEMBER_PACE = WatchPace(8.0, 12.0)
+QUARANTINE_PACE = WatchPace(8.0, 12.0)
+QUARANTINE_SWEEP_SECONDS = 60.0
 DIRECT_SPREAD_SECONDS = 1.0  # two exchanges of daemons that all hear each other
 RELAYED_SPREAD_SECONDS = 1.75  # two exchanges by way of hubs
 ANSWER_LIFETIME_SECONDS = 1.0
@@ -83,13 +91,16 @@
         self.pools = ConnectionPools()
         self.endings = EndingWatch(self.log)
         self.beliefs.upstreams.on_ended = self.endings.note_ended
+        self.suspects = SuspectBook(self.log)
+        self.endings.on_lost = self.suspects.note_lost
         self.quota = QuotaLedger(settings.bounds.quota_window, self.loop.time())
         self.usage = UsageCounter(settings.bounds.usage_window, read_wall_time)
         self.dispatcher = Dispatcher(
             self.beliefs,
             self.members,
-            UpstreamSender(self.pools, self.usage, self.endings),
+            UpstreamSender(self.pools, self.usage, self.endings, self.suspects),
             self.quota,
+            self.suspects,
             self.log,
             self.rng,
             self.tuning.policy.placement,
@@ -117,6 +128,7 @@
         self.pages: list[WebServer] = []
         self.tasks: list[asyncio.Task] = []
         self.counter = 0
+        self.quarantine: QuarantineKeeper | None = None
         self.leader_heard_at = self.loop.time() - LEADER_SILENT_SECONDS
         self.leaving = False
 
@@ -148,6 +160,13 @@
         self.watch(EVACUATIONS, EvacuationHandler(self.beliefs, self.log), order_pace)
         self.watch(ROLLOUTS, RolloutHandler(self.beliefs, self.log), order_pace)
         self.watch(MEMBERS_KIND, MemberHandler(self.members, self.loop.time), MEMBER_PACE)
+        self.watch(QUARANTINE_KIND, QuarantineHandler(self.suspects), QUARANTINE_PACE)
+        self.quarantine = QuarantineKeeper(
+            self.store, self.mirrors[QUARANTINE_KIND], self.settings.name, self.log, self.rng
+        )
+        self.suspects.on_loss = self.links.tell_all
+        self.suspects.on_quarantine = self.quarantine.start_storing
+        self.spawn(self.remove_old_quarantines())
         self.spawn(self.register())
         self.spawn(self.links.run())
         self.spawn(self.sweep())
@@ -279,6 +298,16 @@
             alive = [state.member.daemon for state in self.members.iter_alive(self.loop.time())]
             self.beliefs.upstreams.forget_flights(alive)
 
+    async def remove_old_quarantines(self) -> None:
+        """Remove quarantines that are over while this daemon holds the duties."""
+        while True:
+            await asyncio.sleep(QUARANTINE_SWEEP_SECONDS)
+            if self.leadership.fencing:
+                try:
+                    await self.quarantine.remove_old()
+                except PlatformError as error:
+                    self.log.write("duty_failed", error=str(error)[:200])
+
     @property
     def ready(self) -> bool:
         """Whether callers' requests are served."""
@@ -328,6 +357,7 @@
             usage=self.usage.encode(),
             trials=self.dispatcher.trials.encode(),
             read=tuple(self.dispatcher.read_tokens.items()),
+            losses=self.suspects.describe_losses(),
         )
 
     def take_state(self, state: OriginState) -> None:
@@ -337,6 +367,7 @@
             self.note_leader(state.age_ms / 1000)
             self.leadership.note_told(state.leading, state.lease, state.age_ms)
         self.usage.take(state.daemon, state.incarnation, state.usage)
+        self.suspects.take_losses(state.daemon, state.incarnation, state.losses)
         if self.gathering.topology.is_hub:
             self.quota.forget_daemons(self.gathering.states)
             news = {name: QuotaNews(used, rate) for name, used, rate in state.quota}
@@ -387,6 +418,8 @@
         self.front.close()
         for task in self.tasks:
             task.cancel()
+        if self.quarantine is not None:
+            self.quarantine.close()
         self.peer_server.close()
         self.links.close()
         self.pools.close()
--- a/tanagertrail/gateway/sending.py
+++ b/tanagertrail/gateway/sending.py
@@ -9,6 +9,7 @@
 from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
 from tanagertrail.gateway.http1 import AnswerHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
+from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.outcomes import Step
@@ -23,7 +24,8 @@
 GAP_FACTOR = 3.0  # an event this many objectives late is taken to be lost
 MIN_GAP_SECONDS = 1.0
 KEPT_SECONDS = 0.5  # idle time after which a kept connection is not used for work that runs once
-ANSWERED = frozenset({TryResult.DELIVERED, TryResult.FAILED, TryResult.REFUSED})
+RAN = frozenset({TryResult.DELIVERED, TryResult.FAILED})
+ANSWERED = RAN | {TryResult.REFUSED}
 
 
 class CallerGoneError(TanagertrailError):
@@ -33,10 +35,17 @@
 class UpstreamSender:
     """Send requests to upstreams and pass their answers on."""
 
-    def __init__(self, pools: ConnectionPools, usage: UsageCounter, endings: EndingWatch) -> None:
+    def __init__(
+        self,
+        pools: ConnectionPools,
+        usage: UsageCounter,
+        endings: EndingWatch,
+        suspects: SuspectBook,
+    ) -> None:
         self.pools = pools
         self.usage = usage
         self.endings = endings
+        self.suspects = suspects
 
     async def try_once(self, exchange: Exchange, entry: UpstreamEntry, patience: float) -> Tried:
         """Send a request to one upstream and pass its answer on if it is a success.
@@ -66,6 +75,8 @@
             if stream is not None:
                 self.pools.give_back(entry.record.id, stream)
         self.note_result(entry, tried)
+        if tried.result in RAN:
+            self.suspects.note_answered(exchange.fingerprint)
         return tried
 
     async def connect(self, exchange: Exchange, entry: UpstreamEntry) -> UpstreamStream:
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -2,6 +2,7 @@
 
 __all__ = ["UpstreamEntry", "UpstreamTable"]
 
+import asyncio
 from collections.abc import Callable, Collection, Iterator
 
 from tanagertrail.gateway.endings import OpenTry
@@ -26,6 +27,8 @@
     :ivar fault_share: running share of requests that failed
     :ivar unanswered: tries that ended without an answer, since which it has answered nothing
     :ivar ended_at: event-loop time in seconds at which it was found to have ended, else None
+    :ivar examination: task that finds out whether it still takes connections
+    :ivar isolated: requests of this daemon there that must run alone
     """
 
     def __init__(self, record: Upstream) -> None:
@@ -39,6 +42,8 @@
         self.gone = False
         self.unanswered: list[OpenTry] = []
         self.ended_at: float | None = None
+        self.examination: asyncio.Task | None = None
+        self.isolated = 0
         self.cold_allowance: ColdAllowance | None = None
 
     @property
--- a/tanagertrail/policy/poison.py
+++ b/tanagertrail/policy/poison.py
@@ -52,13 +52,25 @@
 
 
 class PoisonRegister:
-    """Count the upstreams lost to each request, and quarantine it after the second.
+    """Count the upstreams lost to each request, and quarantine it after some.
 
     A crash counts only if no reclaim and no bad version explains it: many upstreams of one
     failure domain or one version lost within seconds to different requests.
+
+    :ivar quarantine_crashes: upstreams lost to a request by which it is quarantined
+    :ivar wave_upstreams: upstreams lost that are a wave, None where each crash counts
+    :ivar same_crash_seconds: span in which reports on one upstream are on the same crash
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        quarantine_crashes: int = QUARANTINE_CRASHES,
+        wave_upstreams: int | None = WAVE_UPSTREAMS,
+        same_crash_seconds: float = SAME_CRASH_SECONDS,
+    ) -> None:
+        self.quarantine_crashes = quarantine_crashes
+        self.wave_upstreams = wave_upstreams
+        self.same_crash_seconds = same_crash_seconds
         self.crashes: OrderedDict[str, set[tuple[str, float]]] = OrderedDict()
         self.quarantined: dict[str, float] = {}
         self.recent: list[CrashReport] = []
@@ -84,7 +96,7 @@
         """Join a report with those of other daemons on the same crash."""
         for index, item in enumerate(self.recent):
             same = item.upstream == report.upstream
-            if same and report.at - item.at < SAME_CRASH_SECONDS:
+            if same and report.at - item.at < self.same_crash_seconds:
                 running = tuple(sorted({*item.fingerprints, *report.fingerprints}))
                 joined = item._replace(fingerprints=running)
                 self.recent[index] = joined
@@ -96,7 +108,9 @@
         """Say whether a reclaim or a bad version explains the crash."""
         if report.upstream in self.reclaimed or report.version in self.bad_versions:
             return True
-        return len(self.find_wave(report)) >= WAVE_UPSTREAMS
+        if self.wave_upstreams is None:
+            return False
+        return len(self.find_wave(report)) >= self.wave_upstreams
 
     def find_wave(self, report: CrashReport) -> list[CrashReport]:
         """Return the recent crashes of the same domain or version that share no request."""
@@ -121,7 +135,7 @@
             lost = self.crashes.setdefault(fingerprint, set())
             lost.add(report.crash)
             self.crashes.move_to_end(fingerprint)
-            if len(lost) >= QUARANTINE_CRASHES and fingerprint not in self.quarantined:
+            if len(lost) >= self.quarantine_crashes and fingerprint not in self.quarantined:
                 self.quarantined[fingerprint] = report.at
                 fresh.append(fingerprint)
         while len(self.crashes) > MAX_FINGERPRINTS:
@@ -136,6 +150,15 @@
         """Take over another daemon's quarantine."""
         self.quarantined.setdefault(fingerprint, now)
 
+    def count_losses(self, fingerprint: str) -> int:
+        """Count the upstreams that were lost to a request."""
+        return len(self.crashes.get(fingerprint, ()))
+
+    def lift(self, fingerprint: str) -> bool:
+        """Forget what counts against a request and return whether it was quarantined."""
+        self.crashes.pop(fingerprint, None)
+        return self.quarantined.pop(fingerprint, None) is not None
+
     def judge(self, fingerprint: str, now: float) -> Verdict:
         """Say what may be done with a request now."""
         since = self.quarantined.get(fingerprint)
--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -23,14 +23,14 @@
 TEST_SECONDS = 20.0
 
 
-def real_time(test: Callable[[], Awaitable[None]]) -> Callable[[], None]:
+def real_time(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
     """Run an asynchronous test on the real clock, with a limit."""
 
     @functools.wraps(test)
-    def run() -> None:
+    def run(*arguments: Any) -> None:
         async def limited() -> None:
             async with asyncio.timeout(TEST_SECONDS):
-                await test()
+                await test(*arguments)
 
         asyncio.run(limited())
 
