Strike the soak's upstreams by a request that ends each that runs it

A caller now sends one deadly request again and again through any daemon while other faults go on; an upstream that runs it ends, refuses connections and is back after a second under its name. The check: later than the stability bound after the third end at most three more runs.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -20,6 +20,7 @@
 ADDRESS_SECONDS = 1.0
 CALLS_ON_ONE_CONNECTION = 12
 PAUSE_SECONDS = (0.01, 0.12)
+RESEND_SECONDS = (0.05, 0.4)
 LEAVE_SHARE = 0.03  # of calls whose caller closes its connection before the answer
 ROUTES = ("look", "look", "book", "book", "talk")
 
@@ -121,6 +122,30 @@
         if rng.random() < LEAVE_SHARE:
             await asyncio.sleep(rng.uniform(0.0, 0.05))
             return call._replace(left=True, ended_at=loop.time())
+        return await self.await_answer(stream, call)
+
+    async def send_again(self, rng: random.Random, body: bytes, seconds: float) -> None:
+        """Send one request again and again under new ids, each time to any daemon."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            front = rng.choice(list(self.links))
+            request_id = f"soak-{next(self.numbers)}"
+            try:
+                stream = UpstreamStream(
+                    await open_channel(HOST, self.links[front], CONNECT_SECONDS)
+                )
+            except (OSError, TimeoutError):
+                continue
+            self.send(stream, request_id, "book", CUSTOMERS[0], body)
+            call = Call(request_id, "book", CUSTOMERS[0], body, front, loop.time(), loop.time())
+            self.calls.append(await self.await_answer(stream, call))
+            stream.abort()
+            await asyncio.sleep(rng.uniform(*RESEND_SECONDS))
+
+    async def await_answer(self, stream: UpstreamStream, call: Call) -> Call:
+        """Return a call with its answer, or with the time at which none had come."""
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(DEADLINE_SECONDS):
                 return await self.read(stream, call)
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -15,6 +15,9 @@
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: has not run and never will
 STABILITY_SECONDS = BOUNDS.stability
 REGRESS_SECONDS = 0.25
+DEADLY = b"deadly "  # begins the bodies of requests that end the upstreams that run them
+MOST_LOST = 3  # upstreams after which such a request is to be known
+MOST_RETRIES = 3  # that may reach an upstream later than the stability bound after that
 SERVED_SHARE = 0.25  # of the calls that are sent in the last calm seconds of a run
 
 
@@ -189,6 +192,21 @@
                 return
 
 
+@CHECKS.register("requests that end upstreams")
+def check_deadly(evidence: Evidence) -> Iterator[str]:
+    """Find requests that went on being sent after enough upstreams had ended under them."""
+    times = defaultdict(list)
+    for run in evidence.runs:
+        if run.body.startswith(DEADLY):
+            times[run.body].append(run.at)
+    for body, ends in times.items():
+        ends.sort()
+        known = ends[:MOST_LOST][-1] + STABILITY_SECONDS
+        late = sum(at > known for at in ends)
+        if late > MOST_RETRIES:
+            yield f"{body!r} ended {len(ends)} upstreams, {late} of them after it had to be known"
+
+
 @CHECKS.register("cold upstreams")
 def check_cold(evidence: Evidence) -> Iterator[str]:
     """Find seconds in which a cold upstream got more than it bears."""
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -3,12 +3,14 @@
 __all__: list[str] = []
 
 import asyncio
+import random
 import signal
 
+from tanagertrail.soak.checks import DEADLY
 from tanagertrail.soak.plan import Fault, register_fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
-from tanagertrail.soak.world import SoakUpstream, SoakWorld
+from tanagertrail.soak.world import DOWN_SECONDS, SoakUpstream, SoakWorld
 from tanagertrail.standins.documents import (
     BOUNDS,
     COLD_RATE,
@@ -184,6 +186,16 @@
     upstream.faults.clear()
 
 
+@register_fault("request ends upstreams", 6.0, 9.0, chance=0.5)
+async def send_deadly_request(world: SoakWorld, fault: Fault) -> None:
+    """Have a request end each upstream that runs it, and its caller send it again and again."""
+    body = DEADLY + str(fault.target).encode()
+    for upstream in world.upstreams:
+        upstream.deadly = body
+    await world.crowd.send_again(random.Random(fault.target), body, fault.seconds - DOWN_SECONDS)
+    await asyncio.sleep(DOWN_SECONDS)
+
+
 @register_fault("upstream leaves", 3.0, 6.0, planned=True)
 async def let_upstream_leave(world: SoakWorld, fault: Fault) -> None:
     """Have an upstream drain, and come back under its name."""
--- a/tanagertrail/soak/plan.py
+++ b/tanagertrail/soak/plan.py
@@ -41,24 +41,26 @@
     :ivar shortest: seconds that it lasts at least
     :ivar longest: seconds that it lasts at most
     :ivar planned: whether it is planned work, which must cut nothing
+    :ivar chance: probability that a run has it, 0 for kinds that are drawn from the common ones
     """
 
     inject: Injector
     shortest: float
     longest: float
     planned: bool
+    chance: float
 
 
 FAULTS: Registry[FaultKind] = Registry("soak fault")
 
 
 def register_fault(
-    name: str, shortest: float, longest: float, planned: bool = False
+    name: str, shortest: float, longest: float, planned: bool = False, chance: float = 0.0
 ) -> Callable[[Injector], Injector]:
     """Register what injects a kind of fault."""
 
     def register(inject: Injector) -> Injector:
-        FAULTS.register(name)(FaultKind(inject, shortest, longest, planned))
+        FAULTS.register(name)(FaultKind(inject, shortest, longest, planned, chance))
         return inject
 
     return register
@@ -70,15 +72,27 @@
     :param seconds: length of the run
     """
     rng = random.Random(seed)
+    common = [name for name in sorted(FAULTS) if not FAULTS.get(name).chance]
     plan = []
     at = FIRST_FAULT_SECONDS
     while at < seconds * LAST_FAULT_SHARE:
-        name = rng.choice(sorted(FAULTS))
+        name = rng.choice(common)
         kind = FAULTS.get(name)
         lasts = rng.uniform(kind.shortest, kind.longest)
         plan.append(Fault(at, name, rng.randrange(1000), lasts))
         at += rng.expovariate(1.0 / MEAN_GAP_SECONDS)
-    return plan
+    return plan + [fault for name in sorted(FAULTS) for fault in draw_apart(seed, name, seconds)]
+
+
+def draw_apart(seed: int, name: str, seconds: float) -> list[Fault]:
+    """Draw a fault that has a chance of its own, which leaves the other draws as they are."""
+    kind = FAULTS.get(name)
+    rng = random.Random(f"{seed} {name}")
+    if not rng.random() < kind.chance:
+        return []
+    at = rng.uniform(FIRST_FAULT_SECONDS, seconds / 2)
+    lasts = rng.uniform(kind.shortest, kind.longest)
+    return [Fault(at, name, rng.randrange(1000), lasts)]
 
 
 def was_disturbed(plan: Iterable[Fault], since: float, until: float) -> bool:
--- a/tanagertrail/soak/proxy.py
+++ b/tanagertrail/soak/proxy.py
@@ -38,6 +38,12 @@
         """Listen."""
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
 
+    def refuse(self) -> None:
+        """Break all connections and refuse new ones, until it is started again."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     def set_state(self, state: LinkState) -> None:
         """Treat connections in another way from now on."""
         self.state = state
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -32,6 +32,8 @@
 READY_SECONDS = 15.0
 WORK_SECONDS = 0.01
 SLOTS = 16  # of each upstream, more than the callers need
+DOWN_SECONDS = 1.0  # from the end of an upstream until it is back
+FIRST_BORN_MS = 1_700_000_000_000  # Unix time of the first start of all upstreams
 FOREVER = float("inf")
 EntryBuilder = Callable[..., dict[str, Any]]
 
@@ -40,6 +42,8 @@
     """An upstream that notes when each request began.
 
     :ivar cold_until: event-loop time in seconds until which it is cold
+    :ivar starts: number of times that it was started again
+    :ivar on_crash: called when it ends
     """
 
     def __init__(self, upstream_id: str, domain: str, seen: list[RunSeen]) -> None:
@@ -47,6 +51,13 @@
         self.domain = domain
         self.seen = seen
         self.cold_until = 0.0
+        self.starts = 0
+        self.on_crash: Callable[[], None] = lambda: None
+
+    def crash(self) -> None:
+        """End at once."""
+        super().crash()
+        self.on_crash()
 
     def begin(self, request: CallerRequest) -> None:
         """Note that a request begins to run."""
@@ -94,6 +105,7 @@
         self.daemon_count = daemons
         self.started = 0.0
         self.crowd: CallerCrowd | None = None
+        self.revivals: set[asyncio.Task] = set()
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -125,7 +137,26 @@
         link = LoopbackProxy(HOST, link_port, port)
         await link.start()
         self.upstream_links.append(link)
-        self.register(len(self.upstreams) - 1)
+        number = len(self.upstreams) - 1
+        upstream.on_crash = lambda: self.start_revival(number, port)
+        self.register(number)
+
+    def start_revival(self, number: int, port: int) -> None:
+        """Have an upstream that ended come back after some time."""
+        self.upstream_links[number].refuse()
+        task = asyncio.create_task(self.revive(number, port))
+        self.revivals.add(task)
+        task.add_done_callback(self.revivals.discard)
+
+    async def revive(self, number: int, port: int) -> None:
+        """Start an upstream again under its name."""
+        await asyncio.sleep(DOWN_SECONDS)
+        upstream = self.upstreams[number]
+        upstream.starts += 1
+        await upstream.start(HOST, port)
+        upstream.ended = False
+        await self.upstream_links[number].start()
+        self.register(number)
 
     def register(self, number: int, build: EntryBuilder = build_entry, *details: Any) -> None:
         """Register an upstream.
@@ -133,7 +164,13 @@
         :param build: what builds its registration
         """
         upstream = self.upstreams[number]
-        entry = build(self.upstream_links[number].port, upstream.domain, *details, capacity=SLOTS)
+        entry = build(
+            self.upstream_links[number].port,
+            upstream.domain,
+            *details,
+            capacity=SLOTS,
+            born=FIRST_BORN_MS + upstream.starts,
+        )
         self.store.put(UPSTREAMS, upstream.id, entry)
 
     def empty_domain(self, domain: str) -> bool:
@@ -222,6 +259,8 @@
 
     async def close(self) -> None:
         """End all that was started."""
+        for task in self.revivals:
+            task.cancel()
         for daemon in self.daemons:
             daemon.resume()
             await daemon.kill()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -85,6 +85,7 @@
         [build_call(1, status=0, whole=False)], [build_run(1)], terms=[(1000, 9.9)]
     )
     usage = build_evidence([], [], usage=[(7, {"guild": 1}, 1), (7, {"guild": 2}, 2)])
+    deadly = build_evidence([], [build_run(n, at=10.0 + n, body=b"deadly 1") for n in range(12)])
     dead = build_evidence([build_call(n, status=503, sent_at=20.0) for n in range(30)], [])
     found = {
         "at most once": once,
@@ -95,6 +96,7 @@
         "nothing after leave": left,
         "quotas": quota,
         "cold upstreams": cold,
+        "requests that end upstreams": deadly,
         "no version goes back": back,
         "nothing cut by a planned stop": stopped,
         "one count for a window": usage,
