Take no upstream away while its service is moved to a version

Cause: the platform starts the new version's upstreams as ordinary ones. The fleet's plan wants none of these while enough reclaimable ones run, so 0.06 s after the first had registered the holder of the duties ordered ordinary ones down to 0 in its failure domain, and in all others within a second. The cloud took the upstreams on trial. The version was judged by 16 answers of 938.

Change: upstreams of a version on trial are left out of what the plan counts and added to what is ordered; while a move runs no order is below what is there. Both tests fail on the code before (2 failures) and pass now.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -11,6 +11,7 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.leadership import Leadership
 from tanagertrail.gateway.model import RolloutOrder, Service
+from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import (
     LONGEST_CALL_SECONDS,
@@ -110,9 +111,9 @@
         now = asyncio.get_running_loop().time()
         for order in list(self.beliefs.rollouts.values()):
             seen_at = self.moves_seen.setdefault((order.service, order.order_id), now)
-            state = order.state if order.reported_version == order.version else ""
-            if state in (MoveState.COMPLETED, MoveState.ROLLED_BACK):
+            if order.ended:
                 continue
+            state = order.state if order.reported_version == order.version else ""
             counts = self.count_trial(order.service, order.order_id)
             decided = decide_move(counts, now - seen_at, order.seconds)
             if decided != state:
@@ -190,12 +191,14 @@
         """Order one service's upstreams where their number differs from the plan."""
         plan = self.plan(self.view_fleet(service))
         present = self.count_upstreams(service.name)
-        for domain, desired in plan.reclaimable.items():
-            if present.get((domain, True), 0) != desired:
-                await self.send_order(FleetOrder(service.name, domain, True, desired))
-        for domain, desired in plan.ordinary.items():
-            if present.get((domain, False), 0) != desired:
-                await self.send_order(FleetOrder(service.name, domain, False, desired))
+        on_trial = self.count_upstreams(service.name, on_trial=True)
+        for reclaimable, counts in ((True, plan.reclaimable), (False, plan.ordinary)):
+            for domain, desired in counts.items():
+                key = (domain, reclaimable)
+                if present.get(key, 0) != desired:
+                    # The platform counts upstreams that are on trial like the others.
+                    total = desired + on_trial.get(key, 0)
+                    await self.send_order(FleetOrder(service.name, domain, reclaimable, total))
 
     def view_fleet(self, service: Service) -> FleetView:
         """Return what the plan for a service depends on."""
@@ -214,6 +217,21 @@
             self.count_kind(service.name, reclaimable=True),
             frozenset(self.beliefs.evacuated),
             self.list_dry(service.name),
+            self.is_moving(service.name),
+        )
+
+    def is_moving(self, service: str) -> bool:
+        """Say whether a service is being moved to another version."""
+        order = self.beliefs.rollouts.get(service)
+        return order is not None and not order.ended
+
+    def is_on_trial(self, entry: UpstreamEntry) -> bool:
+        """Say whether an upstream has a version that its service is not moved to yet."""
+        order = self.beliefs.rollouts.get(entry.record.service)
+        return (
+            order is not None
+            and entry.record.version == order.version
+            and not (order.ended and order.state == MoveState.COMPLETED)
         )
 
     def list_dry(self, service: str) -> frozenset[str]:
@@ -230,6 +248,8 @@
         now = asyncio.get_running_loop().time()
         counts: dict[str, int] = {}
         for entry in self.beliefs.upstreams.iter_service(service):
+            if self.is_on_trial(entry):
+                continue
             if entry.record.reclaimable and entry.is_open(now) and now >= entry.cold_until:
                 domain = entry.record.failure_domain
                 counts[domain] = counts.get(domain, 0) + 1
@@ -240,10 +260,15 @@
         present = self.count_upstreams(service)
         return {domain: n for (domain, kind), n in present.items() if kind == reclaimable}
 
-    def count_upstreams(self, service: str) -> dict[tuple[str, bool], int]:
-        """Count the upstreams that stay, by failure domain and kind."""
+    def count_upstreams(self, service: str, on_trial: bool = False) -> dict[tuple[str, bool], int]:
+        """Count the upstreams that stay, by failure domain and kind.
+
+        :param on_trial: count those of a version on trial rather than all others
+        """
         counts: dict[tuple[str, bool], int] = {}
         for entry in self.beliefs.upstreams.iter_service(service):
+            if self.is_on_trial(entry) is not on_trial:
+                continue
             if not entry.record.draining and not entry.gone:
                 key = (entry.record.failure_domain, entry.record.reclaimable)
                 counts[key] = counts.get(key, 0) + 1
--- a/tanagertrail/gateway/model.py
+++ b/tanagertrail/gateway/model.py
@@ -21,6 +21,8 @@
 import enum
 from typing import NamedTuple
 
+from tanagertrail.policy.canary import MoveState
+
 
 class Repeatability(enum.StrEnum):
     """What may be done again with a request of a route."""
@@ -212,6 +214,12 @@
     revision: int
     order_id: int
 
+    @property
+    def ended(self) -> bool:
+        """Say whether an end of the move was reported."""
+        ends = (MoveState.COMPLETED, MoveState.ROLLED_BACK)
+        return self.reported_version == self.version and self.state in ends
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt that other requests may share."""
--- a/tanagertrail/policy/fleet.py
+++ b/tanagertrail/policy/fleet.py
@@ -34,6 +34,7 @@
     :ivar present: reclaimable upstreams that stay, warm or cold, by failure domain
     :ivar closed: failure domains that get no work
     :ivar dry: failure domains in which no reclaimable upstreams were to be had lately
+    :ivar moving: whether the service is being moved to another version
     """
 
     prices: Mapping[str, float]
@@ -48,6 +49,7 @@
     present: Mapping[str, int] = NONE_PRESENT
     closed: frozenset[str] = frozenset()
     dry: frozenset[str] = frozenset()
+    moving: bool = False
 
 
 class FleetPlan(NamedTuple):
@@ -68,7 +70,8 @@
     Answers waves of reclaims under a rising load: the loss of one domain's upstreams is borne by
     the others, and for the next one ordinary upstreams are started at the first notice. A standing
     fleet of reclaimable upstreams keeps a rising wave from being answered by cold ones. What a
-    domain cannot give, the others are asked for at the reclaimable price.
+    domain cannot give, the others are asked for at the reclaimable price. While a service is
+    moved no upstream is taken away: the cloud chooses which ones go, also those on trial.
     """
     domains = sorted(view.prices, key=lambda name: (view.prices[name], name))
     if not domains:
@@ -90,7 +93,16 @@
     standing = math.ceil(STANDING_SHARE * view.most * len(domains))
     extra = max(wanted + spare, standing) - sum(first.values())
     even = add_within(first, domains, extra, bound)
-    return FleetPlan(ordinary, move_from_dry(even, view, bound))
+    reclaimable = move_from_dry(even, view, bound)
+    if view.moving:
+        ordinary = keep_present(ordinary, view.ordinary)
+        reclaimable = keep_present(reclaimable, view.present)
+    return FleetPlan(ordinary, reclaimable)
+
+
+def keep_present(counts: Mapping[str, int], present: Mapping[str, int]) -> dict[str, int]:
+    """Return counts of which none is below what is there."""
+    return {name: max(count, present.get(name, 0)) for name, count in counts.items()}
 
 
 def count_readers(read_rate: float) -> int:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -11,14 +11,16 @@
 from tanagertrail.gateway.duties import DutyRunner
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.leadership import Leadership
+from tanagertrail.gateway.model import Engine, FleetLimits, RolloutOrder, Service, Upstream
+from tanagertrail.gateway.upstream_table import UpstreamTable
 from tanagertrail.gateway.usage import UsageCounter
-from tanagertrail.platform.cloud import CloudClient
+from tanagertrail.platform.cloud import CloudClient, CloudReply
 from tanagertrail.platform.store import StoreClient
 from tanagertrail.standins.cloud import StandInCloud
 from tanagertrail.standins.store import StandInStore, StoreMode
 from tanagertrail.testing import run_virtual
 from tests.gateway_utils import HOST, build_settings, find_port, real_time
-from tests.utils import raises
+from tests.utils import raises, virtual
 
 LEASE = 3.0
 
@@ -271,3 +273,60 @@
     assert all(4000.0 <= rate <= 6500.0 for rate in rates[6:12])
     assert rates[12] == 0.0
     assert all(4000.0 <= rate <= 6500.0 for rate in rates[18:])
+
+
+class PlannedCloud:
+    """A cloud API that notes the orders that it gets."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def order_upstreams(self, daemon, fencing, order):
+        self.orders.append(order)
+        return CloudReply.DONE
+
+
+def build_moving_runner(state):
+    """Return a runner of a service that is moved to v2, with upstreams of both versions."""
+    fleet = FleetLimits(0, 4, 3.0, 0.2, {"north": 1.0, "south": 1.0})
+    service = Service("desk", "/health", 50, 0.0, 0.0, Engine(8, 1000), fleet)
+    config = SimpleNamespace(services={"desk": service})
+    beliefs = SimpleNamespace(
+        config=config, upstreams=UpstreamTable(), evacuated=set(), upstreams_known=True
+    )
+    beliefs.rollouts = {"desk": RolloutOrder("desk", "v2", 15.0, state, "v2", 5, 5)}
+    for domain in ("north", "south"):
+        for number in range(2):
+            put_upstream(beliefs.upstreams, f"old-{domain}-{number}", domain, "v1", True)
+        put_upstream(beliefs.upstreams, f"new-{domain}", domain, "v2", False)
+    log = EventLog("a", asyncio.get_running_loop().time)
+    leadership = SimpleNamespace(may_act=lambda seconds: True, fencing=1)
+    usage = UsageCounter(5.0, lambda: 40.0)
+    return DutyRunner(beliefs, leadership, None, PlannedCloud(), usage, "a", log)
+
+
+def put_upstream(table, name, domain, version, reclaimable):
+    """Register an upstream in a table."""
+    record = Upstream(name, "desk", "h:1", domain, version, 8, False, 0.0, 1.0, reclaimable, None)
+    table.put(record, 0.0)
+
+
+@virtual
+async def test_upstreams_on_trial_are_not_ordered_away():
+    """Day hasty: the fleet's plan had the new version's upstreams removed within a second."""
+    for state in ("running", "rolled_back"):
+        runner = build_moving_runner(state)
+        await runner.order_fleets()
+        ordinary = [order for order in runner.cloud.orders if not order.reclaimable]
+        assert ordinary == [], state
+
+
+@virtual
+async def test_nothing_is_taken_away_while_a_service_is_moved():
+    runner = build_moving_runner("running")
+    for number in range(6):
+        put_upstream(runner.beliefs.upstreams, f"more-{number}", "north", "v1", number % 2 > 0)
+    await runner.order_fleets()
+    present = runner.count_upstreams("desk")
+    for order in runner.cloud.orders:
+        assert order.desired >= present.get((order.failure_domain, order.reclaimable), 0)
