Take back a version of which too little was seen by the end of its move

Change: to complete, 20 judged answers and an upstream that stands are needed; otherwise the version is taken back, which stops nothing. The two new tests fail before (both moves end as completed). Callers of decide_move in the tests say how many upstreams stand; what they assert is the same.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -115,7 +115,8 @@
                 continue
             state = order.state if order.reported_version == order.version else ""
             counts = self.count_trial(order.service, order.order_id)
-            decided = decide_move(counts, now - seen_at, order.seconds)
+            standing = sum(self.count_upstreams(order.service, on_trial=True).values())
+            decided = decide_move(counts, now - seen_at, order.seconds, standing)
             if decided != state:
                 await self.report_move(order, decided, counts)
 
--- a/tanagertrail/policy/canary.py
+++ b/tanagertrail/policy/canary.py
@@ -9,6 +9,7 @@
 EXPOSED_EXTRA = 0.4  # of the requests beyond that share, divided over the daemons
 LEAST_BAD = 5
 LEAST_BAD_AT_END = 2  # when no more evidence can come, fewer bad answers decide
+LEAST_NEW = 20  # answers; of a version that fails three in ten these show two with 99 %
 WORSE_FACTOR = 2.5
 LEAST_BASE_RATE = 0.05
 END_SECONDS = 1.5  # before the deadline, for the report to be stored and followed
@@ -77,15 +78,19 @@
     return counts.new_bad / counts.new > WORSE_FACTOR * base
 
 
-def decide_move(counts: TrialCounts, elapsed: float, seconds: float) -> MoveState:
+def decide_move(counts: TrialCounts, elapsed: float, seconds: float, standing: int) -> MoveState:
     """Return the state that a running move should have.
 
+    A version of which too little was seen by the end is taken back: to complete stops all others.
+
     :param elapsed: seconds since the order
     :param seconds: seconds in which the move has to end
+    :param standing: upstreams of the new version that take work
     """
     if judge_counts(counts):
         return MoveState.ROLLED_BACK
     if elapsed >= seconds - END_SECONDS:
         bad = judge_counts(counts, LEAST_BAD_AT_END)
-        return MoveState.ROLLED_BACK if bad else MoveState.COMPLETED
+        proved = counts.new >= LEAST_NEW and standing > 0
+        return MoveState.COMPLETED if proved and not bad else MoveState.ROLLED_BACK
     return MoveState.RUNNING
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -28,16 +28,28 @@
     while not judge_counts(counts):
         counts = counts.add(TrialCounts(new=2, new_bad=1))
         assert counts.new_bad < 50
-    assert decide_move(counts, 1.0, 12.0) is MoveState.ROLLED_BACK
+    assert decide_move(counts, 1.0, 12.0, 4) is MoveState.ROLLED_BACK
 
 
 def test_good_version_with_the_failures_of_its_route_is_completed_in_time():
     counts = TrialCounts(new=60, new_bad=9, old=600, old_bad=84)
-    assert decide_move(counts, 5.0, 12.0) is MoveState.RUNNING
-    assert decide_move(counts, 10.6, 12.0) is MoveState.COMPLETED
+    assert decide_move(counts, 5.0, 12.0, 4) is MoveState.RUNNING
+    assert decide_move(counts, 10.6, 12.0, 4) is MoveState.COMPLETED
 
 
 def test_few_bad_answers_decide_only_at_the_end():
     counts = TrialCounts(new=4, new_bad=4, old=100)
-    assert decide_move(counts, 5.0, 12.0) is MoveState.RUNNING
-    assert decide_move(counts, 11.0, 12.0) is MoveState.ROLLED_BACK
+    assert decide_move(counts, 5.0, 12.0, 4) is MoveState.RUNNING
+    assert decide_move(counts, 11.0, 12.0, 4) is MoveState.ROLLED_BACK
+
+
+def test_version_of_which_little_was_seen_is_taken_back():
+    """Day hasty: a slow version was completed by 16 answers, none of which was judged bad."""
+    assert decide_move(TrialCounts(new=16, old=938), 13.6, 15.0, 8) is MoveState.ROLLED_BACK
+    assert decide_move(TrialCounts(), 13.6, 15.0, 8) is MoveState.ROLLED_BACK
+
+
+def test_version_without_upstreams_is_not_completed():
+    counts = TrialCounts(new=60, old=600)
+    assert decide_move(counts, 13.6, 15.0, 0) is MoveState.ROLLED_BACK
+    assert decide_move(counts, 13.6, 15.0, 1) is MoveState.COMPLETED
