Hold a new version to what was seen of the old one before its move

Cause: each daemon began to learn how long the old version takes when the move began, and took every result of the new version before its twentieth of the old one as not slow, for good. The new version is preferred, so the first results are mostly its own.

Change: results of the versions in force are kept by route at all times; a result for which too little is known of the old version waits until it can be judged and counts only then. Both tests on it fail before (0 of 25 slow results counted bad) and pass now.

--- a/tanagertrail/gateway/trials.py
+++ b/tanagertrail/gateway/trials.py
@@ -8,7 +8,7 @@
 from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
 from tanagertrail.gateway.model import RolloutOrder
 from tanagertrail.policy.canary import CanaryBudget, MoveState, TrialCounts, VersionUse
-from tanagertrail.policy.evidence import Evidence, VersionTrial
+from tanagertrail.policy.evidence import Evidence, OldVersion, VersionTrial
 
 BAD_RESULTS = frozenset({TryResult.FAILED, TryResult.BROKEN, TryResult.TIMED_OUT})
 
@@ -18,6 +18,7 @@
 
     :ivar seen_at: event-loop time in seconds at which the order was first seen
     :ivar routes: sequential tests by route
+    :ivar waiting: results of the new version for which too little is known of the old one
     """
 
     def __init__(self, order: RolloutOrder, budget: CanaryBudget, seen_at: float) -> None:
@@ -25,15 +26,28 @@
         self.budget = budget
         self.seen_at = seen_at
         self.routes: dict[str, VersionTrial] = {}
+        self.waiting: list[Evidence] = []
         self.counts = TrialCounts()
 
 
+def describe_result(exchange: Exchange, version: str, tried: Tried) -> Evidence:
+    """Return what a try shows of a version."""
+    route = exchange.route.name
+    now = asyncio.get_running_loop().time()
+    first = exchange.first_byte_at or now
+    return Evidence(version, route, tried.result in BAD_RESULTS, first - exchange.arrived)
+
+
 class TrialBook:
-    """Trials of all services that are being moved."""
+    """Trials of all services that are being moved.
+
+    :ivar baselines: results of the versions in force, by service and route
+    """
 
     def __init__(self, beliefs: Beliefs) -> None:
         self.beliefs = beliefs
         self.trials: dict[str, Trial] = {}
+        self.baselines: dict[tuple[str, str], OldVersion] = {}
 
     def find(self, service: str) -> Trial | None:
         """Return the trial of a service under its present order, None if there is no order."""
@@ -56,12 +70,15 @@
         if trial is None:
             return VersionUse.ALLOWED
         order = trial.order
-        state = order.state if order.reported_version == order.version else ""
-        if state == MoveState.COMPLETED:
+        if self.is_completed(order):
             return VersionUse.ALLOWED if version == order.version else VersionUse.FORBIDDEN
         if version != order.version:
             return VersionUse.ALLOWED
-        return VersionUse.FORBIDDEN if state == MoveState.ROLLED_BACK else VersionUse.BUDGETED
+        return VersionUse.FORBIDDEN if order.ended else VersionUse.BUDGETED
+
+    def is_completed(self, order: RolloutOrder) -> bool:
+        """Say whether a service was moved to the version of an order."""
+        return order.ended and order.state == MoveState.COMPLETED
 
     def may_expose(self, service: str, daemons: int) -> bool:
         """Say whether the next request may go to the version that is not proved."""
@@ -81,22 +98,39 @@
             trial.budget.exposed += 1
 
     def note_result(self, exchange: Exchange, version: str, tried: Tried) -> None:
-        """Take the result of a try."""
-        trial = self.find(exchange.service)
-        if trial is None or tried.proves_not_run:
-            return
-        first = exchange.first_byte_at or asyncio.get_running_loop().time()
-        bad = tried.result in BAD_RESULTS
-        evidence = Evidence(version, exchange.route.name, bad, first - exchange.arrived)
-        test = trial.routes.setdefault(exchange.route.name, VersionTrial())
-        if version != trial.order.version:
-            test.add_old(evidence)
-            trial.counts = trial.counts.add(TrialCounts(old=1, old_bad=int(bad)))
+        """Take the result of a try; while nothing is moved it becomes part of the baseline."""
+        if tried.proves_not_run:
             return
-        before = test.bad_samples
-        test.add_new(evidence)
-        worse = test.bad_samples - before
-        trial.counts = trial.counts.add(TrialCounts(new=1, new_bad=worse))
+        evidence = describe_result(exchange, version, tried)
+        trial = self.find(exchange.service)
+        baseline = self.find_baseline(exchange.service, evidence.route)
+        if trial is None or version != trial.order.version or self.is_completed(trial.order):
+            baseline.add(evidence)
+            if trial is not None:
+                old = TrialCounts(old=1, old_bad=int(evidence.failed))
+                trial.counts = trial.counts.add(old)
+        else:
+            trial.waiting.append(evidence)
+        if trial is not None:
+            self.judge_waiting(exchange.service, trial)
+
+    def judge_waiting(self, service: str, trial: Trial) -> None:
+        """Judge the results of the new version for which enough is known of the old one."""
+        waiting, trial.waiting = trial.waiting, []
+        for evidence in waiting:
+            baseline = self.find_baseline(service, evidence.route)
+            if not (evidence.failed or baseline.can_judge(evidence)):
+                trial.waiting.append(evidence)
+                continue
+            test = trial.routes.setdefault(evidence.route, VersionTrial(baseline))
+            before = test.bad_samples
+            test.add_new(evidence)
+            worse = test.bad_samples - before
+            trial.counts = trial.counts.add(TrialCounts(new=1, new_bad=worse))
+
+    def find_baseline(self, service: str, route: str) -> OldVersion:
+        """Return what is known of a route at the versions in force."""
+        return self.baselines.setdefault((service, route), OldVersion())
 
     def encode(self) -> tuple:
         """Return the counts for other daemons: (service, order, counts)."""
--- a/tanagertrail/policy/evidence.py
+++ b/tanagertrail/policy/evidence.py
@@ -41,12 +41,37 @@
     latency: float
 
 
+@dataclass
+class RankedWindow:
+    """Recent values and their order."""
+
+    values: deque[float] = field(default_factory=lambda: deque(maxlen=BASE_WINDOW))
+    ranked: list[float] = field(default_factory=list)
+
+    def add(self, value: float) -> None:
+        """Add a value."""
+        if len(self.values) == self.values.maxlen:
+            self.ranked.remove(self.values[0])
+        self.values.append(value)
+        insort(self.ranked, value)
+
+    @property
+    def known(self) -> bool:
+        """Whether there are values enough to tell what is usual."""
+        return len(self.ranked) >= MIN_BASE_SAMPLES
+
+    def find_limit(self, margin: float) -> float:
+        """Return the value beyond which one is unusually high."""
+        if not self.known:
+            return math.inf
+        return margin * self.ranked[int(SLOW_QUANTILE * len(self.ranked))]
+
+
 @dataclass
 class OldVersion:
     """Recent results of the old version on a route."""
 
-    latencies: deque[float] = field(default_factory=lambda: deque(maxlen=BASE_WINDOW))
-    ranked: list[float] = field(default_factory=list)
+    latencies: RankedWindow = field(default_factory=RankedWindow)
     failures: deque[bool] = field(default_factory=lambda: deque(maxlen=BASE_WINDOW))
 
     def add(self, evidence: Evidence) -> None:
@@ -54,17 +79,20 @@
         self.failures.append(evidence.failed)
         if evidence.failed:
             return
-        if len(self.latencies) == self.latencies.maxlen:
-            self.ranked.remove(self.latencies[0])
-        self.latencies.append(evidence.latency)
-        insort(self.ranked, evidence.latency)
+        self.latencies.add(evidence.latency)
+
+    def can_judge(self, evidence: Evidence) -> bool:
+        """Say whether enough is known to tell whether a result is slow."""
+        return self.latencies.known
+
+    def is_slow(self, evidence: Evidence) -> bool:
+        """Say whether a result is clearly slower than those of the old version."""
+        return evidence.latency > self.slow_limit
 
     @property
     def slow_limit(self) -> float:
         """Return the latency in seconds beyond which an answer counts as slow."""
-        if len(self.ranked) < MIN_BASE_SAMPLES:
-            return math.inf
-        return SLOW_MARGIN * self.ranked[int(SLOW_QUANTILE * len(self.ranked))]
+        return self.latencies.find_limit(SLOW_MARGIN)
 
     @property
     def base_rate(self) -> float:
@@ -72,7 +100,8 @@
         if len(self.failures) < MIN_BASE_SAMPLES:
             return UNKNOWN_BASE_RATE
         failed = sum(self.failures) / len(self.failures)
-        slow = sum(latency > self.slow_limit for latency in self.ranked) / len(self.failures)
+        limit = self.slow_limit
+        slow = sum(latency > limit for latency in self.latencies.ranked) / len(self.failures)
         return min(max(BASE_MARGIN * (failed + slow), MIN_BASE_RATE), MAX_BASE_RATE)
 
 
@@ -83,8 +112,8 @@
     ever passing ``ALARM_LIKELIHOOD`` under the hypothesis is at most its inverse (J. Ville, 1939).
     """
 
-    def __init__(self) -> None:
-        self.old = OldVersion()
+    def __init__(self, old: OldVersion | None = None) -> None:
+        self.old = old or OldVersion()
         self.ratios = [1.0] * (len(ALTERNATIVES) + 1)
         self.samples = 0
         self.bad_samples = 0
@@ -95,7 +124,7 @@
 
     def add_new(self, evidence: Evidence) -> Judgement:
         """Take a result of the new version and judge it."""
-        bad = evidence.failed or evidence.latency > self.old.slow_limit
+        bad = evidence.failed or self.old.is_slow(evidence)
         self.samples += 1
         self.bad_samples += bad
         self.multiply(bad, self.old.base_rate)
--- /dev/null
+++ b/tests/test_trials.py
@@ -0,0 +1,83 @@
+"""What a daemon's tries show of a version that a service is moved to."""
+
+import asyncio
+from types import SimpleNamespace
+
+from tanagertrail.gateway.exchange import Tried, TryResult
+from tanagertrail.gateway.model import RolloutOrder
+from tanagertrail.gateway.trials import TrialBook
+from tanagertrail.outcomes import Step
+from tanagertrail.policy.canary import MoveState, decide_move
+from tanagertrail.standins.documents import BOUNDS
+from tests.utils import virtual
+
+EVENTS = 40
+
+
+def build_book():
+    """Return a book of a daemon that knows of no order."""
+    return TrialBook(SimpleNamespace(rollouts={}, bounds=BOUNDS))
+
+
+def order_move(book):
+    """Order that the service is moved to v2."""
+    book.beliefs.rollouts["desk"] = RolloutOrder("desk", "v2", 15.0, "running", "v2", 5, 5)
+
+
+def note(book, version, first, pace=0.03, result=TryResult.DELIVERED, waited=0.0):
+    """Note a stream whose try has just ended.
+
+    :param first: seconds from the try to the first event
+    :param pace: seconds between events
+    :param waited: seconds that earlier tries took
+    """
+    now = asyncio.get_running_loop().time()
+    sent_at = now - first - pace * (EVENTS - 1)
+    exchange = SimpleNamespace(
+        service="desk",
+        route=SimpleNamespace(name="talk", streamed=True),
+        arrived=sent_at - waited,
+        sent_at=sent_at,
+        first_byte_at=sent_at + first,
+        splitter=SimpleNamespace(events=EVENTS),
+    )
+    book.note_result(exchange, version, Tried(result, Step.END, "up-a"))
+
+
+def judge(book):
+    """Return what is decided at the end of the move."""
+    return decide_move(book.find("desk").counts, 13.6, 15.0, 4)
+
+
+@virtual
+async def test_new_version_is_held_to_what_was_seen_before_the_order():
+    book = build_book()
+    for _ in range(30):
+        note(book, "v1", 0.07)
+    order_move(book)
+    for _ in range(25):
+        note(book, "v2", 0.9)
+    assert book.find("desk").counts.new_bad == 25
+
+
+@virtual
+async def test_results_that_came_before_a_baseline_are_judged_by_it_later():
+    """Day hasty: early results were taken as good while the old version was not yet known."""
+    book = build_book()
+    order_move(book)
+    for _ in range(25):
+        note(book, "v2", 0.9)
+    assert book.find("desk").counts.new == 0
+    for _ in range(30):
+        note(book, "v1", 0.07)
+    assert book.find("desk").counts.new_bad == 25
+
+
+@virtual
+async def test_good_version_is_completed():
+    book = build_book()
+    order_move(book)
+    for number in range(60):
+        note(book, "v1", 0.05 + number % 7 / 100, 0.03 + number % 5 / 1000)
+        note(book, "v2", 0.05 + number % 7 / 100, 0.03 + number % 5 / 1000)
+    assert judge(book) is MoveState.COMPLETED
