Judge a version by the pace of its streams, not by first events alone

Cause: a result was slow only by its first event, which waits for the prompt before it and spreads widely (95th percentile three times the median). What is several times slower in a slow version is each step.

Change: a stream is slow as well if its events come 1.5 times slower than the old version's 95th percentile on its route. The new test fails before (completed) and passes now.

--- a/tanagertrail/gateway/trials.py
+++ b/tanagertrail/gateway/trials.py
@@ -34,8 +34,12 @@
     """Return what a try shows of a version."""
     route = exchange.route.name
     now = asyncio.get_running_loop().time()
+    if tried.result in BAD_RESULTS:
+        return Evidence(version, route, True, now - exchange.arrived)
     first = exchange.first_byte_at or now
-    return Evidence(version, route, tried.result in BAD_RESULTS, first - exchange.arrived)
+    gaps = exchange.splitter.events - 1
+    pace = (now - first) / gaps if exchange.route.streamed and gaps > 0 else None
+    return Evidence(version, route, False, first - exchange.arrived, pace)
 
 
 class TrialBook:
--- a/tanagertrail/policy/evidence.py
+++ b/tanagertrail/policy/evidence.py
@@ -18,6 +18,7 @@
 MIN_BASE_SAMPLES = 20
 SLOW_QUANTILE = 0.95
 SLOW_MARGIN = 1.2
+PACE_MARGIN = 1.5  # a batch that fills up slows all streams by a part of this
 CERTAIN_RATE = 0.95
 UNKNOWN_BASE_RATE = 0.1
 
@@ -33,12 +34,14 @@
     """One finished request.
 
     :ivar latency: seconds to the first token, or to the whole answer of a plain call
+    :ivar pace: mean seconds between the events of a stream, None where there are none
     """
 
     version: str
     route: str
     failed: bool
     latency: float
+    pace: float | None = None
 
 
 @dataclass
@@ -72,6 +75,7 @@
     """Recent results of the old version on a route."""
 
     latencies: RankedWindow = field(default_factory=RankedWindow)
+    paces: RankedWindow = field(default_factory=RankedWindow)
     failures: deque[bool] = field(default_factory=lambda: deque(maxlen=BASE_WINDOW))
 
     def add(self, evidence: Evidence) -> None:
@@ -80,14 +84,18 @@
         if evidence.failed:
             return
         self.latencies.add(evidence.latency)
+        if evidence.pace is not None:
+            self.paces.add(evidence.pace)
 
     def can_judge(self, evidence: Evidence) -> bool:
         """Say whether enough is known to tell whether a result is slow."""
-        return self.latencies.known
+        return self.latencies.known and (evidence.pace is None or self.paces.known)
 
     def is_slow(self, evidence: Evidence) -> bool:
         """Say whether a result is clearly slower than those of the old version."""
-        return evidence.latency > self.slow_limit
+        if evidence.latency > self.slow_limit:
+            return True
+        return evidence.pace is not None and evidence.pace > self.paces.find_limit(PACE_MARGIN)
 
     @property
     def slow_limit(self) -> float:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -81,3 +81,15 @@
         note(book, "v1", 0.05 + number % 7 / 100, 0.03 + number % 5 / 1000)
         note(book, "v2", 0.05 + number % 7 / 100, 0.03 + number % 5 / 1000)
     assert judge(book) is MoveState.COMPLETED
+
+
+@virtual
+async def test_version_that_is_slow_between_events_is_taken_back():
+    """Day hasty: first events came in time, and each stream took four times as long."""
+    book = build_book()
+    order_move(book)
+    for number in range(40):
+        note(book, "v1", 0.07, 0.03 + number % 5 / 1000)
+    for _ in range(20):
+        note(book, "v2", 0.08, 0.12)
+    assert judge(book) is MoveState.ROLLED_BACK
