Time a version's results from the try, not from the request's arrival

A request that ran out of patience at a slow new upstream was repeated at an old one, and the time that it had lost was counted as the old version's own. That raises what the new version is held to. A stream that went on at a second upstream was timed by the first one's first event; it now shows nothing. The test fails before (0 of 20 slow results counted bad) and passes now.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -98,6 +98,7 @@
             if entry is None:
                 break
             exchange.upstream = entry.record.id
+            exchange.sent_at = self.now()
             self.chooser.note_start(exchange, entry)
             entry.isolated += alone
             try:
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -59,6 +59,7 @@
     :ivar upstream: upstream that it was sent to last, empty for none
     :ivar tried: tries so far
     :ivar fingerprint: what stays the same when its caller sends it again under a new id
+    :ivar sent_at: event-loop time in seconds at which the last try began
     :ivar splitter: events of a streamed answer that have been passed on
     """
 
@@ -86,6 +87,7 @@
         self.fingerprint = fingerprint
         self.splitter = EventSplitter(fields.last_event)
         self.first_byte_at: float | None = None
+        self.sent_at = now
 
     @property
     def priority(self) -> int:
--- a/tanagertrail/gateway/trials.py
+++ b/tanagertrail/gateway/trials.py
@@ -30,16 +30,18 @@
         self.counts = TrialCounts()
 
 
-def describe_result(exchange: Exchange, version: str, tried: Tried) -> Evidence:
-    """Return what a try shows of a version."""
+def describe_result(exchange: Exchange, version: str, tried: Tried) -> Evidence | None:
+    """Return what a try shows of a version, None for a stream that went on at another upstream."""
     route = exchange.route.name
     now = asyncio.get_running_loop().time()
     if tried.result in BAD_RESULTS:
-        return Evidence(version, route, True, now - exchange.arrived)
+        return Evidence(version, route, True, now - exchange.sent_at)
     first = exchange.first_byte_at or now
+    if first < exchange.sent_at:
+        return None
     gaps = exchange.splitter.events - 1
     pace = (now - first) / gaps if exchange.route.streamed and gaps > 0 else None
-    return Evidence(version, route, False, first - exchange.arrived, pace)
+    return Evidence(version, route, False, first - exchange.sent_at, pace)
 
 
 class TrialBook:
@@ -106,6 +108,8 @@
         if tried.proves_not_run:
             return
         evidence = describe_result(exchange, version, tried)
+        if evidence is None:
+            return
         trial = self.find(exchange.service)
         baseline = self.find_baseline(exchange.service, evidence.route)
         if trial is None or version != trial.order.version or self.is_completed(trial.order):
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -93,3 +93,15 @@
     for _ in range(20):
         note(book, "v2", 0.08, 0.12)
     assert judge(book) is MoveState.ROLLED_BACK
+
+
+@virtual
+async def test_time_lost_at_a_slow_upstream_is_not_counted_against_the_next():
+    """A repeat after a try that timed out made the old version look slow."""
+    book = build_book()
+    order_move(book)
+    for _ in range(30):
+        note(book, "v1", 0.07, waited=1.2)
+    for _ in range(20):
+        note(book, "v2", 0.9)
+    assert book.find("desk").counts.new_bad == 20
