Send no request to an upstream on trial while it has just started

An upstream of a version on trial now gets its first request after the time for which its service counts as cold. The test fails before and passes now.

--- a/tanagertrail/gateway/choosing.py
+++ b/tanagertrail/gateway/choosing.py
@@ -92,12 +92,20 @@
         use = self.trials.judge_version(record.service, record.version)
         if use is VersionUse.FORBIDDEN:
             return False
-        if use is VersionUse.BUDGETED and not self.trials.may_expose(
-            record.service, self.members.count()
-        ):
+        if use is VersionUse.BUDGETED and not self.may_try(entry, now):
             return False
         return now >= entry.cold_until or self.has_cold_share(entry, now)
 
+    def may_try(self, entry: UpstreamEntry, now: float) -> bool:
+        """Say whether an upstream of a version on trial may get a request.
+
+        One that has just started is slow for some seconds, which would count against its version.
+        """
+        service = self.beliefs.config.services.get(entry.record.service)
+        if service is not None and now < entry.known_since + service.cold_seconds:
+            return False
+        return self.trials.may_expose(entry.record.service, self.members.count())
+
     def has_cold_share(self, entry: UpstreamEntry, now: float) -> bool:
         """Say whether this daemon's share of a cold upstream's rate allows a request."""
         rate = self.find_cold_rate(entry)
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -18,6 +18,7 @@
 class UpstreamEntry:
     """One upstream.
 
+    :ivar known_since: event-loop time in seconds at which its registration was first seen
     :ivar in_flight: requests of this daemon that are there
     :ivar elsewhere: requests of other daemons, by daemon
     :ivar cold_until: event-loop time in seconds until which it is cold
@@ -31,8 +32,9 @@
     :ivar isolated: requests of this daemon there that must run alone
     """
 
-    def __init__(self, record: Upstream) -> None:
+    def __init__(self, record: Upstream, known_since: float = 0.0) -> None:
         self.record = record
+        self.known_since = known_since
         self.in_flight = 0
         self.elsewhere: dict[str, int] = {}
         self.cold_until = 0.0
@@ -85,7 +87,7 @@
             self.on_ended(entry, "it has started again")
             entry = None
         if entry is None:
-            entry = self.entries[record.id] = UpstreamEntry(record)
+            entry = self.entries[record.id] = UpstreamEntry(record, now)
         elif entry.record == record:
             return False
         entry.record = record
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,6 +9,7 @@
 from tanagertrail.outcomes import Step
 from tanagertrail.policy.canary import MoveState, decide_move
 from tanagertrail.standins.documents import BOUNDS
+from tests.gateway_utils import build_config, open_world, real_time
 from tests.utils import virtual
 
 EVENTS = 40
@@ -105,3 +106,18 @@
     for _ in range(20):
         note(book, "v2", 0.9)
     assert book.find("desk").counts.new_bad == 20
+
+
+@real_time
+async def test_upstream_on_trial_that_has_just_started_gets_no_request():
+    config = build_config(services=[{"name": "desk", "max_conns": 50, "cold_start_s": 3}])
+    async with open_world(config) as world:
+        chooser, entries = world.node.dispatcher.chooser, world.node.beliefs.upstreams.entries
+        world.register("up-b", version="v2")
+        await world.await_true(lambda: entries["up-b"].record.version == "v2")
+        order = {"service": "desk", "target": "v2", "duration_s": 10.0}
+        world.store.put("rollouts", "desk", order)
+        await world.await_true(lambda: "desk" in world.node.beliefs.rollouts)
+        entry = entries["up-b"]
+        assert not chooser.may_use(entry, entry.known_since + 2.9)
+        assert chooser.may_use(entry, entry.known_since + 3.1)
