Give up answers that have no end

What callers saw: nothing yet; the users' pages say that an upstream in trouble may send bytes which are no answer without end, in a head or a body, until the caller closes.

Cause: a plain body was collected until the request's deadline, however long; heads before an answer and answers to other requests were read past without limit; an event without an end was collected likewise and searched anew with each part; blocks that only look like events were passed on to the caller.

Change: a plain answer has at most answers.most_bytes (1 MiB, a setting), a head 64 KiB as before, an event 64 KiB; at most 8 heads come before an answer and 4 answers to other requests; an event needs an id that rises. What breaks these ends the try like any broken answer: the connection is closed at once, what may be repeated goes to another upstream, the rest gets 502.

--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -19,6 +19,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
+MAX_INTERIM_HEADS = 8  # heads that may announce an answer; servers send one or two
 
 
 class CallerRequest(NamedTuple):
@@ -214,8 +215,12 @@
         :raises ConnectionError: if the connection broke before
         """
         event = await self.next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INTERIM_HEADS):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self.next_event()
+        if isinstance(event, h11.InformationalResponse):
+            raise UpstreamProtocolError(f"more than {MAX_INTERIM_HEADS} heads before an answer")
         if not isinstance(event, h11.Response):
             raise ConnectionResetError("the upstream closed before its answer")
         return AnswerHead(event.status_code, list(event.headers))
@@ -229,10 +234,18 @@
             return None
         raise UpstreamProtocolError("the answer ended early")
 
-    async def read_rest(self) -> bytes:
-        """Read the whole body of the answer."""
+    async def read_rest(self, most: int) -> bytes:
+        """Read the whole body of the answer.
+
+        :param most: largest length in bytes
+        :raises UpstreamProtocolError: if it is longer, cut or broken
+        """
         parts = []
+        length = 0
         while (part := await self.read_part()) is not None:
+            length += len(part)
+            if length > most:
+                raise UpstreamProtocolError(f"the answer is longer than {most} bytes")
             parts.append(part)
         return b"".join(parts)
 
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -98,7 +98,13 @@
         self.dispatcher = Dispatcher(
             self.beliefs,
             self.members,
-            UpstreamSender(self.pools, self.usage, self.endings, self.suspects),
+            UpstreamSender(
+                self.pools,
+                self.usage,
+                self.endings,
+                self.suspects,
+                self.tuning.answers.most_bytes,
+            ),
             self.quota,
             self.suspects,
             self.log,
--- a/tanagertrail/gateway/sending.py
+++ b/tanagertrail/gateway/sending.py
@@ -24,6 +24,7 @@
 GAP_FACTOR = 3.0  # an event this many objectives late is taken to be lost
 MIN_GAP_SECONDS = 1.0
 KEPT_SECONDS = 0.5  # idle time after which a kept connection is not used for work that runs once
+MAX_SKIPPED_ANSWERS = 4  # late answers to other requests that are read past
 RAN = frozenset({TryResult.DELIVERED, TryResult.FAILED})
 ANSWERED = RAN | {TryResult.REFUSED}
 
@@ -33,7 +34,10 @@
 
 
 class UpstreamSender:
-    """Send requests to upstreams and pass their answers on."""
+    """Send requests to upstreams and pass their answers on.
+
+    :ivar most_bytes: longest plain answer
+    """
 
     def __init__(
         self,
@@ -41,11 +45,13 @@
         usage: UsageCounter,
         endings: EndingWatch,
         suspects: SuspectBook,
+        most_bytes: int,
     ) -> None:
         self.pools = pools
         self.usage = usage
         self.endings = endings
         self.suspects = suspects
+        self.most_bytes = most_bytes
 
     async def try_once(self, exchange: Exchange, entry: UpstreamEntry, patience: float) -> Tried:
         """Send a request to one upstream and pass its answer on if it is a success.
@@ -110,7 +116,7 @@
             if exchange.route.streamed and 200 <= head.status < 300:
                 return await self.relay_events(exchange, entry, stream, head, fields)
             async with asyncio.timeout(max(exchange.left, 0.0)):
-                body = await stream.read_rest()
+                body = await stream.read_rest(self.most_bytes)
             return self.judge_whole(exchange, entry, head, fields, body)
         except TimeoutError:
             stream.abort()
@@ -141,13 +147,14 @@
         self, exchange: Exchange, stream: UpstreamStream
     ) -> tuple[AnswerHead, UpstreamFields]:
         """Read the head of the answer to this request, past late answers to other ones."""
-        while True:
+        for _ in range(MAX_SKIPPED_ANSWERS + 1):
             head = await stream.read_head()
             fields = decode_upstream_fields(head.headers)
             if fields.request_id in ("", exchange.fields.request_id):
                 return head, fields
-            await stream.read_rest()
+            await stream.read_rest(self.most_bytes)
             stream.skip_answer()
+        raise UpstreamProtocolError(f"more than {MAX_SKIPPED_ANSWERS} answers to other requests")
 
     def note_fields(self, entry: UpstreamEntry, fields: UpstreamFields) -> None:
         """Take what the upstream told of itself."""
@@ -210,6 +217,8 @@
             if whole:
                 first = False
                 await self.pass_on(exchange, head, whole)
+            if splitter.fault:
+                raise UpstreamProtocolError(splitter.fault)
         if splitter.pending:
             return Tried(TryResult.BROKEN, Step.STREAM, name, "the stream ended within an event")
         if not exchange.stream.answer_begun:
--- a/tanagertrail/settings/gateway.py
+++ b/tanagertrail/settings/gateway.py
@@ -45,9 +45,20 @@
     routine_lines_per_second: Annotated[float, Field(ge=0, le=10_000)] = 60.0
 
 
+class AnswersSection(Section):
+    """What an upstream may answer.
+
+    :ivar most_bytes: longest plain answer, which is read as a whole; they have some KB, and many
+        are read at once
+    """
+
+    most_bytes: Annotated[int, Field(ge=4096, le=16_777_216)] = 1_048_576
+
+
 class GatewayTuning(Section):
     """All settings of the gateway's own."""
 
     metrics: MetricsSection = MetricsSection()
     policy: PolicySection = PolicySection()
     log: LogSection = LogSection()
+    answers: AnswersSection = AnswersSection()
--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -18,6 +18,7 @@
 DEADLINE_SECONDS = 3.0
 CONNECT_SECONDS = 1.0
 ADDRESS_SECONDS = 1.0
+MAX_ADDRESSES_BYTES = 65_536
 CALLS_ON_ONE_CONNECTION = 12
 PAUSE_SECONDS = (0.01, 0.12)
 RESEND_SECONDS = (0.05, 0.4)
@@ -90,7 +91,7 @@
                 target = f"/tanagertrail/resolve?name={HOST_NAME}&region=island&zone=north"
                 stream.send_request(b"GET", target.encode(), [(b"host", b"directory")], b"")
                 await stream.read_head()
-                document = json.loads(await stream.read_rest())
+                document = json.loads(await stream.read_rest(MAX_ADDRESSES_BYTES))
         finally:
             stream.abort()
         return [int(address.rpartition(":")[2]) for address in document["addresses"]]
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -14,6 +14,7 @@
 
 STREAM_SUFFIX = "/events"
 EVENTS = 6
+ENDLESS_BLOCK = 16_384
 
 
 class RunRecord(NamedTuple):
@@ -36,6 +37,7 @@
     :ivar cut: ids of requests whose connection closed while they ran
     :ivar deadly: text in a body or target that ends the upstream when it begins to run it
     :ivar ended: whether it has ended
+    :ivar endless_bytes: bytes sent by faults that have no end
     :ivar work: seconds that a plain request takes, and each event of a stream
     """
 
@@ -49,6 +51,7 @@
         self.connections = 0
         self.deadly = b""
         self.ended = False
+        self.endless_bytes = 0
         super().__init__(upstream_id)
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -195,6 +198,80 @@
     stream.channel.close()
 
 
+async def send_endlessly(upstream: StandInUpstream, stream: CallerStream, data: bytes) -> None:
+    """Send bytes again and again until the connection closes, and count them."""
+    while True:
+        stream.channel.write(data)
+        upstream.endless_bytes += len(data)
+        await stream.channel.drain()
+        await asyncio.sleep(0)
+
+
+def build_head(upstream: StandInUpstream, request: CallerRequest, *lines: bytes) -> bytes:
+    """Return the head of a signed success."""
+    signed = [name + b": " + value for name, value in upstream.sign(request)]
+    return b"\r\n".join([b"HTTP/1.1 200 OK", *signed, *lines]) + b"\r\n\r\n"
+
+
+@FAULTS.register("endless_line")
+async def send_endless_line(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send a head whose first line has no end."""
+    upstream.begin(request)
+    await send_endlessly(upstream, stream, b"x" * ENDLESS_BLOCK)
+
+
+@FAULTS.register("endless_heads")
+async def send_endless_heads(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send heads that announce an answer, and never the answer."""
+    upstream.begin(request)
+    await send_endlessly(upstream, stream, b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100)
+
+
+@FAULTS.register("endless_others")
+async def send_endless_others(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send answers to other requests."""
+    upstream.begin(request)
+    head = b"HTTP/1.1 200 OK\r\n" + fields.REQUEST_ID + b": other\r\ncontent-length: 5\r\n\r\n"
+    await send_endlessly(upstream, stream, (head + b"other") * 100)
+
+
+@FAULTS.register("endless_chunks")
+async def send_endless_chunks(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send a signed success whose chunks have no end, nor does an event in them."""
+    upstream.begin(request)
+    stream.channel.write(build_head(upstream, request, b"transfer-encoding: chunked"))
+    block = b"%x\r\n" % ENDLESS_BLOCK + b"x" * ENDLESS_BLOCK + b"\r\n"
+    await send_endlessly(upstream, stream, block)
+
+
+@FAULTS.register("endless_body")
+async def send_endless_body(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send a signed success that ends with its connection, which stays open."""
+    upstream.begin(request)
+    stream.channel.write(build_head(upstream, request, b"connection: close"))
+    await send_endlessly(upstream, stream, b"x" * ENDLESS_BLOCK)
+
+
+@FAULTS.register("endless_blocks")
+async def send_endless_blocks(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send a signed success of blocks that look like events and have no id."""
+    upstream.begin(request)
+    stream.channel.write(build_head(upstream, request, b"connection: close"))
+    await send_endlessly(upstream, stream, b"noise: x\n\n" * 100)
+
+
 @FAULTS.register("unsigned")
 async def answer_unsigned(
     upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,81 @@
+"""Upstreams in trouble that send bytes which are no answer, without end."""
+
+import asyncio
+import tracemalloc
+
+from nose2.tools import params
+
+from tests.gateway_utils import open_world, real_time
+
+IN_HEAD = ("endless_line", "endless_heads", "endless_others")
+IN_BODY = ("endless_chunks", "endless_body")
+IN_EVENTS = ("endless_chunks", "endless_body", "endless_blocks")
+PATIENCE_SECONDS = 1.0  # half of the callers' deadline in these tests
+MOST_TAKEN = 8_000_000  # bytes, some sockets' buffers beyond the longest answer
+MOST_KEPT = 16_000_000  # bytes of memory for one such answer
+
+
+async def ask_first(world, path, fault, body=b""):
+    """Have one upstream misbehave, ask it, and return reply, seconds, and the most memory used."""
+    upstream = world.keep_one()
+    await world.await_upstreams(1)
+    upstream.faults.append(fault)
+    loop = asyncio.get_running_loop()
+    tracemalloc.start()
+    started = loop.time()
+    try:
+        reply = await world.ask(path, body)
+        took = loop.time() - started
+        kept = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    await asyncio.sleep(0.1)
+    sent = upstream.endless_bytes
+    await asyncio.sleep(0.1)
+    assert upstream.endless_bytes == sent, "the connection is still open"
+    return reply, took, kept
+
+
+@params(*IN_HEAD, *IN_BODY)
+@real_time
+async def test_plain_answer_without_end_is_given_up(fault):
+    async with open_world() as world:
+        reply, took, kept = await ask_first(world, "/look/1", fault)
+        assert reply.status == 502
+        assert b"tanagertrail-server-stamp" not in reply.headers
+        assert took < PATIENCE_SECONDS
+        assert world.upstreams[0].endless_bytes < MOST_TAKEN
+        assert kept < MOST_KEPT
+
+
+@params(*IN_HEAD, *IN_EVENTS)
+@real_time
+async def test_stream_without_end_is_given_up(fault):
+    async with open_world() as world:
+        reply, took, kept = await ask_first(world, "/once/a/events", fault, b"prompt")
+        assert reply.status == 502 or not reply.whole
+        assert b"x" not in reply.body.replace(b"the upstream broke off", b"")
+        assert took < PATIENCE_SECONDS
+        assert kept < MOST_KEPT
+
+
+@params(*IN_HEAD, *IN_EVENTS)
+@real_time
+async def test_stream_is_resumed_elsewhere_after_bytes_without_end(fault):
+    async with open_world() as world:
+        world.upstreams[0].faults.extend([fault] * 2)
+        expected = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 7))
+        for _ in range(2):
+            reply = await world.ask("/talk/a/events", b"prompt")
+            assert reply.whole
+            assert reply.body == expected
+
+
+@real_time
+async def test_unsafe_request_is_not_repeated_after_bytes_without_end():
+    async with open_world() as world:
+        for upstream in world.upstreams:
+            upstream.faults.append("endless_body")
+        reply = await world.ask("/book/1", b"slot")
+        assert reply.status == 502
+        assert sum(len(upstream.runs) for upstream in world.upstreams) == 1
