Bound what the first design's client reads of an answer

The same cause as in the gateway, looked for elsewhere: a plain answer and a control answer were read to their end in a thread, however long, and a chunk that announces 2 GB was kept until it is whole. The limit of 16 MB that the core had was checked after the whole body was in memory.

Now the client itself reads at most that much, and a chunk has at most 1 MB. Of the three new tests two run into their time limit before and one finds no error; all pass now.

--- a/tanagertrail/core/serving.py
+++ b/tanagertrail/core/serving.py
@@ -25,9 +25,13 @@
 from tanagertrail.policy.poison import Verdict
 from tanagertrail.policy.retries import RetryBudget, RetryQuestion, may_retry
 from tanagertrail.sinks import BaseSink, MemorySink
-from tanagertrail.upstreams.base import Attempt, BaseUpstreamAnswer, BaseUpstreamClient
+from tanagertrail.upstreams.base import (
+    MAX_ANSWER_BYTES,
+    Attempt,
+    BaseUpstreamAnswer,
+    BaseUpstreamClient,
+)
 
-MAX_ANSWER_BYTES = 16_000_000
 MODEL_PATH = "/v1/chat/completions"
 SUSPECT_DELAY_SECONDS = 0.1
 
--- a/tanagertrail/upstreams/base.py
+++ b/tanagertrail/upstreams/base.py
@@ -1,6 +1,7 @@
 """Contract of a client of upstreams."""
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "Attempt",
     "BaseUpstreamAnswer",
     "BaseUpstreamClient",
@@ -19,6 +20,8 @@
 from tanagertrail.model import Upstream
 from tanagertrail.sinks import BaseSink
 
+MAX_ANSWER_BYTES = 16_000_000  # of a plain answer, which is read as a whole
+
 
 class Attempt(NamedTuple):
     """One try of a request at one upstream.
--- a/tanagertrail/upstreams/chunks.py
+++ b/tanagertrail/upstreams/chunks.py
@@ -5,6 +5,7 @@
 from tanagertrail.errors import UpstreamProtocolError
 
 MAX_SIZE_LINE_BYTES = 64
+MAX_CHUNK_BYTES = 1_000_000  # a chunk is kept until it is whole; events have some hundred bytes
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -73,4 +74,6 @@
         raise UpstreamProtocolError(f"chunk size {line[:16]!r} is not a number") from error
     if size < 0:
         raise UpstreamProtocolError(f"chunk size {line[:16]!r} is negative")
+    if size > MAX_CHUNK_BYTES:
+        raise UpstreamProtocolError(f"a chunk exceeds {MAX_CHUNK_BYTES} bytes")
     return size
--- a/tanagertrail/upstreams/http.py
+++ b/tanagertrail/upstreams/http.py
@@ -13,6 +13,7 @@
 from tanagertrail.model import Upstream
 from tanagertrail.sinks import BaseSink
 from tanagertrail.upstreams.base import (
+    MAX_ANSWER_BYTES,
     Attempt,
     BaseUpstreamAnswer,
     BaseUpstreamClient,
@@ -287,7 +288,7 @@
             )
             if response.headers.get("Content-Type", "").startswith("text/event-stream"):
                 return response
-            body = response.read()
+            body = read_whole(response)
         except NewConnectionError as error:
             raise UpstreamConnectError(f"{attempt.upstream.name}: {error}") from error
         except urllib3.exceptions.ConnectTimeoutError as error:
@@ -322,13 +323,32 @@
         headers = {"Content-Type": "application/json"}
         try:
             response = self.pools.request(
-                method, url, body=encoded, headers=headers, timeout=CONTROL_TIMEOUT
+                method,
+                url,
+                body=encoded,
+                headers=headers,
+                preload_content=False,
+                timeout=CONTROL_TIMEOUT,
             )
-            return json.loads(response.data)
-        except (HTTPError, OSError, ValueError) as error:
+            document = json.loads(read_whole(response))
+            response.release_conn()
+            return document
+        except (HTTPError, OSError, ValueError, UpstreamProtocolError) as error:
             raise UpstreamConnectError(f"{upstream.name}: {error}") from error
 
 
+def read_whole(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Read a plain answer from a thread.
+
+    :raises UpstreamProtocolError: if it is longer than any answer may be
+    """
+    body = response.read(MAX_ANSWER_BYTES + 1)
+    if len(body) > MAX_ANSWER_BYTES:
+        response.close()
+        raise UpstreamProtocolError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+    return body
+
+
 def build_headers(attempt: Attempt) -> dict[str, str]:
     """Return the headers of an attempt."""
     headers = {
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,7 +5,12 @@
 
 from nose2.tools import params
 
-from tests.gateway_utils import open_world, real_time
+from tanagertrail.errors import UpstreamConnectError, UpstreamProtocolError
+from tanagertrail.upstreams.base import Attempt
+from tanagertrail.upstreams.chunks import ChunkDecoder
+from tanagertrail.upstreams.http import HttpUpstreamClient
+from tests.gateway_utils import HOST, open_world, real_time
+from tests.utils import build_upstream, raises
 
 IN_HEAD = ("endless_line", "endless_heads", "endless_others")
 IN_BODY = ("endless_chunks", "endless_body")
@@ -79,3 +84,44 @@
         reply = await world.ask("/book/1", b"slot")
         assert reply.status == 502
         assert sum(len(upstream.runs) for upstream in world.upstreams) == 1
+
+
+async def serve_endlessly(head, block):
+    """Serve one head and a block without end on loopback; return the server and its address."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head)
+        try:
+            while True:
+                writer.write(block)
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    return server, f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+
+@params(b"content-type: application/json\r\n", b"transfer-encoding: chunked\r\n")
+@real_time
+async def test_client_of_the_core_gives_up_a_body_without_end(field):
+    block = b"x" * 65_536
+    if b"chunked" in field:
+        block = b"%x\r\n" % len(block) + block + b"\r\n"
+    server, address = await serve_endlessly(b"HTTP/1.1 200 OK\r\n" + field + b"\r\n", block)
+    client = HttpUpstreamClient()
+    upstream = build_upstream(address=address)
+    try:
+        attempt = Attempt("a", "desk", "1", upstream, "GET", "/x", b"", timeout=2.0)
+        with raises(UpstreamProtocolError):
+            await client.open(attempt)
+        with raises(UpstreamConnectError):
+            await client.read_load(upstream)
+    finally:
+        server.close()
+
+
+def test_chunk_that_is_announced_as_longer_than_any_event_is_refused():
+    with raises(UpstreamProtocolError):
+        ChunkDecoder().feed(b"7fffffff\r\nx")
