Count upstreams that end under a request that was answered before, too

A request that was once answered could never be suspected, so one that turns deadly later (another version, another state of its service) was sent on for ever. Suspected by reading, not seen.

An answer now clears what was counted before it and grants nothing after. What the immunity was for, a popular request that is at many upstreams when a failure domain is lost, is met by counting losses within a second of each other as one for requests that were answered before; a loss carries its age, so that daemons that are told of it count by the same time. Two new tests: the first fails before (9 of 9 resends run), the second replays a wave of four. test_poison_requests: 12 passed.

Left: a daemon that has just started knows no answers. If three upstreams are lost at once under a popular request in its first moments, it quarantines the request; operators lift it (docs/OPERATIONS.md).

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -373,7 +373,8 @@
             self.note_leader(state.age_ms / 1000)
             self.leadership.note_told(state.leading, state.lease, state.age_ms)
         self.usage.take(state.daemon, state.incarnation, state.usage)
-        self.suspects.take_losses(state.daemon, state.incarnation, state.losses)
+        said_at = now - state.age_ms / 1000
+        self.suspects.take_losses(state.daemon, state.incarnation, state.losses, said_at)
         if self.gathering.topology.is_hub:
             self.quota.forget_daemons(self.gathering.states)
             news = {name: QuotaNews(used, rate) for name, used, rate in state.quota}
--- a/tanagertrail/gateway/suspects.py
+++ b/tanagertrail/gateway/suspects.py
@@ -20,6 +20,7 @@
 LOST_UPSTREAMS = 3  # the users allow as many; with two, requests that ran beside are taken for it
 MOST_ANSWERED = 4096  # fingerprints, about 80 s of a daemon's requests at the design size
 REPORT_SECONDS = 4.0  # states pass two hubs in less
+WAVE_SECONDS = 1.0  # upstreams of a failure domain are reclaimed or lost within less
 
 
 class Loss(NamedTuple):
@@ -28,6 +29,7 @@
     :ivar number: number of the loss in the daemon's incarnation
     :ivar upstream: id and start of the upstream, which name one incarnation
     :ivar fingerprints: requests of that daemon that it left unanswered
+    :ivar age_ms: time since it was found
     """
 
     number: int
@@ -35,15 +37,18 @@
     version: str
     failure_domain: str
     fingerprints: tuple[str, ...]
+    age_ms: int = 0
 
 
 class SuspectBook:
     """Judge requests by the upstreams that ended under them.
 
-    A request that was ever answered here is no suspect: what ends an upstream ends all. One under
-    which one upstream less than the limit has ended runs alone, so that those that only ran beside
-    it are answered and cleared.
+    An answer clears a request: what ends an upstream ends all. For one that was answered before,
+    upstreams that end at about one moment count as one, since a popular request is at many of them.
+    One under which one upstream less than the limit has ended runs alone, so that those that only
+    ran beside it are answered and cleared.
 
+    :ivar answered: fingerprints that were answered, with the time of the last loss counted since
     :ivar running: requests that this daemon serves now
     :ivar heard: incarnation and last loss that each daemon told of
     :ivar on_loss: called when there is a loss to tell the other daemons
@@ -53,7 +58,7 @@
     def __init__(self, log: EventLog) -> None:
         self.log = log
         self.register = PoisonRegister(LOST_UPSTREAMS, None, EXPLAINED_WINDOW_SECONDS)
-        self.answered: OrderedDict[str, None] = OrderedDict()
+        self.answered: OrderedDict[str, float] = OrderedDict()
         self.running: Counter[str] = Counter()
         self.losses: deque[tuple[float, Loss]] = deque()
         self.heard: dict[str, tuple[int, int]] = {}
@@ -77,8 +82,6 @@
 
     def judge(self, fingerprint: str) -> Verdict:
         """Say what may be done with a request."""
-        if fingerprint in self.answered:
-            return Verdict.CLEAR
         return self.register.judge(fingerprint, self.now())
 
     def must_run_alone(self, fingerprint: str) -> bool:
@@ -94,7 +97,7 @@
 
     def note_answered(self, fingerprint: str) -> None:
         """Clear a request that an upstream ran to its end."""
-        self.answered[fingerprint] = None
+        self.answered[fingerprint] = float("-inf")
         self.answered.move_to_end(fingerprint)
         if len(self.answered) > MOST_ANSWERED:
             self.answered.popitem(last=False)
@@ -102,9 +105,6 @@
 
     def note_lost(self, entry: UpstreamEntry, fingerprints: Iterable[str]) -> None:
         """Take the end of an upstream that this daemon has found."""
-        unanswered = tuple(item for item in fingerprints if item not in self.answered)
-        if not unanswered:
-            return
         self.count += 1
         record = entry.record
         loss = Loss(
@@ -112,20 +112,21 @@
             f"{record.id}/{record.born}",
             record.version,
             record.failure_domain,
-            unanswered,
+            tuple(fingerprints),
         )
         self.losses.append((self.now(), loss))
-        self.count_loss(loss)
+        self.count_loss(loss, self.now())
         self.on_loss()
 
-    def count_loss(self, loss: Loss) -> None:
-        """Count a loss against the requests that were never answered here."""
-        unanswered = tuple(item for item in loss.fingerprints if item not in self.answered)
-        if not unanswered:
+    def count_loss(self, loss: Loss, at: float) -> None:
+        """Count a loss against the requests that it left unanswered.
+
+        :param at: event-loop time in seconds at which it was found
+        """
+        counted = tuple(item for item in loss.fingerprints if not self.is_in_wave(item, at))
+        if not counted:
             return
-        report = CrashReport(
-            loss.upstream, loss.version, loss.failure_domain, unanswered, self.now()
-        )
+        report = CrashReport(loss.upstream, loss.version, loss.failure_domain, counted, at)
         for fingerprint in self.register.note_crash(report):
             self.log.write(
                 "request_quarantined",
@@ -134,20 +135,38 @@
             )
             self.on_quarantine(fingerprint)
 
+    def is_in_wave(self, fingerprint: str, at: float) -> bool:
+        """Say whether a loss of a request that was answered before came with another one."""
+        last = self.answered.get(fingerprint)
+        if last is None:
+            return False
+        if abs(at - last) < WAVE_SECONDS:
+            return True
+        self.answered[fingerprint] = at
+        return False
+
     def describe_losses(self) -> tuple:
         """Return the losses that other daemons may not have been told of."""
-        while self.losses and self.losses[0][0] < self.now() - REPORT_SECONDS:
+        now = self.now()
+        while self.losses and self.losses[0][0] < now - REPORT_SECONDS:
             self.losses.popleft()
-        return tuple(tuple(loss) for _, loss in self.losses)
+        return tuple(
+            tuple(loss._replace(age_ms=int((now - at) * 1000))) for at, loss in self.losses
+        )
+
+    def take_losses(
+        self, daemon: str, incarnation: int, rows: Iterable[tuple], said_at: float
+    ) -> None:
+        """Take the losses that another daemon has found.
 
-    def take_losses(self, daemon: str, incarnation: int, rows: Iterable[tuple]) -> None:
-        """Take the losses that another daemon has found."""
+        :param said_at: event-loop time in seconds at which it told of them
+        """
         last = self.heard.get(daemon, (0, 0))
         newest = last[1] if last[0] == incarnation else 0
         for loss in (Loss(*row) for row in rows):
             if loss.number > newest:
                 newest = loss.number
-                self.count_loss(loss)
+                self.count_loss(loss, said_at - loss.age_ms / 1000)
         self.heard[daemon] = (incarnation, newest)
 
     def note_quarantine(self, fingerprint: str) -> None:
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -10,6 +10,7 @@
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND
 from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
+from tanagertrail.policy.poison import Verdict
 from tanagertrail.standins.documents import BOUNDS
 from tests.gateway_utils import open_fleet, real_time
 from tests.utils import virtual
@@ -49,12 +50,12 @@
         return None
 
 
-async def send_again(fleet, path, body=POISON, times=RESENDS):
+async def send_again(fleet, path, body=POISON, times=RESENDS, pause=0.1):
     """Send a request again and again, each time to the next daemon."""
     replies = []
     for number in range(times):
         replies.append(await ask_at(fleet, path, body, number % len(fleet.fronts)))
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(pause)
     return replies
 
 
@@ -111,6 +112,32 @@
         assert (await fleet.ask("/look/hot")).status == 200
 
 
+@real_time
+async def test_request_that_was_answered_before_it_ended_upstreams_is_not_sent_on():
+    async with open_fleet("entry-2", "entry-3", upstreams=16) as fleet:
+        assert (await fleet.ask("/book/1", POISON)).status == 200
+        arm(fleet)
+        replies = await send_again(fleet, "/book/1", pause=0.4)
+        assert replies[-1].status == 503
+        before = count_runs(fleet)
+        await send_again(fleet, "/book/1")
+        assert count_runs(fleet) == before
+
+
+@virtual
+async def test_wave_of_losses_does_not_quarantine_a_popular_request():
+    now = asyncio.get_running_loop().time
+    book = SuspectBook(EventLog("entry-1", now))
+    book.note_answered("popular")
+    for name in ("up-a", "up-b", "up-c", "up-d"):
+        book.note_lost(UpstreamEntry(build_record(name)), ["popular", "other"])
+        await asyncio.sleep(0.1)
+    assert book.judge("popular") is Verdict.SUSPECT
+    assert book.judge("other") is Verdict.QUARANTINED
+    book.note_answered("popular")
+    assert book.judge("popular") is Verdict.CLEAR
+
+
 @real_time
 async def test_quarantine_outlives_all_daemons_and_is_lifted_by_operators():
     async with open_fleet("entry-2", upstreams=8) as fleet:
@@ -165,7 +192,7 @@
     first.note_lost(entry, ["f"])
     second.note_lost(entry, ["f"])
     for _ in range(3):
-        second.take_losses("entry-1", 1, first.describe_losses())
+        second.take_losses("entry-1", 1, first.describe_losses(), now())
         await asyncio.sleep(0.5)
     assert second.register.count_losses("f") == 1
     assert not second.must_run_alone("f")
