Refuse a suspect before its deadline has passed

Cause, from the events of the late requests: r323 was shed by an upstream that came back cold and queued again 0.3 s before its deadline. It had run on a crashed upstream, so it was suspected, and a suspect waits up to 0.5 s for the upstream that all daemons prefer for it, however little of its time is left; it was refused 0.16 s after its deadline.

Change: the wait ends when the request could no longer be answered in time, and the queue then refuses it at once.

--- a/tanagertrail/core/slot_queues.py
+++ b/tanagertrail/core/slot_queues.py
@@ -69,7 +69,7 @@
         request = flight.request
         group = flight.group
         fingerprint = self.suspects.find_fingerprint(request)
-        await self.await_preferred(group, fingerprint)
+        await self.await_preferred(group, fingerprint, request.deadline)
         if self.suspects.judge_fingerprint(fingerprint) is Verdict.QUARANTINED:
             return NotRun(Step.QUEUE, self.context.daemon, QUARANTINE_REASON, 422, None)
         queue = self.queues[group]
@@ -107,24 +107,24 @@
             return NotRun(Step.QUEUE, self.context.daemon, reason, 503, max(wait, 1.0))
         return None if name == REDIRECT else self.limiter.upstreams[name]
 
-    async def await_preferred(self, group: Group, fingerprint: str) -> None:
+    async def await_preferred(self, group: Group, fingerprint: str, deadline: float) -> None:
         """Wait shortly until the upstream that all daemons prefer for a request has a slot here.
 
         A daemon that holds no slots yet is lent those of any upstream first. If it took that one,
         identical requests that come through several daemons at once would spread over upstreams,
         and one that crashes what runs it would cost one upstream for each daemon. A request that
-        is suspected of a crash waits longer.
+        is suspected of a crash waits longer, but never so long that it could not be answered.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
+        latest = deadline - self.rates[group].seconds
         self.limiter.demands[group].waiting += 1
         try:
             while True:
                 suspect = self.suspects.judge_fingerprint(fingerprint) is Verdict.SUSPECT
                 limit = SUSPECT_SECONDS if suspect else PREFER_SECONDS
-                if (
-                    self.holds_preferred(group, fingerprint, suspect)
-                    or loop.time() >= began + limit
+                if self.holds_preferred(group, fingerprint, suspect) or loop.time() >= min(
+                    began + limit, latest
                 ):
                     return
                 self.limiter.ask_urgently(group)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -72,3 +72,23 @@
     results = await running
     assert all(isinstance(outcome, Answered) for outcome, _ in results)
     assert not any(node.suspects.register.quarantined for node in nodes)
+
+
+@with_cluster(daemons=1, replicas=2, slots=1)
+async def test_suspect_is_refused_before_its_deadline_has_passed(cluster):
+    """Scenario full_outage: two suspects were answered 0.16 s after their deadline."""
+    (node,) = cluster.nodes.values()
+    busy = [
+        asyncio.create_task(cluster.ask(cluster.build_request(prompt=name, tokens=200), node))
+        for name in ("first", "second")
+    ]
+    await asyncio.sleep(0.5)
+    request = cluster.build_request(prompt=MARKER, timeout=0.2)
+    fingerprint = node.suspects.find_fingerprint(request)
+    node.suspects.register.crashes[fingerprint] = {("dial-9", 0.0)}
+    outcome, _ = await cluster.ask(request, node)
+    now = asyncio.get_running_loop().time()
+    assert isinstance(outcome, NotRun)
+    assert now <= request.deadline + 0.1
+    for task in busy:
+        task.cancel()
