Count no loss against what an upstream that leaves cuts off; show suspects to operators

A request that was cut as a leaving upstream ended was counted as lost to it when the end had been noticed first. Found on the read of the change; the test for it fails before. tanagertrail beliefs shows how many requests are suspected and quarantined.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -100,13 +100,13 @@
             exchange.upstream = entry.record.id
             exchange.sent_at = self.now()
             self.chooser.note_start(exchange, entry)
-            entry.isolated += alone
+            entry.isolated += int(alone)
             try:
                 tried = await self.sender.try_once(
                     exchange, entry, self.limit_patience(exchange, entry)
                 )
             finally:
-                entry.isolated -= alone
+                entry.isolated -= int(alone)
             exchange.tried.append(tried)
             self.trials.note_result(exchange, entry.record.version, tried)
             if self.metrics is not None:
--- a/tanagertrail/gateway/endings.py
+++ b/tanagertrail/gateway/endings.py
@@ -94,18 +94,17 @@
             channel.close()
 
     def note_ended(self, entry: "UpstreamEntry", reason: str) -> None:
-        """Note that an upstream has ended; one that said that it leaves takes nobody with it."""
+        """Note that an upstream has ended."""
         if entry.ended_at is None:
             entry.ended_at = self.now()
-        if not entry.record.draining:
-            self.report_lost(entry, reason)
+        self.report_lost(entry, reason)
 
     def report_lost(self, entry: "UpstreamEntry", reason: str) -> None:
-        """Report what an ended upstream has left unanswered."""
+        """Report what an ended upstream has left unanswered, unless it had said that it leaves."""
         oldest = self.now() - PROOF_SECONDS
         lost = sorted({item.fingerprint for item in entry.unanswered if item.broken_at >= oldest})
         entry.unanswered = []
-        if not lost:
+        if not lost or entry.record.draining:
             return
         self.log.write(
             "upstream_ended",
--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -112,6 +112,9 @@
     yield f"holds the duties with number {fencing:.0f}" if fencing else "holds no duties"
     out = ", ".join(report.domains_out)
     yield f"failure domains that get no work: {out or 'none'}"
+    suspected = values.get("requests_suspected", 0)
+    quarantined = values.get("requests_quarantined", 0)
+    yield f"{suspected:.0f} requests suspected to end upstreams, {quarantined:.0f} quarantined"
     for row in report.upstreams:
         yield (
             f"upstream {row.upstream} of {row.service}: {row.in_flight:.0f} here, "
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -18,6 +18,8 @@
 tanagertrail_state{name="members_alive"} 8.0
 tanagertrail_state{name="fencing",otel_scope_name="tanagertrail.gateway",service="",upstream=""} 2.0
 tanagertrail_state{failure_domain="north",name="domain_out"} 1.0
+tanagertrail_state{name="requests_suspected"} 4.0
+tanagertrail_state{name="requests_quarantined"} 1.0
 tanagertrail_state{name="upstream_in_flight",service="desk",upstream="up-a"} 1.0
 tanagertrail_state{name="upstream_running",service="desk",upstream="up-a"} 5.0
 tanagertrail_state{name="upstream_faults",service="desk",upstream="up-a"} 0.5
@@ -33,6 +35,7 @@
     assert "configuration 7, known to be the newest 0.25 s ago" in lines
     assert "holds the duties with number 2" in lines
     assert "failure domains that get no work: north" in lines
+    assert "4 requests suspected to end upstreams, 1 quarantined" in lines
     assert "upstream up-a of desk: 1 here, 5 in all, 50% failed" in lines
 
 
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -175,7 +175,9 @@
     table.remove("alive")
     table.put(build_record("restarted", born=7.0), 0.0)
     table.put(build_record("leaving", draining=True), 0.0)
+    leaving = table.entries["leaving"]
     table.remove("leaving")
+    watch.finish(leaving, watch.begin("cut as it left"), answered=False)
     table.remove("removed")
     assert lost == [
         ("restarted", ["request at restarted"]),
