Test that quarantines that are over leave the store

The clean-up of the store's quarantines was built without a test. One that is over and one that cannot be read are removed, one that lasts stays and holds.

--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -2,13 +2,14 @@
 
 import asyncio
 
+from tanagertrail.gateway.clock import read_wall_time
 from tanagertrail.gateway.endings import EndingWatch
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND
 from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
-from tanagertrail.policy.poison import Verdict
+from tanagertrail.policy.poison import MEMORY_SECONDS, Verdict
 from tanagertrail.standins.documents import BOUNDS
 from tests.gateway_utils import open_fleet, real_time
 from tests.utils import virtual
@@ -197,3 +198,21 @@
         await asyncio.sleep(0.5)
     assert second.register.count_losses("f") == 1
     assert not second.must_run_alone("f")
+
+
+@real_time
+async def test_quarantines_that_are_over_are_removed_from_the_store():
+    async with open_fleet() as fleet:
+        now = read_wall_time()
+        for name, at in (
+            ("over", now - MEMORY_SECONDS - 1.0),
+            ("lasting", now),
+            ("unreadable", ""),
+        ):
+            fleet.store.put(QUARANTINE_KIND, name, {"daemon": "entry-1", "at": at})
+        mirror = fleet.node.mirrors[QUARANTINE_KIND]
+        await fleet.await_true(lambda: len(mirror.objects) == 3)
+        await fleet.node.quarantine.remove_old()
+        assert list(fleet.store.objects[QUARANTINE_KIND]) == ["lasting"]
+        await fleet.await_true(lambda: list(mirror.objects) == ["lasting"])
+        assert list(fleet.node.suspects.register.quarantined) == ["lasting"]
