--- a/tanagertrail/gateway/endings.py
+++ b/tanagertrail/gateway/endings.py
@@ -1,6 +1,6 @@
 """Upstreams that end, and the requests that were there and got no answer."""
 
-__all__ = ["EndingWatch", "OpenTry"]
+__all__ = ["EndingWatch", "UnansweredTry"]
 
 import asyncio
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 LOGGED_REQUESTS = 10  # of an ended upstream that are named in its line
 
 
-class OpenTry:
+class UnansweredTry:
     """A request that was sent to an upstream and that it has not answered.
 
     :ivar sent_at: event-loop time in seconds
@@ -48,11 +48,11 @@
         """Return the event-loop time in seconds."""
         return asyncio.get_running_loop().time()
 
-    def begin(self, fingerprint: str) -> OpenTry:
+    def begin(self, fingerprint: str) -> UnansweredTry:
         """Note that a request is sent."""
-        return OpenTry(fingerprint, self.now())
+        return UnansweredTry(fingerprint, self.now())
 
-    def finish(self, entry: "UpstreamEntry", item: OpenTry, answered: bool) -> None:
+    def finish(self, entry: "UpstreamEntry", item: UnansweredTry, answered: bool) -> None:
         """Note how a try ended."""
         if answered:
             entry.unanswered = [
@@ -71,7 +71,7 @@
     async def examine(self, entry: "UpstreamEntry") -> None:
         """Find out whether an upstream that broke off still takes connections."""
         if entry.examination is None:
-            entry.examination = asyncio.create_task(self.knock(entry))
+            entry.examination = asyncio.create_task(self.try_connection(entry))
             entry.examination.add_done_callback(lambda _: self.end_examination(entry))
         await asyncio.shield(entry.examination)
 
@@ -79,8 +79,8 @@
         """Let the next break be examined anew."""
         entry.examination = None
 
-    async def knock(self, entry: "UpstreamEntry") -> None:
-        """Open a connection and close it."""
+    async def try_connection(self, entry: "UpstreamEntry") -> None:
+        """Open a connection and close it; a refusal shows that the upstream has ended."""
         host, _, port = entry.record.address.rpartition(":")
         try:
             channel = await open_channel(host, int(port), EXAMINE_SECONDS)
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -1,21 +1,25 @@
 """Which daemons there are and which of them serve."""
 
-__all__ = ["Member", "MemberHandler", "MemberTable"]
+__all__ = ["Member", "MemberHandler", "MemberTable", "describe_self", "register_member"]
 
+import asyncio
+import random
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from tanagertrail.daemons.reports import LifeSign, OriginState
+from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.mirror import BaseKindHandler, Departure
 from tanagertrail.gateway.model import GatewaySettings
-from tanagertrail.platform.store import StoredObject
+from tanagertrail.platform.store import StoreClient, StoredObject
 from tanagertrail.policy.hubs import ALL_HUBS, measure_strength
 
 MEMBERS_KIND = "tanagertrail-daemons"
 ALIVE_SECONDS = 2.5  # five states missed where each daemon hears each
 RELAYED_ALIVE_SECONDS = 4.5  # where states pass two hubs
 FORGET_SECONDS = 20.0
+REGISTER_PAUSE_SECONDS = (0.3, 0.8)  # after a failed try; many daemons start at one moment
 
 
 class Member(NamedTuple):
@@ -149,6 +153,32 @@
     )
 
 
+async def register_member(
+    store: StoreClient, own: Member, log: EventLog, rng: random.Random
+) -> None:
+    """Register a daemon in the store, however often it takes."""
+    while True:
+        try:
+            await put_registration(store, own)
+            return
+        except PlatformError as error:
+            log.write("registration_failed", error=str(error)[:200])
+            await asyncio.sleep(rng.uniform(*REGISTER_PAUSE_SECONDS))
+
+
+async def put_registration(store: StoreClient, own: Member) -> None:
+    """Create or replace a daemon's registration.
+
+    :raises PlatformError: if it failed or its answer was lost
+    """
+    try:
+        await store.create(MEMBERS_KIND, own.daemon, own.encode())
+    except ConflictError:
+        found = await store.read(MEMBERS_KIND, own.daemon)
+        revision = found.revision if found else 0
+        await store.replace(MEMBERS_KIND, own.daemon, own.encode(), revision)
+
+
 class MemberHandler(BaseKindHandler):
     """Follow the daemons that registered in the store."""
 
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -7,7 +7,6 @@
 import random
 
 from tanagertrail.daemons.reports import OriginState, Sums
-from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.beliefs import Beliefs
 from tanagertrail.gateway.clock import read_boot_time, read_wall_time
 from tanagertrail.gateway.dispatch import Dispatcher
@@ -29,17 +28,14 @@
     MemberHandler,
     MemberTable,
     describe_self,
+    register_member,
 )
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import GatewaySettings, Limits
 from tanagertrail.gateway.peers import PeerLinks, PeerServer
 from tanagertrail.gateway.pools import ConnectionPools
-from tanagertrail.gateway.quarantine import (
-    QUARANTINE_KIND,
-    QuarantineHandler,
-    QuarantineKeeper,
-)
+from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler, QuarantineKeeper
 from tanagertrail.gateway.sending import UpstreamSender
 from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.gateway.usage import UsageCounter
@@ -57,9 +53,7 @@
 DRAIN_PATIENCE = 0.68  # of the bound on an upstream that leaves
 ORDER_PATIENCE = 0.78  # of the bound on a failure domain that is emptied
 LONGEST_WAIT_SECONDS = 2.0
-MEMBER_PACE = WatchPace(8.0, 12.0)
-QUARANTINE_PACE = WatchPace(8.0, 12.0)
-QUARANTINE_SWEEP_SECONDS = 60.0
+RARE_PACE = WatchPace(8.0, 12.0)  # of kinds whose changes are not urgent
 DIRECT_SPREAD_SECONDS = 1.0  # two exchanges of daemons that all hear each other
 RELAYED_SPREAD_SECONDS = 1.75  # two exchanges by way of hubs
 ANSWER_LIFETIME_SECONDS = 1.0
@@ -165,15 +159,15 @@
         self.watch(UPSTREAMS, UpstreamHandler(self.beliefs, self.log), upstream_pace)
         self.watch(EVACUATIONS, EvacuationHandler(self.beliefs, self.log), order_pace)
         self.watch(ROLLOUTS, RolloutHandler(self.beliefs, self.log), order_pace)
-        self.watch(MEMBERS_KIND, MemberHandler(self.members, self.loop.time), MEMBER_PACE)
-        self.watch(QUARANTINE_KIND, QuarantineHandler(self.suspects), QUARANTINE_PACE)
+        self.watch(MEMBERS_KIND, MemberHandler(self.members, self.loop.time), RARE_PACE)
+        self.watch(QUARANTINE_KIND, QuarantineHandler(self.suspects), RARE_PACE)
         self.quarantine = QuarantineKeeper(
             self.store, self.mirrors[QUARANTINE_KIND], self.settings.name, self.log, self.rng
         )
         self.suspects.on_loss = self.links.tell_all
         self.suspects.on_quarantine = self.quarantine.start_storing
-        self.spawn(self.remove_old_quarantines())
-        self.spawn(self.register())
+        self.spawn(self.quarantine.run(lambda: self.leadership.fencing > 0))
+        self.spawn(register_member(self.store, self.own, self.log, self.rng))
         self.spawn(self.links.run())
         self.spawn(self.sweep())
         self.spawn(self.leadership.run())
@@ -271,28 +265,6 @@
             self.log.write("defect", error=repr(task.exception()), where=task.get_name())
             raise task.exception()
 
-    async def register(self) -> None:
-        """Register this daemon in the store."""
-        while True:
-            try:
-                await self.put_registration()
-                return
-            except PlatformError as error:
-                self.log.write("registration_failed", error=str(error)[:200])
-                await asyncio.sleep(self.rng.uniform(0.3, 0.8))
-
-    async def put_registration(self) -> None:
-        """Create or replace the registration.
-
-        :raises PlatformError: if it failed or its answer was lost
-        """
-        try:
-            await self.store.create(MEMBERS_KIND, self.own.daemon, self.own.encode())
-        except ConflictError:
-            found = await self.store.read(MEMBERS_KIND, self.own.daemon)
-            revision = found.revision if found else 0
-            await self.store.replace(MEMBERS_KIND, self.own.daemon, self.own.encode(), revision)
-
     async def sweep(self) -> None:
         """Close connections that are no longer needed."""
         while True:
@@ -304,16 +276,6 @@
             alive = [state.member.daemon for state in self.members.iter_alive(self.loop.time())]
             self.beliefs.upstreams.forget_flights(alive)
 
-    async def remove_old_quarantines(self) -> None:
-        """Remove quarantines that are over while this daemon holds the duties."""
-        while True:
-            await asyncio.sleep(QUARANTINE_SWEEP_SECONDS)
-            if self.leadership.fencing:
-                try:
-                    await self.quarantine.remove_old()
-                except PlatformError as error:
-                    self.log.write("duty_failed", error=str(error)[:200])
-
     @property
     def ready(self) -> bool:
         """Whether callers' requests are served."""
--- a/tanagertrail/gateway/quarantine.py
+++ b/tanagertrail/gateway/quarantine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.clock import read_wall_time
@@ -16,7 +17,8 @@
 QUARANTINE_KIND = "tanagertrail-quarantine"
 SPREAD_SECONDS = 0.1  # daemons find the same at one moment; one of them is to write it
 RETRY_SECONDS = 0.5
-MOST_WRITES = 20  # tries to store one quarantine, the other daemons have been told besides
+SWEEP_SECONDS = 60.0
+MOST_TRIES = 20  # to store one quarantine; the other daemons have counted the same losses
 
 
 class QuarantineHandler(BaseKindHandler):
@@ -63,15 +65,15 @@
 
     def start_storing(self, fingerprint: str) -> None:
         """Store a quarantine soon, unless another daemon does."""
-        task = asyncio.create_task(self.put(fingerprint))
+        task = asyncio.create_task(self.store_quarantine(fingerprint))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def put(self, fingerprint: str) -> None:
+    async def store_quarantine(self, fingerprint: str) -> None:
         """Store a quarantine unless it is stored already."""
         await asyncio.sleep(self.rng.uniform(0.0, SPREAD_SECONDS))
         content = {"daemon": self.daemon, "at": read_wall_time()}
-        for _ in range(MOST_WRITES):
+        for _ in range(MOST_TRIES):
             if fingerprint in self.mirror.objects:
                 return
             try:
@@ -83,6 +85,20 @@
                 self.log.write_routine("quarantine_not_stored", error=str(error)[:120])
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def run(self, is_leading: Callable[[], bool]) -> None:
+        """Remove quarantines that are over until cancelled.
+
+        :param is_leading: whether this daemon holds the duties
+        """
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            if not is_leading():
+                continue
+            try:
+                await self.remove_old()
+            except PlatformError as error:
+                self.log.write("duty_failed", error=str(error)[:200])
+
     async def remove_old(self) -> None:
         """Remove the quarantines that are over.
 
--- a/tanagertrail/gateway/sending.py
+++ b/tanagertrail/gateway/sending.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
-from tanagertrail.gateway.endings import EndingWatch, OpenTry
+from tanagertrail.gateway.endings import EndingWatch, UnansweredTry
 from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
 from tanagertrail.gateway.http1 import AnswerHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
@@ -61,7 +61,7 @@
         """
         entry.in_flight += 1
         stream = None
-        item: OpenTry | None = None
+        item: UnansweredTry | None = None
         answered = False
         try:
             stream = await self.connect(exchange, entry)
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Collection, Iterator
 
-from tanagertrail.gateway.endings import OpenTry
+from tanagertrail.gateway.endings import UnansweredTry
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.policy.cold_rate import ColdAllowance
 
@@ -42,7 +42,7 @@
         self.strikes = 0
         self.fault_share = 0.0
         self.gone = False
-        self.unanswered: list[OpenTry] = []
+        self.unanswered: list[UnansweredTry] = []
         self.ended_at: float | None = None
         self.examination: asyncio.Task | None = None
         self.isolated = 0
