Start a soak's daemon once when two of its stops overlap

Cause, from plan and logs: the plan stops entry-2 at 9.4 s and again at 12.9 s, while the first stop still waits. Both then found that no process ran, and both started one; the second found its port taken ('address already in use'), and the soak lost the first from sight. The fault is the soak's, not the gateway's. A lock now joins the question and the start. The new test fails before and passes now.

--- a/tanagertrail/soak/processes.py
+++ b/tanagertrail/soak/processes.py
@@ -30,6 +30,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.starts: list[float] = []
         self.frozen = False
+        self.starting = asyncio.Lock()
 
     async def start(self) -> None:
         """Start the process."""
@@ -83,10 +84,11 @@
             await self.process.wait()
 
     async def restart(self, delay: float = RESTART_SECONDS) -> None:
-        """Start the process again after a delay, unless it runs."""
+        """Start the process again after a delay, unless it runs or another fault starts it."""
         await asyncio.sleep(delay)
-        if not self.running:
-            await self.start()
+        async with self.starting:
+            if not self.running:
+                await self.start()
 
     def tell_exit(self) -> int | None:
         """Return the status with which the process ended, None while it runs."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,17 @@
 """The fault soak: its plans, its proxy, its checks, and a short run."""
 
 import asyncio
+import tempfile
+from pathlib import Path
+from types import SimpleNamespace
 
 from tanagertrail.soak.callers import Call
 from tanagertrail.soak.checks import CHECKS, Evidence, Removal, RunSeen, build_events, find_broken
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
+from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.program import run_seed
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
-from tanagertrail.standins.documents import CUSTOMERS
+from tanagertrail.standins.documents import CUSTOMERS, DaemonPorts
 from tanagertrail.standins.ports import HOST, find_port
 from tests.gateway_utils import real_time
 
@@ -179,3 +183,27 @@
     for seed in REGRESSION_SEEDS:
         result = asyncio.run(run_seed(seed, seconds=12.0, daemons=3, upstreams=4, callers=6))
         assert result.broken == [], seed
+
+
+class SlowStart(DaemonProcess):
+    """A daemon whose start takes a moment, and which starts nothing."""
+
+    count = 0
+
+    async def start(self):
+        self.count += 1
+        await asyncio.sleep(0.01)
+        self.process = SimpleNamespace(returncode=None)
+
+
+def test_two_stops_that_overlap_start_a_daemon_once():
+    """Seed 445: both started it, one of the two found its ports taken, the other was left alive."""
+
+    async def work(folder):
+        daemon = SlowStart("entry-1", DaemonPorts(1, 2, 3, 4), "", Path(folder))
+        await asyncio.gather(daemon.restart(0.0), daemon.restart(0.0))
+        daemon.log.close()
+        return daemon.count
+
+    with tempfile.TemporaryDirectory() as folder:
+        assert asyncio.run(work(folder)) == 1
