Ask an order itself whether its move was completed

The last read found the same question written twice, in the duties and in the book of trials. It is now a property of the order beside 'ended'.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -229,11 +229,7 @@
     def is_on_trial(self, entry: UpstreamEntry) -> bool:
         """Say whether an upstream has a version that its service is not moved to yet."""
         order = self.beliefs.rollouts.get(entry.record.service)
-        return (
-            order is not None
-            and entry.record.version == order.version
-            and not (order.ended and order.state == MoveState.COMPLETED)
-        )
+        return order is not None and entry.record.version == order.version and not order.completed
 
     def list_dry(self, service: str) -> frozenset[str]:
         """Return the failure domains in which no reclaimable upstreams were to be had lately."""
--- a/tanagertrail/gateway/model.py
+++ b/tanagertrail/gateway/model.py
@@ -220,6 +220,11 @@
         ends = (MoveState.COMPLETED, MoveState.ROLLED_BACK)
         return self.reported_version == self.version and self.state in ends
 
+    @property
+    def completed(self) -> bool:
+        """Say whether the service was moved to the version."""
+        return self.ended and self.state == MoveState.COMPLETED
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt that other requests may share."""
--- a/tanagertrail/gateway/trials.py
+++ b/tanagertrail/gateway/trials.py
@@ -7,7 +7,7 @@
 from tanagertrail.gateway.beliefs import Beliefs
 from tanagertrail.gateway.exchange import Exchange, Tried, TryResult
 from tanagertrail.gateway.model import RolloutOrder
-from tanagertrail.policy.canary import CanaryBudget, MoveState, TrialCounts, VersionUse
+from tanagertrail.policy.canary import CanaryBudget, TrialCounts, VersionUse
 from tanagertrail.policy.evidence import Evidence, OldVersion, VersionTrial
 
 BAD_RESULTS = frozenset({TryResult.FAILED, TryResult.BROKEN, TryResult.TIMED_OUT})
@@ -76,16 +76,12 @@
         if trial is None:
             return VersionUse.ALLOWED
         order = trial.order
-        if self.is_completed(order):
+        if order.completed:
             return VersionUse.ALLOWED if version == order.version else VersionUse.FORBIDDEN
         if version != order.version:
             return VersionUse.ALLOWED
         return VersionUse.FORBIDDEN if order.ended else VersionUse.BUDGETED
 
-    def is_completed(self, order: RolloutOrder) -> bool:
-        """Say whether a service was moved to the version of an order."""
-        return order.ended and order.state == MoveState.COMPLETED
-
     def may_expose(self, service: str, daemons: int) -> bool:
         """Say whether the next request may go to the version that is not proved."""
         trial = self.find(service)
@@ -112,7 +108,7 @@
             return
         trial = self.find(exchange.service)
         baseline = self.find_baseline(exchange.service, evidence.route)
-        if trial is None or version != trial.order.version or self.is_completed(trial.order):
+        if trial is None or version != trial.order.version or trial.order.completed:
             baseline.add(evidence)
             if trial is not None:
                 old = TrialCounts(old=1, old_bad=int(evidence.failed))
