Start a daemon without a web server, an exporter or operators' validation

Callers saw two seconds without service after each restart on half a core. Cause: the import of the gateway's program took 0.85 s of processor time, of which CherryPy 86 ms, OpenTelemetry's SDK 58 ms, the old daemon's settings and models 110 ms, validators that are built twice 37 ms; none of them is needed to serve the first caller.

Pages are answered by the event loop with the callers' own parser (three servers of fifteen threads go), metrics are plain counters that prometheus_client turns into text when they are first asked for, settings are read without the daemon's sections, validators are built when first used.

--- a/tanagertrail/daemon.py
+++ b/tanagertrail/daemon.py
@@ -25,8 +25,7 @@
     PlatformClient,
 )
 from tanagertrail.operators.app import OperatorsApp
-from tanagertrail.settings import DaemonSettings
-from tanagertrail.settings.schema import TlsFields
+from tanagertrail.settings.daemon import DaemonSettings, TlsFields
 from tanagertrail.tls import KeyFiles, ReloadingContext, build_peer_contexts
 from tanagertrail.upstreams.http import HttpUpstreamClient
 from tanagertrail.webserver import RootProxy, ServerSettings, WebServer
--- a/tanagertrail/embedded.py
+++ b/tanagertrail/embedded.py
@@ -16,7 +16,8 @@
 from tanagertrail.objectapi.instances import Instance
 from tanagertrail.objectapi.server import MemoryPlatform
 from tanagertrail.policy.tickets import Ticket, serialize_ticket
-from tanagertrail.settings import parse_settings
+from tanagertrail.settings.daemon import DaemonSettings
+from tanagertrail.settings.reading import parse_settings
 from tanagertrail.timeline.merge import format_event
 from tanagertrail.upstreams.engine import EngineSettings, ToyEngine
 from tanagertrail.upstreams.http import HttpUpstreamClient
@@ -70,7 +71,7 @@
 
     async def start(self) -> None:
         """Start the daemon."""
-        self.daemon = Daemon(parse_settings(self.settings), self.build_parts)
+        self.daemon = Daemon(parse_settings(self.settings, DaemonSettings), self.build_parts)
         self.platform.instances.set_instance(Instance("entry-1", DOMAINS[0]))
         await self.daemon.start()
         record = self.daemon.node.members.records["entry-1"]
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -110,8 +110,7 @@
             exchange.tried.append(tried)
             self.trials.note_result(exchange, entry.record.version, tried)
             if self.metrics is not None:
-                labels = {"service": exchange.service, "result": tried.result.value}
-                self.metrics.tries.add(1, labels)
+                self.metrics.tries[exchange.service, tried.result.value] += 1
             if tried.result is TryResult.DELIVERED:
                 self.log_end(exchange, "answered")
                 return
@@ -205,7 +204,7 @@
     def send_refusal(self, stream: CallerStream, refusal: Refusal) -> None:
         """Send an answer of the gateway's own."""
         if self.metrics is not None:
-            self.metrics.refusals.add(1, {"status": str(refusal.status)})
+            self.metrics.refusals[str(refusal.status)] += 1
         headers = [(b"content-type", b"text/plain")]
         if refusal.retry_after is not None:
             headers.append((b"retry-after", f"{refusal.retry_after:.2f}".encode()))
@@ -242,11 +241,9 @@
         """Count and time a request that has ended."""
         if self.metrics is None:
             return
-        labels = {"route": exchange.route.name}
-        self.metrics.requests.add(1, {**labels, "outcome": outcome})
-        self.metrics.duration.record(now - exchange.arrived, labels)
-        if exchange.first_byte_at is not None:
-            self.metrics.first_byte.record(exchange.first_byte_at - exchange.arrived, labels)
+        first = exchange.first_byte_at
+        first_byte = None if first is None else first - exchange.arrived
+        self.metrics.note_end(exchange.route.name, outcome, now - exchange.arrived, first_byte)
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -14,7 +14,7 @@
 
 
 def list_gauges(node: "GatewayNode") -> Iterator[GaugeRow]:
-    """Yield the state of the daemon; called from threads of the page."""
+    """Yield the state of the daemon; called from a thread of the page."""
     config = node.beliefs.config
     yield GaugeRow("config_version", config.version if config else 0, {})
     yield GaugeRow("config_age_s", min(node.beliefs.proof_age, LONGEST_AGE_SECONDS), {})
--- a/tanagertrail/gateway/metrics.py
+++ b/tanagertrail/gateway/metrics.py
@@ -1,16 +1,12 @@
-"""Counters and latency histograms of a gateway, in the Prometheus text format."""
+"""Counters and latency histograms of a gateway."""
 
-__all__ = ["GatewayMetrics"]
+__all__ = ["GatewayMetrics", "GaugeRow", "LatencyHistogram"]
 
+from bisect import bisect_left
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import REGISTRY, generate_latest
-
 LATENCY_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 10.0)
 
 
@@ -22,48 +18,45 @@
     labels: dict[str, str]
 
 
+class LatencyHistogram:
+    """Times by the first bound that they do not pass, the last entry for those beyond all."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(LATENCY_BOUNDS_SECONDS) + 1)
+        self.seconds = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count a time."""
+        self.counts[bisect_left(LATENCY_BOUNDS_SECONDS, seconds)] += 1
+        self.seconds += seconds
+
+
 class GatewayMetrics:
-    """Count and time the gateway's work."""
+    """Count and time the gateway's work.
+
+    Plain counters, which `tanagertrail.gateway.exporter` turns into text when it is asked for.
+
+    :ivar requests: by (route, outcome)
+    :ivar refusals: the gateway's own, by status
+    :ivar tries: at upstreams, by (service, result)
+    :ivar first_byte: times to the first byte of an answer, by route
+    :ivar duration: times to the end of an answer, by route
+    """
 
     def __init__(self, list_gauges: Callable[[], Iterable[GaugeRow]]) -> None:
         self.list_gauges = list_gauges
-        resource = Resource.create({"service.name": "tanagertrail-gateway"})
-        self.provider = MeterProvider(metric_readers=[PrometheusMetricReader()], resource=resource)
-        meter = self.provider.get_meter("tanagertrail.gateway")
-        self.requests = meter.create_counter(
-            "tanagertrail_requests", description="Requests by route and outcome"
-        )
-        self.refusals = meter.create_counter(
-            "tanagertrail_refusals", description="Refusals of the gateway's own by status"
-        )
-        self.tries = meter.create_counter(
-            "tanagertrail_tries", description="Tries at upstreams by service and result"
-        )
-        self.first_byte = meter.create_histogram(
-            "tanagertrail_first_byte",
-            "s",
-            "Time to the first byte of an answer",
-            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_SECONDS,
-        )
-        self.duration = meter.create_histogram(
-            "tanagertrail_duration",
-            "s",
-            "Time to the end of an answer",
-            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_SECONDS,
-        )
-        meter.create_observable_gauge(
-            "tanagertrail_state", [self.observe], description="State of the daemon by name"
-        )
-
-    def observe(self, options: CallbackOptions) -> Iterable[Observation]:
-        """Observe the gauges."""
-        for row in self.list_gauges():
-            yield Observation(row.value, {"name": row.name, **row.labels})
-
-    def render(self) -> bytes:
-        """Return all metrics as text."""
-        return generate_latest(REGISTRY)
-
-    def close(self) -> None:
-        """Stop observing."""
-        self.provider.shutdown()
+        self.requests: Counter[tuple[str, str]] = Counter()
+        self.refusals: Counter[str] = Counter()
+        self.tries: Counter[tuple[str, str]] = Counter()
+        self.first_byte: dict[str, LatencyHistogram] = {}
+        self.duration: dict[str, LatencyHistogram] = {}
+
+    def note_end(self, route: str, outcome: str, seconds: float, first_byte: float | None) -> None:
+        """Count and time a request that has ended.
+
+        :param first_byte: seconds to the first byte of its answer, None if there was none
+        """
+        self.requests[route, outcome] += 1
+        self.duration.setdefault(route, LatencyHistogram()).observe(seconds)
+        if first_byte is not None:
+            self.first_byte.setdefault(route, LatencyHistogram()).observe(first_byte)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -33,6 +33,7 @@
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import GatewaySettings, Limits
+from tanagertrail.gateway.page_server import PageServer
 from tanagertrail.gateway.peers import PeerLinks, PeerServer
 from tanagertrail.gateway.pools import ConnectionPools
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler, QuarantineKeeper
@@ -41,13 +42,12 @@
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
 from tanagertrail.platform.cloud import CloudClient
-from tanagertrail.platform.pages import DirectoryPage, MetricsPage, ReadyPage
+from tanagertrail.platform.pages import DirectoryPage, MetricsPage, Page, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
 from tanagertrail.platform.store import StoreClient
 from tanagertrail.policy.canary import TrialCounts
 from tanagertrail.policy.token_quota import QuotaLedger, QuotaNews
 from tanagertrail.settings.gateway import GatewayTuning
-from tanagertrail.webserver import ServerSettings, WebServer
 
 CONFIG_PATIENCE = 0.68  # of the bound on a new configuration
 DRAIN_PATIENCE = 0.68  # of the bound on an upstream that leaves
@@ -60,7 +60,6 @@
 SWEEP_SECONDS = 1.0
 LEAVE_QUIET_SECONDS = 3.5  # callers keep an address answer three times its lifetime
 STOP_MARGIN_SECONDS = 0.6
-PAGE_THREADS = 4
 LEADER_SILENT_SECONDS = 1.5  # of a lease of 3 s, which is waited for before a claim
 LEADER_LOST_SECONDS = 4.0  # after which others than the first candidates claim the lease
 LEASE_CANDIDATES = 3
@@ -125,7 +124,7 @@
         self.leadership.may_follow = self.may_follow_lease
         self.leadership.may_hold = lambda: self.gathering.topology.is_hub
         self.started_at = self.loop.time()
-        self.pages: list[WebServer] = []
+        self.pages: list[PageServer] = []
         self.tasks: list[asyncio.Task] = []
         self.counter = 0
         self.quarantine: QuarantineKeeper | None = None
@@ -145,12 +144,14 @@
         await self.peer_server.start(self.settings.host, self.settings.internal[0])
         host, _, port = self.settings.front.rpartition(":")
         await self.front.start(host, int(port))
-        self.serve_page(self.settings.ready, ReadyPage(lambda: self.ready))
+        await self.serve_page(self.settings.ready, ReadyPage(lambda: self.ready))
         if self.settings.directory:
             lifetime = min(ANSWER_LIFETIME_SECONDS, self.settings.bounds.answer_lifetime)
-            self.serve_page(self.settings.directory, DirectoryPage(self.list_fronts, lifetime))
+            await self.serve_page(
+                self.settings.directory, DirectoryPage(self.list_fronts, lifetime)
+            )
         if self.tuning.metrics.port:
-            self.serve_metrics()
+            await self.serve_metrics()
         bounds = self.settings.bounds
         config_pace = WatchPace(LONGEST_WAIT_SECONDS, CONFIG_PATIENCE * bounds.config_apply)
         upstream_pace = WatchPace(LONGEST_WAIT_SECONDS, DRAIN_PATIENCE * bounds.drain)
@@ -215,18 +216,18 @@
         hosts = (seed.rpartition(":")[0] for seed in self.settings.seeds)
         return tuple(f"{host}:{port}" for host in hosts)
 
-    def serve_page(self, address: str, page: object) -> None:
-        """Serve a page from threads."""
+    async def serve_page(self, address: str, page: Page) -> None:
+        """Serve a page."""
         host, _, port = address.rpartition(":")
-        server = WebServer(ServerSettings(host, int(port), PAGE_THREADS), page)
-        server.start()
+        server = PageServer(page, self.log)
+        await server.start(host, int(port))
         self.pages.append(server)
 
-    def serve_metrics(self) -> None:
+    async def serve_metrics(self) -> None:
         """Serve the metrics."""
         metrics = self.dispatcher.metrics = GatewayMetrics(lambda: list_gauges(self))
         address = f"{self.settings.host}:{self.tuning.metrics.port}"
-        self.serve_page(address, MetricsPage(metrics.render))
+        await self.serve_page(address, MetricsPage(lambda: render_text(metrics)))
 
     def watch(self, kind: str, handler: BaseKindHandler, pace: WatchPace) -> None:
         """Follow a kind of stored objects."""
@@ -282,7 +283,7 @@
         return self.beliefs.complete and not self.leaving
 
     def list_fronts(self, failure_domain: str) -> list[str]:
-        """Return the addresses for a caller; called from threads of the page."""
+        """Return the addresses for a caller."""
         now = self.loop.time()
         fronts = [member.front for member in self.members.list_fronts(now)]
         if self.ready:
@@ -394,4 +395,12 @@
         self.pools.close()
         self.store.close()
         for page in self.pages:
-            page.stop()
+            page.close()
+
+
+def render_text(metrics: GatewayMetrics) -> bytes:
+    """Return the metrics as text."""
+    # Imported here since most daemons are never asked for metrics.
+    from tanagertrail.gateway.exporter import render_metrics
+
+    return render_metrics(metrics)
--- /dev/null
+++ b/tanagertrail/gateway/page_server.py
@@ -0,0 +1,38 @@
+"""Pages for the platform and its clients, served from the event loop."""
+
+__all__ = ["PageServer"]
+
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
+from tanagertrail.gateway.http1 import CallerRequest, CallerStream
+from tanagertrail.platform.pages import Page
+
+
+class PageServer:
+    """Serve one page at an address.
+
+    Threads of a web server would take turns with the event loop that carries callers' answers, and
+    cost each start the import of the server.
+    """
+
+    def __init__(self, page: Page, log: EventLog) -> None:
+        self.page = page
+        self.front = FrontServer(self.handle, lambda: DEFAULT_LIMITS, log)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        :raises OSError: if the port is taken
+        """
+        await self.front.start(host, port)
+
+    async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Answer a request for the page."""
+        _, _, query = request.target.partition(b"?")
+        answer = await self.page.answer(request.path, query.decode("latin-1"))
+        headers = [(b"content-type", answer.content_type)]
+        stream.send_whole(answer.status, headers, answer.body)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.front.close()
--- a/tanagertrail/gateway/program.py
+++ b/tanagertrail/gateway/program.py
@@ -12,8 +12,8 @@
 from tanagertrail.gateway.eventlog import LineWriter
 from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.platform.settings import SETTINGS_VARIABLE, read_settings_file
-from tanagertrail.settings import read_settings
 from tanagertrail.settings.gateway import GatewayTuning
+from tanagertrail.settings.reading import read_settings
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
--- a/tanagertrail/operators/actions.py
+++ b/tanagertrail/operators/actions.py
@@ -22,7 +22,8 @@
 from tanagertrail.errors import TicketError, Violation
 from tanagertrail.operators.client import OperatorClient, OperatorError
 from tanagertrail.policy.tickets import parse_ticket, serialize_ticket
-from tanagertrail.settings import DaemonSettings, read_settings
+from tanagertrail.settings.daemon import DaemonSettings
+from tanagertrail.settings.reading import read_settings
 from tanagertrail.timeline.events import Event
 from tanagertrail.timeline.merge import merge_events
 
@@ -174,4 +175,4 @@
 
     :raises SettingsError: naming every violation
     """
-    return read_settings(path)
+    return read_settings(path, DaemonSettings)
--- a/tanagertrail/platform/records.py
+++ b/tanagertrail/platform/records.py
@@ -43,7 +43,7 @@
 class Document(BaseModel):
     """Base of the platform's documents, whose unknown fields are ignored."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", defer_build=True)
 
 
 class UpstreamDocument(Document):
@@ -52,7 +52,7 @@
     ``capacity`` is the number of requests at once; ``sequence`` counts orders and is not used.
     """
 
-    model_config = ConfigDict(extra="ignore", strict=True)
+    model_config = ConfigDict(extra="ignore", strict=True, defer_build=True)
 
     service: str = Field(min_length=1)
     address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
--- a/tanagertrail/program.py
+++ b/tanagertrail/program.py
@@ -11,7 +11,8 @@
 from tanagertrail.daemon import run_daemon
 from tanagertrail.embedded import run_embedded
 from tanagertrail.errors import PlatformError, SettingsError
-from tanagertrail.settings import read_settings
+from tanagertrail.settings.daemon import DaemonSettings
+from tanagertrail.settings.reading import read_settings
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
@@ -34,7 +35,7 @@
     if arguments.embedded:
         sys.exit(asyncio.run(run_embedded(arguments.stay)))
     try:
-        settings = read_settings(arguments.settings)
+        settings = read_settings(arguments.settings, DaemonSettings)
     except SettingsError as error:
         for violation in error.violations:
             print(violation, file=sys.stderr)
--- a/tanagertrail/settings/gateway.py
+++ b/tanagertrail/settings/gateway.py
@@ -9,7 +9,7 @@
 from tanagertrail.policy.fleet import FLEET_PLANS
 from tanagertrail.policy.placement import PLACEMENTS
 from tanagertrail.registry import Registry
-from tanagertrail.settings.schema import Section
+from tanagertrail.settings.reading import Section
 
 
 def check_registered(registry: Registry) -> AfterValidator:
--- /dev/null
+++ b/tanagertrail/settings/reading.py
@@ -0,0 +1,77 @@
+"""Reading of INI files that are checked as a whole."""
+
+__all__ = ["Section", "parse_settings", "read_settings"]
+
+import configparser
+from pathlib import Path
+from typing import TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from tanagertrail.errors import SettingsError, Violation
+
+MAX_SETTINGS_BYTES = 200_000
+MAX_SEEN_CHARACTERS = 60
+
+
+class Section(BaseModel):
+    """Base of sections: no unknown keys."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+S = TypeVar("S", bound=Section)
+
+
+def read_settings(path: str, schema: type[S]) -> S:
+    """Read and check a settings file.
+
+    :param schema: what the file must hold
+    :raises SettingsError: naming every violation, with section, key, rule and the value seen
+    """
+    try:
+        content = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(
+            [Violation("settings", "must be a readable file", str(error))]
+        ) from error
+    if len(content) > MAX_SETTINGS_BYTES:
+        rule = f"must be at most {MAX_SETTINGS_BYTES} bytes"
+        raise SettingsError([Violation("settings", rule, str(len(content)))])
+    return parse_settings(content.decode("utf-8", "replace"), schema)
+
+
+def parse_settings(text: str, schema: type[S]) -> S:
+    """Parse and check settings.
+
+    :raises SettingsError: naming every violation
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        seen = str(error).replace("\n", " ")
+        raise SettingsError([Violation("settings", "must be INI", seen)]) from error
+    document = {name: dict(parser[name]) for name in parser.sections()}
+    try:
+        return schema.model_validate(document)
+    except ValidationError as error:
+        raise SettingsError(list_violations(error)) from error
+
+
+def list_violations(error: ValidationError) -> list[Violation]:
+    """Convert a validation error to violations that name section and key."""
+    violations = []
+    for item in error.errors():
+        place = ".".join(str(part) for part in item["loc"]) or "settings"
+        violations.append(Violation(place, item["msg"], describe_seen(place, item["input"])))
+    return violations
+
+
+def describe_seen(place: str, value: object) -> str:
+    """Show a value that broke a rule, but no secret, which whole sections may hold."""
+    if place.endswith("token"):
+        return "hidden"
+    if isinstance(value, dict | BaseModel):
+        return "nothing that fits"
+    return repr(value)[:MAX_SEEN_CHARACTERS]
