Keep a hub's sums as states come and go, and count them once

Callers saw requests placed by loads that were not there. Cause: a daemon that had been told sums by its hub and then became a hub itself kept those sums beside the states it now heard, for good (2 requests at an upstream were believed to be 11).

Beside it: a hub added up all states anew for each daemon that asked, looked through all daemons' usage windows and all upstreams for each state that came, and summed over daemons for each upstream at each choice: the square of the fleet's size. Totals are kept as states come and go now.

A property test compares the sums with the states added up anew.

--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -53,12 +53,50 @@
 
 
 class KnownState:
-    """A state and when it was said, by this daemon's event loop."""
+    """A state and when it was said, by this daemon's event loop.
+
+    :ivar summed: whether it is part of the totals
+    """
 
     def __init__(self, state: OriginState, said_at: float, direct: bool) -> None:
         self.state = state
         self.said_at = said_at
         self.direct = direct
+        self.summed = False
+
+
+class FleetTotals:
+    """Requests at upstreams and rates of customers over many daemons.
+
+    Kept as states come and go: to add up all states anew for each daemon that asks would cost a
+    hub the square of the fleet's size.
+    """
+
+    def __init__(self) -> None:
+        self.daemons = 0
+        self.flights: Counter[str] = Counter()
+        self.rates: Counter[str] = Counter()
+
+    def add(self, known: KnownState) -> None:
+        """Add a state."""
+        known.summed = True
+        self.shift(known.state, 1)
+
+    def drop(self, known: KnownState) -> None:
+        """Take off a state if it was added."""
+        if known.summed:
+            known.summed = False
+            self.shift(known.state, -1)
+
+    def shift(self, state: OriginState, sign: int) -> None:
+        """Add what a daemon does, or take it off."""
+        self.daemons += sign
+        for upstream_id, count in state.flights:
+            self.flights[upstream_id] += sign * count
+            if not self.flights[upstream_id]:
+                del self.flights[upstream_id]
+        for customer, _, rate in state.quota:
+            self.rates[customer] += sign * rate
 
 
 class Gathering:
@@ -81,6 +119,7 @@
         self.peer_revisions: dict[str, dict[str, int]] = {}
         self.client_at: dict[str, float] = {}
         self.quota_seen: Counter[str] = Counter()
+        self.totals = FleetTotals()
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -97,7 +136,10 @@
             known.direct = known.direct or direct
             return
         self.count_quota(state, known.state if known else None)
-        self.states[state.daemon] = KnownState(state, said_at, direct)
+        if known is not None:
+            self.totals.drop(known)
+        fresh = self.states[state.daemon] = KnownState(state, said_at, direct)
+        self.totals.add(fresh)
         self.source.take_state(state)
 
     def count_quota(self, state: OriginState, before: OriginState | None) -> None:
@@ -118,7 +160,9 @@
 
     def forget(self, daemon: str) -> None:
         """Forget a daemon that is gone."""
-        self.states.pop(daemon, None)
+        known = self.states.pop(daemon, None)
+        if known is not None:
+            self.totals.drop(known)
         self.peer_revisions.pop(daemon, None)
         self.client_at.pop(daemon, None)
 
@@ -155,18 +199,23 @@
         :param own: the state of this daemon, which is included
         """
         now = self.now()
-        flights: Counter[str] = Counter(dict(own.flights))
-        rates = Counter({customer: rate for customer, _, rate in own.quota})
+        for known in self.states.values():
+            if known.summed and now - known.said_at > STATE_SECONDS:
+                self.totals.drop(known)
+        flights = self.totals.flights + Counter(dict(own.flights))
+        rates = self.totals.rates + Counter({customer: rate for customer, _, rate in own.quota})
         used = self.quota_seen + Counter({customer: total for customer, total, _ in own.quota})
-        daemons = 1
-        for name, known in self.states.items():
-            if name == receiver:
-                used.subtract({customer: total for customer, total, _ in known.state.quota})
-            elif now - known.said_at <= STATE_SECONDS:
-                daemons += 1
-                flights.update(dict(known.state.flights))
-                rates.update({customer: rate for customer, _, rate in known.state.quota})
-        quota = tuple((customer, total, rates[customer]) for customer, total in used.items())
+        daemons = self.totals.daemons + 1
+        left_out = self.states.get(receiver)
+        if left_out is not None:
+            used.subtract({customer: total for customer, total, _ in left_out.state.quota})
+        if left_out is not None and left_out.summed:
+            daemons -= 1
+            flights -= Counter(dict(left_out.state.flights))
+            rates.subtract({customer: rate for customer, _, rate in left_out.state.quota})
+        quota = tuple(
+            (customer, total, max(rates[customer], 0.0)) for customer, total in used.items()
+        )
         return Sums(daemons, tuple(flights.items()), quota)
 
     def list_revisions(self) -> tuple:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -276,6 +276,8 @@
             self.pools.sweep()
             alive = [state.member.daemon for state in self.members.iter_alive(self.loop.time())]
             self.beliefs.upstreams.forget_flights(alive)
+            if self.gathering.topology.is_hub:
+                self.quota.forget_daemons(self.gathering.states)
 
     @property
     def ready(self) -> bool:
@@ -339,7 +341,6 @@
         said_at = now - state.age_ms / 1000
         self.suspects.take_losses(state.daemon, state.incarnation, state.losses, said_at)
         if self.gathering.topology.is_hub:
-            self.quota.forget_daemons(self.gathering.states)
             news = {name: QuotaNews(used, rate) for name, used, rate in state.quota}
             self.quota.note_report(state.daemon, state.incarnation, news, now)
             self.beliefs.upstreams.note_flights(state.daemon, dict(state.flights))
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -20,7 +20,7 @@
 
     :ivar known_since: event-loop time in seconds at which its registration was first seen
     :ivar in_flight: requests of this daemon that are there
-    :ivar elsewhere: requests of other daemons, by daemon
+    :ivar elsewhere: requests of other daemons, kept by the table
     :ivar cold_until: event-loop time in seconds until which it is cold
     :ivar cold_allowance: this daemon's share of its rate while it is cold
     :ivar closed_until: event-loop time in seconds until which it gets no new work
@@ -36,7 +36,7 @@
         self.record = record
         self.known_since = known_since
         self.in_flight = 0
-        self.elsewhere: dict[str, int] = {}
+        self.elsewhere = 0
         self.cold_until = 0.0
         self.closed_until = 0.0
         self.strikes = 0
@@ -51,7 +51,7 @@
     @property
     def running(self) -> int:
         """Return the requests of all daemons that are believed to be there."""
-        return self.in_flight + sum(self.elsewhere.values())
+        return self.in_flight + self.elsewhere
 
     def is_open(self, now: float) -> bool:
         """Say whether it may get new work."""
@@ -74,11 +74,13 @@
     """All upstreams that are registered.
 
     :ivar on_ended: told of an upstream that is no longer registered, and why
+    :ivar flights: requests at upstreams, by the daemon that told them or :data:`OTHERS`
     """
 
     def __init__(self) -> None:
         self.on_ended: Callable[[UpstreamEntry, str], None] = lambda entry, reason: None
         self.entries: dict[str, UpstreamEntry] = {}
+        self.flights: dict[str, dict[str, int]] = {}
 
     def put(self, record: Upstream, now: float) -> bool:
         """Take a registration and return whether it changed what is believed."""
@@ -88,6 +90,8 @@
             entry = None
         if entry is None:
             entry = self.entries[record.id] = UpstreamEntry(record, now)
+            for flights in self.flights.values():
+                flights.pop(record.id, None)
         elif entry.record == record:
             return False
         entry.record = record
@@ -108,23 +112,33 @@
         return (entry for entry in self.entries.values() if entry.record.service == service)
 
     def note_flights(self, daemon: str, flights: dict[str, int]) -> None:
-        """Take the requests that another daemon has at upstreams."""
-        for upstream_id, entry in self.entries.items():
-            count = flights.get(upstream_id, 0)
-            if count:
-                entry.elsewhere[daemon] = count
-            else:
-                entry.elsewhere.pop(daemon, None)
+        """Take the requests that another daemon has at upstreams.
+
+        Sums that were told while this daemon was no hub would count them a second time.
+        """
+        self.drop_flights(OTHERS)
+        self.drop_flights(daemon)
+        kept = self.flights[daemon] = {}
+        for upstream_id, count in flights.items():
+            entry = self.entries.get(upstream_id)
+            if entry is not None:
+                kept[upstream_id] = count
+                entry.elsewhere += count
+
+    def drop_flights(self, daemon: str) -> None:
+        """Take off what a daemon told."""
+        for upstream_id, count in self.flights.pop(daemon, {}).items():
+            entry = self.entries.get(upstream_id)
+            if entry is not None:
+                entry.elsewhere -= count
 
     def replace_flights(self, flights: dict[str, int]) -> None:
         """Take the requests that all other daemons have at upstreams."""
-        for upstream_id, entry in self.entries.items():
-            count = flights.get(upstream_id, 0)
-            entry.elsewhere = {OTHERS: count} if count else {}
+        for daemon in list(self.flights):
+            self.drop_flights(daemon)
+        self.note_flights(OTHERS, flights)
 
     def forget_flights(self, alive: Collection[str]) -> None:
         """Forget the requests of daemons that no longer live."""
-        for entry in self.entries.values():
-            for daemon in [name for name in entry.elsewhere if name not in alive]:
-                if daemon != OTHERS:
-                    del entry.elsewhere[daemon]
+        for daemon in [name for name in self.flights if name not in alive and name != OTHERS]:
+            self.drop_flights(daemon)
--- a/tanagertrail/gateway/usage.py
+++ b/tanagertrail/gateway/usage.py
@@ -23,6 +23,7 @@
         self.wall_time = wall_time
         self.own: WindowCounts = {}
         self.others: dict[tuple[str, int], WindowCounts] = {}
+        self.forgotten_before = 0
 
     def current_window(self) -> int:
         """Return the number of the present window."""
@@ -48,10 +49,18 @@
         """Take the counts that another daemon reported of itself."""
         counts = {window: Counter(dict(items)) for window, items in rows}
         self.others.setdefault((daemon, incarnation), {}).update(counts)
-        oldest = self.current_window() - KEPT_WINDOWS
-        for known in self.others.values():
+        self.forget_windows(self.current_window() - KEPT_WINDOWS)
+
+    def forget_windows(self, oldest: int) -> None:
+        """Forget the counts before a window, and the daemons of which none are left."""
+        if oldest <= self.forgotten_before:
+            return
+        self.forgotten_before = oldest
+        for origin, known in list(self.others.items()):
             for old in [number for number in known if number < oldest]:
                 del known[old]
+            if not known:
+                del self.others[origin]
 
     def sum_window(self, window: int) -> dict[str, int]:
         """Return the counts of all daemons in a window."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -98,7 +98,7 @@
     """Make the daemon believe that the second upstream is half full and the first one well."""
     entries = world.node.beliefs.upstreams.entries
     entries["up-a"].fault_share = entries["up-a"].closed_until = 0.0
-    entries["up-b"].elsewhere = {"another daemon": 4}
+    entries["up-b"].elsewhere = 4
 
 
 @real_time
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -1,12 +1,16 @@
 """States, sums and news of the store between hubs and other daemons."""
 
 import asyncio
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tanagertrail.daemons.frames import encode_frame
 from tanagertrail.daemons.reports import pack_rows, unpack_rows
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.gathering import Gathering, StateSource
+from tanagertrail.gateway.gathering import STATE_SECONDS, Gathering, StateSource
 from tanagertrail.gateway.members import Member, MemberTable
 from tanagertrail.gateway.mirror import KindMirror
 from tanagertrail.platform.store import Listing, StoredObject
@@ -163,3 +167,52 @@
     sender.gathering.take_receipt(receiver.name, receipt)
     assert receiver.gathering.mirrors["servers"].revision == 1
     assert receiver.name not in sender.gathering.list_laggards()
+
+
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.integers(1, 5),
+            st.sampled_from(["tell", "restart", "forget", "wait"]),
+            st.integers(0, 4),
+            st.integers(0, 900),
+        ),
+        max_size=40,
+    )
+)
+@settings(max_examples=60, deadline=None)
+def test_totals_are_those_of_the_states_that_are_known(steps):
+    asyncio.run(check_totals(steps))
+
+
+async def check_totals(steps):
+    """Compare a hub's sums after some steps with its states added up anew."""
+    hub = Daemon("d0")
+    hub.used = 1.0
+    now = 100.0
+    hub.gathering.now = lambda: now
+    counters = Counter()
+    for number, step, flights, used in steps:
+        name = f"d{number}"
+        if step == "forget":
+            hub.gathering.forget(name)
+        elif step == "wait":
+            now += flights
+        else:
+            counters[name] += 1
+            member = Member(name, 2 if step == "restart" else 1, f"{name}:1", f"{name}:2", "north")
+            state = member.build_state(
+                counters[name], flights=(("up", flights),), quota=(("guild", used, 2.5),)
+            )
+            hub.gathering.take_state(state, True)
+    own = hub.describe_state()
+    sums = hub.gathering.sum_others("d1", own)
+    counted = [
+        known.state
+        for name, known in hub.gathering.states.items()
+        if name != "d1" and now - known.said_at <= STATE_SECONDS
+    ]
+    assert sums.daemons == 1 + len(counted)
+    flights = sum(count for state in counted for _, count in state.flights)
+    assert dict(sums.flights).get("up", 0) == flights
+    assert sums.quota[0][2] == 2.5 * len(counted)
