Take one request at one daemon for no wave at all of them

Callers of small customers got 429 with five seconds to wait, at 195 daemons, though their customer used a fraction of its quota. Cause, of this size only: a daemon takes each other daemon to use at least half of its own present rate, so that a customer that turns hot is held before reports tell; one request of 2,000 tokens in the last second counted as 194,000 tokens a second elsewhere. What grows is the number of daemons that one observation is multiplied by. Ruled out: the window (it had room), silent daemons (all were heard), a start.

A wave is now what was asked for beside the largest request, at most what passed.

--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -88,23 +88,52 @@
     heard: int
 
 
+class RecentUnits:
+    """Units of the last moments."""
+
+    def __init__(self) -> None:
+        self.rows: deque[tuple[float, float]] = deque()
+
+    def add(self, units: float, now: float) -> None:
+        """Count units."""
+        self.rows.append((now, units))
+
+    def list_units(self, now: float) -> list[float]:
+        """Return the units of each request of the last moments."""
+        while self.rows and self.rows[0][0] < now - RECENT_SECONDS:
+            self.rows.popleft()
+        return [units for _, units in self.rows]
+
+
 class CustomerUse:
-    """Units that this daemon let pass for one customer."""
+    """What this daemon was asked for one customer, and what it let pass.
+
+    :ivar total: units that passed since the start
+    """
 
     def __init__(self) -> None:
         self.total = 0.0
-        self.recent: deque[tuple[float, float]] = deque()
+        self.passed = RecentUnits()
+        self.asked = RecentUnits()
 
     def add(self, units: float, now: float) -> None:
-        """Count units."""
+        """Count units that pass."""
         self.total += units
-        self.recent.append((now, units))
+        self.passed.add(units, now)
 
     def measure_rate(self, now: float) -> float:
         """Return the units per second of the last moments."""
-        while self.recent and self.recent[0][0] < now - RECENT_SECONDS:
-            self.recent.popleft()
-        return sum(units for _, units in self.recent) / RECENT_SECONDS
+        return sum(self.passed.list_units(now)) / RECENT_SECONDS
+
+    def measure_wave(self, now: float) -> float:
+        """Return the units per second here that show a wave at the other daemons too.
+
+        One request says nothing of them: at hundreds of daemons most have one at a time. What was
+        asked for beside the largest request does, whether it passed or not.
+        """
+        asked = self.asked.list_units(now)
+        beside = (sum(asked) - max(asked, default=0.0)) / RECENT_SECONDS
+        return min(self.measure_rate(now), beside)
 
 
 @dataclass
@@ -224,12 +253,12 @@
         span = now - before
         bucket.updated_at = now
         young = now - self.started_at < self.window
-        own_rate = self.measure_own(customer, now)
+        wave = self.measure_wave(customer, now)
         bucket.level += span * quota.rate * (START_SHARE if young else 1.0)
         for peer in self.peers.values():
             if now - peer.heard_at <= SILENT_SECONDS:
                 # What was used up to the last report is in the report.
-                rate = self.predict_rate(customer, peer, own_rate)
+                rate = self.predict_rate(customer, peer, wave)
                 units = rate * (now - max(before, peer.heard_at))
                 peer.predicted[customer] = peer.predicted.get(customer, 0.0) + units
                 bucket.level -= units
@@ -239,18 +268,18 @@
         bucket.expire(now - self.window)
         return bucket
 
-    def measure_own(self, customer: str, now: float) -> float:
-        """Return the units per second that this daemon lets pass now."""
+    def measure_wave(self, customer: str, now: float) -> float:
+        """Return the units per second here that show a wave at the others too."""
         use = self.own.get(customer)
-        return use.measure_rate(now) if use is not None else 0.0
+        return use.measure_wave(now) if use is not None else 0.0
 
-    def predict_rate(self, customer: str, peer: PeerUse, own_rate: float) -> float:
+    def predict_rate(self, customer: str, peer: PeerUse, wave: float) -> float:
         """Estimate the units per second that the daemons of a report use now.
 
         A customer that turns hot does so at all daemons together, before any report tells it.
         """
         reported = peer.news[customer].rate if customer in peer.news else 0.0
-        return max(reported, RAMP_SHARE * own_rate * peer.daemons)
+        return max(reported, RAMP_SHARE * wave * peer.daemons)
 
     def count_window(self, customer: str, bucket: Bucket, quota: Quota, members: int) -> float:
         """Estimate the units that all daemons used in the window."""
@@ -271,6 +300,8 @@
 
         :param members: daemons that may use the quota, this one included
         """
+        own = self.own.setdefault(customer, CustomerUse())
+        own.asked.add(units, now)
         bucket = self.settle(customer, quota, members, now)
         needed = min(units, quota.limit_burst(self.relayed))
         used = self.count_window(customer, bucket, quota, members)
@@ -279,7 +310,7 @@
         excess = max(used + needed - limit, unheard)
         if bucket.level >= needed and excess <= 0:
             bucket.take(units, now)
-            self.own.setdefault(customer, CustomerUse()).add(units, now)
+            own.add(units, now)
             return None
         wait = max(needed - bucket.level, excess) / quota.rate
         return QuotaRefusal(
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -237,3 +237,44 @@
         after, _ = fleet.play(quota, 1 / 1.8, 14.5, 4.0)
         allowed = (rate * WINDOW + rate) * 1.1 + 140_000.0
         assert most_in_window(passed + hot + after) <= allowed, rate
+
+
+class DirectFleet(HubFleet):
+    """Daemons that tell each other their use, each at its own moments."""
+
+    def __init__(self, daemons, seed):
+        super().__init__(daemons, 1, PERIOD, seed)
+
+    def exchange(self, now, step):
+        for number, ledger in enumerate(self.ledgers):
+            if self.is_due(number, now, step):
+                report = ledger.build_report(now)
+                for other, target in enumerate(self.ledgers):
+                    if other != number:
+                        target.note_report(f"d{number}", 1, report, now)
+
+
+def test_usual_customer_of_nine_daemons_is_served_and_a_hot_one_held():
+    for seed in range(3):
+        for share in (1 / 1.8, 0.8):
+            quota = Quota(15_000.0, 30_000.0, 0.1, 110_000.0)
+            fleet = DirectFleet(9, seed)
+            passed, refused = fleet.play(quota, share, 0.0, 24.0)
+            assert refused <= 0.03, (seed, share, refused)
+            hot, _ = fleet.play(quota, 6.0 / 1.8, 24.0, 10.0)
+            allowed = (quota.rate * WINDOW + quota.burst) * 1.1 + quota.slack
+            assert most_in_window(passed + hot) <= allowed
+
+
+def test_one_request_at_one_of_195_daemons_is_not_taken_for_a_wave_at_all():
+    """A second prompt within a second was refused: all others were taken to have one too."""
+    for rate in (12_000.0, 60_000.0, 300_000.0):
+        quota = Quota(rate, 2 * rate, 0.1, 140_000.0)
+        fleet = HubFleet(195, 13, 0.8, seed=int(rate))
+        fleet.play(quota, 0.0, -3.0, 3.0)
+        passed, refused = fleet.play(quota, 1 / 1.8, 0.0, 12.0)
+        assert refused <= 0.02, (rate, refused)
+        hot, _ = fleet.play(quota, 6.0 / 1.8, 12.0, 6.5)
+        after, _ = fleet.play(quota, 1 / 1.8, 18.5, 4.0)
+        allowed = (rate * WINDOW + quota.burst) * 1.1 + 140_000.0
+        assert most_in_window(passed + hot + after) <= allowed, rate
