Order ordinary upstreams before the last failure domain is reclaimed

Cause: three domains were reclaimed within ten seconds with nothing to be had in their place; the plan counted the last domain's upstreams as safe and ordered ordinary ones only at its notice, a boot too late. Ruled out: quotas (the 429s are another, smaller part), cold starts, placement.

--- a/tanagertrail/policy/fleet.py
+++ b/tanagertrail/policy/fleet.py
@@ -14,6 +14,7 @@
 READ_LOAD = 0.3  # of an engine's time for reading prompts, beyond which first tokens are late
 DOMAINS_LOST = 2  # failure domains whose reclaimable upstreams may go within seconds
 LEAST_UPSTREAMS = 4
+SURVIVING_SHARE = 0.5  # of what is needed, left when one more domain goes and has nothing either
 STANDING_SHARE = 0.5  # of what may be ordered, kept while idle: what the operators start with
 
 NONE_PRESENT: Mapping[str, int] = MappingProxyType({})
@@ -84,7 +85,8 @@
     usable = [name for name in domains if name not in view.closed]
     warm = sum(view.warm.get(name, 0) for name in usable)
     room = {name: view.most - view.warm.get(name, 0) for name in domains}
-    missing = max(wanted, count_readers(view.read_rate)) - warm
+    needed = max(wanted, count_readers(view.read_rate))
+    missing = max(needed - warm, count_uninsured(view, usable, needed))
     ordinary = add_within(dict.fromkeys(domains, 0), usable, missing, room)
     # Both kinds together stay within the bound, also while ordinary ones are still there.
     kept = {name: max(ordinary[name], view.ordinary.get(name, 0)) for name in domains}
@@ -100,6 +102,18 @@
     return FleetPlan(ordinary, reclaimable)
 
 
+def count_uninsured(view: FleetView, usable: list[str], needed: int) -> int:
+    """Return the ordinary upstreams without which one more reclaim would leave too few.
+
+    Answers reclaims of one failure domain after the other within the time of a boot, with nothing
+    to be had in their place: upstreams that are ordered at the last notice come too late.
+    """
+    if not view.dry:
+        return 0
+    warm = [view.warm.get(name, 0) for name in usable]
+    return math.ceil(SURVIVING_SHARE * needed) - (sum(warm) - max(warm, default=0))
+
+
 def keep_present(counts: Mapping[str, int], present: Mapping[str, int]) -> dict[str, int]:
     """Return counts of which none is below what is there."""
     return {name: max(count, present.get(name, 0)) for name, count in counts.items()}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -88,3 +88,13 @@
     assert 2 <= sum(plan.ordinary.values()) <= 8
     risen = plan_reclaimable(calm._replace(warm=left, present=left, read_rate=950_000.0))
     assert sum(risen.ordinary.values()) > sum(plan.ordinary.values())
+
+
+def test_last_domain_with_upstreams_is_not_all_that_is_left_for_its_reclaim():
+    """silentvowel-perth quiet-1: three domains were reclaimed in turn, and none served for 4 s."""
+    calm = view(most=8, demand=10, warm=dict.fromkeys(PRICES, 4))
+    assert sum(plan_reclaimable(calm).ordinary.values()) == 0
+    last = calm._replace(warm={"a": 4}, present={"a": 4}, dry=frozenset({"b", "c", "d"}))
+    assert sum(plan_reclaimable(last).ordinary.values()) >= 2
+    many = calm._replace(warm={"a": 4, "b": 4}, dry=frozenset({"c", "d"}))
+    assert sum(plan_reclaimable(many).ordinary.values()) == 0
