Let no clock that jumps silence a daemon or bill a customer in the wrong window

Callers were not sent to a daemon that had started again after its clock was set back, and its use of quotas and cold upstreams was not counted: its states and registration bore an older incarnation than the one before, which the others passed over until they forgot it after 20 s. A daemon that is told of a newer incarnation of itself, by another daemon, by its own registration or by the listing, goes above it now.

The usage clock goes on evenly over a jump and follows it only when it has stood for 30 s. Ruled out as deciders: the lease, ages, quotas and budgets (all on steady clocks); quarantines' hour is the one other use, where seconds do not matter. Left open: a daemon that starts within a jump counts by the wrong time until 30 s after its end.

--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -154,6 +154,7 @@
     :ivar relayed: packed states of other daemons if the receiver is a hub
     :ivar alive: packed life signs if the receiver is no hub
     :ivar sums: packed :class:`Sums` without the receiver, empty for none
+    :ivar outranked_by: incarnation of the receiver that the sender takes as newer, 0 for none
     """
 
     state: bytes
@@ -163,6 +164,7 @@
     alive: bytes
     news: tuple
     sums: bytes
+    outranked_by: int
 
 
 @MESSAGES.register("peer_news")
--- a/tanagertrail/gateway/gathering.py
+++ b/tanagertrail/gateway/gathering.py
@@ -256,6 +256,7 @@
             b"" if question.hub else self.list_alive(asker.daemon),
             self.build_news(dict(question.revisions)),
             pack_rows([self.sum_others(asker.daemon, own)]) if told_sums else b"",
+            self.members.find_newer(asker.daemon, asker.incarnation),
         )
 
     def build_push(self, receiver: str) -> PeerNews:
@@ -281,6 +282,7 @@
         :param asked_at: boot time in seconds just before the question was sent
         """
         state = unpack_state(answer.state)
+        self.members.outrank(answer.outranked_by)
         self.take_state(state, direct=not answer.hub)
         self.take_relayed(answer.relayed)
         self.take_signs(answer.alive)
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -80,6 +80,7 @@
     def learn(self, member: Member, heard_at: float, serving: bool) -> None:
         """Take news of a member unless something newer is known."""
         if member.daemon == self.own.daemon:
+            self.outrank(member.incarnation)
             return
         state = self.states.get(member.daemon)
         if state is None or member.incarnation > state.member.incarnation:
@@ -92,6 +93,21 @@
             state.heard_at = heard_at
             state.serving = serving
 
+    def outrank(self, incarnation: int) -> None:
+        """Raise this daemon's incarnation above an earlier one that others take as newer.
+
+        Incarnations come from the time of day, which may have been ahead at an earlier start.
+        """
+        if incarnation > self.own.incarnation:
+            self.log.write("incarnation_raised", old=self.own.incarnation, known=incarnation)
+            self.own = self.own._replace(incarnation=incarnation + 1)
+
+    def find_newer(self, daemon: str, incarnation: int) -> int:
+        """Return the incarnation of a member that is known here if it is newer, else 0."""
+        state = self.states.get(daemon)
+        known = state.member.incarnation if state is not None else 0
+        return known if known > incarnation else 0
+
     def note_unreachable(self, daemon: str, now: float) -> None:
         """Take a member whose process no longer listens as not living."""
         state = self.states.get(daemon)
@@ -154,29 +170,33 @@
 
 
 async def register_member(
-    store: StoreClient, own: Member, log: EventLog, rng: random.Random
+    store: StoreClient, table: MemberTable, log: EventLog, rng: random.Random
 ) -> None:
-    """Register a daemon in the store, however often it takes."""
+    """Register this daemon in the store, however often it takes."""
     while True:
         try:
-            await put_registration(store, own)
+            await put_registration(store, table)
             return
         except PlatformError as error:
             log.write("registration_failed", error=str(error)[:200])
             await asyncio.sleep(rng.uniform(*REGISTER_PAUSE_SECONDS))
 
 
-async def put_registration(store: StoreClient, own: Member) -> None:
-    """Create or replace a daemon's registration.
+async def put_registration(store: StoreClient, table: MemberTable) -> None:
+    """Create or replace this daemon's registration.
 
     :raises PlatformError: if it failed or its answer was lost
     """
+    name = table.own.daemon
     try:
-        await store.create(MEMBERS_KIND, own.daemon, own.encode())
+        await store.create(MEMBERS_KIND, name, table.own.encode())
     except ConflictError:
-        found = await store.read(MEMBERS_KIND, own.daemon)
+        found = await store.read(MEMBERS_KIND, name)
+        if found is not None and isinstance(found.content, dict):
+            earlier = found.content.get("incarnation")
+            table.outrank(earlier if isinstance(earlier, int) else 0)
         revision = found.revision if found else 0
-        await store.replace(MEMBERS_KIND, own.daemon, own.encode(), revision)
+        await store.replace(MEMBERS_KIND, name, table.own.encode(), revision)
 
 
 class MemberHandler(BaseKindHandler):
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -8,7 +8,7 @@
 
 from tanagertrail.daemons.reports import OriginState, Sums
 from tanagertrail.gateway.beliefs import Beliefs
-from tanagertrail.gateway.clock import read_boot_time, read_wall_time
+from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
 from tanagertrail.gateway.dispatch import Dispatcher
 from tanagertrail.gateway.duties import DutyRunner
 from tanagertrail.gateway.endings import EndingWatch
@@ -25,6 +25,7 @@
 from tanagertrail.gateway.leadership import Leadership
 from tanagertrail.gateway.members import (
     MEMBERS_KIND,
+    Member,
     MemberHandler,
     MemberTable,
     describe_self,
@@ -79,15 +80,15 @@
         self.rng = random.Random(self.incarnation)
         self.beliefs = Beliefs(settings.bounds, read_boot_time)
         self.store = StoreClient(settings.store)
-        self.own = describe_self(settings, self.incarnation)
-        self.members = MemberTable(self.own, self.log)
+        self.members = MemberTable(describe_self(settings, self.incarnation), self.log)
         self.pools = ConnectionPools()
         self.endings = EndingWatch(self.log)
         self.beliefs.upstreams.on_ended = self.endings.note_ended
         self.suspects = SuspectBook(self.log)
         self.endings.on_lost = self.suspects.note_lost
         self.quota = QuotaLedger(settings.bounds.quota_window, self.loop.time())
-        self.usage = UsageCounter(settings.bounds.usage_window, read_wall_time)
+        self.wall_clock = SteadyWallClock(read_wall_time, read_boot_time)
+        self.usage = UsageCounter(settings.bounds.usage_window, self.wall_clock.read)
         self.dispatcher = Dispatcher(
             self.beliefs,
             self.members,
@@ -131,6 +132,11 @@
         self.leader_heard_at = self.loop.time() - LEADER_SILENT_SECONDS
         self.leaving = False
 
+    @property
+    def own(self) -> Member:
+        """Return the description of this daemon."""
+        return self.members.own
+
     def get_limits(self) -> Limits:
         """Return the limits of callers' requests."""
         config = self.beliefs.config
@@ -168,7 +174,7 @@
         self.suspects.on_loss = self.links.tell_all
         self.suspects.on_quarantine = self.quarantine.start_storing
         self.spawn(self.quarantine.run(lambda: self.leadership.fencing > 0))
-        self.spawn(register_member(self.store, self.own, self.log, self.rng))
+        self.spawn(register_member(self.store, self.members, self.log, self.rng))
         self.spawn(self.links.run())
         self.spawn(self.sweep())
         self.spawn(self.leadership.run())
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -216,3 +216,20 @@
     flights = sum(count for state in counted for _, count in state.flights)
     assert dict(sums.flights).get("up", 0) == flights
     assert sums.quota[0][2] == 2.5 * len(counted)
+
+
+@real_time
+async def test_daemon_that_started_after_its_clock_was_set_back_is_heard():
+    """Its states had an older incarnation, and others passed over them for twenty seconds."""
+    daemons = build_daemons()
+    hubs = [daemon for daemon in daemons.values() if daemon.gathering.topology.is_hub]
+    others = [daemon for daemon in daemons.values() if not daemon.gathering.topology.is_hub]
+    run_period(daemons)
+    again = daemons[others[0].name] = Daemon(others[0].name)
+    again.members.own = again.members.own._replace(incarnation=0)
+    again.flights = 8
+    for _ in range(4):
+        run_period(daemons)
+    assert again.members.own.incarnation > 1
+    for hub in hubs:
+        assert hub.gathering.states[again.name].state.flights == (("up", 8),)
