Answer what comes while a planned stop gives back the lease

Callers whose request came at the end of a planned stop were cut off without an answer. Cause: the stop looked once whether anything was in flight, then asked the store to free the lease, and closed all connections when that had answered, whatever had come meanwhile.

The stop looks again after the store has answered, then stops listening, and waits until no request is being answered or has begun to arrive; the grace still bounds it. Requests that lie unaccepted in the queue of the port when it closes can still be reset: the directory has not named the daemon for three lifetimes of an answer by then.

A slow sound stream ends whole.

--- a/tanagertrail/gateway/front.py
+++ b/tanagertrail/gateway/front.py
@@ -33,6 +33,7 @@
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task] = set()
         self.busy: set[Channel] = set()
+        self.streams: set[CallerStream] = set()
         self.leaving = False
 
     async def start(self, host: str, port: int) -> None:
@@ -54,6 +55,7 @@
     async def serve(self, channel: Channel) -> None:
         """Serve one connection until it closes."""
         stream = CallerStream(channel, self.limits())
+        self.streams.add(stream)
         try:
             while True:
                 stream.limits = self.limits()
@@ -70,6 +72,7 @@
             self.log.write_routine("caller_connection", error=repr(error)[:120])
         finally:
             self.busy.discard(channel)
+            self.streams.discard(stream)
             channel.close()
 
     async def answer(self, channel: Channel, stream: CallerStream, request: CallerRequest) -> None:
@@ -109,6 +112,11 @@
             stream.channel.take()
             await asyncio.sleep(LINGER_SECONDS / 10)
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether a request is being answered or has begun to arrive."""
+        return bool(self.busy) or any(stream.begun_request for stream in self.streams)
+
     def stop_listening(self) -> None:
         """Take no new connections."""
         if self.server is not None:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -61,6 +61,7 @@
 SWEEP_SECONDS = 1.0
 LEAVE_QUIET_SECONDS = 3.5  # callers keep an address answer three times its lifetime
 STOP_MARGIN_SECONDS = 0.6
+QUIET_LOOK_SECONDS = 0.05
 LEADER_SILENT_SECONDS = 1.5  # of a lease of 3 s, which is waited for before a claim
 LEADER_LOST_SECONDS = 4.0  # after which others than the first candidates claim the lease
 LEASE_CANDIDATES = 3
@@ -381,15 +382,25 @@
         self.links.tell_all()
         started = self.loop.time()
         latest = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
-        while self.loop.time() < latest:
-            await asyncio.sleep(0.1)
-            quiet = self.loop.time() - started > LEAVE_QUIET_SECONDS
-            if quiet and self.dispatcher.in_flight == 0:
-                break
+        await self.await_quiet(started + LEAVE_QUIET_SECONDS, latest)
         await self.leadership.release()
+        # Requests may have come while the store was asked.
+        await self.await_quiet(started, latest)
+        self.front.stop_listening()
+        await self.await_quiet(started, latest)
         self.log.write("stopped", in_flight=self.dispatcher.in_flight)
         self.close()
 
+    async def await_quiet(self, earliest: float, latest: float) -> None:
+        """Wait until a time, and on until no caller waits for an answer.
+
+        :param latest: event-loop time in seconds after which callers are no longer waited for
+        """
+        while self.loop.time() < latest:
+            if self.loop.time() >= earliest and not self.front.unanswered:
+                break
+            await asyncio.sleep(QUIET_LOOK_SECONDS)
+
     def close(self) -> None:
         """Close ports and connections at once."""
         self.front.close()
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -15,6 +15,8 @@
 STREAM_SUFFIX = "/events"
 EVENTS = 6
 ENDLESS_BLOCK = 16_384
+COPY_SECONDS = 0.03  # a caller's next request comes before or after it
+DRIP_SECONDS = 0.1  # less than any pause that is allowed between events
 
 
 class RunRecord(NamedTuple):
@@ -185,6 +187,41 @@
     await upstream.run(request, stream)
 
 
+@FAULTS.register("late_copy")
+async def answer_again_late(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send a second copy of the answer while the connection is kept."""
+    await upstream.run(request, stream)
+    asyncio.get_running_loop().call_later(COPY_SECONDS, stream.channel.write, copy_answer(upstream))
+
+
+@FAULTS.register("copy_first")
+async def answer_before_first(
+    upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send the answer to the request that ran before this one once more, then this one's."""
+    if upstream.runs:
+        stream.channel.write(copy_answer(upstream))
+    await upstream.run(request, stream)
+
+
+def copy_answer(upstream: StandInUpstream) -> bytes:
+    """Return another copy of the last answer, as whole and signed as the first."""
+    head = build_head(upstream, upstream.runs[-1].request, b"content-length: 8")
+    return head + b"old copy"
+
+
+@FAULTS.register("drip")
+async def drip(upstream: StandInUpstream, request: CallerRequest, stream: CallerStream) -> None:
+    """Send two events and then a byte of the third now and then."""
+    upstream.begin(request)
+    await upstream.send_events(request, stream, 2)
+    for byte in b"id: 3\ndata: " + b"x" * 1000:
+        await asyncio.sleep(DRIP_SECONDS)
+        stream.send_part(bytes([byte]))
+
+
 @FAULTS.register("short")
 async def answer_short(
     upstream: StandInUpstream, request: CallerRequest, stream: CallerStream
--- /dev/null
+++ b/tests/test_reported_failures.py
@@ -0,0 +1,76 @@
+"""Failures that operators of similar systems reported, replayed against one daemon."""
+
+import asyncio
+import time
+
+from tanagertrail.standins.documents import build_route
+from tests.gateway_utils import build_config, open_world, real_time
+
+LONG_ROUTES = [build_route("talk", "stream", timeout_ms=9000)]
+
+
+@real_time
+async def test_late_copy_of_an_answer_reached_the_next_caller_on_its_connection():
+    for pause in (0.0, 0.025, 0.03, 0.035, 0.06):
+        async with open_world() as world:
+            await keep_first(world)
+            world.upstreams[0].faults.append("late_copy")
+            first = await world.ask("/book/1", b"first")
+            await asyncio.sleep(pause)
+            second = await world.ask("/book/2", b"second")
+            assert (first.status, first.body) == (200, b"answer of up-a"), pause
+            assert second.status in (200, 502), pause
+            assert b"old copy" not in second.body, pause
+            runs = [run.request.body for run in world.upstreams[0].runs]
+            assert runs.count(b"second") == 1, pause
+
+
+@real_time
+async def test_copy_of_an_answer_just_before_the_next_one_reached_its_caller():
+    for path, body in (("/book/2", b"second"), ("/look/2", b""), ("/talk/b/events", b"prompt")):
+        async with open_world() as world:
+            await keep_first(world)
+            await world.ask("/book/1", b"first")
+            world.upstreams[0].faults.append("copy_first")
+            reply = await world.ask(path, body)
+            assert b"old copy" not in reply.body, path
+            assert reply.whole, path
+
+
+async def keep_first(world):
+    """Leave one upstream, so that its connections are used again."""
+    world.keep_one()
+    await world.await_upstreams(1)
+
+
+@real_time
+async def test_request_accepted_at_the_end_of_a_planned_stop_was_cut_off():
+    async with open_world() as world:
+        await keep_first(world)
+        world.upstreams[0].work = 0.4
+        release = world.node.leadership.release
+        asked = []
+
+        async def release_slowly():
+            asked.append(asyncio.create_task(world.ask("/look/1")))
+            await asyncio.sleep(0.2)
+            await release()
+
+        world.node.leadership.release = release_slowly
+        world.node.settings = world.node.settings._replace(
+            bounds=world.node.settings.bounds._replace(grace=8.0)
+        )
+        await world.node.stop()
+        reply = await asked[0]
+        assert (reply.status, reply.whole) == (200, True)
+
+
+@real_time
+async def test_slow_sound_stream_is_not_cut():
+    async with open_world(build_config(routes=LONG_ROUTES)) as world:
+        for upstream in world.upstreams:
+            upstream.work = 0.35
+        reply = await world.ask("/talk/a/events", b"prompt", tanagertrail_deadline_ms="9000")
+        assert reply.whole
+        assert reply.body.count(b"data:") == 6
+        assert sum(len(upstream.runs) for upstream in world.upstreams) == 1
