Count whole events, not bytes, as progress of a stream

Callers of a stream whose upstream sent a byte now and then waited until their deadline. Cause: the longest pause was timed anew with each read, so a byte within an event that never ends counted as progress. It is timed from the last whole event now, and the stream goes on at another upstream. The time to the first event stays bounded by the deadline alone: long prompts are read in silence.

--- a/tanagertrail/gateway/sending.py
+++ b/tanagertrail/gateway/sending.py
@@ -200,9 +200,10 @@
         splitter = exchange.splitter
         splitter.drop_partial()
         gap = max(GAP_FACTOR * exchange.route.gap_objective, MIN_GAP_SECONDS)
-        first = True
+        # Bytes of an event that never ends are no progress.
+        due_at = exchange.deadline
         while True:
-            limit = exchange.left if first else min(gap, exchange.left)
+            limit = min(due_at - asyncio.get_running_loop().time(), exchange.left)
             try:
                 async with asyncio.timeout(max(limit, 0.0)):
                     part = await stream.read_part()
@@ -215,8 +216,8 @@
                 break
             whole = splitter.feed(part)
             if whole:
-                first = False
                 await self.pass_on(exchange, head, whole)
+                due_at = asyncio.get_running_loop().time() + gap
             if splitter.fault:
                 raise UpstreamProtocolError(splitter.fault)
         if splitter.pending:
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -65,6 +65,18 @@
         assert (reply.status, reply.whole) == (200, True)
 
 
+@real_time
+async def test_stream_that_sent_a_byte_now_and_then_was_awaited_to_its_deadline():
+    async with open_world(build_config(routes=LONG_ROUTES)) as world:
+        world.upstreams[0].faults.append("drip")
+        world.upstreams[1].faults.append("drip")
+        started = time.monotonic()
+        reply = await world.ask("/talk/a/events", b"prompt", tanagertrail_deadline_ms="9000")
+        assert time.monotonic() - started < 6.0
+        assert reply.whole or reply.status == 200
+        assert b"xx" not in reply.body
+
+
 @real_time
 async def test_slow_sound_stream_is_not_cut():
     async with open_world(build_config(routes=LONG_ROUTES)) as world:
