Tell callers of a service without upstreams when one can have started

Cause: the time to come back was that of a full service.

It is now the rest of a boot since the service had a place last, spread over half of itself. Full services tell the same times as before.

--- a/tanagertrail/gateway/admission.py
+++ b/tanagertrail/gateway/admission.py
@@ -13,11 +13,10 @@
 from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.platform.fields import CallerFields
 from tanagertrail.policy.poison import Verdict, compute_fingerprint
+from tanagertrail.policy.returns import estimate_return
 from tanagertrail.policy.token_quota import Quota, QuotaLedger, QuotaRefusal
 
 FRESH_SECONDS = 3.0  # age beyond which an unknown key or route may be one that was just added
-RETRY_SECONDS = 0.3  # a place is mostly free again after the shortest requests
-RETRY_SPREAD = 0.5
 
 
 class Refusal(NamedTuple):
@@ -143,7 +142,7 @@
 
     def spread_retry(self) -> float:
         """Return the seconds after which a refused caller may come back, spread by chance."""
-        return RETRY_SECONDS * (1.0 + RETRY_SPREAD * self.rng.random())
+        return estimate_return(None, 0.0, self.rng.random())
 
 
 def fingerprint_request(request: CallerRequest, customer: Customer | None) -> str:
--- a/tanagertrail/gateway/choosing.py
+++ b/tanagertrail/gateway/choosing.py
@@ -16,6 +16,7 @@
 from tanagertrail.policy.hashing import score_pair
 from tanagertrail.policy.hubs import ALL_HUBS
 from tanagertrail.policy.placement import PLACEMENTS, Seat, Visit
+from tanagertrail.policy.returns import estimate_return
 
 PREFIX_SECONDS = 20.0
 FULL_FACTOR = 2.0  # requests of an upstream, against its slots, beyond which it would reject
@@ -39,6 +40,7 @@
         self.rng = rng
         self.index = PrefixIndex(PREFIX_SECONDS)
         self.place = PLACEMENTS.get(placement)
+        self.placed_at: dict[str, float] = {}
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -144,6 +146,7 @@
     def note_start(self, exchange: Exchange, entry: UpstreamEntry) -> None:
         """Note that an upstream gets a request."""
         now = self.now()
+        self.placed_at[exchange.service] = now
         self.trials.note_sent(exchange.service, entry.record.version)
         if now < entry.cold_until and entry.cold_allowance is not None:
             entry.cold_allowance.spend()
@@ -151,6 +154,19 @@
             parts = [part.id for part in exchange.fields.prompt.parts]
             self.index.note_stored(entry.record.id, parts, now)
 
+    def estimate_return(self, service: str) -> float:
+        """Return the seconds after which a caller that found no place may come back."""
+        now = self.now()
+        fleet = self.beliefs.config.services[service].fleet if self.has_none(service) else None
+        absent_for = now - self.placed_at.get(service, now)
+        return estimate_return(fleet.boot if fleet else None, absent_for, self.rng.random())
+
+    def has_none(self, service: str) -> bool:
+        """Say whether a known service has no upstream that stays."""
+        entries = self.beliefs.upstreams.iter_service(service)
+        staying = any(not (entry.gone or entry.record.draining) for entry in entries)
+        return service in self.beliefs.config.services and not staying
+
     def has_alternative(self, exchange: Exchange, entry: UpstreamEntry) -> bool:
         """Say whether another upstream has clearly more room than the one that was chosen."""
         now = self.now()
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -174,11 +174,8 @@
             self.log_end(exchange, "failed upstream")
         elif exchange.surely_not_run:
             reason = last.reason if last else "no upstream has a place"
-            self.refuse(
-                stream,
-                exchange.fields.request_id,
-                Refusal(503, reason, self.admission.spread_retry()),
-            )
+            refusal = Refusal(503, reason, self.chooser.estimate_return(exchange.service))
+            self.refuse(stream, exchange.fields.request_id, refusal)
             self.log_end(exchange, "refused")
         elif last is not None and last.result is TryResult.TIMED_OUT:
             self.send_refusal(stream, Refusal(504, "no answer in time"))
--- /dev/null
+++ b/tanagertrail/policy/returns.py
@@ -0,0 +1,22 @@
+"""When a caller that was refused is told to come back."""
+
+__all__ = ["RETRY_SECONDS", "RETRY_SPREAD", "estimate_return"]
+
+RETRY_SECONDS = 0.3  # a place is mostly free again after the shortest requests
+RETRY_SPREAD = 0.5  # of the wait, by which callers that were refused together come back apart
+
+
+def estimate_return(boot: float | None, absent_for: float, draw: float) -> float:
+    """Return the seconds after which there is likely to be a place.
+
+    Answers a service that loses all its upstreams at once, with nothing to be had in their place
+    for a boot: callers that come back at once are refused a second time, and together they are the
+    burst that meets the first upstream that is back.
+
+    :param boot: seconds that an upstream takes to start if the service has none, None if it has
+        some, which are only full
+    :param absent_for: seconds since the service had one
+    :param draw: number in [0, 1) that differs between callers
+    """
+    wait = RETRY_SECONDS if boot is None else max(boot - absent_for, RETRY_SECONDS)
+    return wait * (1.0 + RETRY_SPREAD * draw)
