Serve after a start only when emptied domains and moves are known too

After a restart a daemon could send requests to a failure domain that was emptied before, or to a version that a move had forbidden. Cause: it counted as ready once configuration and upstreams were listed, while the listing of emptied domains or moves might still fail, as it does at a store over its rate when hundreds of daemons start at once. Ruled out by reading: keys (their proof's age is checked at each request), and a lagging peer's copy (it bears its proof's age).

Left open: quarantined requests are not waited for; a start may send one such request once.

--- a/tanagertrail/gateway/admission.py
+++ b/tanagertrail/gateway/admission.py
@@ -77,8 +77,8 @@
     ) -> tuple[Route, Customer | None] | Refusal:
         """Find the route of a request and the customer whose key it has."""
         config = self.beliefs.config
-        if config is None or not self.beliefs.upstreams_known:
-            return Refusal(503, "no configuration is known yet", self.spread_retry())
+        if config is None or not self.beliefs.complete:
+            return Refusal(503, "too little is known yet", self.spread_retry())
         route = config.find_route(request.host, request.path)
         fresh = self.beliefs.proof_age < FRESH_SECONDS
         if route is None:
--- a/tanagertrail/gateway/beliefs.py
+++ b/tanagertrail/gateway/beliefs.py
@@ -27,6 +27,8 @@
         self.proved_at: float | None = None
         self.upstreams = UpstreamTable()
         self.upstreams_known = False
+        self.evacuated_known = False
+        self.rollouts_known = False
         self.evacuated: set[str] = set()
         self.rollouts: dict[str, RolloutOrder] = {}
         self.on_config: list[Callable[[ServingConfig], None]] = []
@@ -54,5 +56,9 @@
 
     @property
     def complete(self) -> bool:
-        """Say whether enough is known to serve."""
-        return self.config is not None and self.upstreams_known
+        """Say whether enough is known to serve.
+
+        A daemon that started again must not use what was taken out of use before its start.
+        """
+        listed = self.upstreams_known and self.evacuated_known and self.rollouts_known
+        return self.config is not None and listed
--- a/tanagertrail/gateway/handlers.py
+++ b/tanagertrail/gateway/handlers.py
@@ -146,6 +146,7 @@
         if present != self.beliefs.evacuated:
             self.log.write("domains_out", failure_domains=sorted(present))
         self.beliefs.evacuated = present
+        self.beliefs.evacuated_known = True
 
     def apply_change(self, item: StoredObject, departure: Departure) -> None:
         """Take a failure domain out or back in."""
@@ -171,6 +172,7 @@
             del self.beliefs.rollouts[name]
         for item in objects:
             self.apply_change(item, Departure.NONE)
+        self.beliefs.rollouts_known = True
 
     def apply_change(self, item: StoredObject, departure: Departure) -> None:
         """Take a change of an order."""
--- a/tanagertrail/standins/store.py
+++ b/tanagertrail/standins/store.py
@@ -32,6 +32,7 @@
     :ivar lost_writes: writes that are done and not answered
     :ivar delay: seconds by which each answer is late
     :ivar refused_hosts: hosts whose calls are refused
+    :ivar refused_kinds: kinds whose calls are refused, as at a store over its rate
     """
 
     def __init__(self) -> None:
@@ -41,6 +42,7 @@
         self.forgotten = FIRST_REVISION
         self.mode = StoreMode.UP
         self.lost_writes = 0
+        self.refused_kinds: set[str] = set()
         self.delay = 0.0
         self.calls = 0
         self.changed = asyncio.Event()
@@ -86,7 +88,8 @@
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
         """Answer a call, or treat it as the mode says."""
         self.calls += 1
-        if self.mode is StoreMode.BUSY:
+        kind = request.path.removeprefix(OBJECTS_PATH + "/").split("/")[0]
+        if self.mode is StoreMode.BUSY or kind in self.refused_kinds:
             self.reply(stream, 503, None)
             return
         if self.mode is StoreMode.RESET:
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -3,8 +3,9 @@
 import asyncio
 import time
 
+from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.standins.documents import build_route
-from tests.gateway_utils import build_config, open_world, real_time
+from tests.gateway_utils import build_config, build_settings, open_world, real_time
 
 LONG_ROUTES = [build_route("talk", "stream", timeout_ms=9000)]
 
@@ -86,3 +87,22 @@
         assert reply.whole
         assert reply.body.count(b"data:") == 6
         assert sum(len(upstream.runs) for upstream in world.upstreams) == 1
+
+
+@real_time
+async def test_restarted_daemon_sent_requests_to_a_failure_domain_that_was_emptied():
+    for kind in ("evacuations", "rollouts"):
+        async with open_world() as world:
+            world.store.put("evacuations", "north", {})
+            await world.await_true(lambda: world.node.beliefs.evacuated)
+            world.node.close()
+            world.store.refused_kinds.add(kind)
+            world.node = GatewayNode(build_settings(world.ports))
+            await world.node.start()
+            await world.await_true(lambda: world.node.beliefs.upstreams_known)
+            await asyncio.sleep(0.3)
+            assert not world.node.ready, kind
+            assert (await world.ask("/look/1")).status == 503, kind
+            assert not any(upstream.runs for upstream in world.upstreams), kind
+            world.store.refused_kinds.clear()
+            await world.await_true(lambda: world.node.ready)
