--- a/tanagertrail/daemons/reports.py
+++ b/tanagertrail/daemons/reports.py
@@ -9,13 +9,16 @@
     "PeerQuestion",
     "PeerReceipt",
     "Sums",
+    "compress_json",
+    "decompress_json",
     "pack_rows",
     "unpack_rows",
 ]
 
+import json
 import zlib
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgpack
 
@@ -40,15 +43,40 @@
     if not data:
         return ()
     try:
-        decoder = zlib.decompressobj()
-        plain = decoder.decompress(data, MAX_UNPACKED_BYTES)
-        if decoder.unconsumed_tail:
-            raise FrameError(f"rows must be at most {MAX_UNPACKED_BYTES} bytes")
-        return msgpack.unpackb(plain, use_list=False)
+        return msgpack.unpackb(decompress(data), use_list=False)
     except (zlib.error, ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"malformed rows: {type(error).__name__}") from error
 
 
+def decompress(data: bytes) -> bytes:
+    """Decompress bytes.
+
+    :raises zlib.error: if they are malformed
+    :raises FrameError: if they are too long
+    """
+    decoder = zlib.decompressobj()
+    plain = decoder.decompress(data, MAX_UNPACKED_BYTES)
+    if decoder.unconsumed_tail:
+        raise FrameError(f"rows must be at most {MAX_UNPACKED_BYTES} bytes")
+    return plain
+
+
+def compress_json(document: Any) -> bytes:
+    """Return a document as compressed JSON."""
+    return zlib.compress(json.dumps(document, separators=(",", ":")).encode(), PACK_LEVEL)
+
+
+def decompress_json(data: bytes) -> Any:
+    """Read a document from compressed JSON.
+
+    :raises FrameError: if it is malformed or too long
+    """
+    try:
+        return json.loads(decompress(data))
+    except (zlib.error, ValueError) as error:
+        raise FrameError(f"malformed document: {type(error).__name__}") from error
+
+
 class LifeSign(NamedTuple):
     """That a daemon lived, for receivers that need no more of its state."""
 
@@ -106,7 +134,7 @@
     :ivar since: revision that the changes follow, 0 where all objects are given
     :ivar revision: revision up to which the objects are known
     :ivar proof_age_ms: time since the store was asked for them, -1 for never
-    :ivar objects: JSON of the objects, each with how it left, empty for no change
+    :ivar objects: compressed JSON of the objects, each with how it left, empty for no change
     """
 
     kind: str
--- a/tanagertrail/gateway/mirror.py
+++ b/tanagertrail/gateway/mirror.py
@@ -3,11 +3,10 @@
 __all__ = ["BaseKindHandler", "Departure", "KindMirror"]
 
 import enum
-import json
 from collections import deque
 from typing import NamedTuple
 
-from tanagertrail.daemons.reports import MirrorNews
+from tanagertrail.daemons.reports import MirrorNews, compress_json, decompress_json
 from tanagertrail.gateway.clock import BootClock
 from tanagertrail.platform.store import Listing, StoredObject, WatchAnswer
 
@@ -68,6 +67,8 @@
         self.proved_at: float | None = None
         self.lapsed = False
         self.lapses_until = 0.0
+        self.packed_at = 0
+        self.packed: dict[int, bytes] = {}
 
     @property
     def age(self) -> float:
@@ -143,16 +144,31 @@
         age = int(self.age * 1000) if self.proved_at is not None else -1
         if known >= self.revision:
             return MirrorNews(self.kind, known, self.revision, age, b"")
-        if known >= self.floor:
-            rows = [
-                [*change.item, int(change.departure)]
-                for change in self.changes
-                if change.revision > known
-            ]
-            return MirrorNews(self.kind, known, self.revision, age, encode_rows(rows))
+        since = known if known >= self.floor else 0
+        return MirrorNews(self.kind, since, self.revision, age, self.pack_since(since))
+
+    def pack_since(self, since: int) -> bytes:
+        """Return what has changed since a revision, all objects for 0, no bytes for nothing.
+
+        Many daemons lack the same, for whom it is packed once.
+        """
+        if self.packed_at != self.revision:
+            self.packed_at = self.revision
+            self.packed.clear()
+        if since not in self.packed:
+            rows = self.list_changes(since) if since else self.list_objects()
+            self.packed[since] = compress_json(rows) if rows or not since else b""
+        return self.packed[since]
+
+    def list_changes(self, since: int) -> list[list]:
+        """Return the changes after a revision."""
+        later = (change for change in self.changes if change.revision > since)
+        return [[*change.item, int(change.departure)] for change in later]
+
+    def list_objects(self) -> list[list]:
+        """Return all objects."""
         gone = int(Departure.LAPSED if self.lapsed else Departure.NONE)
-        rows = [[*item, gone] for item in self.objects.values()]
-        return MirrorNews(self.kind, 0, self.revision, age, json.dumps(rows).encode())
+        return [[*item, gone] for item in self.objects.values()]
 
     def take_news(self, news: MirrorNews, asked_at: float | None) -> bool:
         """Take what another daemon told and return whether it changed anything.
@@ -169,7 +185,7 @@
 
     def take_objects(self, news: MirrorNews) -> bool:
         """Take the objects of news that is newer than what is known."""
-        rows = json.loads(news.objects) if news.objects else []
+        rows = decompress_json(news.objects) if news.objects else []
         if news.since == 0:
             lapsed = any(row[-1] == Departure.LAPSED for row in rows)
             items = [StoredObject(*row[:-1]) for row in rows]
@@ -180,8 +196,3 @@
             self.apply(StoredObject(*row[:-1]), Departure(row[-1]), news.revision)
         self.revision = news.revision
         return bool(rows)
-
-
-def encode_rows(rows: list) -> bytes:
-    """Encode changes, no bytes for none."""
-    return json.dumps(rows).encode() if rows else b""
