Try a store that fails with one watch, and follow it only after a start has settled

Ruled out: the watchers' own calls (12 a second), the lease.

A gate of each daemon lets one watch try while the store fails, without a wait, and all once it has answered; a daemon follows the store for others only when it has known them for a moment, within the patience that holds for any daemon.

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -41,7 +41,7 @@
 from tanagertrail.gateway.sending import UpstreamSender
 from tanagertrail.gateway.suspects import SuspectBook
 from tanagertrail.gateway.usage import UsageCounter
-from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
+from tanagertrail.gateway.watching import KindWatch, StoreGate, WatchPace, WatchRole
 from tanagertrail.platform.cloud import CloudClient
 from tanagertrail.platform.pages import DirectoryPage, MetricsPage, Page, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
@@ -118,6 +118,7 @@
         self.front = FrontServer(self.dispatcher.handle, self.get_limits, self.log)
         self.mirrors: dict[str, KindMirror] = {}
         self.watches: list[KindWatch] = []
+        self.gate = StoreGate(self.rng)
         self.gathering = Gathering(self, self.members, self.mirrors)
         self.peer_server = PeerServer(self.gathering, self.log)
         self.links = PeerLinks(
@@ -247,6 +248,7 @@
             pace,
             self.describe_role,
             self.links.push_news,
+            self.gate,
         )
         self.watches.append(watch)
         self.spawn(watch.run())
@@ -255,11 +257,12 @@
         """Return what this daemon does to follow the store."""
         topology = self.gathering.topology
         direct = len(topology.hubs) > len(self.members.states)
+        settled = self.loop.time() - self.started_at >= SETTLE_SECONDS
         spread = DIRECT_SPREAD_SECONDS if direct else RELAYED_SPREAD_SECONDS
         follows = topology.is_watcher
         if topology.is_standby:
             follows = not self.gathering.is_followed(topology.hubs[: topology.rank])
-        return WatchRole(follows, topology.is_standby, spread)
+        return WatchRole(follows and settled, topology.is_standby, spread)
 
     def spawn(self, work) -> None:
         """Run a task; one that fails is logged and ends the daemon."""
--- a/tanagertrail/gateway/watching.py
+++ b/tanagertrail/gateway/watching.py
@@ -1,6 +1,6 @@
 """Tasks that follow the kinds of objects in the platform's store."""
 
-__all__ = ["KindWatch", "WatchPace", "WatchRole"]
+__all__ = ["KindWatch", "StoreGate", "WatchPace", "WatchRole"]
 
 import asyncio
 import random
@@ -46,6 +46,38 @@
     spread: float
 
 
+class StoreGate:
+    """Lets one of a daemon's watches try a store that fails, and all once it has answered.
+
+    Answers an outage at hundreds of daemons: six watches of each that try on by themselves are a
+    load of their own on a store that comes back.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.failures = 0
+        self.next_at = 0.0
+
+    def find_wait(self, now: float) -> float:
+        """Return the seconds until a watch may ask, 0 for now."""
+        return max(self.next_at - now, 0.0) if self.failures else 0.0
+
+    def claim(self, now: float) -> None:
+        """Note that a watch asks, so that no other one does while the store fails."""
+        if self.failures:
+            self.next_at = now + MAX_PAUSE_SECONDS
+
+    def note_failure(self, now: float) -> None:
+        """Take a failed call."""
+        pause = FIRST_PAUSE_SECONDS * 2 ** min(self.failures, 4)
+        self.failures += 1
+        self.next_at = now + min(pause, MAX_PAUSE_SECONDS) * self.rng.uniform(0.8, 1.2)
+
+    def note_success(self) -> None:
+        """Take an answer."""
+        self.failures = 0
+
+
 class KindWatch:
     """Follow one kind for all daemons, or step in when nobody else seems to."""
 
@@ -58,7 +90,9 @@
         pace: WatchPace,
         get_role: Callable[[], WatchRole],
         on_change: Callable[[], None],
+        gate: StoreGate | None = None,
     ) -> None:
+        self.gate = gate or StoreGate(rng)
         self.store = store
         self.mirror = mirror
         self.log = log
@@ -77,9 +111,11 @@
         """Follow the kind until cancelled."""
         while True:
             due = self.find_due()
+            due = max(due, self.gate.find_wait(self.mirror.boot_time()))
             if due > 0:
                 await asyncio.sleep(min(max(due, SHORTEST_LOOK_SECONDS), LOOK_SECONDS))
                 continue
+            self.gate.claim(self.mirror.boot_time())
             self.step_in_share = self.rng.random()
             try:
                 await self.advance()
@@ -87,10 +123,9 @@
             except HistoryLostError:
                 self.log.write("history_lost", kind=self.mirror.kind, revision=self.mirror.revision)
                 self.relist = True
+                self.gate.note_success()
             except PlatformError as error:
                 self.note_failure(error)
-                pause = FIRST_PAUSE_SECONDS * 2 ** min(self.failures - 1, 4)
-                await asyncio.sleep(min(pause, MAX_PAUSE_SECONDS) * self.rng.uniform(0.8, 1.2))
 
     def must_ask(self) -> bool:
         """Say whether this daemon asks the store now."""
@@ -115,9 +150,10 @@
     def choose_wait(self) -> float:
         """Return the seconds for which the next call waits.
 
-        What is not fresh is proved by an answer at once, not after a wait.
+        What is not fresh is proved by an answer at once, not after a wait, and so is the return of
+        a store that has failed.
         """
-        if self.mirror.age >= self.pace.patience:
+        if self.gate.failures or self.mirror.age >= self.pace.patience:
             return 0.0
         return min(self.pace.wait, max(self.pace.patience - self.get_role().spread, LOOK_SECONDS))
 
@@ -149,10 +185,12 @@
             self.failed_since = self.mirror.boot_time()
             self.log.write("store_lost", kind=self.mirror.kind, error=str(error)[:200])
         self.failures += 1
+        self.gate.note_failure(self.mirror.boot_time())
 
     def note_success(self) -> None:
         """Note an answer, and log the end of a series of failures."""
         self.answered_at = self.mirror.boot_time()
+        self.gate.note_success()
         if self.failures:
             away = round(self.mirror.boot_time() - self.failed_since, 3)
             self.log.write(
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -7,7 +7,7 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.mirror import KindMirror
 from tanagertrail.gateway.node import CONFIG_PATIENCE, DRAIN_PATIENCE
-from tanagertrail.gateway.watching import KindWatch, WatchPace, WatchRole
+from tanagertrail.gateway.watching import KindWatch, StoreGate, WatchPace, WatchRole
 from tanagertrail.platform.store import Listing, WatchAnswer
 from tanagertrail.testing import run_virtual
 from tests.gateway_utils import QuietHandler
@@ -192,3 +192,29 @@
         for seed in range(20):
             age = run_virtual(measure_silence(CONFIG_PATIENCE * bound, seed))
             assert age <= bound - CALL_SECONDS, (bound, seed)
+
+
+def test_six_watches_of_a_daemon_tried_a_store_that_was_away_by_themselves():
+    """kumo-dial-large trouble-1: 9,246 calls, a good part of them to a store that refused them."""
+
+    async def main():
+        store = QuietStore()
+        store.away = True
+        gate = StoreGate(random.Random(5))
+        watches = [build_watch(store, WATCHER, seed) for seed in range(6)]
+        for watch in watches:
+            watch.gate = gate
+            watch.mirror.take_listing(Listing([], 1), watch.mirror.boot_time())
+        tasks = [asyncio.create_task(watch.run()) for watch in watches]
+        await asyncio.sleep(10.0)
+        tried = store.calls
+        store.away = False
+        await asyncio.sleep(1.3)
+        ages = [watch.mirror.age for watch in watches]
+        for task in tasks:
+            task.cancel()
+        return tried, ages
+
+    tried, ages = run_virtual(main())
+    assert tried <= 6 + 10.0 / 0.5
+    assert max(ages) < 1.3, "all follow again soon after the store is back"
