--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -34,7 +34,7 @@
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import GatewaySettings, Limits
-from tanagertrail.gateway.page_server import PageServer
+from tanagertrail.gateway.page_server import PageServers
 from tanagertrail.gateway.peers import PeerLinks, PeerServer
 from tanagertrail.gateway.pools import ConnectionPools
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler, QuarantineKeeper
@@ -43,7 +43,7 @@
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.gateway.watching import KindWatch, StoreGate, WatchPace, WatchRole
 from tanagertrail.platform.cloud import CloudClient
-from tanagertrail.platform.pages import DirectoryPage, MetricsPage, Page, ReadyPage
+from tanagertrail.platform.pages import DirectoryPage, ReadyPage
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
 from tanagertrail.platform.store import StoreClient
 from tanagertrail.policy.canary import TrialCounts
@@ -127,7 +127,7 @@
         self.leadership.may_follow = self.may_follow_lease
         self.leadership.may_hold = lambda: self.gathering.topology.is_hub
         self.started_at = self.loop.time()
-        self.pages: list[PageServer] = []
+        self.pages = PageServers(self.log)
         self.tasks: list[asyncio.Task] = []
         self.counter = 0
         self.quarantine: QuarantineKeeper | None = None
@@ -152,14 +152,16 @@
         await self.peer_server.start(self.settings.host, self.settings.internal[0])
         host, _, port = self.settings.front.rpartition(":")
         await self.front.start(host, int(port))
-        await self.serve_page(self.settings.ready, ReadyPage(lambda: self.ready))
+        await self.pages.serve(self.settings.ready, ReadyPage(lambda: self.ready))
         if self.settings.directory:
             lifetime = min(ANSWER_LIFETIME_SECONDS, self.settings.bounds.answer_lifetime)
-            await self.serve_page(
+            await self.pages.serve(
                 self.settings.directory, DirectoryPage(self.list_fronts, lifetime)
             )
         if self.tuning.metrics.port:
-            await self.serve_metrics()
+            metrics = self.dispatcher.metrics = GatewayMetrics(lambda: list_gauges(self))
+            address = f"{self.settings.host}:{self.tuning.metrics.port}"
+            await self.pages.serve_metrics(address, metrics)
         bounds = self.settings.bounds
         config_pace = WatchPace(LONGEST_WAIT_SECONDS, CONFIG_PATIENCE * bounds.config_apply)
         upstream_pace = WatchPace(LONGEST_WAIT_SECONDS, DRAIN_PATIENCE * bounds.drain)
@@ -224,19 +226,6 @@
         hosts = (seed.rpartition(":")[0] for seed in self.settings.seeds)
         return tuple(f"{host}:{port}" for host in hosts)
 
-    async def serve_page(self, address: str, page: Page) -> None:
-        """Serve a page."""
-        host, _, port = address.rpartition(":")
-        server = PageServer(page, self.log)
-        await server.start(host, int(port))
-        self.pages.append(server)
-
-    async def serve_metrics(self) -> None:
-        """Serve the metrics."""
-        metrics = self.dispatcher.metrics = GatewayMetrics(lambda: list_gauges(self))
-        address = f"{self.settings.host}:{self.tuning.metrics.port}"
-        await self.serve_page(address, MetricsPage(lambda: render_text(metrics)))
-
     def watch(self, kind: str, handler: BaseKindHandler, pace: WatchPace) -> None:
         """Follow a kind of stored objects."""
         mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
@@ -415,13 +404,4 @@
         self.links.close()
         self.pools.close()
         self.store.close()
-        for page in self.pages:
-            page.close()
-
-
-def render_text(metrics: GatewayMetrics) -> bytes:
-    """Return the metrics as text."""
-    # Imported here since most daemons are never asked for metrics.
-    from tanagertrail.gateway.exporter import render_metrics
-
-    return render_metrics(metrics)
+        self.pages.close()
--- a/tanagertrail/gateway/page_server.py
+++ b/tanagertrail/gateway/page_server.py
@@ -1,11 +1,12 @@
 """Pages for the platform and its clients, served from the event loop."""
 
-__all__ = ["PageServer"]
+__all__ = ["PageServer", "PageServers"]
 
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.front import DEFAULT_LIMITS, FrontServer
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
-from tanagertrail.platform.pages import Page
+from tanagertrail.gateway.metrics import GatewayMetrics
+from tanagertrail.platform.pages import MetricsPage, Page
 
 
 class PageServer:
@@ -36,3 +37,41 @@
     def close(self) -> None:
         """Close all connections."""
         self.front.close()
+
+
+class PageServers:
+    """The servers of a daemon's pages."""
+
+    def __init__(self, log: EventLog) -> None:
+        self.log = log
+        self.servers: list[PageServer] = []
+
+    async def serve(self, address: str, page: Page) -> None:
+        """Serve a page.
+
+        :raises OSError: if the port is taken
+        """
+        host, _, port = address.rpartition(":")
+        server = PageServer(page, self.log)
+        await server.start(host, int(port))
+        self.servers.append(server)
+
+    async def serve_metrics(self, address: str, metrics: GatewayMetrics) -> None:
+        """Serve the metrics.
+
+        :raises OSError: if the port is taken
+        """
+        await self.serve(address, MetricsPage(lambda: render_text(metrics)))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for server in self.servers:
+            server.close()
+
+
+def render_text(metrics: GatewayMetrics) -> bytes:
+    """Return the metrics as text."""
+    # Imported here since most daemons are never asked for metrics.
+    from tanagertrail.gateway.exporter import render_metrics
+
+    return render_metrics(metrics)
