--- a/tanagertrail/standins/cloud.py
+++ b/tanagertrail/standins/cloud.py
@@ -2,6 +2,7 @@
 
 __all__ = ["StandInCloud"]
 
+import asyncio
 import json
 from typing import Any, NamedTuple
 
@@ -20,10 +21,14 @@
 
 
 class StandInCloud(BaseStandIn):
-    """Take calls and keep them."""
+    """Take calls and keep them.
+
+    :ivar silent: whether calls are kept and not answered
+    """
 
     def __init__(self) -> None:
         self.calls: list[DutyCall] = []
+        self.silent = False
         super().__init__("cloud")
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -37,4 +42,6 @@
                 json.loads(request.body),
             )
         )
+        if self.silent:
+            await asyncio.sleep(3600)
         stream.send_whole(200, [], b"")
