Log and count the rates that upstreams name

Answers are now decoded for the field in both spellings of the users' pages; a rate that was learned, changed, ended or is malformed leaves a line (upstream, value, source, field, age); gauges show the rate and the requests that a daemon sent to each upstream. Nothing acts on it yet.

--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -33,3 +33,7 @@
         yield GaugeRow("upstream_in_flight", entry.in_flight, labels)
         yield GaugeRow("upstream_running", entry.running, labels)
         yield GaugeRow("upstream_faults", entry.failure_rate, labels)
+        yield GaugeRow("upstream_sent", entry.sent_count, labels)
+        rate = node.rate_limits.get_rate(entry)
+        if rate is not None:
+            yield GaugeRow("upstream_limit", rate, labels)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -37,6 +37,7 @@
 from tanagertrail.gateway.peers import PeerClient, PeerServer
 from tanagertrail.gateway.pools import ConnectionPools
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler, QuarantineStore
+from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.state_sync import StateSync, SyncDelegate
 from tanagertrail.gateway.store_watch import KindWatch, StoreBackoff, WatchRole, WatchTiming
 from tanagertrail.gateway.suspects import SuspectTracker
@@ -90,6 +91,7 @@
         self.quota = QuotaLimiter(settings.bounds.quota_window, self.loop.time())
         self.wall_clock = SteadyWallClock(read_wall_time, read_boot_time)
         self.usage = UsageCounter(settings.bounds.usage_window, self.wall_clock.read)
+        self.rate_limits = RateLimitTable(self.log)
         self.dispatcher = Dispatcher(
             self.cluster_view,
             self.members,
@@ -98,6 +100,7 @@
                 self.usage,
                 self.crash_detector,
                 self.suspects,
+                self.rate_limits,
                 self.tuning.answers.most_bytes,
             ),
             self.quota,
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -9,6 +9,7 @@
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
 from tanagertrail.gateway.http1 import ResponseHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
+from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
@@ -45,12 +46,14 @@
         usage: UsageCounter,
         crash_detector: CrashDetector,
         suspects: SuspectTracker,
+        rate_limits: RateLimitTable,
         most_bytes: int,
     ) -> None:
         self.pools = pools
         self.usage = usage
         self.crash_detector = crash_detector
         self.suspects = suspects
+        self.rate_limits = rate_limits
         self.most_bytes = most_bytes
 
     async def send_attempt(
@@ -62,6 +65,7 @@
         :raises CallerGoneError: if the caller has closed its connection
         """
         entry.in_flight += 1
+        entry.sent_count += 1
         stream = None
         pending_attempt: UnansweredAttempt | None = None
         answered = False
@@ -119,6 +123,8 @@
                 head, fields = await self.read_matching_head(exchange, stream)
             stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
             self.apply_upstream_fields(entry, fields)
+            if head.status != MISDIRECTED_STATUS and (fields.signed or fields.not_run):
+                self.rate_limits.note_answer(entry, fields, exchange.sent_at)
             if exchange.customer is not None and fields.signed and not fields.not_run:
                 self.usage.note_started(exchange.customer.name)
             step = Step.STREAM
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -22,6 +22,7 @@
     :ivar first_seen_at: event-loop time in seconds at which its registration was first seen
     :ivar in_flight: requests of this daemon that it is running
     :ivar in_flight_elsewhere: requests of other daemons, maintained by the table
+    :ivar sent_count: requests that this daemon sent to it
     :ivar cold_until: event-loop time in seconds until which it is cold
     :ivar cold_limiter: limiter of this daemon's share of its rate while it is cold
     :ivar backoff_until: event-loop time in seconds until which it gets no new requests
@@ -39,6 +40,7 @@
         self.first_seen_at = first_seen_at
         self.in_flight = 0
         self.in_flight_elsewhere = 0
+        self.sent_count = 0
         self.cold_until = 0.0
         self.backoff_until = 0.0
         self.consecutive_failures = 0
--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -2,6 +2,8 @@
 
 __all__ = [
     "CallerFields",
+    "NamedRate",
+    "UpstreamFields",
     "UpstreamLoad",
     "build_response_headers",
     "build_upstream_headers",
@@ -9,6 +11,8 @@
     "decode_upstream_fields",
 ]
 
+import math
+import re
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -32,6 +36,11 @@
 SERVER_LOAD = b"tanagertrail-server-load"
 UPSTREAM_ID = b"tanagertrail-instance-id"
 COLD_MS = b"tanagertrail-cold-ms"
+# The users' pages spell this field both ways.
+RATE_LIMIT_FIELDS = (b"tanagertrail-server-limit", b"server-limit")
+
+DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
+MAX_LOGGED_VALUE_LENGTH = 40
 
 # Fields that apply to one connection, or to the framing of the body, which the gateway does anew.
 HOP_BY_HOP_FIELDS = frozenset(
@@ -94,6 +103,19 @@
     slots: int
 
 
+class NamedRate(NamedTuple):
+    """A request rate that an upstream names in its answer.
+
+    :ivar rate: requests per second that it accepts from all daemons together, None if malformed
+    :ivar field: name of the header field
+    :ivar value: the field's value, shortened for the log
+    """
+
+    rate: float | None
+    field: str
+    value: str
+
+
 class UpstreamFields(NamedTuple):
     """Fields of an upstream's response.
 
@@ -105,6 +127,7 @@
         stated
     :ivar closes_connection: whether the upstream closes the connection after the response
     :ivar cold_for: seconds for which the upstream stays cold, None if not stated
+    :ivar rate_limit: request rate that the upstream names, None if it names none
     """
 
     request_id: str
@@ -114,6 +137,7 @@
     keep_for: float | None
     closes_connection: bool
     cold_for: float | None
+    rate_limit: NamedRate | None = None
 
 
 def decode_text(value: bytes) -> str:
@@ -207,9 +231,32 @@
         decode_keep_alive_timeout(values.get(b"keep-alive", "")),
         "close" in values.get(b"connection", "").lower(),
         None if cold_ms is None else cold_ms / 1000,
+        decode_rate_limit(headers),
     )
 
 
+def decode_rate_limit(headers: Headers) -> NamedRate | None:
+    """Decode the request rate that an upstream names, None if it names none.
+
+    Several fields must agree. A value that is no decimal number, or not finite, is malformed.
+    """
+    named = [(name, decode_text(value)) for name, value in headers if name in RATE_LIMIT_FIELDS]
+    if not named:
+        return None
+    rates = {parse_decimal(value) for _, value in named}
+    rate = rates.pop() if len(rates) == 1 else None
+    values = ",".join(value for _, value in named)[:MAX_LOGGED_VALUE_LENGTH]
+    return NamedRate(rate, named[0][0].decode(), values)
+
+
+def parse_decimal(value: str) -> float | None:
+    """Parse a finite, non-negative decimal number; return None for anything else."""
+    if not DECIMAL_NUMBER.fullmatch(value):
+        return None
+    number = float(value)
+    return number if math.isfinite(number) else None
+
+
 def decode_load(value: str) -> UpstreamLoad | None:
     """Decode ``running,waiting,slots`` as an upstream reports them."""
     numbers = [parse_non_negative_int(part.strip()) for part in value.split(",")]
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -41,6 +41,7 @@
     :ivar ended: whether it has ended
     :ivar endless_bytes: bytes sent by faults that have no end
     :ivar work: seconds that a plain request takes, and each event of a stream
+    :ivar named_rate: value of the rate limit that it names in its answers, None for none
     """
 
     def __init__(self, upstream_id: str, work: float = 0.002) -> None:
@@ -54,6 +55,7 @@
         self.deadly = b""
         self.ended = False
         self.endless_bytes = 0
+        self.named_rate: str | None = None
         super().__init__(upstream_id)
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -97,11 +99,18 @@
     def sign(self, request: CallerRequest) -> Headers:
         """Return the header of an answer."""
         request_id = dict(request.headers).get(header_fields.REQUEST_ID, b"")
-        return [
+        signature = [
             (header_fields.REQUEST_ID, request_id),
             (header_fields.SERVER_STAMP, f"{self.id}.{request_id.decode()}".encode()),
             (header_fields.SERVER_LOAD, b"1,0,8"),
         ]
+        return signature + self.name_rate()
+
+    def name_rate(self) -> Headers:
+        """Return the header in which an upstream in need names a rate limit."""
+        if self.named_rate is None:
+            return []
+        return [(header_fields.RATE_LIMIT_FIELDS[1], self.named_rate.encode())]
 
     async def run(self, request: CallerRequest, stream: CallerStream) -> None:
         """Run a request to its end."""
@@ -128,7 +137,8 @@
 @FAULTS.register("refuse")
 async def refuse(upstream: StandInUpstream, request: CallerRequest, stream: CallerStream) -> None:
     """Reject the request as one that has not run."""
-    stream.send_response(503, [*upstream.sign(request)[:1], (header_fields.NOT_RUN, b"1")], b"full")
+    fields = [*upstream.sign(request)[:1], (header_fields.NOT_RUN, b"1"), *upstream.name_rate()]
+    stream.send_response(503, fields, b"full")
 
 
 @FAULTS.register("fail")
