--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -36,6 +36,8 @@
 
     :ivar faults: names of faults for the next requests, in order
     :ivar runs: requests that were begun
+    :ivar arrivals: ids of the requests that reached it
+    :ivar arrival_times: event-loop time in seconds of each arrival
     :ivar cut: ids of requests whose connection closed while they ran
     :ivar deadly: text in a body or target that ends the upstream when it begins to run it
     :ivar ended: whether it has ended
@@ -50,6 +52,7 @@
         self.faults: deque[str] = deque()
         self.runs: list[RunRecord] = []
         self.arrivals: list[str] = []
+        self.arrival_times: list[float] = []
         self.cut: list[str] = []
         self.connections = 0
         self.deadly = b""
@@ -63,6 +66,7 @@
         table = dict(request.headers)
         request_id = table.get(header_fields.REQUEST_ID, b"").decode()
         self.arrivals.append(request_id)
+        self.arrival_times.append(asyncio.get_running_loop().time())
         if table.get(header_fields.EXPECTED_UPSTREAM, b"").decode() != self.id:
             stream.send_response(421, [(header_fields.UPSTREAM_ID, self.id.encode())], b"")
             return
--- /dev/null
+++ b/tests/test_limited_upstreams.py
@@ -0,0 +1,85 @@
+"""Fleets of daemons before upstreams that name a request rate, on loopback."""
+
+import asyncio
+import random
+from bisect import bisect_left
+from collections.abc import Sequence
+
+from tests.gateway_utils import open_fleet, run_in_real_time
+
+REQUESTS_PER_SECOND = 60
+NAMED_AT_SECONDS = 1.0
+BOUND_FROM_SECONDS = 4.0  # the stability bound after the naming
+END_SECONDS = 10.0
+WINDOW_SECONDS = 4.0
+EXTRA_REQUESTS = 5  # that a window may hold beyond 1.5 times the rate
+USED_SHARE = 0.6  # of the named rates that is served while callers press
+
+
+def compute_bound(rate: float) -> float:
+    """Return the most requests that a window may hold."""
+    return 1.5 * rate * WINDOW_SECONDS + EXTRA_REQUESTS
+
+
+def count_fullest_window(times: Sequence[float]) -> int:
+    """Return the requests in the fullest window.
+
+    :param times: arrivals in rising order, in seconds
+    """
+    return max(
+        (bisect_left(times, at + WINDOW_SECONDS) - n for n, at in enumerate(times)), default=0
+    )
+
+
+async def press(fleet, seconds: float) -> list[int]:
+    """Send requests through all daemons and return their statuses."""
+    rng = random.Random(1)
+    calls = []
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    while loop.time() < until:
+        front = rng.randrange(len(fleet.front_ports))
+        calls.append(asyncio.create_task(fleet.fetch("/look/x", front=front)))
+        await asyncio.sleep(rng.expovariate(REQUESTS_PER_SECOND))
+    return [reply.status for reply in await asyncio.gather(*calls)]
+
+
+async def play(
+    daemons: int, rates: Sequence[str | None]
+) -> tuple[dict[str, list[float]], list[int]]:
+    """Press a fleet whose upstreams name rates a second after the load begins.
+
+    :param rates: rate that each upstream names, None for none
+    :return: arrivals of each upstream from the time at which the bound holds, and the statuses
+    """
+    names = [f"entry-{number}" for number in range(2, daemons + 1)]
+    async with open_fleet(*names, upstreams=len(rates)) as fleet:
+        started = asyncio.get_running_loop().time()
+        load = asyncio.create_task(press(fleet, END_SECONDS))
+        await asyncio.sleep(NAMED_AT_SECONDS)
+        for upstream, rate in zip(fleet.upstreams, rates, strict=True):
+            upstream.named_rate = rate
+        statuses = await load
+        bound_from = started + BOUND_FROM_SECONDS
+        times = {
+            upstream.id: [at for at in upstream.arrival_times if at >= bound_from]
+            for upstream in fleet.upstreams
+        }
+        return times, statuses
+
+
+@run_in_real_time
+async def test_one_upstream_in_need_gets_more_than_the_rate_that_it_named():
+    times, statuses = await play(5, ["1.6", None, None, None])
+    assert count_fullest_window(times["up-a"]) <= compute_bound(1.6)
+    assert statuses.count(200) >= 0.99 * len(statuses)
+
+
+@run_in_real_time
+async def test_upstreams_that_are_all_in_need_get_more_than_they_named_or_far_less():
+    times, statuses = await play(5, ["1.4"] * 4)
+    for upstream, arrivals in times.items():
+        assert count_fullest_window(arrivals) <= compute_bound(1.4), upstream
+    served = sum(len(arrivals) for arrivals in times.values())
+    assert served >= USED_SHARE * 4 * 1.4 * (END_SECONDS - BOUND_FROM_SECONDS)
+    assert set(statuses) <= {200, 503}
