Keep the rates that upstreams name over all daemons together

Cause: nothing read the rate; placement went on as if nothing had been said. Class: a bound that holds for all daemons together and that nobody keeps, or each for itself. Evidence: on one daemon alone, which was told 1.6 a second, sent 31 requests in 4 s, and as many when told 0.4; five daemons sent up to 70 and 204 (tests.test_limited_upstreams failed, always). Change: a rate is divided among a few holders, found by rendezvous hashing over the upstream and the serving daemons; their number grows with the rate, so that their bursts fit in the bound. A new holder waits until the former one has learnt of it; a part shrinks with the share of daemons out of touch. Daemons tell each other what upstreams say, with the ages by which statements are ordered. The selector counts with the limit before it chooses; what fits nowhere is refused at once, with a Retry-After from the rate at which capacity returns. Why it works: all that is sent is counted where it is sent (attempts, retries, isolated trials), and the sum of all parts is at most the rate however daemons disagree. Checked against the rule's own arithmetic with hypothesis over joins, losses, restarts and late news (tests.test_shared_rate), for 5, 75, 195 and 380 daemons.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -114,6 +114,8 @@
     :ivar age_ms: milliseconds since the daemon reported this state
     :ivar upstream_losses: upstreams recently found to have ended, with the requests that were
         unanswered there
+    :ivar limits: (upstream, start, requests per second or -1 for no limit, seconds since the
+        request was sent, seconds since the answer was heard) rows of what upstreams say they accept
     """
 
     daemon: str
@@ -134,6 +136,7 @@
     prompt_tokens: tuple = ()
     age_ms: int = 0
     upstream_losses: tuple = ()
+    limits: tuple = ()
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -54,7 +54,9 @@
         self.suspects = suspects
         self.admission = Admission(cluster_view, members, quota, suspects, rng)
         self.trials = RolloutTrials(cluster_view)
-        self.selector = UpstreamSelector(cluster_view, members, self.trials, rng, placement)
+        self.selector = UpstreamSelector(
+            cluster_view, members, self.trials, sender.rate_limits, rng, placement
+        )
         self.retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.in_flight = 0
         self.prompt_tokens_sent: Counter[str] = Counter()
@@ -186,8 +188,7 @@
             stream.send_response(failure.head.status, headers, failure.body)
             self.log_outcome(exchange, "failed upstream")
         elif exchange.known_not_run:
-            reason = last.reason if last else "no upstream has a place"
-            refusal = Refusal(503, reason, self.selector.estimate_retry_after(exchange.service))
+            refusal = self.selector.build_refusal(exchange.service, last.reason if last else "")
             self.refuse(stream, exchange.fields.request_id, refusal)
             self.log_outcome(exchange, "refused")
         elif last is not None and last.result is AttemptResult.TIMED_OUT:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -38,6 +38,7 @@
 from tanagertrail.gateway.pools import ConnectionPools
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler, QuarantineStore
 from tanagertrail.gateway.rate_limits import RateLimitTable
+from tanagertrail.gateway.shared_rates import SharedRates
 from tanagertrail.gateway.state_sync import StateSync, SyncDelegate
 from tanagertrail.gateway.store_watch import KindWatch, StoreBackoff, WatchRole, WatchTiming
 from tanagertrail.gateway.suspects import SuspectTracker
@@ -91,7 +92,8 @@
         self.quota = QuotaLimiter(settings.bounds.quota_window, self.loop.time())
         self.wall_clock = SteadyWallClock(read_wall_time, read_boot_time)
         self.usage = UsageCounter(settings.bounds.usage_window, self.wall_clock.read)
-        self.rate_limits = RateLimitTable(self.log)
+        self.shared_rates = SharedRates(self.members, lambda: self.ready)
+        self.rate_limits = RateLimitTable(self.shared_rates, self.log, read_boot_time)
         self.dispatcher = Dispatcher(
             self.cluster_view,
             self.members,
@@ -179,6 +181,7 @@
             self.store, self.mirrors[QUARANTINE_KIND], self.settings.name, self.log, self.rng
         )
         self.suspects.on_loss = self.peer_client.exchange_with_all
+        self.rate_limits.on_change = self.peer_client.exchange_with_all
         self.suspects.on_quarantine = self.quarantine.start_storing
         self.start_task(self.quarantine.run(lambda: self.leadership.fencing > 0))
         self.start_task(register_member(self.store, self.members, self.log, self.rng))
@@ -278,6 +281,9 @@
             self.pools.close_expired()
             alive = [state.member.daemon for state in self.members.list_alive(self.loop.time())]
             self.cluster_view.upstreams.drop_dead_daemons(alive)
+            self.shared_rates.refresh_fleet()
+            self.rate_limits.forget_ended(self.cluster_view.upstreams.entries)
+            self.shared_rates.forget_except(self.rate_limits.list_keys())
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
 
@@ -331,6 +337,7 @@
             trials=self.dispatcher.trials.encode(),
             prompt_tokens=tuple(self.dispatcher.prompt_tokens_sent.items()),
             upstream_losses=self.suspects.encode_losses(),
+            limits=self.rate_limits.encode(),
         )
 
     def apply_state(self, state: DaemonState) -> None:
@@ -342,6 +349,8 @@
         self.usage.merge(state.daemon, state.incarnation, state.usage)
         as_of = now - state.age_ms / 1000
         self.suspects.merge_losses(state.daemon, state.incarnation, state.upstream_losses, as_of)
+        encoded_at = read_boot_time() - state.age_ms / 1000
+        self.rate_limits.merge(state.daemon, state.limits, encoded_at)
         if self.state_sync.topology.is_hub:
             usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
             self.quota.note_report(state.daemon, state.incarnation, usage, now)
--- a/tanagertrail/gateway/rate_limits.py
+++ b/tanagertrail/gateway/rate_limits.py
@@ -2,25 +2,45 @@
 
 __all__ = ["RateLimitTable"]
 
-import asyncio
+import itertools
+from collections.abc import Callable, Collection, Iterable
 
+from tanagertrail.gateway.clock import BootClock
 from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.shared_rates import SharedRates
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import UpstreamFields
 from tanagertrail.policy.limit_statements import LimitStatement, merge_statements
+from tanagertrail.policy.shared_rate import RateBound
 
 OWN_ANSWER = "own answer"  # source of a statement that an upstream made to this daemon
+LIMIT_BOUND = RateBound(window=4.0, factor=1.5, extra=5.0)
+MAX_SHARED_STATEMENTS = 64  # in one message; the others take turns
+NEWS_SECONDS = 5.0  # for which a change precedes the statements that take turns
+KEEP_ENDED_SECONDS = 60.0  # after which all daemons have heard that a limit ended
+UNLIMITED = -1.0  # rate of a statement without a limit in messages
 
 
 class RateLimitTable:
     """The newest statement of each upstream on the request rate that it accepts.
 
-    :ivar statements: newest statement by upstream id, in event-loop time
+    Times of statements are boot times, because a daemon that was suspended would take an old
+    statement for a new one.
+
+    :ivar statements: newest statement by upstream id
+    :ivar changed_at: boot time in seconds of the last change of a limit, by upstream id
+    :ivar on_change: called when an upstream's own answer has changed its limit
+    :ivar turn: number of messages so far, which decides whose turn it is
     """
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, shared_rates: SharedRates, log: EventLog, boot_time: BootClock) -> None:
+        self.shared_rates = shared_rates
         self.log = log
+        self.boot_time = boot_time
         self.statements: dict[str, LimitStatement] = {}
+        self.changed_at: dict[str, float] = {}
+        self.on_change: Callable[[], None] = lambda: None
+        self.turn = 0
 
     def get_rate(self, entry: UpstreamEntry) -> float | None:
         """Return the requests per second that an upstream accepts, None for no limit."""
@@ -29,10 +49,24 @@
             return None
         return statement.rate
 
+    def allows_request(self, entry: UpstreamEntry) -> bool:
+        """Return whether an upstream's limit allows this daemon to send it a request now."""
+        rate = self.get_rate(entry)
+        if rate is None:
+            return True
+        return self.shared_rates.allows_request(
+            build_key(entry.record.id, entry.record.born), rate, LIMIT_BOUND
+        )
+
+    def note_sent(self, entry: UpstreamEntry) -> None:
+        """Count a request that is sent to an upstream."""
+        if self.get_rate(entry) is not None:
+            self.shared_rates.note_sent(build_key(entry.record.id, entry.record.born))
+
     def note_answer(self, entry: UpstreamEntry, fields: UpstreamFields, sent_at: float) -> None:
         """Apply what an upstream's answer says of its limit; a malformed value changes nothing.
 
-        :param sent_at: event-loop time in seconds at which the request was sent
+        :param sent_at: boot time in seconds at which the request was sent
         """
         named = fields.rate_limit
         if named is not None and named.rate is None:
@@ -40,10 +74,45 @@
                 "limit_refused", upstream=entry.record.id, field=named.field, value=named.value
             )
             return
-        now = asyncio.get_running_loop().time()
         rate = None if named is None else named.rate
-        statement = LimitStatement(entry.record.born, rate, sent_at, now)
-        self.apply(entry.record.id, statement, OWN_ANSWER, "" if named is None else named.field)
+        statement = LimitStatement(entry.record.born, rate, sent_at, self.boot_time())
+        field = "" if named is None else named.field
+        if self.apply(entry.record.id, statement, OWN_ANSWER, field):
+            self.on_change()
+
+    def merge(self, daemon: str, rows: Iterable[tuple], as_of: float) -> None:
+        """Apply the statements that another daemon knows.
+
+        :param rows: as built by :meth:`encode`
+        :param as_of: boot time in seconds at which they were encoded
+        """
+        for upstream, born, rate, sent_age, heard_age in rows:
+            limit = None if rate == UNLIMITED else rate
+            statement = LimitStatement(born, limit, as_of - sent_age, as_of - heard_age)
+            self.apply(upstream, statement, daemon)
+
+    def encode(self) -> tuple:
+        """Encode statements for other daemons, recent changes first.
+
+        A row holds the upstream, its start, the rate, and the seconds since the request was sent
+        and since the answer was heard.
+        """
+        now = self.boot_time()
+        recent = [name for name, at in self.changed_at.items() if now - at <= NEWS_SECONDS]
+        others = [name for name in self.statements if name not in recent]
+        self.turn += 1
+        room = MAX_SHARED_STATEMENTS - len(recent)
+        if 0 < room < len(others):
+            start = self.turn * room % len(others)
+            others = list(itertools.islice(itertools.cycle(others), start, start + room))
+        shared = (recent + others)[:MAX_SHARED_STATEMENTS]
+        return tuple(self.encode_statement(name, now) for name in shared)
+
+    def encode_statement(self, upstream: str, now: float) -> tuple:
+        """Encode one statement."""
+        born, rate, sent_at, heard_at = self.statements[upstream]
+        limit = UNLIMITED if rate is None else rate
+        return (upstream, born, limit, round(now - sent_at, 3), round(now - heard_at, 3))
 
     def apply(self, upstream: str, statement: LimitStatement, source: str, field: str = "") -> bool:
         """Apply a statement and return whether it changed the upstream's limit.
@@ -59,9 +128,23 @@
         before = None if known is None or known.born != merged.born else known.rate
         if merged.rate == before:
             return False
+        self.changed_at[upstream] = self.boot_time()
         self.log_change(upstream, before, merged, source, field)
         return True
 
+    def list_keys(self) -> set[str]:
+        """Return the keys of the shared rates of all statements."""
+        return {build_key(name, item.born) for name, item in self.statements.items()}
+
+    def forget_ended(self, registered: Collection[str]) -> None:
+        """Drop old statements of limits that have ended and of upstreams that are gone."""
+        oldest = self.boot_time() - KEEP_ENDED_SECONDS
+        for upstream, statement in list(self.statements.items()):
+            in_force = statement.rate is not None and upstream in registered
+            if not in_force and max(statement.heard_at, self.changed_at[upstream]) < oldest:
+                del self.statements[upstream]
+                del self.changed_at[upstream]
+
     def log_change(
         self,
         upstream: str,
@@ -82,5 +165,11 @@
             before=before,
             source=source,
             field=field,
-            age_s=round(asyncio.get_running_loop().time() - statement.heard_at, 2),
+            age_s=round(self.boot_time() - statement.heard_at, 2),
+            daemons=self.shared_rates.daemon_count,
         )
+
+
+def build_key(upstream: str, born: float) -> str:
+    """Return the key of the limit that one incarnation of an upstream named."""
+    return f"limit {upstream} {born}"
--- /dev/null
+++ b/tanagertrail/gateway/shared_rates.py
@@ -0,0 +1,73 @@
+"""This daemon's parts of the request rates that hold for all daemons together."""
+
+__all__ = ["SharedRates"]
+
+import asyncio
+from collections.abc import Callable, Collection
+
+from tanagertrail.gateway.members import MemberTable
+from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
+from tanagertrail.policy.shared_rate import FleetView, HeldRates, RateBound
+
+FLEET_REFRESH_SECONDS = 0.25
+# Time in which all daemons learn that one has started, stopped or been lost.
+DIRECT_HANDOVER_SECONDS = 2.0
+RELAYED_HANDOVER_SECONDS = 3.5  # if states are relayed by two hubs
+
+
+class SharedRates:
+    """Divide shared rates among the daemons that this one knows to be alive.
+
+    :ivar is_serving: returns whether this daemon accepts callers' requests
+    :ivar held_rates: this daemon's parts
+    """
+
+    def __init__(self, members: MemberTable, is_serving: Callable[[], bool]) -> None:
+        self.members = members
+        self.is_serving = is_serving
+        self.held_rates = HeldRates(members.own.daemon)
+        self.refreshed_at = float("-inf")
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    @property
+    def daemon_count(self) -> int:
+        """The number of daemons among which rates are divided."""
+        return len(self.held_rates.fleet.serving)
+
+    def refresh_fleet(self) -> None:
+        """Look up which daemons are alive and serving, unless that was done just now."""
+        now = self.now()
+        if now - self.refreshed_at < FLEET_REFRESH_SECONDS:
+            return
+        self.refreshed_at = now
+        serving = {member.daemon for member in self.members.list_serving_members(now)}
+        if self.is_serving():
+            serving.add(self.members.own.daemon)
+        known = self.members.count()
+        live_share = self.members.count_alive(now) / known
+        direct = known <= MAX_FULL_MESH_DAEMONS
+        self.held_rates.observe_fleet(
+            FleetView(self.members.own.daemon, frozenset(serving), live_share),
+            DIRECT_HANDOVER_SECONDS if direct else RELAYED_HANDOVER_SECONDS,
+            now,
+        )
+
+    def allows_request(self, key: str, rate: float, bound: RateBound) -> bool:
+        """Return whether this daemon may send a request now.
+
+        :param key: what the rate belongs to
+        :param rate: requests per second from all daemons together
+        """
+        self.refresh_fleet()
+        return self.held_rates.allows_request(key, rate, bound, self.now())
+
+    def note_sent(self, key: str) -> None:
+        """Count a request that is sent."""
+        self.held_rates.note_sent(key)
+
+    def forget_except(self, keys: Collection[str]) -> None:
+        """Drop the rates that are no longer in force."""
+        self.held_rates.forget_except(keys)
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 
+from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.exchange import Exchange
 from tanagertrail.gateway.members import MemberTable
+from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.trials import RolloutTrials
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.policy.canary import VersionUse
@@ -16,7 +18,7 @@
 from tanagertrail.policy.hashing import score_pair
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.placement import PLACEMENTS, PlacementCandidate, PlacementRequest
-from tanagertrail.policy.retry_after import estimate_retry_after
+from tanagertrail.policy.retry_after import ReturnSchedule, estimate_retry_after
 
 PREFIX_TTL_SECONDS = 20.0  # for which a prompt prefix is assumed to stay cached
 MAX_LOAD_FACTOR = 2.0  # running requests per slot, above which an upstream would reject more
@@ -29,6 +31,7 @@
     :ivar prefix_index: which prompt prefixes this daemon has sent to which upstream
     :ivar choose_candidate: placement strategy
     :ivar last_dispatch_at: event-loop time in seconds of the last dispatch, by service
+    :ivar return_schedules: when callers refused by this daemon may return, by service
     """
 
     def __init__(
@@ -36,16 +39,19 @@
         cluster_view: ClusterView,
         members: MemberTable,
         trials: RolloutTrials,
+        rate_limits: RateLimitTable,
         rng: random.Random,
         placement: str,
     ) -> None:
         self.cluster_view = cluster_view
         self.members = members
         self.trials = trials
+        self.rate_limits = rate_limits
         self.rng = rng
         self.prefix_index = PrefixIndex(PREFIX_TTL_SECONDS)
         self.choose_candidate = PLACEMENTS.get(placement)
         self.last_dispatch_at: dict[str, float] = {}
+        self.return_schedules: dict[str, ReturnSchedule] = {}
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -69,6 +75,7 @@
         if not entries:
             return None
         if isolated:
+            entries = self.prefer_unlimited(entries)
             return entries[max(entries, key=lambda name: score_pair(exchange.fingerprint, name))]
         entries = self.prefer_canary(exchange, entries)
         candidates = [self.build_candidate(entry) for entry in entries.values()]
@@ -77,6 +84,15 @@
         )
         return entries[candidate.upstream]
 
+    def prefer_unlimited(self, entries: dict[str, UpstreamEntry]) -> dict[str, UpstreamEntry]:
+        """Keep only upstreams without a rate limit, which all daemons may use, if there are any."""
+        unlimited = {
+            name: entry
+            for name, entry in entries.items()
+            if self.rate_limits.get_rate(entry) is None
+        }
+        return unlimited or entries
+
     def prefer_canary(
         self, exchange: Exchange, entries: dict[str, UpstreamEntry]
     ) -> dict[str, UpstreamEntry]:
@@ -94,16 +110,24 @@
     def is_eligible(self, entry: UpstreamEntry, now: float) -> bool:
         """Return whether an upstream may get a request now."""
         record = entry.record
-        if not entry.accepts_work(now) or record.failure_domain in self.cluster_view.evacuated:
+        if not self.is_in_use(entry, now):
             return False
         if entry.running >= record.slots * MAX_LOAD_FACTOR:
             return False
         use = self.trials.get_version_use(record.service, record.version)
-        if use is VersionUse.FORBIDDEN:
-            return False
         if use is VersionUse.BUDGETED and not self.may_receive_canary(entry, now):
             return False
-        return now >= entry.cold_until or self.allows_cold_request(entry, now)
+        if now < entry.cold_until and not self.allows_cold_request(entry, now):
+            return False
+        return self.rate_limits.allows_request(entry)
+
+    def is_in_use(self, entry: UpstreamEntry, now: float) -> bool:
+        """Return whether an upstream gets requests at all, whatever its load and limits."""
+        record = entry.record
+        if not entry.accepts_work(now) or record.failure_domain in self.cluster_view.evacuated:
+            return False
+        use = self.trials.get_version_use(record.service, record.version)
+        return use is not VersionUse.FORBIDDEN
 
     def may_receive_canary(self, entry: UpstreamEntry, now: float) -> bool:
         """Return whether an upstream of a version on trial may get a request.
@@ -160,10 +184,41 @@
         self.trials.note_sent(exchange.service, entry.record.version)
         if now < entry.cold_until and entry.cold_limiter is not None:
             entry.cold_limiter.spend()
+        self.rate_limits.note_sent(entry)
         if exchange.fields.prompt is not None:
             parts = [part.id for part in exchange.fields.prompt.parts]
             self.prefix_index.note_stored(entry.record.id, parts, now)
 
+    def build_refusal(self, service: str, reason: str) -> Refusal:
+        """Build the refusal of a request for which no upstream is left.
+
+        :param reason: why the last attempt failed, empty without an attempt
+        """
+        rates = self.list_named_rates(service)
+        if not rates:
+            retry_after = self.estimate_retry_after(service)
+            return Refusal(503, reason or "no upstream has a place", retry_after)
+        rate = sum(rates) / self.members.count_alive(self.now())
+        schedule = self.return_schedules.setdefault(service, ReturnSchedule())
+        retry_after = schedule.plan_return(rate, self.now(), self.rng.random())
+        log_fields = {
+            "limited_upstreams": len(rates),
+            "named_rate": round(sum(rates), 3),
+            "daemons": self.rate_limits.shared_rates.daemon_count,
+        }
+        reason = reason or "the rates that upstreams named are used up"
+        return Refusal(503, reason, retry_after, log_fields)
+
+    def list_named_rates(self, service: str) -> list[float]:
+        """Return the rates that the upstreams in use name; none unless all name one."""
+        now = self.now()
+        rates = [
+            self.rate_limits.get_rate(entry)
+            for entry in self.cluster_view.upstreams.iter_service(service)
+            if self.is_in_use(entry, now)
+        ]
+        return [] if None in rates else rates
+
     def estimate_retry_after(self, service: str) -> float:
         """Return the ``Retry-After`` value in seconds for a request without an upstream."""
         now = self.now()
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -117,6 +117,7 @@
     ) -> UpstreamAttempt:
         """Send the request and handle the response."""
         step = Step.HEAD
+        sent_at = self.rate_limits.boot_time()
         try:
             self.send(exchange, entry, stream)
             async with asyncio.timeout(min(first_byte_timeout, max(exchange.time_left, 0.0))):
@@ -124,7 +125,7 @@
             stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
             self.apply_upstream_fields(entry, fields)
             if head.status != MISDIRECTED_STATUS and (fields.signed or fields.not_run):
-                self.rate_limits.note_answer(entry, fields, exchange.sent_at)
+                self.rate_limits.note_answer(entry, fields, sent_at)
             if exchange.customer is not None and fields.signed and not fields.not_run:
                 self.usage.note_started(exchange.customer.name)
             step = Step.STREAM
--- a/tanagertrail/policy/retry_after.py
+++ b/tanagertrail/policy/retry_after.py
@@ -1,9 +1,15 @@
 """The time after which a refused caller is told to retry."""
 
-__all__ = ["BASE_RETRY_AFTER_SECONDS", "RETRY_AFTER_JITTER", "estimate_retry_after"]
+__all__ = [
+    "BASE_RETRY_AFTER_SECONDS",
+    "RETRY_AFTER_JITTER",
+    "ReturnSchedule",
+    "estimate_retry_after",
+]
 
 BASE_RETRY_AFTER_SECONDS = 0.3  # a slot is usually free again after the shortest requests
 RETRY_AFTER_JITTER = 0.5  # of the wait, so that callers refused together retry apart
+MAX_RETURN_SECONDS = 5.0  # beyond it, callers give up rather than return
 
 
 def estimate_retry_after(
@@ -26,3 +32,28 @@
         else max(boot_seconds - unavailable_seconds, BASE_RETRY_AFTER_SECONDS)
     )
     return wait * (1.0 + RETRY_AFTER_JITTER * jitter)
+
+
+class ReturnSchedule:
+    """The order in which callers that a rate limit refused may return.
+
+    While upstreams accept a fixed rate, callers that all returned after the same time would be
+    refused again. Each is told to return when the capacity of those told before has come back.
+
+    :ivar next_at: time in seconds up to which returning callers use the rate
+    """
+
+    def __init__(self) -> None:
+        self.next_at = 0.0
+
+    def plan_return(self, rate: float, now: float, jitter: float) -> float:
+        """Return the seconds after which the next refused caller may return.
+
+        :param rate: requests per second that this daemon's callers may send
+        :param jitter: number in [0, 1) that differs between callers
+        """
+        interval = min(1.0 / rate, MAX_RETURN_SECONDS) if rate > 0 else MAX_RETURN_SECONDS
+        self.next_at = max(self.next_at, now) + interval
+        latest = now + MAX_RETURN_SECONDS * (1.0 + RETRY_AFTER_JITTER * jitter)
+        self.next_at = min(self.next_at, latest)
+        return max(self.next_at - now, BASE_RETRY_AFTER_SECONDS)
