Learn the limits in force before a daemon is ready

Callers would have seen: an upstream in need gets requests beyond the rate that it named from a daemon that has just started and was never told (LIMIT after a restart or a join). Cause: a daemon was ready once it knew what the store holds; named rates are known only to daemons. Change: readiness waits until a serving daemon has told what it knows, at most 0.5 s, and not at all where no other daemon is registered; members that are listed are contacted at once rather than with the next period. A start where all others are down waits 0.5 s.

--- a/tanagertrail/gateway/cluster_view.py
+++ b/tanagertrail/gateway/cluster_view.py
@@ -19,6 +19,7 @@
     :ivar config_confirmed_at: boot time in seconds at which it was last known to be the newest
     :ivar upstreams_known: whether the upstreams have been listed since the start; likewise
         ``evacuated_known`` and ``rollouts_known``
+    :ivar limits_known: whether another daemon has told which rates upstreams accept, or none can
     :ivar evacuated: failure domains that get no work
     :ivar rollouts: rollout orders by service
     :ivar on_config_change: callbacks that get each new configuration
@@ -33,6 +34,7 @@
         self.upstreams_known = False
         self.evacuated_known = False
         self.rollouts_known = False
+        self.limits_known = False
         self.evacuated: set[str] = set()
         self.rollouts: dict[str, RolloutOrder] = {}
         self.on_config_change: list[Callable[[ServingConfig], None]] = []
@@ -63,7 +65,7 @@
         """Return whether enough is known to serve.
 
         A restarted daemon must not use upstreams or failure domains that were taken out of use
-        before its start.
+        before its start, nor send more than upstreams have told others that they accept.
         """
         kinds_known = self.upstreams_known and self.evacuated_known and self.rollouts_known
-        return self.config is not None and kinds_known
+        return self.config is not None and kinds_known and self.limits_known
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -67,6 +67,9 @@
 LEADER_MISSING_SECONDS = 1.5  # of a lease of 3 s, which must expire before a claim
 LEADER_LOST_SECONDS = 4.0  # after which lower-ranked daemons claim the lease too
 LEASE_CANDIDATES = 3  # highest-ranked daemons, which claim a missing holder's lease first
+LIMITS_WAIT_SECONDS = 0.5  # for a daemon that knows the limits in force; then none is there
+LIMITS_CONTACT_SECONDS = 0.2
+LIMITS_CHECK_SECONDS = 0.02
 STARTUP_SETTLE_SECONDS = 1.5  # until a new daemon knows if it is a hub, which collects usage
 
 
@@ -186,6 +189,7 @@
         self.start_task(self.quarantine.run(lambda: self.leadership.fencing > 0))
         self.start_task(register_member(self.store, self.members, self.log, self.rng))
         self.start_task(self.peer_client.run())
+        self.start_task(self.await_limits())
         self.start_task(self.run_cleanup())
         self.start_task(self.leadership.run())
         if self.settings.cloud:
@@ -287,6 +291,20 @@
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
 
+    async def await_limits(self) -> None:
+        """Wait until a serving daemon has told the limits in force, unless there is none."""
+        latest = self.loop.time() + LIMITS_WAIT_SECONDS
+        next_contact_at = 0.0
+        while self.loop.time() < latest and not self.cluster_view.limits_known:
+            members_listed = self.mirrors[MEMBERS_KIND].synced_at is not None
+            if members_listed and not self.members.states:
+                break
+            if members_listed and self.loop.time() >= next_contact_at:
+                self.peer_client.contact_silent_members(set())
+                next_contact_at = self.loop.time() + LIMITS_CONTACT_SECONDS
+            await asyncio.sleep(LIMITS_CHECK_SECONDS)
+        self.cluster_view.limits_known = True
+
     @property
     def ready(self) -> bool:
         """Return whether callers' requests are served."""
@@ -351,6 +369,7 @@
         self.suspects.merge_losses(state.daemon, state.incarnation, state.upstream_losses, as_of)
         encoded_at = read_boot_time() - state.age_ms / 1000
         self.rate_limits.merge(state.daemon, state.limits, encoded_at)
+        self.cluster_view.limits_known |= state.serving
         if self.state_sync.topology.is_hub:
             usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
             self.quota.note_report(state.daemon, state.incarnation, usage, now)
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -185,18 +185,19 @@
             )
             self.state_sync.topology = topology
         self.period += 1
-        partners = pick_partners(topology, self.period)
-        for name in [*partners, *self.pick_silent_members(set(alive))]:
+        for name in pick_partners(topology, self.period):
             self.start_exchange(name, self.members.states[name].member.address)
+        self.contact_silent_members(set(alive))
         if not alive:
             for address in self.seeds:
                 self.start_exchange(address, address)
         self.close_unused_connections()
 
-    def pick_silent_members(self, alive: set[str]) -> list[str]:
-        """Return some members not known to be alive, which may not know this daemon either."""
+    def contact_silent_members(self, alive: set[str]) -> None:
+        """Exchange with some members not known to be alive, which may not know this daemon."""
         silent = [name for name in self.members.states if name not in alive]
-        return self.rng.sample(silent, min(SILENT_MEMBERS_PER_PERIOD, len(silent)))
+        for name in self.rng.sample(silent, min(SILENT_MEMBERS_PER_PERIOD, len(silent))):
+            self.start_exchange(name, self.members.states[name].member.address)
 
     def close_unused_connections(self) -> None:
         """Close idle connections to addresses that no known member has."""
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -5,8 +5,11 @@
 import random
 from bisect import bisect_left
 from collections.abc import Sequence
+from unittest.mock import patch
 
-from tests.gateway_utils import open_fleet
+from tanagertrail.gateway.members import MEMBERS_KIND
+from tanagertrail.gateway.peers import PeerClient
+from tests.gateway_utils import open_fleet, run_in_real_time
 
 REQUESTS_PER_SECOND = 60
 NAMED_AT_SECONDS = 1.0
@@ -96,3 +99,32 @@
     served = sum(len(arrivals) for arrivals in times.values())
     assert served >= USED_SHARE * 4 * 1.4 * (END_SECONDS - BOUND_FROM_SECONDS)
     assert set(statuses) <= {200, 503}
+
+
+@run_in_real_time
+async def test_daemon_that_joins_is_ready_before_it_knows_the_limits_in_force():
+    async with open_fleet("entry-2", upstreams=1) as fleet:
+        fleet.upstreams[0].named_rate = "1.6"
+        await fleet.fetch("/look/x")
+        exchange = PeerClient.exchange_states
+
+        async def exchange_late(client, name, connection):
+            await asyncio.sleep(0.15)
+            await exchange(client, name, connection)
+
+        with patch.object(PeerClient, "exchange_states", exchange_late):
+            joining = await fleet.add_daemon("entry-3")
+            await fleet.wait_until(lambda: joining.ready)
+        entry = joining.cluster_view.upstreams.entries["up-a"]
+        assert joining.rate_limits.get_rate(entry) == 1.6
+
+
+@run_in_real_time
+async def test_daemon_waits_for_ever_for_limits_that_nobody_tells():
+    """All other registered daemons are gone."""
+    async with open_fleet(upstreams=1) as fleet:
+        gone = fleet.node.own._replace(daemon="entry-9", address="127.0.0.1:9", front="127.0.0.1:9")
+        fleet.store.put(MEMBERS_KIND, "entry-9", gone.encode())
+        joining = await fleet.add_daemon("entry-2")
+        fleet.node.close()
+        await fleet.wait_until(lambda: joining.ready)
