Have the soak put upstreams in need

The soak gains two: one upstream or all name 0.3, 1.4 or 6 requests a second for 4.5 to 9 s, while daemons are killed, stopped, paused and restarted beside it; a check applies the rule as the users' page has it (from the stability bound on, 4 s, 1.5 times the rate and 5 more, daemons that had passed on such an answer half a second before; a restart or a pause excuses a daemon). The check is shown to find its fault by test_each_check_finds_what_it_is_for.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -34,6 +34,7 @@
     :ivar status: status of the answer, 0 for none
     :ivar whole: whether the answer was complete
     :ivar left: whether the caller closed its connection on purpose
+    :ivar named_rate: whether the answer names a request rate
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     answer: bytes = b""
     whole: bool = False
     left: bool = False
+    named_rate: bool = False
 
 
 class CallerCrowd:
@@ -180,6 +182,7 @@
         loop = asyncio.get_running_loop()
         head = await stream.read_head()
         stamp = dict(head.headers).get(header_fields.SERVER_STAMP, b"").decode()
+        named_rate = header_fields.decode_rate_limit(head.headers) is not None
         parts: list[bytes] = []
         whole = False
         try:
@@ -194,4 +197,5 @@
             stamp=stamp,
             answer=b"".join(parts),
             whole=whole,
+            named_rate=named_rate,
         )
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -1,6 +1,6 @@
 """The promises that a run must keep, from what callers, upstreams and the cloud API saw."""
 
-__all__ = ["CHECKS", "Evidence", "Removal", "RunSeen", "find_broken"]
+__all__ = ["CHECKS", "Arrival", "Evidence", "Need", "Removal", "RunSeen", "find_broken"]
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
@@ -18,6 +18,10 @@
 DEADLY = b"deadly "  # begins the bodies of requests that end the upstreams that run them
 MOST_LOST = 3  # upstreams after which such a request is to be known
 MOST_RETRIES = 3  # that may reach an upstream later than the stability bound after that
+RATE_WINDOW_SECONDS = 4.0  # in which an upstream in need counts requests
+RATE_FACTOR = 1.5  # of the rate that it named, which the window may hold
+RATE_EXTRA = 5  # requests that the window may hold in addition
+TOLD_SECONDS = 0.5  # from the first answer with a rate until a daemon is bound by it
 SERVED_SHARE = 0.25  # of the calls that are sent in the last calm seconds of a run
 
 
@@ -51,6 +55,28 @@
     until: float
 
 
+class Arrival(NamedTuple):
+    """A request that reached an upstream, whether or not it ran."""
+
+    request_id: str
+    upstream: str
+    at: float
+
+
+class Need(NamedTuple):
+    """A span in which an upstream named a request rate.
+
+    :ivar rate: requests per second
+    :ivar at: when it first named it in an answer
+    :ivar until: when it named it no more
+    """
+
+    upstream: str
+    rate: float
+    at: float
+    until: float
+
+
 class Evidence(NamedTuple):
     """All that a run has shown.
 
@@ -58,6 +84,7 @@
     :ivar starts: (front port, time) of each start of a daemon
     :ivar terms: (front port, time) of each request to a daemon to stop
     :ivar usage: counts by window, once for each call of the cloud API
+    :ivar pauses: (front port, since, until) of each pause of a daemon
     """
 
     started: float
@@ -69,6 +96,16 @@
     starts: list[tuple[int, float]]
     terms: list[tuple[int, float]]
     usage: list[tuple[int, dict[str, int], int]]
+    arrivals: list[Arrival] = []
+    needs: list[Need] = []
+    pauses: list[tuple[int, float, float]] = []
+
+    def was_restarted_or_paused(self, port: int, since: float, until: float) -> bool:
+        """Say whether a daemon was started or paused in a span."""
+        started = any(front == port and since < at <= until for front, at in self.starts)
+        return started or any(
+            front == port and begin < until and end > since for front, begin, end in self.pauses
+        )
 
     def was_calm(self, since: float, until: float) -> bool:
         """Say whether nothing but planned work touched a span and the time before it."""
@@ -223,6 +260,42 @@
                 break
 
 
+@CHECKS.register("rates that upstreams name")
+def check_named_rates(evidence: Evidence) -> Iterator[str]:
+    """Find windows in which an upstream in need got more than it had told the daemons."""
+    for need in evidence.needs:
+        times = list_bound_arrivals(evidence, need)
+        most = RATE_FACTOR * need.rate * RATE_WINDOW_SECONDS + RATE_EXTRA
+        for at in times:
+            inside = sum(at <= other < at + RATE_WINDOW_SECONDS for other in times)
+            if inside > most:
+                yield f"{need.upstream} named {need.rate} and got {inside} requests of {most:.0f}"
+                break
+
+
+def list_bound_arrivals(evidence: Evidence, need: Need) -> list[float]:
+    """Return the arrivals from daemons that had passed on an answer with the rate.
+
+    A restart or a pause excuses the daemon for some time.
+    """
+    ports = {call.request_id: call.port for call in evidence.calls}
+    told = defaultdict(list)
+    for call in evidence.calls:
+        if call.named_rate and call.stamp.partition(".")[0] == need.upstream:
+            told[call.port].append(call.ended_at)
+    times = []
+    for arrival in evidence.arrivals:
+        in_force = need.at + STABILITY_SECONDS <= arrival.at <= need.until
+        port = ports.get(arrival.request_id)
+        if arrival.upstream != need.upstream or not in_force or port is None:
+            continue
+        is_told = any(need.at <= at <= arrival.at - TOLD_SECONDS for at in told[port])
+        since = arrival.at - STABILITY_SECONDS
+        if is_told and not evidence.was_restarted_or_paused(port, since, arrival.at):
+            times.append(arrival.at)
+    return times
+
+
 @CHECKS.register("no version goes back")
 def check_versions(evidence: Evidence) -> Iterator[str]:
     """Find daemons that served a new route and then denied it, in one life of the process."""
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -26,6 +26,7 @@
 MISBEHAVING_REQUESTS = 6
 SLOW_WORK_SECONDS = 0.4
 COLD_SECONDS = 3.0
+NAMED_RATES = ("0.3", "1.4", "6")  # requests per second that upstreams in need accept
 HARMLESS_TO_ONCE = ("refuse", "fail", "reset", "half_event", "extra", "late_other", "short")
 
 
@@ -71,9 +72,11 @@
 async def pause(world: SoakWorld, fault: Fault) -> None:
     """Stop a daemon without ending it, and let it go on."""
     daemon = pick_daemon(world, fault)
+    since = world.now()
     daemon.pause()
     await asyncio.sleep(fault.seconds)
     daemon.resume()
+    world.pauses.append((daemon.ports.front, since, world.now()))
 
 
 @register_fault("stop", 3.0, 5.0, planned=True)
@@ -220,6 +223,28 @@
     world.register(number)
 
 
+async def name_rates(upstreams: list[SoakUpstream], fault: Fault) -> None:
+    """Have upstreams that are not in need name a request rate for some time."""
+    upstreams = [upstream for upstream in upstreams if upstream.named_rate is None]
+    for upstream in upstreams:
+        upstream.named_rate = NAMED_RATES[fault.target % len(NAMED_RATES)]
+    await asyncio.sleep(fault.seconds)
+    for upstream in upstreams:
+        upstream.end_need()
+
+
+@register_fault("upstream in need", 4.5, 9.0, planned=True, chance=0.6)
+async def put_upstream_in_need(world: SoakWorld, fault: Fault) -> None:
+    """Have an upstream name a request rate."""
+    await name_rates([pick_upstream(world, fault)[1]], fault)
+
+
+@register_fault("all upstreams in need", 4.5, 7.0, planned=True, chance=0.2)
+async def put_all_upstreams_in_need(world: SoakWorld, fault: Fault) -> None:
+    """Have all upstreams name a request rate."""
+    await name_rates(world.upstreams, fault)
+
+
 @register_fault("caller link slow", 0.5, 3.0)
 async def slow_callers(world: SoakWorld, fault: Fault) -> None:
     """Delay what callers and a daemon send each other."""
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -8,11 +8,11 @@
 from typing import Any
 
 from tanagertrail.gateway.handlers import MAIN_CONFIG
-from tanagertrail.gateway.http1 import CallerRequest
+from tanagertrail.gateway.http1 import CallerRequest, Headers
 from tanagertrail.platform import header_fields
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, UPSTREAMS
 from tanagertrail.soak.callers import CallerCrowd
-from tanagertrail.soak.checks import Evidence, Removal, RunSeen
+from tanagertrail.soak.checks import Arrival, Evidence, Need, Removal, RunSeen
 from tanagertrail.soak.plan import Fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
@@ -44,6 +44,7 @@
     :ivar cold_until: event-loop time in seconds until which it is cold
     :ivar starts: number of times that it was started again
     :ivar on_crash: called when it ends
+    :ivar needs: spans in which it named a request rate
     """
 
     def __init__(self, upstream_id: str, domain: str, seen: list[RunSeen]) -> None:
@@ -53,12 +54,34 @@
         self.cold_until = 0.0
         self.starts = 0
         self.on_crash: Callable[[], None] = lambda: None
+        self.needs: list[Need] = []
 
     def crash(self) -> None:
         """End at once."""
+        self.end_need()
         super().crash()
         self.on_crash()
 
+    def name_rate(self) -> Headers:
+        """Name the rate, and note the first time."""
+        named = super().name_rate()
+        if named and (not self.needs or self.needs[-1].until < FOREVER):
+            now = asyncio.get_running_loop().time()
+            self.needs.append(Need(self.id, float(self.named_rate), now, FOREVER))
+        return named
+
+    def end_need(self) -> None:
+        """Name no rate any more."""
+        if self.named_rate is not None and self.needs and self.needs[-1].until == FOREVER:
+            now = asyncio.get_running_loop().time()
+            self.needs[-1] = self.needs[-1]._replace(until=now)
+        self.named_rate = None
+
+    def list_arrivals(self) -> list[Arrival]:
+        """Return all requests that reached it."""
+        arrivals = zip(self.arrivals, self.arrival_times, strict=True)
+        return [Arrival(request_id, self.id, at) for request_id, at in arrivals]
+
     def begin(self, request: CallerRequest) -> None:
         """Note that a request begins to run."""
         now = asyncio.get_running_loop().time()
@@ -93,6 +116,7 @@
         self.runs: list[RunSeen] = []
         self.removals: list[Removal] = []
         self.terms: list[tuple[int, float]] = []
+        self.pauses: list[tuple[int, float, float]] = []
         self.version = 1
         self.extra_routes: list[str] = []
         self.keys = {item.key for item in CUSTOMERS}
@@ -255,6 +279,9 @@
             starts,
             self.terms,
             usage,
+            [item for upstream in self.upstreams for item in upstream.list_arrivals()],
+            [need for upstream in self.upstreams for need in upstream.needs],
+            self.pauses,
         )
 
     async def close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,16 @@
 from types import SimpleNamespace
 
 from tanagertrail.soak.callers import Call
-from tanagertrail.soak.checks import CHECKS, Evidence, Removal, RunSeen, build_events, find_broken
+from tanagertrail.soak.checks import (
+    CHECKS,
+    Arrival,
+    Evidence,
+    Need,
+    Removal,
+    RunSeen,
+    build_events,
+    find_broken,
+)
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.program import run_seed
@@ -90,6 +99,12 @@
     )
     usage = build_evidence([], [], usage=[(7, {"guild": 1}, 1), (7, {"guild": 2}, 2)])
     deadly = build_evidence([], [build_run(n, at=10.0 + n, body=b"deadly 1") for n in range(12)])
+    named = build_evidence(
+        [build_call(n, sent_at=n * 0.1, named_rate=True) for n in range(200)],
+        [build_run(n, at=n * 0.1) for n in range(200)],
+        arrivals=[Arrival(f"r{n}", "up-1", n * 0.1) for n in range(200)],
+        needs=[Need("up-1", 1.4, 1.0, 20.0)],
+    )
     dead = build_evidence([build_call(n, status=503, sent_at=20.0) for n in range(30)], [])
     found = {
         "at most once": once,
@@ -104,6 +119,7 @@
         "no version goes back": back,
         "nothing cut by a planned stop": stopped,
         "one count for a window": usage,
+        "rates that upstreams name": named,
         "recovery": dead,
     }
     assert set(found) == set(CHECKS)
@@ -133,6 +149,22 @@
     assert name_broken(early) == {"removed keys"}
 
 
+def test_daemon_that_was_not_told_a_rate_or_was_restarted_is_excused():
+    calls = [build_call(n, sent_at=n * 0.1, named_rate=True) for n in range(100)]
+    need = {
+        "arrivals": [Arrival(f"r{n}", "up-1", n * 0.1) for n in range(100)],
+        "needs": [Need("up-1", 1.4, 1.0, 10.0)],
+    }
+    runs = [build_run(n, at=n * 0.1) for n in range(100)]
+    assert name_broken(build_evidence(calls, runs, **need)) == {"rates that upstreams name"}
+    untold = [call._replace(named_rate=False) for call in calls]
+    assert name_broken(build_evidence(untold, runs, **need)) == set()
+    paused = build_evidence(calls, runs, pauses=[(1000, 1.0, 8.0)], **need)
+    assert name_broken(paused) == set()
+    restarted = build_evidence(calls, runs, starts=[(1000, 4.0), (1000, 8.0)], **need)
+    assert name_broken(restarted) == set()
+
+
 def test_plan_of_a_seed_is_always_the_same_and_covers_all_kinds():
     assert draw_plan(7, 60.0) == draw_plan(7, 60.0)
     drawn = {fault.kind for seed in range(40) for fault in draw_plan(seed, 60.0)}
