--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -26,6 +26,7 @@
     yield GaugeRow("upstream_connections_opened", node.pools.opened_count, {})
     yield GaugeRow("requests_quarantined", len(node.suspects.poison_tracker.quarantined), {})
     yield GaugeRow("requests_suspected", len(node.suspects.poison_tracker.crashes), {})
+    yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
     for domain in list(node.cluster_view.evacuated):
         yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
     for entry in list(node.cluster_view.upstreams.entries.values()):
@@ -37,3 +38,5 @@
         rate = node.rate_limits.get_rate(entry)
         if rate is not None:
             yield GaugeRow("upstream_limit", rate, labels)
+            yield GaugeRow("upstream_limit_own", node.rate_limits.get_own_rate(entry), labels)
+            yield GaugeRow("upstream_limit_spent", node.rate_limits.get_spent(entry), labels)
--- a/tanagertrail/gateway/rate_limits.py
+++ b/tanagertrail/gateway/rate_limits.py
@@ -11,7 +11,7 @@
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import UpstreamFields
 from tanagertrail.policy.limit_statements import LimitStatement, merge_statements
-from tanagertrail.policy.shared_rate import RateBound
+from tanagertrail.policy.shared_rate import RateBound, SharedRateLimiter
 
 OWN_ANSWER = "own answer"  # source of a statement that an upstream made to this daemon
 LIMIT_BOUND = RateBound(window=4.0, factor=1.5, extra=5.0)
@@ -63,6 +63,26 @@
         if self.get_rate(entry) is not None:
             self.shared_rates.note_sent(build_key(entry.record.id, entry.record.born))
 
+    def get_own_rate(self, entry: UpstreamEntry) -> float:
+        """Return this daemon's part of an upstream's rate in requests per second."""
+        limiter = self.get_limiter(entry)
+        return limiter.share.rate if limiter is not None and limiter.share is not None else 0.0
+
+    def get_spent(self, entry: UpstreamEntry) -> int:
+        """Return the requests that this daemon sent to an upstream while its limit was in force."""
+        limiter = self.get_limiter(entry)
+        return limiter.spent if limiter is not None else 0
+
+    def get_limiter(self, entry: UpstreamEntry) -> SharedRateLimiter | None:
+        """Return the limiter of an upstream's rate, None before the first request."""
+        key = build_key(entry.record.id, entry.record.born)
+        held = self.shared_rates.held_rates.held.get(key)
+        return None if held is None else held.limiter
+
+    def count_in_force(self) -> int:
+        """Count the upstreams whose limit is in force."""
+        return sum(item.rate is not None for item in list(self.statements.values()))
+
     def note_answer(self, entry: UpstreamEntry, fields: UpstreamFields, sent_at: float) -> None:
         """Apply what an upstream's answer says of its limit; a malformed value changes nothing.
 
--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -23,6 +23,9 @@
     :ivar in_flight: requests of this daemon that are there
     :ivar running: requests of all daemons that are believed to be there
     :ivar faults: running share of requests that failed there, between 0 and 1
+    :ivar sent: requests that this daemon sent there
+    :ivar named_rate: requests per second that it accepts from all daemons, None for no limit
+    :ivar own_rate: this daemon's part of that rate
     """
 
     upstream: str
@@ -30,6 +33,9 @@
     in_flight: float
     running: float
     faults: float
+    sent: float = 0.0
+    named_rate: float | None = None
+    own_rate: float = 0.0
 
 
 class BeliefReport(NamedTuple):
@@ -78,6 +84,9 @@
             found.get("upstream_in_flight", 0.0),
             found.get("upstream_running", 0.0),
             found.get("upstream_faults", 0.0),
+            found.get("upstream_sent", 0.0),
+            found.get("upstream_limit"),
+            found.get("upstream_limit_own", 0.0),
         )
         for (upstream, service), found in sorted(upstreams.items())
     )
@@ -118,5 +127,10 @@
     for row in report.upstreams:
         yield (
             f"upstream {row.upstream} of {row.service}: {row.in_flight:.0f} here, "
-            f"{row.running:.0f} in all, {row.faults:.0%} failed"
+            f"{row.running:.0f} in all, {row.faults:.0%} failed, {row.sent:.0f} sent from here"
         )
+        if row.named_rate is not None:
+            yield (
+                f"upstream {row.upstream} accepts {row.named_rate:g} requests a second from all "
+                f"daemons, {row.own_rate:.3g} of them from here"
+            )
--- a/tanagertrail/operators/explain.py
+++ b/tanagertrail/operators/explain.py
@@ -21,6 +21,9 @@
         "started",
         "domain",
         "domains_out",
+        "limit_learned",
+        "limit_changed",
+        "limit_ended",
     }
 )
 SHOWN_FIRST = ("t", "daemon", "event")
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -23,6 +23,9 @@
 tanagertrail_state{name="upstream_in_flight",service="desk",upstream="up-a"} 1.0
 tanagertrail_state{name="upstream_running",service="desk",upstream="up-a"} 5.0
 tanagertrail_state{name="upstream_faults",service="desk",upstream="up-a"} 0.5
+tanagertrail_state{name="upstream_sent",service="desk",upstream="up-a"} 90.0
+tanagertrail_state{name="upstream_limit",service="desk",upstream="up-a"} 1.6
+tanagertrail_state{name="upstream_limit_own",service="desk",upstream="up-a"} 0.304
 tanagertrail_requests_total{outcome="answered",route="r"} 9.0
 """
 
@@ -36,7 +39,9 @@
     assert "holds the duties with number 2" in lines
     assert "failure domains that get no work: north" in lines
     assert "4 requests suspected to end upstreams, 1 quarantined" in lines
-    assert "upstream up-a of desk: 1 here, 5 in all, 50% failed" in lines
+    assert "upstream up-a of desk: 1 here, 5 in all, 50% failed, 90 sent from here" in lines
+    shown = "upstream up-a accepts 1.6 requests a second from all daemons, 0.304 of them from here"
+    assert shown in lines
 
 
 def test_page_of_another_kind_is_refused():
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -41,6 +41,18 @@
     assert [(item.daemon, item.at) for item in found.dependencies] == [("d1", 101.0)]
 
 
+def test_request_refused_for_a_named_rate_is_not_explained():
+    lines = [
+        line(100.0, "d1", "limit_learned", upstream="up-1", rate=1.4, before=None, source="d2"),
+        line(103.0, "d1", "refused", request="r7", status=503, limited_upstreams=1),
+        line(103.0, "d1", "request", request="r7", outcome="refused", tries=[], ms=0),
+    ]
+    with tempfile.TemporaryDirectory() as folder:
+        found = explain_request("r7", merge_logs([write_log(folder, "1.log", lines)]))
+    assert [item.event for item in found.own] == ["refused", "request"]
+    assert [item.event for item in found.dependencies] == ["limit_learned"]
+
+
 def test_unknown_request_has_no_explanation():
     with tempfile.TemporaryDirectory() as folder:
         found = explain_request("r2", merge_logs(build_logs(folder)))
