Count an upstream that names a rate as what it gives

Callers would have seen: upstreams in need leave the load to the others, and nothing is ordered in their place; a roll-out whose new upstreams all name a rate is completed, which stops the old ones. Cause: the fleet's plan and the end of a roll-out counted upstreams by number.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -22,7 +22,7 @@
 from tanagertrail.platform.records import ROLLOUTS, encode_rollout_status
 from tanagertrail.platform.store import StoreClient
 from tanagertrail.policy.canary import CanaryState, TrialCounts, decide_canary_state
-from tanagertrail.policy.fleet import FLEET_PLANNERS, FleetSnapshot
+from tanagertrail.policy.fleet import FLEET_PLANNERS, FleetSnapshot, estimate_capacity
 
 USAGE_KIND = "tanagertrail-usage"
 USAGE_SLOTS = 8  # stored objects that windows reuse in turn, so that they do not accumulate
@@ -40,6 +40,7 @@
 
     :ivar get_trial_counts: returns the results of all daemons for a service and a rollout order
     :ivar get_prompt_tokens: returns the prompt tokens that all daemons sent to a service
+    :ivar get_named_rate: returns the requests per second that an upstream accepts, if it names any
     :ivar prompt_token_history: (time, prompt tokens) samples by service
     :ivar rollouts_seen_at: event-loop time of the first sight of a rollout, by service and order
     :ivar reported_windows: usage windows that the cloud API has accepted
@@ -62,6 +63,7 @@
         plan: str = "reclaimable",
         get_trial_counts: Callable[[str, int], TrialCounts] = lambda service, order: TrialCounts(),
         get_prompt_tokens: Callable[[str], float] = lambda service: 0.0,
+        get_named_rate: Callable[[UpstreamEntry], float | None] = lambda entry: None,
     ) -> None:
         self.cluster_view = cluster_view
         self.leadership = leadership
@@ -72,6 +74,7 @@
         self.log = log
         self.get_trial_counts = get_trial_counts
         self.get_prompt_tokens = get_prompt_tokens
+        self.get_named_rate = get_named_rate
         self.prompt_token_history: dict[str, deque[tuple[float, float]]] = {}
         self.rollouts_seen_at: dict[tuple[str, int], float] = {}
         self.planner = FLEET_PLANNERS.get(plan)
@@ -127,7 +130,7 @@
                 continue
             state = order.state if order.reported_version == order.version else ""
             counts = self.get_trial_counts(order.service, order.order_id)
-            trial_upstreams = sum(self.count_upstreams(order.service, on_trial=True).values())
+            trial_upstreams = self.count_trial_upstreams(order.service)
             new_state = decide_canary_state(counts, now - seen_at, order.seconds, trial_upstreams)
             if new_state != state:
                 await self.report_rollout(order, new_state, counts)
@@ -256,16 +259,36 @@
         )
 
     def count_warm_reclaimable(self, service: str) -> dict[str, int]:
-        """Count the warm reclaimable upstreams that accept work, by failure domain."""
+        """Count the warm reclaimable upstreams that accept work, by failure domain.
+
+        Upstreams that name a rate count as much as they give.
+        """
         now = asyncio.get_running_loop().time()
-        counts: dict[str, int] = {}
+        capacities: dict[str, float] = {}
         for entry in self.cluster_view.upstreams.iter_service(service):
             if self.is_on_trial(entry):
                 continue
             if entry.record.reclaimable and entry.accepts_work(now) and now >= entry.cold_until:
                 domain = entry.record.failure_domain
-                counts[domain] = counts.get(domain, 0) + 1
-        return counts
+                capacities[domain] = capacities.get(domain, 0.0) + self.estimate_capacity(entry)
+        return {domain: int(capacity) for domain, capacity in capacities.items()}
+
+    def estimate_capacity(self, entry: UpstreamEntry) -> float:
+        """Return what an upstream serves, as a share of what one without a limit serves."""
+        config = self.cluster_view.config
+        service = config.services.get(entry.record.service) if config is not None else None
+        batch = service.engine.batch if service and service.engine else entry.record.slots
+        return estimate_capacity(self.get_named_rate(entry), max(batch, 1))
+
+    def count_trial_upstreams(self, service: str) -> int:
+        """Return the capacity of the upstreams of a version on trial, in whole upstreams."""
+        return int(
+            sum(
+                self.estimate_capacity(entry)
+                for entry in self.cluster_view.upstreams.iter_service(service)
+                if self.is_on_trial(entry) and not entry.record.draining and not entry.gone
+            )
+        )
 
     def count_by_domain(self, service: str, reclaimable: bool) -> dict[str, int]:
         """Count the remaining upstreams that are reclaimable or not, by failure domain."""
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -209,6 +209,7 @@
             self.tuning.policy.fleet,
             self.get_trial_counts,
             self.get_prompt_tokens,
+            self.rate_limits.get_rate,
         )
 
     def get_trial_counts(self, service: str, order_id: int) -> TrialCounts:
--- a/tanagertrail/policy/fleet.py
+++ b/tanagertrail/policy/fleet.py
@@ -1,13 +1,19 @@
 """Planning of how many upstreams of each kind to order in each failure domain."""
 
-__all__ = ["FLEET_PLANNERS", "FleetPlan", "FleetSnapshot", "plan_reclaimable"]
+__all__ = [
+    "FLEET_PLANNERS",
+    "FleetPlan",
+    "FleetSnapshot",
+    "estimate_capacity",
+    "plan_reclaimable",
+]
 
 import math
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
 
-from tanagertrail.policy.placement import PREFILL_TOKENS_PER_SECOND
+from tanagertrail.policy.placement import PREFILL_TOKENS_PER_SECOND, QUEUED_BATCH_SECONDS
 from tanagertrail.registry import Registry
 
 TARGET_LOAD = 0.35  # share of a batch in use at which first tokens meet their objective
@@ -33,7 +39,7 @@
     :ivar batch: requests that an upstream runs concurrently
     :ivar demand: recent peak of running and queued requests
     :ivar prompt_token_rate: prompt tokens per second in the last seconds
-    :ivar warm: warm reclaimable upstreams by failure domain
+    :ivar warm: capacity of the warm reclaimable upstreams by failure domain, in whole upstreams
     :ivar on_demand: on-demand upstreams by failure domain
     :ivar present: reclaimable upstreams by failure domain, warm or cold
     :ivar closed_domains: failure domains that get no work
@@ -63,6 +69,20 @@
     reclaimable: dict[str, int]
 
 
+def estimate_capacity(rate: float | None, batch: int) -> float:
+    """Return what an upstream serves, as a share of what one without a rate limit serves.
+
+    Upstreams that accept a few requests a second must be replaced rather than counted, because the
+    load that they refuse falls on the others.
+
+    :param rate: requests per second that it accepts, None for no limit
+    :param batch: requests that it runs concurrently
+    """
+    if rate is None:
+        return 1.0
+    return min(rate * QUEUED_BATCH_SECONDS / (TARGET_LOAD * batch), 1.0)
+
+
 FleetPlanner = Callable[[FleetSnapshot], FleetPlan]
 FLEET_PLANNERS: Registry[FleetPlanner] = Registry("fleet plan")
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -336,3 +336,23 @@
     present = runner.count_upstreams("desk")
     for order in runner.cloud.orders:
         assert order.desired >= present.get((order.failure_domain, order.reclaimable), 0)
+
+
+@with_virtual_time
+async def test_upstreams_that_name_a_rate_count_as_full_capacity():
+    """Their load fell on the others, and no upstream was ordered in their place."""
+    runner = build_rollout_runner("rolled_back")
+    limited = {f"old-north-{number}" for number in range(2)}
+    runner.get_named_rate = lambda entry: 1.4 if entry.record.id in limited else None
+    assert runner.count_warm_reclaimable("desk") == {"north": 1, "south": 2}
+    runner.get_named_rate = lambda entry: 0.3
+    assert runner.count_warm_reclaimable("desk") == {"north": 0, "south": 0}
+
+
+@with_virtual_time
+async def test_rollout_is_completed_although_all_new_upstreams_name_a_rate():
+    """At its completion the old upstreams stop, and the new ones accept next to nothing."""
+    runner = build_rollout_runner("running")
+    assert runner.count_trial_upstreams("desk") == 2
+    runner.get_named_rate = lambda entry: 0.3 if entry.record.version == "v2" else None
+    assert runner.count_trial_upstreams("desk") == 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,6 @@
 """Tests of fleet plans under reclaims."""
 
-from tanagertrail.policy.fleet import FleetSnapshot, plan_reclaimable
+from tanagertrail.policy.fleet import FleetSnapshot, estimate_capacity, plan_reclaimable
 
 PRICES = {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9}
 
@@ -122,3 +122,10 @@
         warm={"a": 4, "b": 4}, exhausted_domains=frozenset({"c", "d"})
     )
     assert sum(plan_reclaimable(two_domain_snapshot).on_demand.values()) == 0
+
+
+def test_rate_far_below_a_batch_counts_as_a_whole_upstream():
+    assert estimate_capacity(None, 64) == 1.0
+    assert estimate_capacity(1.4, 64) < 0.1
+    assert estimate_capacity(0.0, 64) == 0.0
+    assert estimate_capacity(500.0, 64) == 1.0
