Measure ways to divide a shared rate among daemons

tanagertrail-bench rates: even token buckets, even shares rounded up to a request a window, and holders, in fleets of 5, 75, 195 and 380, as a share of the bound (fullest window) and of the rate (used while callers press).

--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -19,11 +19,13 @@
 from tanagertrail.bench.plots import write_limits_plot, write_load_plot
 from tanagertrail.bench.prefixes import run_prefixes
 from tanagertrail.bench.questions import run_questions
+from tanagertrail.bench.rates import DIVISIONS, run_rates
 from tanagertrail.bench.scale import run_scale, run_spread
 from tanagertrail.bench.schedules import run_schedules
 from tanagertrail.bench.streams import StreamLoad, run_stream_load
 from tanagertrail.bench.tables import format_table
 from tanagertrail.emulator.load import LoadSettings, play_load
+from tanagertrail.gateway.rate_limits import LIMIT_BOUND
 from tanagertrail.model import Upstream
 from tanagertrail.policy.batching import BATCHINGS
 from tanagertrail.policy.tickets import serialize_ticket
@@ -169,6 +171,29 @@
         """Print false alarms and delay of the cold detector, by streams at one upstream."""
         print(format_table([run_cold(count, hours) for count in as_tuple(streams)]))
 
+    def rates(
+        self,
+        sizes: str = "5,75,195,380",
+        rates: str = "0.3,1.4,10",
+        load: float = 1.5,
+        idle: float = 0.0,
+        window: float = 4.0,
+    ) -> None:
+        """Print what ways to divide a shared rate come to, by number of daemons.
+
+        :param load: requests per second of callers at each daemon
+        :param idle: seconds without callers before the load begins
+        :param window: seconds of the bound's window
+        """
+        bound = LIMIT_BOUND._replace(window=window)
+        rows = [
+            run_rates(division, daemons, rate, load, bound, idle)
+            for daemons in as_tuple(sizes)
+            for rate in as_tuple(rates)
+            for division in DIVISIONS
+        ]
+        print(format_table(rows))
+
     def prefixes(self) -> None:
         """Print the tokens recomputed by each choice of upstream."""
         print(format_table(list(run_prefixes())))
