Let a daemon without callers save no requests for a cold upstream

Callers would have seen: an upstream that returned cold is overloaded and crashes again when callers come after a quiet time (FAILBACK). Cause: a daemon's bucket filled while nobody called; after 2.9 s each of 195 daemons could have most of a request saved, after 20 s a whole one, and all sent at once. Change: a bucket earns at most a second's tokens between two requests. Holders, as for named rates, were weighed: with all upstreams cold, one daemon in seven would hold none.

--- a/tanagertrail/policy/cold_rate.py
+++ b/tanagertrail/policy/cold_rate.py
@@ -4,6 +4,7 @@
 
 SAFETY_FACTOR = 0.75  # daemons may briefly disagree on their number
 MAX_SAVED_SECONDS = 0.5
+MAX_IDLE_SECONDS = 1.0  # for which a daemon that sends nothing earns tokens
 
 
 class ColdRateLimiter:
@@ -11,7 +12,9 @@
 
     Many daemons see an upstream return at the same moment. If each rounded its share up to one
     request, the rate would be multiplied by the number of daemons. So the bucket starts with a
-    fraction of a token that differs between daemons, which spreads their first requests.
+    fraction of a token that differs between daemons, which spreads their first requests. A daemon
+    without callers earns nothing after a moment, or all would send what they saved at once when
+    callers come.
 
     :ivar tokens: requests that may be sent now
     """
@@ -31,7 +34,8 @@
         """
         share = SAFETY_FACTOR * rate / max(daemons, 1)
         capacity = max(share * MAX_SAVED_SECONDS, 1.0)
-        self.tokens = min(self.tokens + share * (now - self.updated_at), capacity)
+        earning_seconds = min(now - self.updated_at, MAX_IDLE_SECONDS)
+        self.tokens = min(self.tokens + share * earning_seconds, capacity)
         self.updated_at = now
 
     def allows_request(self, rate: float, daemons: int, now: float) -> bool:
--- a/tests/test_cold_rate.py
+++ b/tests/test_cold_rate.py
@@ -8,13 +8,16 @@
 MAX_REQUESTS_PER_SECOND = RATE * 1.5 + 5
 
 
-def measure_requests(daemons, seconds=6.0, step=0.01):
-    """Return the most requests within any second, and their total, if daemons send all they may."""
+def measure_requests(daemons, seconds=6.0, step=0.01, idle=0.0):
+    """Return the most requests within any second, and their total, if daemons send all they may.
+
+    :param idle: seconds without callers after the upstream has turned cold
+    """
     rng = random.Random(1)
     limiters = [ColdRateLimiter(0.0, rng.random()) for _ in range(daemons)]
     sent_at = []
     for step_number in range(int(seconds / step)):
-        now = step_number * step
+        now = idle + step_number * step
         for limiter in limiters:
             if limiter.allows_request(RATE, daemons, now):
                 limiter.spend()
@@ -29,6 +32,14 @@
         assert most <= MAX_REQUESTS_PER_SECOND, daemons
 
 
+def test_callers_that_come_after_a_quiet_time_overload_a_cold_upstream():
+    """195 daemons had each saved a request for an upstream that was cold for 20 s."""
+    for daemons in (1, 8, 67, 195, 380):
+        for idle in (1.0, 2.9, 20.0):
+            most, _ = measure_requests(daemons, idle=idle)
+            assert most <= MAX_REQUESTS_PER_SECOND, (daemons, idle)
+
+
 def test_rate_of_a_cold_upstream_is_mostly_used():
     for daemons in (1, 8, 67):
         _, count = measure_requests(daemons)
