Play engines in need in the emulator

The pattern need lets the engines of a failure domain name 1.4 requests a second for half of the time. The bound has one home, in policy.

--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -25,9 +25,9 @@
 from tanagertrail.bench.streams import StreamLoad, run_stream_load
 from tanagertrail.bench.tables import format_table
 from tanagertrail.emulator.load import LoadSettings, play_load
-from tanagertrail.gateway.rate_limits import LIMIT_BOUND
 from tanagertrail.model import Upstream
 from tanagertrail.policy.batching import BATCHINGS
+from tanagertrail.policy.shared_rate import NAMED_RATE_BOUND
 from tanagertrail.policy.tickets import serialize_ticket
 from tanagertrail.scenarios import parse_scenario, run_scenario
 from tanagertrail.testing import run_in_virtual_time
@@ -185,7 +185,7 @@
         :param idle: seconds without callers before the load begins
         :param window: seconds of the bound's window
         """
-        bound = LIMIT_BOUND._replace(window=window)
+        bound = NAMED_RATE_BOUND._replace(window=window)
         rows = [
             run_rates(division, daemons, rate, load, bound, idle)
             for daemons in as_tuple(sizes)
--- a/tanagertrail/emulator/load.py
+++ b/tanagertrail/emulator/load.py
@@ -5,13 +5,15 @@
 import heapq
 import itertools
 import random
+from bisect import bisect_left
 from typing import NamedTuple
 
 from tanagertrail.emulator.engine import EngineModel, EngineShape, Job
-from tanagertrail.emulator.patterns import KINDS, PATTERNS, Arrival, Loss
+from tanagertrail.emulator.patterns import KINDS, PATTERNS, Arrival, Loss, Need
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.placement import PLACEMENTS, PlacementCandidate, PlacementRequest
+from tanagertrail.policy.shared_rate import NAMED_RATE_BOUND, FleetView, HeldRates
 
 DOMAINS = 4
 PREFIX_SECONDS = 20.0
@@ -46,6 +48,7 @@
     :ivar again: tokens that were read though some engine had kept them, as a share of all read
     :ivar p50_ms: median time to the first token
     :ivar moved: requests whose engine was lost
+    :ivar overload: fullest window of an engine in need, as a share of what its rate allows
     """
 
     pattern: str
@@ -58,6 +61,7 @@
     p99_ms: float
     again: float
     moved: int
+    overload: float = 0.0
 
 
 class DaemonView:
@@ -65,9 +69,14 @@
 
     :ivar flights: requests of this daemon, by engine
     :ivar others: requests of all others, by engine
+    :ivar parts: its parts of the rates that engines name
     """
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, daemons: int) -> None:
+        name = f"d{number}"
+        self.parts = HeldRates(name)
+        names = frozenset(f"d{other}" for other in range(daemons))
+        self.parts.observe_fleet(FleetView(name, names, 1.0), 0.0, 0.0)
         self.number = number
         self.domain = number % DOMAINS
         self.index = PrefixIndex(PREFIX_SECONDS)
@@ -83,6 +92,8 @@
     :ivar seen: parts that some engine has read
     :ivar again: tokens of such parts that another engine had to read
     :ivar moved: requests whose engine was lost
+    :ivar needs: rates that engines name now
+    :ivar limited_sends: times of the requests to each engine while it named a rate, and the rate
     """
 
     def __init__(self, settings: LoadSettings) -> None:
@@ -93,7 +104,7 @@
         self.engines = {
             f"e{n}": EngineModel(f"e{n}", f"d{n % DOMAINS}", shape) for n in range(settings.engines)
         }
-        self.daemons = [DaemonView(n) for n in range(settings.daemons)]
+        self.daemons = [DaemonView(n, settings.daemons) for n in range(settings.daemons)]
         self.events: list[tuple[float, int, str, object]] = []
         self.order = itertools.count()
         self.jobs: list[tuple[Arrival, Job]] = []
@@ -101,6 +112,8 @@
         self.seen: set[str] = set()
         self.again = 0
         self.moved = 0
+        self.needs: dict[str, Need] = {}
+        self.limited_sends: dict[str, tuple[list[float], float]] = {}
 
     def schedule(self, at: float, kind: str, payload: object) -> None:
         """Schedule an event."""
@@ -114,6 +127,9 @@
             self.schedule(arrival.at, "arrival", arrival)
         for loss in scenario.losses:
             self.schedule(loss.at, "loss", loss)
+        for need in scenario.needs:
+            self.schedule(need.at, "need", need)
+            self.schedule(need.until, "need", need)
         for daemon in self.daemons:
             self.schedule(self.rng.random() * self.settings.period, "report", daemon)
         end = self.settings.seconds + PATIENCE_SECONDS
@@ -151,10 +167,15 @@
                 engine.domain == f"d{daemon.domain}",
             )
             for engine in self.engines.values()
-            if not engine.lost
+            if not engine.lost and self.allows_request(now, daemon, engine)
         ]
+        if not seats:
+            return
         chosen = self.place(visit, seats, daemon.index).upstream
         engine = self.engines[chosen]
+        if chosen in self.needs:
+            daemon.parts.note_sent(chosen)
+            self.limited_sends.setdefault(chosen, ([], self.needs[chosen].rate))[0].append(now)
         daemon.index.note_stored(chosen, names, now)
         daemon.flights[chosen] = daemon.flights.get(chosen, 0) + 1
         self.owners[job.number] = daemon
@@ -162,6 +183,32 @@
         engine.take(job)
         self.start_step(now, engine)
 
+    def allows_request(self, now: float, daemon: DaemonView, engine: EngineModel) -> bool:
+        """Return whether the rate that an engine names allows a daemon to send a request."""
+        need = self.needs.get(engine.name)
+        if need is None:
+            return True
+        return daemon.parts.allows_request(engine.name, need.rate, NAMED_RATE_BOUND, now)
+
+    def take_need(self, now: float, need: Need) -> None:
+        """Let the engines of a failure domain name a rate, or name none any more."""
+        for engine in self.engines.values():
+            if engine.domain == f"d{need.domain}":
+                if now < need.until:
+                    self.needs[engine.name] = need
+                else:
+                    self.needs.pop(engine.name, None)
+
+    def measure_overload(self) -> float:
+        """Return the fullest window of an engine in need, as a share of what is allowed."""
+        worst = 0.0
+        for times, rate in self.limited_sends.values():
+            most = NAMED_RATE_BOUND.factor * rate * NAMED_RATE_BOUND.window + NAMED_RATE_BOUND.extra
+            for number, at in enumerate(times):
+                inside = bisect_left(times, at + NAMED_RATE_BOUND.window) - number
+                worst = max(worst, inside / most)
+        return worst
+
     def count_again(self, job: Job, engine: EngineModel) -> None:
         """Count shared tokens that another engine has read and this one has to read."""
         for name, tokens in job.parts[:-1]:
@@ -244,6 +291,7 @@
             round(1000 * firsts[int(len(firsts) * 0.99)], 1) if firsts else 0.0,
             round(self.again / max(read, 1), 4),
             self.moved,
+            round(self.measure_overload(), 4),
         )
 
 
--- a/tanagertrail/emulator/patterns.py
+++ b/tanagertrail/emulator/patterns.py
@@ -1,6 +1,6 @@
 """Load patterns: which requests come when, and which engines are lost."""
 
-__all__ = ["PATTERNS", "Arrival", "Loss", "Pattern", "RequestKind", "Scenario"]
+__all__ = ["PATTERNS", "Arrival", "Loss", "Need", "Pattern", "RequestKind", "Scenario"]
 
 import math
 import random
@@ -56,11 +56,24 @@
     share: float
 
 
+class Need(NamedTuple):
+    """A span in which the engines of a failure domain name a request rate.
+
+    :ivar rate: requests per second that each accepts from all daemons together
+    """
+
+    at: float
+    until: float
+    domain: int
+    rate: float
+
+
 class Scenario(NamedTuple):
-    """Arrivals in order of time, and losses."""
+    """Arrivals in order of time, losses and spans of need."""
 
     arrivals: list[Arrival]
     losses: list[Loss]
+    needs: tuple[Need, ...] = ()
 
 
 Pattern = Callable[[random.Random, float, float], Scenario]
@@ -123,3 +136,10 @@
     """Draw a steady rate under which two failure domains lose most of their engines."""
     losses = [Loss(seconds * 0.4, 0, 0.8), Loss(seconds * 0.55, 1, 0.8)]
     return Scenario(draw_arrivals(rng, seconds, lambda at: rate), losses)
+
+
+@PATTERNS.register("need")
+def draw_need(rng: random.Random, seconds: float, rate: float) -> Scenario:
+    """Draw a steady rate under which the engines of a failure domain accept few requests."""
+    need = Need(seconds * 0.3, seconds * 0.8, 0, 1.4)
+    return Scenario(draw_arrivals(rng, seconds, lambda at: rate), [], (need,))
--- a/tanagertrail/gateway/rate_limits.py
+++ b/tanagertrail/gateway/rate_limits.py
@@ -11,10 +11,9 @@
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import UpstreamFields
 from tanagertrail.policy.limit_statements import LimitStatement, merge_statements
-from tanagertrail.policy.shared_rate import RateBound, SharedRateLimiter
+from tanagertrail.policy.shared_rate import NAMED_RATE_BOUND, SharedRateLimiter
 
 OWN_ANSWER = "own answer"  # source of a statement that an upstream made to this daemon
-LIMIT_BOUND = RateBound(window=4.0, factor=1.5, extra=5.0)
 MAX_SHARED_STATEMENTS = 64  # in one message; the others take turns
 NEWS_SECONDS = 5.0  # for which a change precedes the statements that take turns
 KEEP_ENDED_SECONDS = 60.0  # after which all daemons have heard that a limit ended
@@ -55,7 +54,7 @@
         if rate is None:
             return True
         return self.shared_rates.allows_request(
-            build_key(entry.record.id, entry.record.born), rate, LIMIT_BOUND
+            build_key(entry.record.id, entry.record.born), rate, NAMED_RATE_BOUND
         )
 
     def note_sent(self, entry: UpstreamEntry) -> None:
--- a/tanagertrail/policy/shared_rate.py
+++ b/tanagertrail/policy/shared_rate.py
@@ -1,6 +1,7 @@
 """Division of a request rate, which holds for all daemons together, among a few of them."""
 
 __all__ = [
+    "NAMED_RATE_BOUND",
     "FleetView",
     "HeldRates",
     "RateBound",
@@ -40,6 +41,9 @@
         return max(excess + self.extra - RESERVED_REQUESTS, 1.0)
 
 
+NAMED_RATE_BOUND = RateBound(window=4.0, factor=1.5, extra=5.0)  # for rates that upstreams name
+
+
 class FleetView(NamedTuple):
     """The daemons among which a rate is divided, as one of them sees them.
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -94,3 +94,12 @@
     for pattern in PATTERNS:
         result = play_load(LoadSettings(pattern, daemons=8, engines=6, rate=40.0, seconds=2.0))
         assert result.requests > 30, pattern
+
+
+def test_engines_in_need_get_more_than_they_named_or_their_load_is_lost():
+    for daemons in (8, 67, 195):
+        settings = LoadSettings("need", daemons=daemons, engines=24, rate=200.0, seconds=10.0)
+        result = play_load(settings)
+        assert 0.0 < result.overload <= 1.0, daemons
+        assert result.unanswered == 0.0, daemons
+        assert result.credit >= 0.97, daemons
--- a/tests/test_shared_rate.py
+++ b/tests/test_shared_rate.py
@@ -6,8 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tanagertrail.gateway.rate_limits import LIMIT_BOUND
-from tanagertrail.policy.shared_rate import FleetView, HeldRates, plan_share
+from tanagertrail.policy.shared_rate import NAMED_RATE_BOUND, FleetView, HeldRates, plan_share
 
 STEP_SECONDS = 0.1
 NEWS_SECONDS = 1.0  # within which each daemon learns of a change
@@ -88,7 +87,7 @@
         parts = self.parts[name]
         parts.observe_fleet(self.views[name], HANDOVER_SECONDS, now)
         arrivals = 100 if self.per_second is None else self.count_arrivals()
-        while arrivals and parts.allows_request("up", self.rate, LIMIT_BOUND, now):
+        while arrivals and parts.allows_request("up", self.rate, NAMED_RATE_BOUND, now):
             parts.note_sent("up")
             self.sent.append(now)
             arrivals -= 1
@@ -133,7 +132,7 @@
     total = 0.0
     for number in range(8):
         fleet = FleetView(f"d{number}", frozenset({f"d{number}"}), 1 / 8)
-        total += plan_share("up", 1.6, LIMIT_BOUND, fleet).rate
+        total += plan_share("up", 1.6, NAMED_RATE_BOUND, fleet).rate
     assert total <= 1.6
 
 
@@ -151,7 +150,7 @@
         now = 10.0 + number * 0.01
         for name_rate in (1.4, 30.0):
             parts.observe_fleet(FleetView("d0", names, 1.0), HANDOVER_SECONDS, 0.0)
-            while parts.allows_request("up", name_rate, LIMIT_BOUND, now):
+            while parts.allows_request("up", name_rate, NAMED_RATE_BOUND, now):
                 parts.note_sent("up")
                 sent += 1
     assert sent <= 1 + 4.0 * 30.0 / 40
