Keep the slow upstream busy for as long as its test needs

test_new_idle_upstream_gets_most_requests_beside_a_slow_one failed once, beside load: six requests had to be sent while the first upstream's took 0.3 s. Cause: the test's own race; with each of the six sent later, the first upstream is idle again and rightly gets them. Change: the stand-in holds its six requests until the test releases them; the assertions are the same.

--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -43,6 +43,7 @@
     :ivar ended: whether it has ended
     :ivar endless_bytes: bytes sent by faults that have no end
     :ivar work: seconds that a plain request takes, and each event of a stream
+    :ivar released: set to end the requests that the fault "hold" keeps running
     :ivar named_rate: value of the rate limit that it names in its answers, None for none
     """
 
@@ -59,6 +60,7 @@
         self.ended = False
         self.endless_bytes = 0
         self.named_rate: str | None = None
+        self.released = asyncio.Event()
         super().__init__(upstream_id)
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -124,6 +126,10 @@
             stream.finish_response()
             return
         await asyncio.sleep(self.work)
+        self.answer(request, stream)
+
+    def answer(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Answer a plain request."""
         stream.send_response(200, self.sign(request), b"answer of " + self.id.encode())
 
     async def send_events(self, request: CallerRequest, stream: CallerStream, until: int) -> None:
@@ -145,6 +151,14 @@
     stream.send_response(503, fields, b"full")
 
 
+@FAULTS.register("hold")
+async def hold(upstream: StandInUpstream, request: CallerRequest, stream: CallerStream) -> None:
+    """Run the request until it is released."""
+    upstream.begin(request)
+    await upstream.released.wait()
+    upstream.answer(request, stream)
+
+
 @FAULTS.register("fail")
 async def fail(upstream: StandInUpstream, request: CallerRequest, stream: CallerStream) -> None:
     """Run the request and answer with a failure."""
--- a/tests/test_large_fleet_failures.py
+++ b/tests/test_large_fleet_failures.py
@@ -56,13 +56,15 @@
 @run_in_real_time
 async def test_new_idle_upstream_gets_most_requests_beside_a_slow_one():
     async with open_world() as world:
-        world.keep_one_upstream().work = 0.3
+        slow = world.keep_one_upstream()
+        slow.faults.extend(["hold"] * 6)
         await world.wait_for_upstreams(1)
         pending_replies = [asyncio.create_task(world.fetch(f"/look/{n}")) for n in range(6)]
         await world.wait_until(lambda: len(world.upstreams[0].runs) == 6)
         world.register("up-b")
         await world.wait_for_upstreams(2)
         replies = [await world.fetch(f"/look/more{n}") for n in range(6)]
+        slow.released.set()
         assert all(
             reply.status == 200 for reply in [*replies, *await asyncio.gather(*pending_replies)]
         )
