Wait for the registration that an evacuation test relies on

Cause: the test waited for the watch of evacuations only. up-b's new failure domain comes by another watch; while it is still believed to be in the emptied domain, 503 is right. Change: the test waits for both; the assertion is the same.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -230,7 +230,12 @@
     async with open_world() as world:
         world.register("up-b", zone="south")
         world.store.put("evacuations", "north", {})
-        await world.wait_until(lambda: world.node.cluster_view.evacuated == {"north"})
+        view = world.node.cluster_view
+        # Registrations and evacuations are watched apart and come in any order.
+        await world.wait_until(lambda: view.evacuated == {"north"})
+        await world.wait_until(
+            lambda: view.upstreams.entries["up-b"].record.failure_domain == "south"
+        )
         replies = [await world.fetch("/look/1") for _ in range(4)]
         assert {reply.body for reply in replies} == {b"answer of up-b"}
 
