Count a cold upstream of the soak as cold only while it is

Soak seed 1022: 37 to 62 requests of 20 in a second at a 'cold' upstream, each time that it was run. Cause: a fault of the soak's own. A request crashed the upstream, 'upstream cold' struck it while it was down, and its return registered it as not cold, while the check went on counting it as cold. Change: a crash ends the cold time with the incarnation; the fault leaves alone an upstream that is down or has been started again. The check and its bound are as they were.

--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -212,15 +212,21 @@
 
 @register_fault("upstream cold", 3.0, 4.0, planned=True)
 async def make_upstream_cold(world: SoakWorld, fault: Fault) -> None:
-    """Have an upstream start again, cold."""
+    """Have an upstream start again, cold, unless it is down or ends meanwhile."""
     number, upstream = pick_upstream(world, fault)
+    if upstream.ended:
+        return
     assert COLD_RATE > 0
+    starts = upstream.starts
     world.register(number, build_cold, COLD_SECONDS)
     # What was on its way when the store took the report is not counted.
     await asyncio.sleep(1.0)
+    if upstream.starts != starts or upstream.ended:
+        return
     upstream.cold_until = world.now() + COLD_SECONDS - 1.0
     await asyncio.sleep(fault.seconds - 1.0)
-    world.register(number)
+    if upstream.starts == starts and not upstream.ended:
+        world.register(number)
 
 
 async def name_rates(upstreams: list[SoakUpstream], fault: Fault) -> None:
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -57,8 +57,9 @@
         self.needs: list[Need] = []
 
     def crash(self) -> None:
-        """End at once."""
+        """End at once; it comes back as one that is neither cold nor in need."""
         self.end_need()
+        self.cold_until = 0.0
         super().crash()
         self.on_crash()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+from tanagertrail.platform.records import UPSTREAMS
 from tanagertrail.soak.callers import Call
 from tanagertrail.soak.checks import (
     CHECKS,
@@ -20,6 +21,7 @@
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.program import run_seed
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
+from tanagertrail.soak.world import SoakWorld
 from tanagertrail.standins.documents import CUSTOMERS, DaemonPorts
 from tanagertrail.standins.ports import HOST, find_port
 from tests.gateway_utils import run_in_real_time
@@ -30,6 +32,7 @@
 # Seeds that failed once, each with its cause.
 REGRESSION_SEEDS = (
     125,  # the soak's own callers ended when a daemon announced that it closes a connection
+    1022,  # the soak counted an upstream as cold that had crashed and come back
     215,  # a check counted a request that a paused daemon took up after its key was given back
 )
 
@@ -211,10 +214,31 @@
     assert result.served > 100
 
 
+@run_in_real_time
+async def test_upstream_that_crashes_while_it_is_cold_is_counted_as_cold_when_it_is_back():
+    """Seed 1022: a crash and a cold start struck one upstream at once."""
+    with tempfile.TemporaryDirectory() as folder:
+        world = SoakWorld(1, 1, 2, Path(folder))
+        await world.add_upstream("up-0", "north")
+        await world.add_upstream("up-1", "south")
+        fault = Fault(0.0, "upstream cold", 0, 3.0)
+        injected = asyncio.create_task(FAULTS.get(fault.kind).inject(world, fault))
+        await asyncio.sleep(0.2)
+        world.upstreams[1].crash()
+        await injected
+        assert world.upstreams[1].cold_until == 0.0
+        await asyncio.gather(*world.revivals)
+        assert "cold_left_ms" not in str(world.store.objects[UPSTREAMS]["up-1"])
+        await world.close()
+
+
 def test_seeds_that_failed_once_keep_all_promises():
-    for seed in REGRESSION_SEEDS:
-        result = asyncio.run(run_seed(seed, seconds=12.0, daemons=3, upstreams=4, callers=6))
-        assert result.broken == [], seed
+    async def run():
+        plays = (run_seed(seed, 12.0, 3, 4, 6) for seed in REGRESSION_SEEDS)
+        return await asyncio.gather(*plays)
+
+    for result in asyncio.run(run()):
+        assert result.broken == [], result.seed
 
 
 class SlowStart(DaemonProcess):
