Test what daemons tell each other of limits, and when refused callers return

Daemons agree after an old statement meets a newer one, a restarted upstream is not bound by its predecessor's limit, more than 64 limits are told in turns, ended ones are dropped; callers refused for a named rate are answered at once and told to return one after the other.

--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -5,6 +5,7 @@
 import random
 from bisect import bisect_left
 from collections.abc import Sequence
+from typing import NamedTuple
 from unittest.mock import patch
 
 from tanagertrail.gateway.members import MEMBERS_KIND
@@ -18,6 +19,7 @@
 WINDOW_SECONDS = 4.0
 EXTRA_REQUESTS = 5  # that a window may hold beyond 1.5 times the rate
 USED_SHARE = 0.6  # of the named rates that is served while callers press
+DEADLINE_SECONDS = 2.0  # of callers
 
 
 def compute_bound(rate: float) -> float:
@@ -35,26 +37,43 @@
     )
 
 
-async def press(fleet, seconds: float) -> list[int]:
-    """Send requests through all daemons and return their statuses."""
+class Outcome(NamedTuple):
+    """What a caller got, and after how many seconds."""
+
+    status: int
+    retry_after: str
+    seconds: float
+
+
+async def call(fleet, front: int) -> Outcome:
+    """Send one request through a daemon."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    reply = await fleet.fetch("/look/x", front=front)
+    retry_after = reply.headers.get(b"retry-after", b"").decode()
+    return Outcome(reply.status, retry_after, loop.time() - started)
+
+
+async def press(fleet, seconds: float) -> list[Outcome]:
+    """Send requests through all daemons and return what came of them."""
     rng = random.Random(1)
     calls = []
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
     while loop.time() < until:
         front = rng.randrange(len(fleet.front_ports))
-        calls.append(asyncio.create_task(fleet.fetch("/look/x", front=front)))
+        calls.append(asyncio.create_task(call(fleet, front)))
         await asyncio.sleep(rng.expovariate(REQUESTS_PER_SECOND))
-    return [reply.status for reply in await asyncio.gather(*calls)]
+    return await asyncio.gather(*calls)
 
 
 async def play(
     daemons: int, rates: Sequence[str | None]
-) -> tuple[dict[str, list[float]], list[int]]:
+) -> tuple[dict[str, list[float]], list[Outcome]]:
     """Press a fleet whose upstreams name rates a second after the load begins.
 
     :param rates: rate that each upstream names, None for none
-    :return: arrivals of each upstream from the time at which the bound holds, and the statuses
+    :return: arrivals of each upstream from the time at which the bound holds, and all outcomes
     """
     names = [f"entry-{number}" for number in range(2, daemons + 1)]
     async with open_fleet(*names, upstreams=len(rates)) as fleet:
@@ -63,13 +82,13 @@
         await asyncio.sleep(NAMED_AT_SECONDS)
         for upstream, rate in zip(fleet.upstreams, rates, strict=True):
             upstream.named_rate = rate
-        statuses = await load
+        outcomes = await load
         bound_from = started + BOUND_FROM_SECONDS
         times = {
             upstream.id: [at for at in upstream.arrival_times if at >= bound_from]
             for upstream in fleet.upstreams
         }
-        return times, statuses
+        return times, outcomes
 
 
 ONE_IN_NEED = ("1.6", None, None, None)
@@ -77,7 +96,7 @@
 
 
 @functools.cache
-def play_both() -> dict[tuple, tuple[dict[str, list[float]], list[int]]]:
+def play_both() -> dict[tuple, tuple[dict[str, list[float]], list[Outcome]]]:
     """Play a fleet with one upstream in need and one with all in need, beside each other."""
 
     async def run():
@@ -87,18 +106,25 @@
 
 
 def test_one_upstream_in_need_gets_more_than_the_rate_that_it_named():
-    times, statuses = play_both()[ONE_IN_NEED]
+    times, outcomes = play_both()[ONE_IN_NEED]
     assert count_fullest_window(times["up-a"]) <= compute_bound(1.6)
-    assert statuses.count(200) >= 0.99 * len(statuses)
+    assert sum(item.status == 200 for item in outcomes) >= 0.99 * len(outcomes)
 
 
 def test_upstreams_that_are_all_in_need_get_more_than_they_named_or_far_less():
-    times, statuses = play_both()[ALL_IN_NEED]
+    times, outcomes = play_both()[ALL_IN_NEED]
     for upstream, arrivals in times.items():
         assert count_fullest_window(arrivals) <= compute_bound(1.4), upstream
     served = sum(len(arrivals) for arrivals in times.values())
     assert served >= USED_SHARE * 4 * 1.4 * (END_SECONDS - BOUND_FROM_SECONDS)
-    assert set(statuses) <= {200, 503}
+    assert {item.status for item in outcomes} == {200, 503}
+
+
+def test_requests_that_fit_under_no_rate_are_held_or_refused_without_a_time_to_return():
+    _, outcomes = play_both()[ALL_IN_NEED]
+    refused = [item for item in outcomes if item.status == 503]
+    assert all(float(item.retry_after) > 0 for item in refused)
+    assert max(item.seconds for item in refused) < DEADLINE_SECONDS / 2
 
 
 @run_in_real_time
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -2,11 +2,16 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tanagertrail.platform.header_fields import decode_rate_limit
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.model import Upstream
+from tanagertrail.gateway.rate_limits import MAX_SHARED_STATEMENTS, RateLimitTable
+from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.platform.header_fields import decode_rate_limit, decode_upstream_fields
 from tanagertrail.policy.limit_statements import LimitStatement, merge_statements
 from tests.gateway_utils import open_world, run_in_real_time
 
@@ -123,3 +128,84 @@
         ("limit_ended", None, ""),
     ):
         assert row in shown, row
+
+
+class Clock:
+    """A boot clock that the test advances."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+def build_table(clock, name="a"):
+    """Return the table of one daemon."""
+    log = EventLog(name, clock)
+    return RateLimitTable(SimpleNamespace(daemon_count=1), log, clock)
+
+
+def build_upstream(name="up-1", born=1.0):
+    """Return an entry of an upstream."""
+    return UpstreamEntry(
+        Upstream(name, "desk", "h:1", "north", "v1", 8, False, 0.0, born, False, None)
+    )
+
+
+def hear(table, clock, entry, rate):
+    """Let a daemon hear an answer to a request that was sent just now."""
+    sent_at = clock.now
+    clock.now += 0.1
+    fields = [] if rate is None else [(PLAIN, str(rate).encode())]
+    table.note_answer(entry, decode_upstream_fields(fields), sent_at)
+
+
+def test_daemons_disagree_on_a_limit_after_they_have_told_each_other():
+    clock = Clock()
+    first, second = build_table(clock), build_table(clock, "b")
+    entry = build_upstream()
+    hear(first, clock, entry, 1.4)
+    second.merge("a", first.encode(), clock.now)
+    assert second.get_rate(entry) == 1.4
+    clock.now += 3.0
+    hear(second, clock, entry, None)
+    # The first daemon's old statement must not bring the limit back.
+    second.merge("a", first.encode(), clock.now)
+    assert second.get_rate(entry) is None
+    first.merge("b", second.encode(), clock.now)
+    assert first.get_rate(entry) is None
+
+
+def test_limit_of_an_ended_upstream_binds_its_successor_under_the_same_id():
+    clock = Clock()
+    table = build_table(clock)
+    hear(table, clock, build_upstream(born=1.0), 1.4)
+    assert table.get_rate(build_upstream(born=2.0)) is None
+    assert table.get_rate(build_upstream("up-2", born=1.0)) is None
+
+
+def test_limits_beyond_one_message_are_never_told():
+    clock = Clock()
+    table, other = build_table(clock), build_table(clock, "b")
+    entries = [build_upstream(f"up-{number}") for number in range(200)]
+    for entry in entries:
+        hear(table, clock, entry, 1.4)
+    clock.now += 60.0
+    for _ in range(8):
+        rows = table.encode()
+        assert len(rows) <= MAX_SHARED_STATEMENTS
+        other.merge("a", rows, clock.now)
+    assert all(other.get_rate(entry) == 1.4 for entry in entries)
+    hear(table, clock, entries[7], 2.0)
+    assert table.encode()[0][:3] == ("up-7", 1.0, 2.0), "changes come first"
+
+
+def test_statements_of_gone_upstreams_are_kept_for_ever():
+    clock = Clock()
+    table = build_table(clock)
+    hear(table, clock, build_upstream("up-1"), 1.4)
+    hear(table, clock, build_upstream("up-2"), 1.4)
+    clock.now += 3600.0
+    table.forget_ended({"up-1"})
+    assert list(table.statements) == ["up-1"], "a limit in force has no end of its own"
