--- a/tanagertrail/gateway/rate_limits.py
+++ b/tanagertrail/gateway/rate_limits.py
@@ -177,12 +177,17 @@
         source: str,
         field: str,
     ) -> None:
-        """Log a limit that was learned, changed or ended."""
+        """Log a limit that was learned, changed or ended.
+
+        An upstream may name another rate in each answer, so changes are routine lines.
+        """
         if statement.rate is None:
-            event = "limit_ended"
+            event, write = "limit_ended", self.log.write
+        elif before is None:
+            event, write = "limit_learned", self.log.write
         else:
-            event = "limit_learned" if before is None else "limit_changed"
-        self.log.write(
+            event, write = "limit_changed", self.log.write_routine
+        write(
             event,
             upstream=upstream,
             rate=statement.rate,
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.eventlog import ROUTINE_LINES_PER_SECOND, EventLog
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.gateway.rate_limits import MAX_SHARED_STATEMENTS, RateLimitTable
 from tanagertrail.gateway.upstream_table import UpstreamEntry
@@ -153,10 +153,10 @@
     )
 
 
-def hear(table, clock, entry, rate):
+def hear(table, clock, entry, rate, seconds=0.01):
     """Let a daemon hear an answer to a request that was sent just now."""
     sent_at = clock.now
-    clock.now += 0.01
+    clock.now += seconds
     fields = [] if rate is None else [(PLAIN, str(rate).encode())]
     table.note_answer(entry, decode_upstream_fields(fields), sent_at)
 
@@ -211,3 +211,14 @@
     clock.now += 3600.0
     table.forget_ended({"up-1"})
     assert list(table.statements) == ["up-1"], "a limit in force has no end of its own"
+
+
+def test_rate_that_changes_with_each_answer_floods_the_log():
+    clock = Clock()
+    table = build_table(clock)
+    lines = []
+    table.log.logger.info = lines.append
+    for number in range(1000):
+        clock.now += 0.001
+        hear(table, clock, build_upstream(), 1.0 + number / 1000, 0.001)
+    assert 10 < len(lines) <= ROUTINE_LINES_PER_SECOND * 3 + 1
