--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -15,7 +15,7 @@
 REQUESTS_PER_SECOND = 60
 NAMED_AT_SECONDS = 1.0
 BOUND_FROM_SECONDS = 4.0  # the stability bound after the naming
-END_SECONDS = 9.0
+END_SECONDS = 10.0
 WINDOW_SECONDS = 4.0
 EXTRA_REQUESTS = 5  # that a window may hold beyond 1.5 times the rate
 USED_SHARE = 0.6  # of the named rates that is served while callers press
