Fail the run for a known red entry that no test module has

Since such an entry was not printed any more, as each process prints those of its own modules. It is printed and fails the run, as the runner's docstring says.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -99,8 +99,15 @@
         found = COUNTS.findall(text)
         own = Counts(*map(int, found[-1])) if found else Counts(0, 1, 0)
         total = Counts(*(sum(pair) for pair in zip(total, own, strict=True)))
+    strays = [
+        name
+        for name in sorted(read_known())
+        if name.startswith("tests.") and name.rpartition(".")[0] not in modules
+    ]
+    for name in strays:
+        print(f"known red, but no module has it: {name}")
     print(total)
-    return 1 if any(statuses) or total.failed or not total.passed else 0
+    return 1 if strays or any(statuses) or total.failed or not total.passed else 0
 
 
 def main() -> int:
