Let the emulator's daemons learn of named rates from answers

They knew a rate from the load pattern, all at once. An engine now names it in its answers; the daemon that gets one learns of it and tells the others with the delay of reports, the rate binds 3 s after the naming, and it ends by answers too. The gateway is not touched.

--- a/tanagertrail/emulator/engine.py
+++ b/tanagertrail/emulator/engine.py
@@ -63,6 +63,7 @@
     :ivar kept: tokens of the parts that are kept, the least recently used first
     :ivar read: prompt tokens that were read
     :ivar found: prompt tokens that were kept from earlier requests
+    :ivar named_rate: requests per second that it accepts, named in its answers; None for no limit
     """
 
     name: str
@@ -75,6 +76,7 @@
     found: int = 0
     busy: bool = False
     lost: bool = False
+    named_rate: float | None = None
 
     @property
     def load(self) -> int:
--- a/tanagertrail/emulator/load.py
+++ b/tanagertrail/emulator/load.py
@@ -18,6 +18,7 @@
 DOMAINS = 4
 PREFIX_SECONDS = 20.0
 LATE_SHARE = 0.1  # of the credit that a late answer earns
+STABILITY_SECONDS = 3.0  # from the naming of a rate until it binds
 PATIENCE_SECONDS = 8.0  # after which a caller has given up
 
 
@@ -70,11 +71,13 @@
     :ivar flights: requests of this daemon, by engine
     :ivar others: requests of all others, by engine
     :ivar parts: its parts of the rates that engines name
+    :ivar named_rates: rates by engine, as far as it has heard of them
     """
 
     def __init__(self, number: int, daemons: int) -> None:
         name = f"d{number}"
         self.parts = HeldRates(name)
+        self.named_rates: dict[str, float] = {}
         names = frozenset(f"d{other}" for other in range(daemons))
         self.parts.observe_fleet(FleetView(name, names, 1.0), 0.0, 0.0)
         self.number = number
@@ -92,8 +95,7 @@
     :ivar seen: parts that some engine has read
     :ivar again: tokens of such parts that another engine had to read
     :ivar moved: requests whose engine was lost
-    :ivar needs: rates that engines name now
-    :ivar limited_sends: times of the requests to each engine while it named a rate, and the rate
+    :ivar limited_sends: times of the requests to each engine once its rate binds, and the rate
     """
 
     def __init__(self, settings: LoadSettings) -> None:
@@ -112,7 +114,7 @@
         self.seen: set[str] = set()
         self.again = 0
         self.moved = 0
-        self.needs: dict[str, Need] = {}
+        self.rates_bind_from = 0.0
         self.limited_sends: dict[str, tuple[list[float], float]] = {}
 
     def schedule(self, at: float, kind: str, payload: object) -> None:
@@ -173,9 +175,9 @@
             return
         chosen = self.place(visit, seats, daemon.index).upstream
         engine = self.engines[chosen]
-        if chosen in self.needs:
-            daemon.parts.note_sent(chosen)
-            self.limited_sends.setdefault(chosen, ([], self.needs[chosen].rate))[0].append(now)
+        daemon.parts.note_sent(chosen)
+        if engine.named_rate is not None and now >= self.rates_bind_from:
+            self.limited_sends.setdefault(chosen, ([], engine.named_rate))[0].append(now)
         daemon.index.note_stored(chosen, names, now)
         daemon.flights[chosen] = daemon.flights.get(chosen, 0) + 1
         self.owners[job.number] = daemon
@@ -185,19 +187,32 @@
 
     def allows_request(self, now: float, daemon: DaemonView, engine: EngineModel) -> bool:
         """Return whether the rate that an engine names allows a daemon to send a request."""
-        need = self.needs.get(engine.name)
-        if need is None:
+        rate = daemon.named_rates.get(engine.name)
+        if rate is None:
             return True
-        return daemon.parts.allows_request(engine.name, need.rate, NAMED_RATE_BOUND, now)
+        return daemon.parts.allows_request(engine.name, rate, NAMED_RATE_BOUND, now)
 
     def take_need(self, now: float, need: Need) -> None:
         """Let the engines of a failure domain name a rate, or name none any more."""
+        self.rates_bind_from = need.at + STABILITY_SECONDS
         for engine in self.engines.values():
             if engine.domain == f"d{need.domain}":
-                if now < need.until:
-                    self.needs[engine.name] = need
-                else:
-                    self.needs.pop(engine.name, None)
+                engine.named_rate = need.rate if now < need.until else None
+
+    def hear_rate(self, now: float, daemon: DaemonView, engine: EngineModel) -> None:
+        """Let a daemon learn from an answer which rate its engine names, and tell the others."""
+        if daemon.named_rates.get(engine.name) != engine.named_rate:
+            for other in self.daemons:
+                delay = 0.0 if other is daemon else self.settings.delay
+                self.schedule(now + delay, "rate", (other, engine.name, engine.named_rate))
+
+    def take_rate(self, now: float, payload: tuple) -> None:
+        """Take what an engine names."""
+        daemon, name, rate = payload
+        if rate is None:
+            daemon.named_rates.pop(name, None)
+        else:
+            daemon.named_rates[name] = rate
 
     def measure_overload(self) -> float:
         """Return the fullest window of an engine in need, as a share of what is allowed."""
@@ -233,6 +248,7 @@
         for job in engine.finish_step(reads, now):
             flights = self.owners[job.number].flights
             flights[engine.name] -= 1
+            self.hear_rate(now, self.owners[job.number], engine)
         self.start_step(now, engine)
 
     def take_report(self, now: float, daemon: DaemonView) -> None:
