Log the parts of the prompts that a crashed upstream left unanswered

This tells the hypotheses apart: whether one part is in all crashes, at one daemon or at several, by first attempts or by resends. Nothing that is sent changes. An id counts whatever spelling, token count or number of fields its caller gives it.

--- a/tanagertrail/gateway/crash_detector.py
+++ b/tanagertrail/gateway/crash_detector.py
@@ -3,6 +3,7 @@
 __all__ = ["CrashDetector", "UnansweredAttempt"]
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -17,17 +18,20 @@
 CRASH_EVIDENCE_SECONDS = 5.0
 PROBE_TIMEOUT_SECONDS = 0.15  # upstreams in other failure domains answer in milliseconds
 MAX_LOGGED_FINGERPRINTS = 10  # per crashed upstream
+MAX_LOGGED_PARTS = 20  # per crashed upstream
 
 
 class UnansweredAttempt:
     """A request that was sent to an upstream and is not answered.
 
+    :ivar part_keys: hashes of the parts of its prompt that other requests may have too
     :ivar sent_at: event-loop time in seconds
     :ivar failed_at: event-loop time in seconds at which the attempt failed, None while it runs
     """
 
-    def __init__(self, fingerprint: str, sent_at: float) -> None:
+    def __init__(self, fingerprint: str, sent_at: float, part_keys: tuple[str, ...] = ()) -> None:
         self.fingerprint = fingerprint
+        self.part_keys = part_keys
         self.sent_at = sent_at
         self.failed_at: float | None = None
 
@@ -51,9 +55,9 @@
         """Return the event-loop time in seconds."""
         return asyncio.get_running_loop().time()
 
-    def start_attempt(self, fingerprint: str) -> UnansweredAttempt:
+    def start_attempt(self, fingerprint: str, part_keys: tuple[str, ...] = ()) -> UnansweredAttempt:
         """Record that a request is sent."""
-        return UnansweredAttempt(fingerprint, self.now())
+        return UnansweredAttempt(fingerprint, self.now(), part_keys)
 
     def end_attempt(
         self, entry: "UpstreamEntry", attempt: UnansweredAttempt, answered: bool
@@ -112,13 +116,9 @@
     def report_crash(self, entry: "UpstreamEntry", reason: str) -> None:
         """Report the unanswered requests of a crashed upstream, unless it was draining."""
         cutoff = self.now() - CRASH_EVIDENCE_SECONDS
-        fingerprints = sorted(
-            {
-                attempt.fingerprint
-                for attempt in entry.unanswered_attempts
-                if attempt.failed_at >= cutoff
-            }
-        )
+        attempts = [item for item in entry.unanswered_attempts if item.failed_at >= cutoff]
+        fingerprints = sorted({attempt.fingerprint for attempt in attempts})
+        parts = Counter(key for attempt in attempts for key in attempt.part_keys)
         entry.unanswered_attempts = []
         if not fingerprints or entry.record.draining:
             return
@@ -131,5 +131,6 @@
             reason=reason,
             unanswered=len(fingerprints),
             fingerprints=fingerprints[:MAX_LOGGED_FINGERPRINTS],
+            parts=dict(parts.most_common(MAX_LOGGED_PARTS)),
         )
         self.on_crash(entry, fingerprints)
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -232,6 +232,7 @@
         fields = {
             "request": exchange.fields.request_id,
             "fingerprint": exchange.fingerprint,
+            "parts": exchange.part_keys,
             "route": exchange.route.name,
             "service": exchange.service,
             "customer": exchange.customer.name if exchange.customer else None,
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -11,6 +11,7 @@
 from tanagertrail.gateway.sse import EventSplitter
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
+from tanagertrail.policy.poison import compute_part_key
 
 
 class AttemptResult(enum.StrEnum):
@@ -65,6 +66,7 @@
     :ivar upstream: id of the upstream of the last attempt, empty before the first one
     :ivar attempts: finished attempts, oldest first
     :ivar fingerprint: hash that is the same for every resend of the request
+    :ivar part_keys: hashes of the prompt's parts that other requests may have too
     :ivar sent_at: event-loop time in seconds at which the last attempt began
     :ivar splitter: parser of a streamed response, kept over the attempts so that it can resume
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
@@ -92,6 +94,7 @@
         self.upstream = ""
         self.attempts: list[UpstreamAttempt] = []
         self.fingerprint = fingerprint
+        self.part_keys = tuple(compute_part_key(fields.model, name) for name in fields.shared_parts)
         self.splitter = EventSplitter(fields.last_event_id)
         self.first_byte_at: float | None = None
         self.sent_at = now
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -71,7 +71,9 @@
         answered = False
         try:
             stream = await self.connect(exchange, entry)
-            pending_attempt = self.crash_detector.start_attempt(exchange.fingerprint)
+            pending_attempt = self.crash_detector.start_attempt(
+                exchange.fingerprint, exchange.part_keys
+            )
             attempt = await self.send_and_receive(exchange, entry, stream, first_byte_timeout)
             answered = attempt.result in ANSWERED_RESULTS
         except (OSError, TimeoutError) as error:
--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -39,6 +39,9 @@
 # The users' pages spell this field both ways.
 RATE_LIMIT_FIELDS = (b"tanagertrail-server-limit", b"server-limit")
 
+MAX_SHARED_PARTS = (
+    32  # parts of a prompt that are read, as a bound on what a caller can make us keep
+)
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 MAX_LOGGED_VALUE_LENGTH = 40
 
@@ -82,6 +85,8 @@
     :ivar request_id: id of this attempt of the caller, empty if not stated
     :ivar timeout: seconds for which the caller waits, None if not stated
     :ivar prompt: shape of the prompt, None if not stated
+    :ivar model: name of the model that the caller asks for, empty if not stated
+    :ivar shared_parts: ids of the prompt's parts that other requests may have too, in order
     :ivar last_event_id: id of the event after which to resume a stream, None to start it
     """
 
@@ -90,6 +95,8 @@
     timeout: float | None
     prompt: PromptShape | None
     last_event_id: str | None
+    model: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 class UpstreamLoad(NamedTuple):
@@ -160,9 +167,22 @@
         None if timeout is None else timeout / 1000,
         decode_prompt(values),
         values.get(LAST_EVENT_ID),
+        values.get(MODEL, ""),
+        decode_shared_parts(headers),
     )
 
 
+def decode_shared_parts(headers: Headers) -> tuple[str, ...]:
+    """Decode the ids of a prompt's parts but the last, which no other request has.
+
+    Token counts don't matter, so that an id counts whatever its caller says of it.
+    """
+    lists = [decode_text(value) for name, value in headers if name == PROMPT_PREFIX]
+    entries = [entry.strip() for entry in ",".join(lists).split(",")]
+    ids = [entry.partition(":")[0].strip().lower() for entry in entries if entry]
+    return tuple(dict.fromkeys(name for name in ids[:-1] if name))[:MAX_SHARED_PARTS]
+
+
 def decode_prompt(values: dict[bytes, str]) -> PromptShape | None:
     """Decode the shape of a prompt, None without valid token counts."""
     token_counts = [
--- a/tanagertrail/policy/poison.py
+++ b/tanagertrail/policy/poison.py
@@ -1,6 +1,12 @@
 """Detection and quarantine of requests that crash the upstreams that run them."""
 
-__all__ = ["CrashReport", "PoisonRequestTracker", "Verdict", "compute_fingerprint"]
+__all__ = [
+    "CrashReport",
+    "PoisonRequestTracker",
+    "Verdict",
+    "compute_fingerprint",
+    "compute_part_key",
+]
 
 import enum
 from collections import OrderedDict
@@ -51,6 +57,11 @@
     return xxhash.xxh128_hexdigest(scope.encode() + b"\x00" + body)
 
 
+def compute_part_key(model: str, part_id: str) -> str:
+    """Return a hash that identifies a part of a prompt in all requests to one model."""
+    return xxhash.xxh64_hexdigest(f"{model}\x00{part_id}".encode())
+
+
 class PoisonRequestTracker:
     """Counts the upstreams that crashed on each request, and quarantines requests.
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -5,6 +5,7 @@
 from tanagertrail.errors import InvalidInputError, SettingsError
 from tanagertrail.gateway.model import RouteKind
 from tanagertrail.platform.header_fields import (
+    MAX_SHARED_PARTS,
     build_response_headers,
     build_upstream_headers,
     decode_caller_fields,
@@ -113,11 +114,32 @@
     assert fields.timeout == 1.5
     assert fields.prompt.input_tokens == 100
     assert [part.id for part in fields.prompt.parts] == ["aa", "bb"]
+    assert fields.shared_parts == ("aa", "bb")
     malformed = decode_caller_fields([(b"tanagertrail-deadline-ms", b"-5")])
     assert malformed.timeout is None
     assert malformed.prompt is None
 
 
+def test_parts_of_prompts_are_told_apart_from_the_last_whatever_their_form():
+    """A caller must not hide a part behind its spelling, its token count or a second field."""
+    field = b"tanagertrail-prompt-prefix"
+    for values, expected in (
+        ([b"aa:60,bb:40,cc:9"], ("aa", "bb")),
+        ([b" AA:1 ,, Bb ,cc:x:y,dd:2"], ("aa", "bb", "cc")),
+        ([b"aa:60", b"bb:40,cc:9"], ("aa", "bb")),
+        ([b"aa:1,aa:2,bb:3"], ("aa",)),
+        ([b"aa:60"], ()),
+        ([b",:5,,"], ()),
+        ([], ()),
+    ):
+        fields = decode_caller_fields([(field, value) for value in values])
+        assert fields.shared_parts == expected, values
+    many = b",".join(b"%x:1" % number for number in range(5000))
+    fields = decode_caller_fields([(field, many), (b"tanagertrail-model", b"m")])
+    assert len(fields.shared_parts) == MAX_SHARED_PARTS
+    assert fields.model == "m"
+
+
 def test_upstream_headers_drop_hop_by_hop_fields_and_name_the_upstream():
     headers = [
         (b"host", b"desk.example"),
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -187,6 +187,22 @@
     assert lost == [("restarted", ["request at restarted"]), ("removed", ["request at removed"])]
 
 
+@with_virtual_time
+async def test_log_of_a_crash_does_not_say_which_parts_of_prompts_its_requests_share():
+    lines = []
+    log = EventLog("entry-1", asyncio.get_running_loop().time)
+    log.write = lambda event, **fields: lines.append((event, fields))
+    watch = CrashDetector(log)
+    entry = UpstreamEntry(build_record("up-a"))
+    for number in range(3):
+        attempt = watch.start_attempt(f"r{number}", ("shared", f"own-{number}"))
+        watch.end_attempt(entry, attempt, answered=False)
+    watch.note_crashed(entry, "it refused a connection")
+    ((event, fields),) = lines
+    assert event == "upstream_ended"
+    assert fields["parts"] == {"shared": 3, "own-0": 1, "own-1": 1, "own-2": 1}
+
+
 @with_virtual_time
 async def test_losses_that_are_reported_twice_count_once():
     now = asyncio.get_running_loop().time
