Show that a part of prompts crashes one upstream after the other (red)

Three tests of three daemons before twelve stand-in upstreams that come back after 1.5 s, 20 sound and 5 deadly requests a second, no two alike; the deadly part is the second, the first, or crashes after the first event.

--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -39,9 +39,7 @@
 # The users' pages spell this field both ways.
 RATE_LIMIT_FIELDS = (b"tanagertrail-server-limit", b"server-limit")
 
-MAX_SHARED_PARTS = (
-    32  # parts of a prompt that are read, as a bound on what a caller can make us keep
-)
+MAX_SHARED_PARTS = 32  # of one request, since callers choose how many they state
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 MAX_LOGGED_VALUE_LENGTH = 40
 
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -40,6 +40,10 @@
     :ivar arrival_times: event-loop time in seconds of each arrival
     :ivar cut: ids of requests whose connection closed while they ran
     :ivar deadly: text in a body or target that ends the upstream when it begins to run it
+    :ivar deadly_part: id of a part of prompts that crashes it when it begins to answer on one
+    :ivar deadly_after: events of a stream that it sends before it crashes on that part
+    :ivar deadly_every: it crashes on each request of this number with that part
+    :ivar part_arrivals: event-loop time in seconds of each request with that part
     :ivar ended: whether it has ended
     :ivar endless_bytes: bytes sent by faults that have no end
     :ivar work: seconds that a plain request takes, and each event of a stream
@@ -57,6 +61,10 @@
         self.cut: list[str] = []
         self.connections = 0
         self.deadly = b""
+        self.deadly_part = ""
+        self.deadly_after = 0
+        self.deadly_every = 1
+        self.part_arrivals: list[float] = []
         self.ended = False
         self.endless_bytes = 0
         self.named_rate: str | None = None
@@ -76,6 +84,8 @@
             if self.deadly and self.deadly in request.target + request.body:
                 self.begin(request)
                 self.crash()
+            elif self.is_deadly(request):
+                await self.crash_on_part(request, stream)
             elif self.faults:
                 await FAULTS.get(self.faults.popleft())(self, request, stream)
             else:
@@ -84,6 +94,24 @@
             self.cut.append(request_id)
             raise
 
+    def is_deadly(self, request: CallerRequest) -> bool:
+        """Return whether the prompt has the deadly part and its turn has come."""
+        if not self.deadly_part:
+            return False
+        fields = header_fields.decode_caller_fields(request.headers)
+        if self.deadly_part not in fields.shared_parts:
+            return False
+        self.part_arrivals.append(asyncio.get_running_loop().time())
+        return len(self.part_arrivals) % self.deadly_every == 0
+
+    async def crash_on_part(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Read the prompt, send some events and crash."""
+        self.begin(request)
+        await asyncio.sleep(self.work)
+        if self.deadly_after:
+            await self.send_events(request, stream, self.deadly_after)
+        self.crash()
+
     def crash(self) -> None:
         """End as a killed process does: connections are reset, new ones are refused."""
         self.ended = True
