Quarantine the part of prompts that crashes upstreams

Cause: crashes were counted against a hash of the whole request, so a request that differs anywhere starts with no crash against it. Class: what is held against a thing is kept under a narrower name than the thing has.

A crash now counts against each shared part of the requests that the upstream left unanswered, over all daemons, until a request with the part completes, anywhere. A part is quarantined after three or more crashes, each under a request sent when the one before was known, if the losses among other requests of the service meanwhile make a coincidence improbable (2 in 1,000). A quarantined part explains its crashes, so its neighbours are cleared; parts that never came apart are held together until one is seen alone. Losses, frames and stored quarantines are those of whole requests; their name says which kind they are. A request is not sent a second time if one more crash could condemn a part of it.

Why it works: sound requests complete and clear all parts that they share, so only the culprit has crashes and no completion since.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -116,6 +116,11 @@
         unanswered there
     :ivar limits: (upstream, start, requests per second or -1 for no limit, seconds since the
         request was sent, seconds since the answer was heard) rows of what upstreams say they accept
+    :ivar cleared_parts: (part of prompts, milliseconds since a request with it completed here)
+        pairs of parts that were suspected to crash upstreams
+    :ivar suspected_parts: (part of prompts, milliseconds since a request with it was lost) pairs,
+        from a hub to daemons that do not hear of all losses
+    :ivar completed: (service, requests that completed since the start) pairs
     """
 
     daemon: str
@@ -137,6 +142,9 @@
     age_ms: int = 0
     upstream_losses: tuple = ()
     limits: tuple = ()
+    cleared_parts: tuple = ()
+    suspected_parts: tuple = ()
+    completed: tuple = ()
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/gateway/admission.py
+++ b/tanagertrail/gateway/admission.py
@@ -12,7 +12,7 @@
 from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.platform.header_fields import CallerFields
-from tanagertrail.policy.poison import Verdict, compute_fingerprint
+from tanagertrail.policy.poison import Verdict, compute_fingerprint, compute_part_key
 from tanagertrail.policy.retry_after import estimate_retry_after
 from tanagertrail.policy.token_quota import Quota, QuotaLimiter, QuotaRefusal
 
@@ -37,11 +37,13 @@
 
     :ivar customer: None if the request needs no key
     :ivar fingerprint: hash of customer, path and body, the same for every resend
+    :ivar parts: keys of the prompt's parts that other requests may have too
     """
 
     route: Route
     customer: Customer | None
     fingerprint: str
+    parts: tuple[str, ...]
 
 
 class Admission:
@@ -68,10 +70,11 @@
             return resolved
         route, customer = resolved
         fingerprint = fingerprint_request(request, customer)
-        refusal = self.check_quarantine(fingerprint)
+        parts = compute_part_keys(fields)
+        refusal = self.check_quarantine(fingerprint, parts)
         if refusal is None and customer is not None:
             refusal = self.check_quota(customer, fields)
-        return refusal or Admitted(route, customer, fingerprint)
+        return refusal or Admitted(route, customer, fingerprint, parts)
 
     def resolve_route(
         self, request: CallerRequest, fields: CallerFields
@@ -97,11 +100,16 @@
             return Refusal(503, "the keys may be old", self.jittered_retry_after())
         return route, customer
 
-    def check_quarantine(self, fingerprint: str) -> Refusal | None:
-        """Return a refusal if upstreams crashed while running this request, else None.
+    def check_quarantine(self, fingerprint: str, parts: tuple[str, ...]) -> Refusal | None:
+        """Return a refusal if upstreams crash on this request or on parts of it, else None.
 
         A quarantined request is always refused, a suspected one while a copy of it is running.
         """
+        quarantine = self.suspects.find_part_quarantine(parts)
+        if quarantine is not None:
+            left = self.suspects.get_quarantine_time_left(quarantine)
+            log_fields = {"quarantine": quarantine, "parts": parts}
+            return Refusal(503, "upstreams crash on a part of this prompt", left, log_fields)
         verdict = self.suspects.judge(fingerprint)
         if verdict is Verdict.QUARANTINED:
             left = self.suspects.get_quarantine_time_left(fingerprint)
@@ -153,6 +161,11 @@
         return estimate_retry_after(None, 0.0, self.rng.random())
 
 
+def compute_part_keys(fields: CallerFields) -> tuple[str, ...]:
+    """Return the keys of the prompt's parts that other requests may have too."""
+    return tuple(compute_part_key(fields.model, name) for name in fields.shared_parts)
+
+
 def fingerprint_request(request: CallerRequest, customer: Customer | None) -> str:
     """Return a hash of customer, path and body, by which resends are recognized."""
     caller = customer.name if customer else ""
--- a/tanagertrail/gateway/crash_detector.py
+++ b/tanagertrail/gateway/crash_detector.py
@@ -27,6 +27,7 @@
     :ivar part_keys: hashes of the parts of its prompt that other requests may have too
     :ivar sent_at: event-loop time in seconds
     :ivar failed_at: event-loop time in seconds at which the attempt failed, None while it runs
+    :ivar broken: whether the connection broke, rather than being given up by this daemon
     """
 
     def __init__(self, fingerprint: str, sent_at: float, part_keys: tuple[str, ...] = ()) -> None:
@@ -34,6 +35,7 @@
         self.part_keys = part_keys
         self.sent_at = sent_at
         self.failed_at: float | None = None
+        self.broken = False
 
 
 class CrashDetector:
@@ -43,13 +45,14 @@
     refused connection, another upstream at its address, a restart under the same id or the end of
     its registration shows that it has crashed.
 
-    :ivar on_crash: called with a crashed upstream and the fingerprints of the requests that it
-        left unanswered
+    :ivar on_crash: called with a crashed upstream and the attempts that it left unanswered
     """
 
     def __init__(self, log: EventLog) -> None:
         self.log = log
-        self.on_crash: Callable[[UpstreamEntry, list[str]], None] = lambda entry, fingerprints: None
+        self.on_crash: Callable[[UpstreamEntry, list[UnansweredAttempt]], None] = (
+            lambda entry, attempts: None
+        )
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -133,4 +136,4 @@
             fingerprints=fingerprints[:MAX_LOGGED_FINGERPRINTS],
             parts=dict(parts.most_common(MAX_LOGGED_PARTS)),
         )
-        self.on_crash(entry, fingerprints)
+        self.on_crash(entry, attempts)
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -77,8 +77,8 @@
         if isinstance(admitted, Refusal):
             self.refuse(stream, fields.request_id, admitted)
             return
-        route, customer, fingerprint = admitted
-        exchange = Exchange(request, stream, fields, route, customer, fingerprint)
+        route, customer, fingerprint, parts = admitted
+        exchange = Exchange(request, stream, fields, route, customer, fingerprint, parts)
         exchange.service = self.admission.pick_service(route)
         self.get_retry_budget(exchange.service).note_request(self.now())
         self.trials.note_request(exchange.service)
@@ -159,10 +159,12 @@
         A request that must run isolated is not retried by the gateway once an attempt may have
         run it; its caller has to send it again.
         """
-        fingerprint = exchange.fingerprint
+        fingerprint, parts = exchange.fingerprint, exchange.part_keys
         if self.suspects.judge(fingerprint) is Verdict.QUARANTINED:
             return False
-        return exchange.known_not_run or not self.suspects.must_run_isolated(fingerprint)
+        if self.suspects.find_part_quarantine(parts) is not None:
+            return False
+        return exchange.known_not_run or self.suspects.may_send_again(fingerprint, parts)
 
     def get_retry_budget(self, service: str) -> WindowedRetryBudget:
         """Return the retry budget of a service."""
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -11,7 +11,6 @@
 from tanagertrail.gateway.sse import EventSplitter
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
-from tanagertrail.policy.poison import compute_part_key
 
 
 class AttemptResult(enum.StrEnum):
@@ -38,6 +37,7 @@
     :ivar step: step at which the attempt ended
     :ivar head: status and headers of a complete response that was not delivered, if any
     :ivar body: body of that response
+    :ivar completed: whether a success was delivered whole, with an end that its framing shows
     """
 
     result: AttemptResult
@@ -46,6 +46,7 @@
     reason: str = ""
     head: ResponseHead | None = None
     body: bytes = b""
+    completed: bool = False
 
     @property
     def proves_not_run(self) -> bool:
@@ -80,6 +81,7 @@
         route: Route,
         customer: Customer | None,
         fingerprint: str,
+        part_keys: tuple[str, ...] = (),
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.request = request
@@ -94,7 +96,7 @@
         self.upstream = ""
         self.attempts: list[UpstreamAttempt] = []
         self.fingerprint = fingerprint
-        self.part_keys = tuple(compute_part_key(fields.model, name) for name in fields.shared_parts)
+        self.part_keys = part_keys
         self.splitter = EventSplitter(fields.last_event_id)
         self.first_byte_at: float | None = None
         self.sent_at = now
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -62,6 +62,12 @@
     status: int
     headers: Headers
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body has a length or chunks, rather than ending with its connection."""
+        names = {name for name, _ in self.headers}
+        return b"content-length" in names or b"transfer-encoding" in names
+
 
 class CallerStream:
     """The server side of a caller's connection.
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -186,6 +186,9 @@
         self.suspects.on_loss = self.peer_client.exchange_with_all
         self.rate_limits.on_change = self.peer_client.exchange_with_all
         self.suspects.on_quarantine = self.quarantine.start_storing
+        self.suspects.on_refuted = self.quarantine.start_removing
+        self.suspects.hears_all_losses = lambda: self.state_sync.topology.is_hub
+        self.suspects.relays = self.is_relaying_hub
         self.start_task(self.quarantine.run(lambda: self.leadership.fencing > 0))
         self.start_task(register_member(self.store, self.members, self.log, self.rng))
         self.start_task(self.peer_client.run())
@@ -286,6 +289,7 @@
             self.pools.close_expired()
             alive = [state.member.daemon for state in self.members.list_alive(self.loop.time())]
             self.cluster_view.upstreams.drop_dead_daemons(alive)
+            self.suspects.forget_daemons_except(alive)
             self.shared_rates.refresh_fleet()
             self.rate_limits.forget_ended(self.cluster_view.upstreams.entries)
             self.shared_rates.forget_except(self.rate_limits.list_keys())
@@ -329,6 +333,11 @@
             return False
         return topology.rank < LEASE_CANDIDATES or silent > LEADER_LOST_SECONDS
 
+    def is_relaying_hub(self) -> bool:
+        """Return whether this daemon is a hub and others are not."""
+        topology = self.state_sync.topology
+        return topology.is_hub and len(topology.hubs) <= len(self.members.states)
+
     def on_store_update(self) -> None:
         """Push the store update to other daemons."""
         self.peer_client.schedule_push()
@@ -357,6 +366,9 @@
             prompt_tokens=tuple(self.dispatcher.prompt_tokens_sent.items()),
             upstream_losses=self.suspects.encode_losses(),
             limits=self.rate_limits.encode(),
+            cleared_parts=self.suspects.encode_cleared(),
+            suspected_parts=self.suspects.encode_suspected(),
+            completed=tuple(self.suspects.completed.items()),
         )
 
     def apply_state(self, state: DaemonState) -> None:
@@ -368,6 +380,7 @@
         self.usage.merge(state.daemon, state.incarnation, state.usage)
         as_of = now - state.age_ms / 1000
         self.suspects.merge_losses(state.daemon, state.incarnation, state.upstream_losses, as_of)
+        self.suspects.merge_parts(state, as_of)
         encoded_at = read_boot_time() - state.age_ms / 1000
         self.rate_limits.merge(state.daemon, state.limits, encoded_at)
         self.cluster_view.limits_known |= state.serving
--- a/tanagertrail/gateway/quarantine.py
+++ b/tanagertrail/gateway/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantined requests in the store, where they outlive the daemons that stored them."""
+"""Quarantines of requests and prompt parts in the store, where they outlive the daemons."""
 
 __all__ = ["QUARANTINE_KIND", "QuarantineHandler", "QuarantineStore"]
 
@@ -63,21 +63,21 @@
         self.rng = rng
         self.tasks: set[asyncio.Task] = set()
 
-    def start_storing(self, fingerprint: str) -> None:
+    def start_storing(self, name: str) -> None:
         """Start a task that stores a quarantine unless another daemon does first."""
-        task = asyncio.create_task(self.store_quarantine(fingerprint))
+        task = asyncio.create_task(self.store_quarantine(name))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def store_quarantine(self, fingerprint: str) -> None:
+    async def store_quarantine(self, name: str) -> None:
         """Store a quarantine after a random delay, unless it is stored by then."""
         await asyncio.sleep(self.rng.uniform(0.0, STORE_JITTER_SECONDS))
         content = {"daemon": self.daemon, "at": read_wall_time()}
         for _ in range(MAX_STORE_ATTEMPTS):
-            if fingerprint in self.mirror.objects:
+            if name in self.mirror.objects:
                 return
             try:
-                await self.store.create(QUARANTINE_KIND, fingerprint, content)
+                await self.store.create(QUARANTINE_KIND, name, content)
                 return
             except ConflictError:
                 return
@@ -85,6 +85,27 @@
                 self.log.write_routine("quarantine_not_stored", error=str(error)[:120])
                 await asyncio.sleep(STORE_RETRY_SECONDS)
 
+    def start_removing(self, name: str) -> None:
+        """Start a task that removes a quarantine that was refuted."""
+        task = asyncio.create_task(self.remove_quarantine(name))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def remove_quarantine(self, name: str) -> None:
+        """Remove a quarantine from the store, unless another daemon does first."""
+        for _ in range(MAX_STORE_ATTEMPTS):
+            item = self.mirror.objects.get(name)
+            if item is None:
+                return
+            try:
+                await self.store.delete(QUARANTINE_KIND, name, item.revision)
+                return
+            except ConflictError:
+                return
+            except PlatformError as error:
+                self.log.write_routine("quarantine_not_removed", error=str(error)[:120])
+                await asyncio.sleep(STORE_RETRY_SECONDS)
+
     async def run(self, is_leading: Callable[[], bool]) -> None:
         """Remove expired quarantines periodically until cancelled.
 
--- a/tanagertrail/gateway/suspects.py
+++ b/tanagertrail/gateway/suspects.py
@@ -1,14 +1,22 @@
-"""Requests that upstreams crashed on, counted over all daemons and quarantined."""
+"""Requests and prompt parts that upstreams crash on, counted over all daemons and quarantined."""
 
-__all__ = ["QUARANTINE_THRESHOLD", "UpstreamLoss", "SuspectTracker"]
+__all__ = ["QUARANTINE_THRESHOLD", "LostRow", "SuspectTracker", "UpstreamLoss"]
 
 import asyncio
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
+from tanagertrail.daemons.peer_messages import DaemonState
+from tanagertrail.gateway.crash_detector import UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.policy.crash_attribution import (
+    CrashAttributor,
+    Evidence,
+    LostRequest,
+    PartSet,
+)
 from tanagertrail.policy.poison import (
     CORRELATION_WINDOW_SECONDS,
     QUARANTINE_SECONDS,
@@ -23,6 +31,28 @@
 MAX_ANSWERED_FINGERPRINTS = 4096  # about 80 s of a daemon's requests at the design size
 LOSS_REPORT_SECONDS = 4.0  # a state passes through two hubs in less
 SIMULTANEOUS_LOSS_SECONDS = 1.0  # a failure domain is lost or reclaimed in less
+MAX_REPORTED_REQUESTS = 64  # of one crash by one daemon
+MAX_TOLD_SUSPECTS = 256  # that a hub names to daemons that do not hear of all losses
+DIRECT_SETTLE_SECONDS = 0.6  # by then the other daemons have told what completed
+RELAYED_SETTLE_SECONDS = 1.0
+DECISION_PERIOD_SECONDS = 0.5
+UNDECIDED_SECONDS = 3.0  # after a crash, in which late news may still decide on a part
+PARTS_PREFIX = "parts-"  # begins the name of a quarantine of prompt parts
+PART_SEPARATOR = "-"
+
+
+class LostRow(NamedTuple):
+    """A request that a crashed upstream left unanswered, as daemons tell each other.
+
+    :ivar parts: keys of its prompt's parts; empty if the daemon itself gave the request up
+    :ivar sent_ms: milliseconds from its sending to the detection of the crash
+    :ivar failed_ms: milliseconds from its failure to the detection of the crash
+    """
+
+    fingerprint: str
+    parts: tuple[str, ...]
+    sent_ms: int
+    failed_ms: int
 
 
 class UpstreamLoss(NamedTuple):
@@ -30,7 +60,7 @@
 
     :ivar number: sequence number within the incarnation of the reporting daemon
     :ivar upstream: id and start time of the upstream, which identify its incarnation
-    :ivar fingerprints: requests of the reporting daemon that the upstream left unanswered
+    :ivar requests: requests of the reporting daemon that the upstream left unanswered
     :ivar age_ms: milliseconds since the crash was detected
     """
 
@@ -38,12 +68,42 @@
     upstream: str
     version: str
     failure_domain: str
-    fingerprints: tuple[str, ...]
+    service: str
+    requests: tuple[LostRow, ...]
     age_ms: int = 0
 
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """The fingerprints of the requests."""
+        return tuple(row.fingerprint for row in self.requests)
+
+    @classmethod
+    def from_row(cls, row: tuple) -> "UpstreamLoss":
+        """Decode a loss that another daemon reported.
+
+        :raises TypeError: if it has other fields
+        """
+        loss = cls(*row)
+        return loss._replace(requests=tuple(LostRow(*item) for item in loss.requests))
+
+
+def name_part_quarantine(parts: Iterable[str]) -> str:
+    """Return the name of the quarantine of requests that have all of some parts."""
+    return PARTS_PREFIX + PART_SEPARATOR.join(sorted(parts))
+
+
+def parse_part_quarantine(name: str) -> PartSet | None:
+    """Return the parts in the name of a quarantine, None if it is of a whole request."""
+    if not name.startswith(PARTS_PREFIX):
+        return None
+    return frozenset(part for part in name[len(PARTS_PREFIX) :].split(PART_SEPARATOR) if part)
+
 
 class SuspectTracker:
-    """Track which requests may crash upstreams.
+    """Track which requests and which parts of prompts may crash upstreams.
+
+    A quarantine has a name: the fingerprint of a whole request, or the parts of prompts. Losses,
+    messages between daemons and stored quarantines serve both kinds.
 
     A response clears a request, because a poisonous request crashes every upstream. For a request
     that was answered before, losses at about the same time count as one, since a popular request
@@ -55,8 +115,15 @@
     :ivar running: number of requests that this daemon is serving, by fingerprint
     :ivar losses: losses found by this daemon that are still reported, with their times
     :ivar newest_losses: incarnation and highest loss number received from each daemon
+    :ivar attributor: decides which parts of prompts crash upstreams
+    :ivar cleared: time at which a request of this daemon cleared a part, still told to others
+    :ivar completed: requests of this daemon that completed, by service
+    :ivar completed_elsewhere: incarnation and completed requests that each daemon last told
+    :ivar hears_all_losses: returns whether this daemon hears of the losses of all daemons
+    :ivar relays: returns whether this daemon is a hub of daemons that do not
     :ivar on_loss: called when there is a loss to report to the other daemons
-    :ivar on_quarantine: called with a fingerprint that this daemon has quarantined
+    :ivar on_quarantine: called with the name of a quarantine that this daemon imposes
+    :ivar on_refuted: called with the name of a quarantine that a completed request refutes
     """
 
     def __init__(self, log: EventLog) -> None:
@@ -69,8 +136,16 @@
         self.losses: deque[tuple[float, UpstreamLoss]] = deque()
         self.newest_losses: dict[str, tuple[int, int]] = {}
         self.loss_count = 0
+        self.attributor = CrashAttributor()
+        self.cleared: dict[str, float] = {}
+        self.completed: Counter[str] = Counter()
+        self.completed_elsewhere: dict[str, tuple[int, dict[str, int]]] = {}
+        self.decision_timer: asyncio.TimerHandle | None = None
+        self.hears_all_losses: Callable[[], bool] = lambda: True
+        self.relays: Callable[[], bool] = lambda: False
         self.on_loss: Callable[[], None] = lambda: None
-        self.on_quarantine: Callable[[str], None] = lambda fingerprint: None
+        self.on_quarantine: Callable[[str], None] = lambda name: None
+        self.on_refuted: Callable[[str], None] = lambda name: None
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -96,11 +171,50 @@
             return False
         return self.poison_tracker.count_crashes(fingerprint) >= QUARANTINE_THRESHOLD - 1
 
-    def get_quarantine_time_left(self, fingerprint: str) -> float:
+    def find_part_quarantine(self, parts: Collection[str]) -> str | None:
+        """Return the name of the quarantine that a request falls under by its parts, or None."""
+        group = self.attributor.find_quarantine(parts, self.now())
+        return None if group is None else name_part_quarantine(group)
+
+    def get_quarantine_time_left(self, name: str) -> float:
         """Return the remaining seconds of a quarantine."""
-        since = self.poison_tracker.quarantined.get(fingerprint, self.now())
+        group = parse_part_quarantine(name)
+        if group is None:
+            since = self.poison_tracker.quarantined.get(name, self.now())
+        else:
+            since = self.attributor.quarantined.get(group, self.now())
         return max(since + QUARANTINE_SECONDS - self.now(), 0.0)
 
+    def may_send_again(self, fingerprint: str, parts: Collection[str]) -> bool:
+        """Return whether a request that may have crashed an upstream may be sent to another one."""
+        if self.must_run_isolated(fingerprint):
+            return False
+        return not self.attributor.is_risky(parts)
+
+    def note_completed(self, service: str, parts: Collection[str]) -> None:
+        """Record that a request completed, which clears its parts."""
+        now = self.now()
+        self.completed[service] += 1
+        self.attributor.count_completed(service, 1, now)
+        for part in parts:
+            if self.attributor.note_completed(part, now):
+                self.cleared[part] = now
+        for group, rest in self.attributor.list_refuted(parts):
+            self.refute(group, rest)
+
+    def refute(self, group: PartSet, rest: PartSet) -> None:
+        """End a quarantine of parts that a completed request had.
+
+        :param rest: parts that the request did not have, which stay quarantined
+        """
+        name = name_part_quarantine(group)
+        self.attributor.lift(group, self.now())
+        self.log.write("quarantine_refuted", quarantine=name, remaining=sorted(rest))
+        self.on_refuted(name)
+        if rest:
+            self.attributor.quarantine(rest, self.now())
+            self.on_quarantine(name_part_quarantine(rest))
+
     def note_answered(self, fingerprint: str) -> None:
         """Clear a request that an upstream has completed."""
         self.answered[fingerprint] = float("-inf")
@@ -109,19 +223,22 @@
             self.answered.popitem(last=False)
         self.poison_tracker.note_success(fingerprint)
 
-    def record_loss(self, entry: UpstreamEntry, fingerprints: Iterable[str]) -> None:
+    def record_loss(self, entry: UpstreamEntry, attempts: Iterable[UnansweredAttempt]) -> None:
         """Count the crash of an upstream that this daemon has detected, and report it."""
         self.loss_count += 1
+        now = self.now()
         record = entry.record
+        rows = {attempt.fingerprint: describe_lost(attempt, now) for attempt in attempts}
         loss = UpstreamLoss(
             self.loss_count,
             f"{record.id}/{record.born}",
             record.version,
             record.failure_domain,
-            tuple(fingerprints),
+            record.service,
+            tuple(rows.values())[:MAX_REPORTED_REQUESTS],
         )
-        self.losses.append((self.now(), loss))
-        self.count_loss(loss, self.now())
+        self.losses.append((now, loss))
+        self.count_loss(loss, now)
         self.on_loss()
 
     def count_loss(self, loss: UpstreamLoss, at: float) -> None:
@@ -129,6 +246,7 @@
 
         :param at: event-loop time in seconds at which the crash was detected
         """
+        self.count_part_loss(loss, at)
         counted_fingerprints = tuple(
             name for name in loss.fingerprints if not self.coincides_with_last_loss(name, at)
         )
@@ -145,6 +263,62 @@
             )
             self.on_quarantine(fingerprint)
 
+    def count_part_loss(self, loss: UpstreamLoss, at: float) -> None:
+        """Count a loss against the parts of the requests, and decide on them when news is in."""
+        requests = [
+            LostRequest(
+                row.fingerprint,
+                frozenset(row.parts),
+                at - row.sent_ms / 1000,
+                at - row.failed_ms / 1000,
+            )
+            for row in loss.requests
+        ]
+        suspected = self.attributor.note_crash(loss.upstream, loss.service, at, requests)
+        for row in loss.requests:
+            for part in row.parts:
+                self.tell_if_cleared(part, at - row.failed_ms / 1000)
+        if suspected and self.decision_timer is None:
+            self.decision_timer = asyncio.get_running_loop().call_later(
+                DECISION_PERIOD_SECONDS, self.decide_on_parts
+            )
+
+    def tell_if_cleared(self, part: str, failed_at: float) -> None:
+        """Tell the others of a request with a part that completed here after one was lost."""
+        completed_at = self.attributor.completed_at.get(part)
+        if completed_at is not None and completed_at > failed_at:
+            self.cleared[part] = completed_at
+
+    @property
+    def settle_seconds(self) -> float:
+        """Seconds after which this daemon has heard what completed at others."""
+        return RELAYED_SETTLE_SECONDS if self.relays() else DIRECT_SETTLE_SECONDS
+
+    def decide_on_parts(self) -> None:
+        """Quarantine the parts that crash upstreams; decide again while news may come."""
+        self.decision_timer = None
+        if not self.hears_all_losses():
+            return
+        now = self.now()
+        for group, evidence in self.attributor.quarantine_culprits(now, self.settle_seconds):
+            self.log_part_quarantine(group, evidence)
+            self.on_quarantine(name_part_quarantine(group))
+        candidates = self.attributor.list_candidates()
+        for evidence in candidates:
+            self.log.write_routine("part_suspected", **describe_evidence(evidence))
+        if any(now - item.crashes[-1].at < UNDECIDED_SECONDS for item in candidates):
+            self.decision_timer = asyncio.get_running_loop().call_later(
+                DECISION_PERIOD_SECONDS, self.decide_on_parts
+            )
+
+    def log_part_quarantine(self, group: PartSet, evidence: Evidence) -> None:
+        """Log why requests with some parts are quarantined."""
+        self.log.write(
+            "parts_quarantined",
+            quarantine=name_part_quarantine(group),
+            **describe_evidence(evidence),
+        )
+
     def coincides_with_last_loss(self, fingerprint: str, at: float) -> bool:
         """Return whether a loss of an already answered request coincides with its last one.
 
@@ -167,6 +341,47 @@
             tuple(loss._replace(age_ms=int((now - at) * 1000))) for at, loss in self.losses
         )
 
+    def encode_cleared(self) -> tuple:
+        """Encode when requests of this daemon cleared suspected parts, as (part, age in ms)."""
+        now = self.now()
+        for part in [name for name, at in self.cleared.items() if at < now - LOSS_REPORT_SECONDS]:
+            del self.cleared[part]
+        return tuple((part, int((now - at) * 1000)) for part, at in self.cleared.items())
+
+    def encode_suspected(self) -> tuple:
+        """Encode the suspected parts for daemons that hear of them only from this hub."""
+        if not self.relays():
+            return ()
+        now = self.now()
+        newest = list(self.attributor.suspected.items())[-MAX_TOLD_SUSPECTS:]
+        return tuple((part, int((now - at) * 1000)) for part, at in newest)
+
+    def merge_parts(self, state: DaemonState, reported_at: float) -> None:
+        """Apply what another daemon tells of parts that were cleared or are suspected.
+
+        :param reported_at: event-loop time in seconds of the report
+        """
+        for part, age_ms in state.cleared_parts:
+            self.attributor.note_completed(part, reported_at - age_ms / 1000)
+        if not self.hears_all_losses():
+            for part, age_ms in state.suspected_parts:
+                failed_at = reported_at - age_ms / 1000
+                if not self.attributor.suspect(part, failed_at):
+                    self.tell_if_cleared(part, failed_at)
+        counts = dict(state.completed)
+        incarnation, known = self.completed_elsewhere.get(state.daemon, (0, {}))
+        if incarnation == state.incarnation:
+            for service, count in counts.items():
+                more = count - known.get(service, 0)
+                if more > 0:
+                    self.attributor.count_completed(service, more, reported_at)
+        self.completed_elsewhere[state.daemon] = (state.incarnation, counts)
+
+    def forget_daemons_except(self, alive: Collection[str]) -> None:
+        """Drop the counts of daemons that are gone."""
+        for daemon in [name for name in self.completed_elsewhere if name not in alive]:
+            del self.completed_elsewhere[daemon]
+
     def merge_losses(
         self, daemon: str, incarnation: int, rows: Iterable[tuple], reported_at: float
     ) -> None:
@@ -176,17 +391,47 @@
         """
         last = self.newest_losses.get(daemon, (0, 0))
         newest = last[1] if last[0] == incarnation else 0
-        for loss in (UpstreamLoss(*row) for row in rows):
+        for loss in (UpstreamLoss.from_row(row) for row in rows):
             if loss.number > newest:
                 newest = loss.number
                 self.count_loss(loss, reported_at - loss.age_ms / 1000)
         self.newest_losses[daemon] = (incarnation, newest)
 
-    def note_quarantine(self, fingerprint: str) -> None:
+    def note_quarantine(self, name: str) -> None:
         """Apply a quarantine that is stored, usually by another daemon."""
-        self.poison_tracker.note_quarantine(fingerprint, self.now())
+        group = parse_part_quarantine(name)
+        if group is None:
+            self.poison_tracker.note_quarantine(name, self.now())
+        else:
+            self.attributor.quarantine(group, self.now())
 
-    def lift_quarantine(self, fingerprint: str) -> None:
+    def lift_quarantine(self, name: str) -> None:
         """End a quarantine."""
-        if self.poison_tracker.clear_request(fingerprint):
-            self.log.write("quarantine_lifted", fingerprint=fingerprint)
+        group = parse_part_quarantine(name)
+        if group is None:
+            lifted = self.poison_tracker.clear_request(name)
+        else:
+            lifted = self.attributor.lift(group, self.now())
+        if lifted:
+            self.log.write("quarantine_lifted", quarantine=name)
+
+
+def describe_lost(attempt: UnansweredAttempt, now: float) -> LostRow:
+    """Return what other daemons are told of a request that a crashed upstream left unanswered."""
+    return LostRow(
+        attempt.fingerprint,
+        attempt.part_keys if attempt.broken else (),
+        int((now - attempt.sent_at) * 1000),
+        int((now - attempt.failed_at) * 1000),
+    )
+
+
+def describe_evidence(evidence: Evidence) -> dict[str, object]:
+    """Return the fields of a log line on the evidence against a part."""
+    return {
+        "part": evidence.part,
+        "upstreams": [crash.upstream for crash in evidence.crashes],
+        "lost_without": evidence.lost_without,
+        "completed_without": evidence.completed_without,
+        "chance": f"{evidence.chance:.2g}",
+    }
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -76,6 +76,7 @@
             )
             attempt = await self.send_and_receive(exchange, entry, stream, first_byte_timeout)
             answered = attempt.result in ANSWERED_RESULTS
+            pending_attempt.broken = attempt.result is AttemptResult.BROKEN
         except (OSError, TimeoutError) as error:
             if stream is not None:
                 raise
@@ -93,6 +94,8 @@
         self.note_result(entry, attempt)
         if attempt.result in EXECUTED_RESULTS:
             self.suspects.note_answered(exchange.fingerprint)
+        if attempt.completed:
+            self.suspects.note_completed(exchange.service, exchange.part_keys)
         return attempt
 
     async def connect(self, exchange: Exchange, entry: UpstreamEntry) -> UpstreamStream:
@@ -213,7 +216,13 @@
             )
         exchange.first_byte_at = asyncio.get_running_loop().time()
         exchange.stream.send_response(head.status, build_response_headers(head.headers), body)
-        return UpstreamAttempt(AttemptResult.DELIVERED, Step.END, name, f"status {head.status}")
+        return UpstreamAttempt(
+            AttemptResult.DELIVERED,
+            Step.END,
+            name,
+            f"status {head.status}",
+            completed=head.status < 300 and head.is_framed,
+        )
 
     async def relay_events(
         self,
@@ -264,7 +273,13 @@
         if not exchange.stream.response_started:
             await self.forward_events(exchange, head, b"")
         exchange.stream.finish_response()
-        return UpstreamAttempt(AttemptResult.DELIVERED, Step.END, name, f"{splitter.events} events")
+        return UpstreamAttempt(
+            AttemptResult.DELIVERED,
+            Step.END,
+            name,
+            f"{splitter.events} events",
+            completed=head.is_framed,
+        )
 
     async def forward_events(self, exchange: Exchange, head: ResponseHead, data: bytes) -> None:
         """Send events to the caller, preceded by the head of the response the first time.
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tanagertrail.gateway.clock import read_wall_time
-from tanagertrail.gateway.crash_detector import CrashDetector
+from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND
@@ -25,6 +25,14 @@
     return Upstream(name, "desk", "127.0.0.1:9", "north", "v1", 8, draining, 0.0, born, False, None)
 
 
+def fail_attempt(fingerprint):
+    """Return an attempt whose connection broke just now."""
+    now = asyncio.get_running_loop().time()
+    attempt = UnansweredAttempt(fingerprint, now)
+    attempt.failed_at, attempt.broken = now, True
+    return attempt
+
+
 def make_upstreams_crash_on_poison(fleet):
     """Make all upstreams crash when they run a request with the poisonous body."""
     for upstream in fleet.upstreams:
@@ -134,7 +142,9 @@
     tracker = SuspectTracker(EventLog("entry-1", now))
     tracker.note_answered("popular")
     for name in ("up-a", "up-b", "up-c", "up-d"):
-        tracker.record_loss(UpstreamEntry(build_record(name)), ["popular", "other"])
+        tracker.record_loss(
+            UpstreamEntry(build_record(name)), [fail_attempt("popular"), fail_attempt("other")]
+        )
         await asyncio.sleep(0.1)
     assert tracker.judge("popular") is Verdict.SUSPECT
     assert tracker.judge("other") is Verdict.QUARANTINED
@@ -167,7 +177,9 @@
     log = EventLog("entry-1", asyncio.get_running_loop().time)
     watch = CrashDetector(log)
     lost = []
-    watch.on_crash = lambda entry, fingerprints: lost.append((entry.record.id, fingerprints))
+    watch.on_crash = lambda entry, attempts: lost.append(
+        (entry.record.id, [attempt.fingerprint for attempt in attempts])
+    )
     table = UpstreamTable()
     table.on_registration_ended = watch.note_crashed
     for name in ("alive", "restarted", "leaving", "removed"):
@@ -211,8 +223,8 @@
         SuspectTracker(EventLog("entry-2", now)),
     )
     entry = UpstreamEntry(build_record("up-a"))
-    first.record_loss(entry, ["f"])
-    second.record_loss(entry, ["f"])
+    first.record_loss(entry, [fail_attempt("f")])
+    second.record_loss(entry, [fail_attempt("f")])
     for _ in range(3):
         second.merge_losses("entry-1", 1, first.encode_losses(), now())
         await asyncio.sleep(0.5)
