--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -10,7 +10,7 @@
 from tanagertrail.soak.callers import Call
 from tanagertrail.soak.plan import Fault, was_disturbed
 from tanagertrail.standins.documents import BOUNDS, COLD_RATE, COLD_SLACK, CUSTOMERS, PLAIN_UNITS
-from tanagertrail.standins.upstream import EVENTS
+from tanagertrail.standins.misbehaviour import EVENTS
 
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: has not run and never will
 STABILITY_SECONDS = BOUNDS.stability
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -18,8 +18,8 @@
     build_cold,
     build_draining,
 )
+from tanagertrail.standins.misbehaviour import FAULTS as MISBEHAVIOURS
 from tanagertrail.standins.store import StoreMode
-from tanagertrail.standins.upstream import FAULTS as MISBEHAVIOURS
 
 SLOW_STORE_SECONDS = 0.8
 LOST_ANSWERS = 4
