Have the soak send a prompt part that ends upstreams, and answers without framing

Streams of the soak's callers now have prompts whose parts are shared, as the users' have. A new kind of fault sends streams with one part that ends each upstream that answers on it, before or after its first event, no two alike, beside kills, pauses and store faults; another has an upstream end answers by closing. Two checks: no more than three such requests reach upstreams later than the stability bound after the fifth end, and no sound request is refused for a part.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -22,6 +22,8 @@
 CALLS_ON_ONE_CONNECTION = 12
 PAUSE_SECONDS = (0.01, 0.12)
 RESEND_SECONDS = (0.05, 0.4)
+FIRST_PART = "soak"  # that the prompts of all streams share
+SECOND_PARTS = ("a", "b", "c", "d")
 LEAVE_SHARE = 0.03  # of calls whose caller closes its connection before the answer
 ROUTES = ("look", "look", "book", "book", "talk")
 
@@ -120,7 +122,8 @@
         body = f"order {number}".encode() if route == "book" else b""
         loop = asyncio.get_running_loop()
         request_id = f"soak-{number}"
-        self.send(stream, request_id, route, customer, body)
+        second_part = SECOND_PARTS[number % len(SECOND_PARTS)] if route == "talk" else ""
+        self.send(stream, request_id, route, customer, body, second_part)
         call = Call(request_id, route, customer, body, front, loop.time(), loop.time())
         if rng.random() < LEAVE_SHARE:
             await asyncio.sleep(rng.uniform(0.0, 0.05))
@@ -132,20 +135,35 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
-            front = rng.choice(list(self.links))
-            request_id = f"soak-{next(self.numbers)}"
-            try:
-                stream = UpstreamStream(
-                    await open_channel(HOST, self.links[front], CONNECT_SECONDS)
-                )
-            except (OSError, TimeoutError):
-                continue
-            self.send(stream, request_id, "book", CUSTOMERS[0], body)
-            call = Call(request_id, "book", CUSTOMERS[0], body, front, loop.time(), loop.time())
-            self.calls.append(await self.await_answer(stream, call))
-            stream.abort()
+            await self.send_anywhere(rng, "book", body)
             await asyncio.sleep(rng.uniform(*RESEND_SECONDS))
 
+    async def send_with_part(
+        self, rng: random.Random, body: bytes, part: str, seconds: float
+    ) -> None:
+        """Send streams whose prompts share a part, no two alike, each to any daemon."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            await self.send_anywhere(rng, "talk", body, part)
+            await asyncio.sleep(rng.uniform(*RESEND_SECONDS))
+
+    async def send_anywhere(
+        self, rng: random.Random, route: str, body: bytes, second_part: str = ""
+    ) -> None:
+        """Send one request to any daemon and note what came of it."""
+        loop = asyncio.get_running_loop()
+        front = rng.choice(list(self.links))
+        request_id = f"soak-{next(self.numbers)}"
+        try:
+            stream = UpstreamStream(await open_channel(HOST, self.links[front], CONNECT_SECONDS))
+        except (OSError, TimeoutError):
+            return
+        self.send(stream, request_id, route, CUSTOMERS[0], body, second_part)
+        call = Call(request_id, route, CUSTOMERS[0], body, front, loop.time(), loop.time())
+        self.calls.append(await self.await_answer(stream, call))
+        stream.abort()
+
     async def await_answer(self, stream: UpstreamStream, call: Call) -> Call:
         """Return a call with its answer, or with the time at which none had come."""
         loop = asyncio.get_running_loop()
@@ -162,8 +180,12 @@
         route: str,
         customer: SoakCustomer,
         body: bytes,
+        second_part: str = "",
     ) -> None:
-        """Write a request."""
+        """Write a request.
+
+        :param second_part: second part of its prompt, empty for a request without a prompt
+        """
         headers = [
             (b"host", HOST_NAME.encode()),
             (header_fields.REQUEST_ID, request_id.encode()),
@@ -171,6 +193,10 @@
             (header_fields.API_KEY, customer.key.encode()),
             (header_fields.CUSTOMER, b"somebody-else"),
         ]
+        if second_part:
+            prefix = f"{FIRST_PART}:9,{second_part}:9,{request_id}:9"
+            headers.append((header_fields.MODEL, b"m"))
+            headers.append((header_fields.PROMPT_PREFIX, prefix.encode()))
         if body:
             headers.append((b"content-length", str(len(body)).encode()))
         suffix = "events" if route == "talk" else "x"
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -16,6 +16,10 @@
 STABILITY_SECONDS = BOUNDS.stability
 REGRESS_SECONDS = 0.25
 DEADLY = b"deadly "  # begins the bodies of requests that end the upstreams that run them
+DEADLY_PART = b"deadly part "  # begins the bodies of requests with a part that ends upstreams
+MOST_CRASHES = 5  # of upstreams after which such a part is to be known
+PART_REFUSAL = b"upstreams crash on a part of this prompt"
+STORE_FAULTS = "store "  # begins the kinds of faults in which a quarantine may not be stored
 MOST_LOST = 3  # upstreams after which such a request is to be known
 MOST_RETRIES = 3  # that may reach an upstream later than the stability bound after that
 RATE_WINDOW_SECONDS = 4.0  # in which an upstream in need counts requests
@@ -85,6 +89,7 @@
     :ivar terms: (front port, time) of each request to a daemon to stop
     :ivar usage: counts by window, once for each call of the cloud API
     :ivar pauses: (front port, since, until) of each pause of a daemon
+    :ivar part_crashes: (part, time) of each end of an upstream on a part of prompts
     """
 
     started: float
@@ -99,6 +104,7 @@
     arrivals: list[Arrival] = []
     needs: list[Need] = []
     pauses: list[tuple[int, float, float]] = []
+    part_crashes: list[tuple[str, float]] = []
 
     def was_restarted_or_paused(self, port: int, since: float, until: float) -> bool:
         """Say whether a daemon was started or paused in a span."""
@@ -107,6 +113,11 @@
             front == port and begin < until and end > since for front, begin, end in self.pauses
         )
 
+    def was_store_disturbed(self, since: float, until: float) -> bool:
+        """Say whether a fault of the store touched a span."""
+        faults = [fault for fault in self.plan if fault.kind.startswith(STORE_FAULTS)]
+        return was_disturbed(faults, since - self.started, until - self.started)
+
     def was_calm(self, since: float, until: float) -> bool:
         """Say whether nothing but planned work touched a span and the time before it."""
         since -= STABILITY_SECONDS
@@ -244,6 +255,40 @@
             yield f"{body!r} ended {len(ends)} upstreams, {late} of them after it had to be known"
 
 
+@CHECKS.register("prompt parts that end upstreams")
+def check_deadly_parts(evidence: Evidence) -> Iterator[str]:
+    """Find parts of prompts that went on being sent after enough upstreams had ended on them.
+
+    A daemon is excused after its start or pause, and by a fault of the store.
+    """
+    ports = {call.request_id: call.port for call in evidence.calls}
+    crashes = defaultdict(list)
+    for part, at in evidence.part_crashes:
+        crashes[part].append(at)
+    for part, times in crashes.items():
+        times.sort()
+        if len(times) < MOST_CRASHES:
+            continue
+        known = times[MOST_CRASHES - 1] + STABILITY_SECONDS
+        late = 0
+        for run in evidence.runs:
+            since = run.at - STABILITY_SECONDS
+            excused = evidence.was_restarted_or_paused(
+                ports.get(run.request_id, 0), since, run.at
+            ) or evidence.was_store_disturbed(since, run.at)
+            late += run.body.startswith(DEADLY_PART) and run.at > known and not excused
+        if late > MOST_RETRIES:
+            yield f"{part} ended {len(times)} upstreams, {late} requests came after it was known"
+
+
+@CHECKS.register("sound prompts refused")
+def check_sound_prompts(evidence: Evidence) -> Iterator[str]:
+    """Find sound requests that were refused for a part of their prompts."""
+    for call in evidence.calls:
+        if call.answer == PART_REFUSAL and not call.body.startswith(DEADLY_PART):
+            yield f"{call.request_id} was refused for a part of its prompt"
+
+
 @CHECKS.register("cold upstreams")
 def check_cold(evidence: Evidence) -> Iterator[str]:
     """Find seconds in which a cold upstream got more than it bears."""
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -6,7 +6,7 @@
 import random
 import signal
 
-from tanagertrail.soak.checks import DEADLY
+from tanagertrail.soak.checks import DEADLY, DEADLY_PART
 from tanagertrail.soak.plan import Fault, register_fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
@@ -27,6 +27,7 @@
 SLOW_WORK_SECONDS = 0.4
 COLD_SECONDS = 3.0
 NAMED_RATES = ("0.3", "1.4", "6")  # requests per second that upstreams in need accept
+UNFRAMED = ("unframed", "unframed_half")  # the links pass a reset on as an end
 HARMLESS_TO_ONCE = ("refuse", "fail", "reset", "half_event", "extra", "late_other", "short")
 
 
@@ -199,6 +200,28 @@
     await asyncio.sleep(DOWN_SECONDS)
 
 
+@register_fault("prompt part ends upstreams", 6.0, 9.0, chance=0.5)
+async def send_deadly_part(world: SoakWorld, fault: Fault) -> None:
+    """Have a part of prompts end each upstream that answers on it, and send such prompts."""
+    part = f"dead{fault.target}"
+    for upstream in world.upstreams:
+        upstream.deadly_part = part
+        upstream.deadly_after = fault.target % 2
+    body = DEADLY_PART + str(fault.target).encode()
+    rng = random.Random(fault.target)
+    await world.crowd.send_with_part(rng, body, part, fault.seconds - DOWN_SECONDS)
+    await asyncio.sleep(DOWN_SECONDS)
+
+
+@register_fault("answers without framing", 2.0, 4.0, chance=0.4)
+async def answer_without_framing(world: SoakWorld, fault: Fault) -> None:
+    """Have an upstream end some answers by closing, whole or within an event."""
+    _, upstream = pick_upstream(world, fault)
+    upstream.faults.extend([UNFRAMED[fault.target % len(UNFRAMED)]] * MISBEHAVING_REQUESTS)
+    await asyncio.sleep(fault.seconds)
+    upstream.faults.clear()
+
+
 @register_fault("upstream leaves", 3.0, 6.0, planned=True)
 async def let_upstream_leave(world: SoakWorld, fault: Fault) -> None:
     """Have an upstream drain, and come back under its name."""
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -283,6 +283,7 @@
             [item for upstream in self.upstreams for item in upstream.list_arrivals()],
             [need for upstream in self.upstreams for need in upstream.needs],
             self.pauses,
+            [item for upstream in self.upstreams for item in upstream.part_crashes],
         )
 
     async def close(self) -> None:
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -267,8 +267,9 @@
 async def break_unframed(
     upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
 ) -> None:
-    """End an answer without a length or chunks within its last event."""
-    await send_unframed(upstream, request, stream, cut_bytes=4)
+    """End a stream without a length or chunks within its last event; send a plain answer whole."""
+    cut_bytes = 4 if request.path.endswith(STREAM_SUFFIX) else 0
+    await send_unframed(upstream, request, stream, cut_bytes)
 
 
 @FAULTS.register("unframed_reset")
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -33,6 +33,7 @@
     :ivar deadly_after: events of a stream that it sends before it crashes on that part
     :ivar deadly_every: it crashes on each request of this number with that part
     :ivar part_arrivals: event-loop time in seconds of each request with that part
+    :ivar part_crashes: the deadly part and event-loop time in seconds of each crash on one
     :ivar ended: whether it has ended
     :ivar endless_bytes: bytes sent by faults that have no end
     :ivar work: seconds that a plain request takes, and each event of a stream
@@ -54,6 +55,7 @@
         self.deadly_after = 0
         self.deadly_every = 1
         self.part_arrivals: list[float] = []
+        self.part_crashes: list[tuple[str, float]] = []
         self.ended = False
         self.endless_bytes = 0
         self.named_rate: str | None = None
@@ -99,7 +101,9 @@
         await asyncio.sleep(self.work)
         if self.deadly_after:
             await self.send_events(request, stream, self.deadly_after)
-        self.crash()
+        if not self.ended:
+            self.part_crashes.append((self.deadly_part, asyncio.get_running_loop().time()))
+            self.crash()
 
     def crash(self) -> None:
         """End as a killed process does: connections are reset, new ones are refused."""
