Weigh the spread of a part over crashes, and what was seen sound before

The evidence is now the chance of the losses times the chance that so few lost requests meet so many of the crashes; for a part with which requests completed before it has to be 50 times smaller. The emulator plays it with news as late as hubs make it; tanagertrail-bench parts prints it.

--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -16,6 +16,7 @@
 from tanagertrail.bench.journals import run_journal
 from tanagertrail.bench.limits import run_limits
 from tanagertrail.bench.matrix import format_matrix, iter_cells, run_cell
+from tanagertrail.bench.parts import run_parts
 from tanagertrail.bench.plots import write_limits_plot, write_load_plot
 from tanagertrail.bench.prefixes import run_prefixes
 from tanagertrail.bench.questions import run_questions
@@ -194,6 +195,29 @@
         ]
         print(format_table(rows))
 
+    def parts(
+        self,
+        sizes: str = "5,8,75,195,380",
+        rates: str = "1,2,5",
+        engines: float = 0.8,
+        load: float = 9.0,
+        seeds: int = 20,
+        strays: float = 0.0,
+    ) -> None:
+        """Print how soon a part of prompts that crashes engines is refused, by number of daemons.
+
+        :param rates: requests with the part per second, 0 for none
+        :param engines: engines for each daemon
+        :param load: sound requests per second at each daemon
+        :param strays: crashes per second without a cause in requests
+        """
+        rows = [
+            run_parts(daemons, round(daemons * engines), rate, daemons * load, strays, seeds)
+            for daemons in as_tuple(sizes)
+            for rate in as_tuple(rates)
+        ]
+        print(format_table(rows))
+
     def prefixes(self) -> None:
         """Print the tokens recomputed by each choice of upstream."""
         print(format_table(list(run_prefixes())))
--- a/tanagertrail/gateway/suspects.py
+++ b/tanagertrail/gateway/suspects.py
@@ -431,6 +431,8 @@
     return {
         "part": evidence.part,
         "upstreams": [crash.upstream for crash in evidence.crashes],
+        "crashes": f"{evidence.met_crashes} of {evidence.all_crashes}",
+        "lost_with": evidence.lost_with,
         "lost_without": evidence.lost_without,
         "completed_without": evidence.completed_without,
         "chance": f"{evidence.chance:.2g}",
--- a/tanagertrail/policy/crash_attribution.py
+++ b/tanagertrail/policy/crash_attribution.py
@@ -16,7 +16,8 @@
 MIN_CRASHES = 3  # independent crashes before a part may be quarantined
 RISKY_CRASHES = MIN_CRASHES - 1  # from which a request with the part is not sent a second time
 MIN_COMPLETED_WITHOUT = 3  # requests without the part that completed between its crashes
-MAX_CHANCE = 0.002  # probability at which a coincidence no longer explains the crashes
+MAX_CHANCE = 0.005  # probability at which a coincidence no longer explains the crashes
+MAX_CHANCE_SEEN_SOUND = 0.0001  # for a part with which requests completed before
 TIE_SECONDS = 1.5  # in which another crash may tell parts with the same evidence apart
 EVIDENCE_SECONDS = 900.0
 MAX_CRASHES = 256
@@ -83,33 +84,70 @@
 
     :ivar crashes: independent crashes under requests with the part, oldest first
     :ivar seen_sound: whether a request with the part is known to have completed before
+    :ivar lost_with: requests with the part lost in the span of those crashes
     :ivar lost_without: other requests lost in the same span
     :ivar completed_without: other requests completed in the same span
+    :ivar all_crashes: crashes of the service in the span
+    :ivar met_crashes: those of them that lost a request with the part
     """
 
     part: str
     crashes: tuple[Crash, ...]
     seen_sound: bool
-    lost_without: int
-    completed_without: int
+    lost_with: int = 0
+    lost_without: int = 0
+    completed_without: int = 0
+    all_crashes: int = 0
+    met_crashes: int = 0
 
     @property
     def strength(self) -> tuple[int, bool]:
         """What the evidence of several parts is compared by; the higher, the more suspicious."""
         return len(self.crashes), not self.seen_sound
 
+    @property
+    def suffices(self) -> bool:
+        """Whether the part is to be quarantined."""
+        limit = MAX_CHANCE_SEEN_SOUND if self.seen_sound else MAX_CHANCE
+        return len(self.crashes) >= MIN_CRASHES and self.chance <= limit
+
     @property
     def chance(self) -> float:
-        """Probability that requests with the part were lost each time by coincidence.
+        """Probability of the evidence if the part doesn't crash upstreams.
 
-        Others were lost at some rate meanwhile, estimated by the rule of succession. If nothing
-        without the part completes, nothing tells the part from a fault of the upstreams.
+        If nothing without the part completes, nothing tells it from a fault of the upstreams.
         """
         if self.completed_without < MIN_COMPLETED_WITHOUT:
             return 1.0
+        return self.chance_of_losses * self.chance_of_spread
+
+    @property
+    def chance_of_losses(self) -> float:
+        """Probability that requests with the part were lost each time by coincidence.
+
+        Others were lost at some rate meanwhile, estimated by the rule of succession.
+        """
         others = self.lost_without + self.completed_without
         return ((self.lost_without + 1) / (others + 2)) ** len(self.crashes)
 
+    @property
+    def chance_of_spread(self) -> float:
+        """Probability that so few lost requests meet so many of the crashes by coincidence.
+
+        The part that crashes upstreams is in each crash, seldom more than once. This tells it apart
+        where crashes are so many that most other requests are lost as well.
+        """
+        chances = [1.0] + [0.0] * self.all_crashes
+        for _ in range(self.lost_with):
+            chances = [
+                (chances[met] * met + chances[met - 1] * (self.all_crashes - met + 1))
+                / self.all_crashes
+                if met
+                else 0.0
+                for met in range(self.all_crashes + 1)
+            ]
+        return min(sum(chances[self.met_crashes :]), 1.0)
+
 
 class CrashAttributor:
     """Decide which parts of prompts crash upstreams.
@@ -284,19 +322,31 @@
         crashes = self.list_crashes(part, until)
         seen_sound = part in self.completed_at
         if not crashes:
-            return Evidence(part, (), seen_sound, 0, 0)
+            return Evidence(part, (), seen_sound)
         first, last = crashes[0].at, crashes[-1].at
         service = crashes[-1].service
-        lost = sum(
-            part not in request.parts
+        span = [
+            crash
             for crash in self.crashes.values()
             if crash.service == service and first <= crash.at <= last
-            for request in crash.requests.values()
-        )
+        ]
+        lost_with = [
+            sum(part in request.parts for request in crash.requests.values()) for crash in span
+        ]
+        lost = sum(len(crash.requests) for crash in span)
         counts = self.completed_counts.get(service, {})
         buckets = range(int(first / BUCKET_SECONDS), int(last / BUCKET_SECONDS) + 1)
         completed = sum(counts.get(bucket, 0) for bucket in buckets)
-        return Evidence(part, tuple(crashes), seen_sound, lost, completed)
+        return Evidence(
+            part,
+            tuple(crashes),
+            seen_sound,
+            sum(lost_with),
+            lost - sum(lost_with),
+            completed,
+            len(span),
+            sum(count > 0 for count in lost_with),
+        )
 
     def list_candidates(self, until: float = math.inf) -> list[Evidence]:
         """Return the evidence on parts with enough crashes until a time, the strongest first."""
@@ -332,7 +382,7 @@
         found = [
             (self.find_inseparable(item), item)
             for item in self.list_candidates(now - settle_seconds)
-            if item.chance <= MAX_CHANCE
+            if item.suffices
         ]
         found = [pair for pair in found if pair[0] not in self.quarantined]
         strongest = {group: item for group, item in found if item.strength == found[0][1].strength}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -3,6 +3,7 @@
 from tanagertrail.emulator.engine import EngineModel, EngineShape, Job
 from tanagertrail.emulator.load import LoadSettings, play_load
 from tanagertrail.emulator.patterns import PATTERNS
+from tanagertrail.emulator.prompt_parts import PartLoad, play_parts
 from tanagertrail.policy.placement import PREFILL_TOKENS_PER_SECOND
 
 
@@ -103,3 +104,24 @@
         assert 0.0 < result.overload <= 1.0, daemons
         assert result.unanswered == 0.0, daemons
         assert result.credit >= 0.97, daemons
+
+
+def test_deadly_part_reaches_engines_later_than_the_bound_where_hubs_relay_news():
+    for daemons, engines, load in ((5, 4, 45.0), (8, 6, 75.0), (75, 60, 300.0), (195, 60, 400.0)):
+        for deadly_first in (False, True):
+            results = [
+                play_parts(
+                    PartLoad(daemons, engines, load, 1.0, 15.0, deadly_first=deadly_first, seed=n)
+                )
+                for n in range(4)
+            ]
+            assert max(item.late for item in results) <= 3, (daemons, deadly_first)
+            assert not any(item.sound_held for item in results), (daemons, deadly_first)
+
+
+def test_crashes_without_a_cause_in_requests_hold_a_part_that_they_share():
+    results = [
+        play_parts(PartLoad(8, 6, 75.0, 0.0, 20.0, stray_crashes=0.5, seed=seed))
+        for seed in range(10)
+    ]
+    assert not any(item.sound_held for item in results)
