--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -26,6 +26,10 @@
     yield GaugeRow("upstream_connections_opened", node.pools.opened_count, {})
     yield GaugeRow("requests_quarantined", len(node.suspects.poison_tracker.quarantined), {})
     yield GaugeRow("requests_suspected", len(node.suspects.poison_tracker.crashes), {})
+    attributor = node.suspects.attributor
+    yield GaugeRow("prompt_parts_quarantined", len(attributor.quarantined), {})
+    yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
+    yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
     for domain in list(node.cluster_view.evacuated):
         yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -124,6 +124,12 @@
     suspected = values.get("requests_suspected", 0)
     quarantined = values.get("requests_quarantined", 0)
     yield f"{suspected:.0f} requests suspected to end upstreams, {quarantined:.0f} quarantined"
+    suspected = values.get("prompt_parts_suspected", 0)
+    quarantined = values.get("prompt_parts_quarantined", 0)
+    yield (
+        f"{suspected:.0f} parts of prompts suspected to crash upstreams, "
+        f"{quarantined:.0f} quarantined"
+    )
     for row in report.upstreams:
         yield (
             f"upstream {row.upstream} of {row.service}: {row.in_flight:.0f} here, "
