Show what a store that comes back older makes daemons do (red)

Real daemons before a stand-in store that goes back to a copy and states its era: changes after the return are not in force, a daemon that starts in the gap has the older version, quarantines and evacuations are lifted, upstreams that left are in use again, registrations that the copy lacks are removed, fencing numbers count down.

--- a/tanagertrail/standins/store.py
+++ b/tanagertrail/standins/store.py
@@ -6,7 +6,7 @@
 import copy
 import enum
 import json
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote
 
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
@@ -15,6 +15,7 @@
 
 PAGE_SIZE = 500
 FIRST_REVISION = 100
+ERA_FIELD = b"store-era"
 
 
 class StoreMode(enum.StrEnum):
@@ -26,9 +27,18 @@
     RESET = "reset"
 
 
+class StoreCopy(NamedTuple):
+    """The state of a store at some time."""
+
+    objects: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+
+
 class StandInStore(BaseStandIn):
     """Objects by kind and name with one revision counter.
 
+    :ivar era: number of times that it came back from an older copy, which its answers state
+
     :ivar lost_writes: writes that are done and not answered
     :ivar delay: seconds by which each answer is late
     :ivar refused_hosts: hosts whose calls are refused
@@ -40,6 +50,7 @@
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.revision = FIRST_REVISION
         self.forgotten = FIRST_REVISION
+        self.era = 0
         self.mode = StoreMode.UP
         self.lost_writes = 0
         self.refused_kinds: set[str] = set()
@@ -85,6 +96,19 @@
         self.history.clear()
         self.forgotten = self.revision
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(copy.deepcopy(self.objects), self.revision)
+
+    def restore(self, older: StoreCopy) -> None:
+        """Come back from an older copy: its revisions are given out again in a new era."""
+        self.objects = copy.deepcopy(older.objects)
+        self.revision = older.revision
+        self.era += 1
+        self.forget_history()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
         """Answer a call, or treat it as the mode says."""
         self.calls += 1
@@ -109,7 +133,8 @@
     def reply(self, stream: CallerStream, status: int, body: Any) -> None:
         """Send an answer."""
         data = b"" if body is None else json.dumps(body).encode()
-        stream.send_response(status, [(b"content-type", b"application/json")], data)
+        fields = [(b"content-type", b"application/json"), (ERA_FIELD, str(self.era).encode())]
+        stream.send_response(status, fields, data)
 
     async def serve(self, request: CallerRequest) -> tuple[int, Any]:
         """Carry out a call and return its status and body."""
@@ -144,7 +169,7 @@
         """Return the changes of a kind, or none after some time."""
         until = asyncio.get_running_loop().time() + wait
         while True:
-            if since < self.forgotten:
+            if not self.forgotten <= since <= self.revision:
                 return 410, None
             events = [
                 {"object": item, "deleted": deleted}
