--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -3,7 +3,6 @@
 __all__ = ["GatewayNode"]
 
 import asyncio
-import itertools
 import random
 
 from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
@@ -13,52 +12,38 @@
 from tanagertrail.gateway.dispatch import Dispatcher
 from tanagertrail.gateway.duties import DutyRunner
 from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.fleet_sums import sum_prompt_tokens, sum_trial_counts
 from tanagertrail.gateway.gauges import list_gauges
-from tanagertrail.gateway.handlers import (
-    KEPT_CONFIG_KIND,
-    ConfigHandler,
-    EvacuationHandler,
-    KeptConfigHandler,
-    RolloutHandler,
-    UpstreamHandler,
-)
 from tanagertrail.gateway.http_server import DEFAULT_LIMITS, HttpServer
 from tanagertrail.gateway.leadership import Leadership
 from tanagertrail.gateway.members import (
     MEMBERS_KIND,
     Member,
-    MemberHandler,
     MemberTable,
     build_own_member,
     register_member,
 )
 from tanagertrail.gateway.metrics import GatewayMetrics
-from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import GatewaySettings, Limits
 from tanagertrail.gateway.page_server import PageServers
 from tanagertrail.gateway.peers import PeerClient, PeerServer
 from tanagertrail.gateway.pools import ConnectionPools
-from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler, QuarantineStore
+from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineStore
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.shared_rates import SharedRates
 from tanagertrail.gateway.state_sync import StateSync, SyncDelegate
-from tanagertrail.gateway.store_watch import KindWatch, StoreBackoff, WatchRole, WatchTiming
+from tanagertrail.gateway.store_follower import StoreFollower
+from tanagertrail.gateway.store_watch import WatchRole
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_sender import UpstreamSender
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import CloudClient
 from tanagertrail.platform.pages import DirectoryPage, ReadyPage
-from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
-from tanagertrail.platform.store import StoreClient, StoredObject, get_era
+from tanagertrail.platform.store import StoreClient
 from tanagertrail.policy.canary import TrialCounts
 from tanagertrail.policy.token_quota import QuotaLimiter, QuotaUsage
 from tanagertrail.settings.gateway import GatewayTuning
 
-CONFIG_STALENESS_SHARE = 0.68  # of the bound on applying a new configuration
-DRAIN_STALENESS_SHARE = 0.68  # of the bound on draining an upstream
-ORDER_STALENESS_SHARE = 0.78  # of the bound on evacuating a failure domain
-MAX_WAIT_SECONDS = 2.0  # of one watch call for changes
-RARE_TIMING = WatchTiming(8.0, 12.0)  # for kinds whose changes are not urgent
 DIRECT_PROPAGATION_SECONDS = 1.0  # two exchange periods, if all daemons exchange directly
 RELAYED_PROPAGATION_SECONDS = 1.75  # two exchange periods with relays by hubs
 DIRECTORY_TTL_SECONDS = 1.0
@@ -126,14 +111,19 @@
             self.rng,
         )
         self.http_server = HttpServer(self.dispatcher.handle, self.get_limits, self.log)
-        self.mirrors: dict[str, KindMirror] = {}
-        self.watches: list[KindWatch] = []
-        self.store_backoff = StoreBackoff(self.rng)
+        self.follower = StoreFollower(
+            self.store, self.cluster_view, self.members, self.suspects, self.log, self.rng
+        )
+        self.follower.get_watch_role = self.get_watch_role
+        self.follower.on_restored = self.handle_restored_store
+        self.mirrors, self.watches = self.follower.mirrors, self.follower.watches
         self.state_sync = StateSync(self, self.members, self.mirrors)
         self.peer_server = PeerServer(self.state_sync, self.log)
         self.peer_client = PeerClient(
             self.state_sync, self.members, self.log, self.rng, read_boot_time, self.list_seeds()
         )
+        self.follower.on_change = self.peer_client.schedule_push
+        self.follower.on_config_kept = self.peer_client.exchange_with_all
         self.leadership.may_observe = self.may_observe_lease
         self.leadership.may_hold = lambda: self.state_sync.topology.is_hub
         self.started_at = self.loop.time()
@@ -142,8 +132,6 @@
         self.state_counter = 0
         self.quarantine: QuarantineStore | None = None
         self.duty_runner: DutyRunner | None = None
-        self.store_era = 0
-        self.store.on_restored = self.note_store_era
         self.leader_seen_at = self.loop.time() - LEADER_MISSING_SECONDS
         self.stopping = False  # while set, this daemon does not report itself as serving
 
@@ -175,26 +163,15 @@
             metrics = self.dispatcher.metrics = GatewayMetrics(lambda: list_gauges(self))
             address = f"{self.settings.host}:{self.tuning.metrics.port}"
             await self.page_servers.serve_metrics(address, metrics)
-        bounds = self.settings.bounds
-        config_timing = WatchTiming(MAX_WAIT_SECONDS, CONFIG_STALENESS_SHARE * bounds.config_apply)
-        upstream_timing = WatchTiming(MAX_WAIT_SECONDS, DRAIN_STALENESS_SHARE * bounds.drain)
-        order_timing = WatchTiming(MAX_WAIT_SECONDS, ORDER_STALENESS_SHARE * bounds.evacuate)
-        config_handler = ConfigHandler(self.cluster_view, self.log)
-        self.start_watch(CONFIGURATION, config_handler, config_timing)
-        self.share_kept_config(config_handler)
-        self.start_watch(UPSTREAMS, UpstreamHandler(self.cluster_view, self.log), upstream_timing)
-        self.start_watch(EVACUATIONS, EvacuationHandler(self.cluster_view, self.log), order_timing)
-        self.start_watch(ROLLOUTS, RolloutHandler(self.cluster_view, self.log), order_timing)
-        self.start_watch(MEMBERS_KIND, MemberHandler(self.members, self.loop.time), RARE_TIMING)
-        quarantine_handler = QuarantineHandler(self.suspects)
-        self.start_watch(QUARANTINE_KIND, quarantine_handler, RARE_TIMING)
+        for watch in self.follower.build_watches(self.settings.bounds):
+            self.start_task(watch.run())
         self.quarantine = QuarantineStore(
             self.store, self.mirrors[QUARANTINE_KIND], self.settings.name, self.log, self.rng
         )
         self.suspects.on_loss = self.peer_client.exchange_with_all
         self.rate_limits.on_change = self.peer_client.exchange_with_all
         self.suspects.on_quarantine = self.quarantine.start_storing
-        quarantine_handler.on_lost = self.quarantine.start_storing
+        self.follower.quarantine_handler.on_lost = self.quarantine.start_storing
         self.suspects.on_refuted = self.quarantine.start_removing
         self.suspects.hears_all_losses = lambda: self.state_sync.topology.is_hub
         self.suspects.relays = self.is_relaying_hub
@@ -227,22 +204,13 @@
 
     def get_trial_counts(self, service: str, order_id: int) -> TrialCounts:
         """Return the trial results of all daemons for one rollout order."""
-        total = TrialCounts()
         own = self.dispatcher.trials.encode()
-        states = [known.state.trials for known in self.state_sync.states.values()]
-        for name, order, counts in itertools.chain(own, *states):
-            if (name, order) == (service, order_id):
-                total = total.add(TrialCounts(*counts))
-        return total
+        return sum_trial_counts(own, self.state_sync.states.values(), service, order_id)
 
     def get_prompt_tokens(self, service: str) -> float:
-        """Return the prompt tokens that all known daemons sent to a service since they started.
-
-        The sum falls when a daemon leaves or restarts; the duties treat a fall as a rate of 0.
-        """
+        """Return the prompt tokens that all known daemons sent to a service since they started."""
         own = self.dispatcher.prompt_tokens_sent[service]
-        states = [known.state.prompt_tokens for known in self.state_sync.states.values()]
-        return own + sum(dict(tokens).get(service, 0) for tokens in states)
+        return own + sum_prompt_tokens(self.state_sync.states.values(), service)
 
     def list_seeds(self) -> tuple[str, ...]:
         """Return addresses to try for other daemons while none is known."""
@@ -250,57 +218,12 @@
         hosts = (seed.rpartition(":")[0] for seed in self.settings.seeds)
         return tuple(f"{host}:{port}" for host in hosts)
 
-    def share_kept_config(self, config_handler: ConfigHandler) -> None:
-        """Tell other daemons the version in force when a restored store has an older one.
-
-        Its version takes the place of a revision, since it comes from no listing of the store.
-        """
-        mirror = KindMirror(KEPT_CONFIG_KIND, KeptConfigHandler(config_handler), read_boot_time)
-        self.mirrors[KEPT_CONFIG_KIND] = mirror
-
-        def keep(version: int, item: StoredObject) -> None:
-            mirror.replace([item], version, False)
-            self.peer_client.exchange_with_all()
-
-        config_handler.on_kept = keep
-
-    def note_store_era(self, former: int, era: int) -> None:
-        """Do once in each era what a store that came back from an older copy asks for."""
-        if era <= self.store_era:
-            return
-        self.store_era = era
-        self.store.era = max(era, self.store.era or 0)
-        self.log.write(
-            "store_restored",
-            former_era=former,
-            era=era,
-            config=self.cluster_view.config.version if self.cluster_view.config else 0,
-            quarantines=len(self.mirrors[QUARANTINE_KIND].objects),
-            fencing=self.leadership.highest_fencing,
-        )
+    def handle_restored_store(self) -> None:
+        """Do again what a store that came back from an older copy may have lost."""
         if self.duty_runner is not None:
             self.duty_runner.note_store_restored()
         self.start_task(register_member(self.store, self.members, self.log, self.rng))
 
-    def start_watch(self, kind: str, handler: BaseKindHandler, timing: WatchTiming) -> None:
-        """Start to mirror and watch a kind of stored objects."""
-        mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
-        mirror.on_restored = lambda former, revision: self.note_store_era(
-            get_era(former), get_era(revision)
-        )
-        watch = KindWatch(
-            self.store,
-            mirror,
-            self.log,
-            self.rng,
-            timing,
-            self.get_watch_role,
-            self.peer_client.schedule_push,
-            self.store_backoff,
-        )
-        self.watches.append(watch)
-        self.start_task(watch.run())
-
     def get_watch_role(self) -> WatchRole:
         """Return this daemon's part in watching the store."""
         topology = self.state_sync.topology
--- a/tanagertrail/gateway/suspects.py
+++ b/tanagertrail/gateway/suspects.py
@@ -1,15 +1,20 @@
 """Requests and prompt parts that upstreams crash on, counted over all daemons and quarantined."""
 
-__all__ = ["QUARANTINE_THRESHOLD", "LostRow", "SuspectTracker", "UpstreamLoss"]
+__all__ = ["QUARANTINE_THRESHOLD", "SuspectTracker"]
 
 import asyncio
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Collection, Iterable
-from typing import NamedTuple
 
 from tanagertrail.daemons.peer_messages import DaemonState
 from tanagertrail.gateway.crash_detector import UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.losses import (
+    UpstreamLoss,
+    describe_lost,
+    name_part_quarantine,
+    parse_part_quarantine,
+)
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.policy.crash_attribution import (
     CrashAttributor,
@@ -37,66 +42,6 @@
 RELAYED_SETTLE_SECONDS = 1.0
 DECISION_PERIOD_SECONDS = 0.5
 UNDECIDED_SECONDS = 3.0  # after a crash, in which late news may still decide on a part
-PARTS_PREFIX = "parts-"  # begins the name of a quarantine of prompt parts
-PART_SEPARATOR = "-"
-
-
-class LostRow(NamedTuple):
-    """A request that a crashed upstream left unanswered, as daemons tell each other.
-
-    :ivar parts: keys of its prompt's parts; empty if the daemon itself gave the request up
-    :ivar sent_ms: milliseconds from its sending to the detection of the crash
-    :ivar failed_ms: milliseconds from its failure to the detection of the crash
-    """
-
-    fingerprint: str
-    parts: tuple[str, ...]
-    sent_ms: int
-    failed_ms: int
-
-
-class UpstreamLoss(NamedTuple):
-    """The crash of an upstream, as one daemon reports it to the others.
-
-    :ivar number: sequence number within the incarnation of the reporting daemon
-    :ivar upstream: id and start time of the upstream, which identify its incarnation
-    :ivar requests: requests of the reporting daemon that the upstream left unanswered
-    :ivar age_ms: milliseconds since the crash was detected
-    """
-
-    number: int
-    upstream: str
-    version: str
-    failure_domain: str
-    service: str
-    requests: tuple[LostRow, ...]
-    age_ms: int = 0
-
-    @property
-    def fingerprints(self) -> tuple[str, ...]:
-        """The fingerprints of the requests."""
-        return tuple(row.fingerprint for row in self.requests)
-
-    @classmethod
-    def from_row(cls, row: tuple) -> "UpstreamLoss":
-        """Decode a loss that another daemon reported.
-
-        :raises TypeError: if it has other fields
-        """
-        loss = cls(*row)
-        return loss._replace(requests=tuple(LostRow(*item) for item in loss.requests))
-
-
-def name_part_quarantine(parts: Iterable[str]) -> str:
-    """Return the name of the quarantine of requests that have all of some parts."""
-    return PARTS_PREFIX + PART_SEPARATOR.join(sorted(parts))
-
-
-def parse_part_quarantine(name: str) -> PartSet | None:
-    """Return the parts in the name of a quarantine, None if it is of a whole request."""
-    if not name.startswith(PARTS_PREFIX):
-        return None
-    return frozenset(part for part in name[len(PARTS_PREFIX) :].split(PART_SEPARATOR) if part)
 
 
 class SuspectTracker:
@@ -416,16 +361,6 @@
             self.log.write("quarantine_lifted", quarantine=name)
 
 
-def describe_lost(attempt: UnansweredAttempt, now: float) -> LostRow:
-    """Return what other daemons are told of a request that a crashed upstream left unanswered."""
-    return LostRow(
-        attempt.fingerprint,
-        attempt.part_keys if attempt.broken else (),
-        int((now - attempt.sent_at) * 1000),
-        int((now - attempt.failed_at) * 1000),
-    )
-
-
 def describe_evidence(evidence: Evidence) -> dict[str, object]:
     """Return the fields of a log line on the evidence against a part."""
     return {
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,8 +4,8 @@
 from contextlib import asynccontextmanager
 
 from tanagertrail.gateway.leadership import LEASE_NAME, LEASES_KIND
+from tanagertrail.gateway.losses import name_part_quarantine
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND
-from tanagertrail.gateway.suspects import name_part_quarantine
 from tanagertrail.standins.documents import BOUNDS, build_route
 from tests.gateway_utils import build_config, open_fleet, run_in_real_time
 
