--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -22,6 +22,8 @@
 from tanagertrail.standins.store import StoreMode
 
 SLOW_STORE_SECONDS = 0.8
+AWAY_SECONDS = (0.0, 0.3, 1.0)  # for which a store is away before it comes back older
+REWRITE_SECONDS = 0.8  # until operator and upstreams have written again
 LOST_ANSWERS = 4
 MISBEHAVING_REQUESTS = 6
 SLOW_WORK_SECONDS = 0.4
@@ -156,6 +158,20 @@
     world.store.forget_history()
 
 
+@register_fault("store restored", 2.0, 8.0, chance=0.4)
+async def restore_store(world: SoakWorld, fault: Fault) -> None:
+    """Have the store come back from a copy some seconds old, after a moment away."""
+    older = world.store.take_copy()
+    away = AWAY_SECONDS[fault.target % len(AWAY_SECONDS)]
+    await asyncio.sleep(fault.seconds - away - REWRITE_SECONDS)
+    world.store.mode = StoreMode.SILENT
+    await asyncio.sleep(away)
+    world.store.restore(older)
+    world.store.mode = StoreMode.UP
+    await asyncio.sleep(REWRITE_SECONDS)
+    world.write_again()
+
+
 @register_fault("upstream silent", 0.5, 4.0)
 async def silence_upstream(world: SoakWorld, fault: Fault) -> None:
     """Silence an upstream's connections."""
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -107,6 +107,8 @@
     :ivar store_links: proxy between each daemon and the store
     :ivar caller_links: proxy between callers and each daemon
     :ivar upstream_links: proxy between the daemons and each upstream
+    :ivar entries: last registration of each upstream
+    :ivar emptied: failure domains that are to get no work
     """
 
     def __init__(self, seed: int, daemons: int, upstreams: int, folder: Path) -> None:
@@ -126,6 +128,8 @@
         self.store_links: list[LoopbackProxy] = []
         self.caller_links: list[LoopbackProxy] = []
         self.upstream_links: list[LoopbackProxy] = []
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.emptied: set[str] = set()
         self.upstream_count = upstreams
         self.daemon_count = daemons
         self.started = 0.0
@@ -196,17 +200,20 @@
             capacity=SLOTS,
             born=FIRST_BORN_MS + upstream.starts,
         )
+        self.entries[upstream.id] = entry
         self.store.put(UPSTREAMS, upstream.id, entry)
 
     def empty_domain(self, domain: str) -> bool:
         """Order that a failure domain gets no work; say whether it was not ordered before."""
         if domain in self.store.objects.get(EVACUATIONS, {}):
             return False
+        self.emptied.add(domain)
         self.store.put(EVACUATIONS, domain, {})
         return True
 
     def refill_domain(self, domain: str) -> None:
         """Take the order on a failure domain back."""
+        self.emptied.discard(domain)
         self.store.remove(EVACUATIONS, domain)
 
     async def add_daemons(self, store_port: int, cloud_port: int) -> None:
@@ -253,6 +260,18 @@
         document = build_document(self.version, self.extra_routes, self.keys)
         self.store.put(CONFIGURATION, MAIN_CONFIG, document)
 
+    def write_again(self) -> None:
+        """Write what operator and upstreams had written, after the store came back older."""
+        document = build_document(self.version, self.extra_routes, self.keys)
+        self.store.put(CONFIGURATION, MAIN_CONFIG, document)
+        for name, entry in self.entries.items():
+            self.store.put(UPSTREAMS, name, entry)
+        for domain in DOMAINS:
+            if domain in self.emptied:
+                self.store.put(EVACUATIONS, domain, {})
+            else:
+                self.store.remove(EVACUATIONS, domain)
+
     def note_removal(self, kind: str, what: str) -> int:
         """Note that something was removed, and return where it is noted."""
         self.removals.append(Removal(kind, what, self.now(), FOREVER))
