--- a/tanagertrail/operators/explain.py
+++ b/tanagertrail/operators/explain.py
@@ -13,6 +13,8 @@
     {
         "store_lost",
         "store_regained",
+        "store_restored",
+        "config_kept",
         "history_lost",
         "config_in_force",
         "config_refused",
