Let a listing end what was kept or kept out against a restored one

Found by reading: where a daemon learns by a listing rather than by single changes, an evacuation that was written again still ended 5 s after the return, and an upstream known to have left came back with a second listing, or 5 s later though it was gone from the store as well; config_kept was logged for an unchanged version. Timers and doubtful entries are now checked against each listing, versions by their number.

--- a/tanagertrail/gateway/handlers.py
+++ b/tanagertrail/gateway/handlers.py
@@ -40,6 +40,7 @@
 
     :ivar is_latest_unreadable: whether the newest stored version could not be decoded
     :ivar item_in_force: stored object of the version in force
+    :ivar stored_version: version that the store had last
     :ivar on_kept: called with the version in force and its object when a restored store has an
         older one
     """
@@ -49,6 +50,7 @@
         self.log = log
         self.is_latest_unreadable = False
         self.item_in_force: StoredObject | None = None
+        self.stored_version = 0
         self.on_kept: Callable[[int, StoredObject], None] = lambda version, item: None
 
     def replace_all(self, objects: list[StoredObject], maybe_expired: bool) -> None:
@@ -58,11 +60,13 @@
 
     def replace_restored(self, objects: list[StoredObject]) -> None:
         """Apply the stored configuration unless it is older than the one in force."""
+        self.stored_version = 0
         self.replace_all(objects, True)
-        if self.item_in_force is None or self.item_in_force in objects:
+        config = self.cluster_view.config
+        if self.item_in_force is None or self.stored_version >= config.version:
             return
-        version = self.cluster_view.config.version
-        self.log.write("config_kept", version=version)
+        version = config.version
+        self.log.write("config_kept", version=version, stored=self.stored_version)
         self.on_kept(version, self.item_in_force)
 
     def apply_change(self, item: StoredObject, object_status: ObjectStatus) -> None:
@@ -76,6 +80,7 @@
             self.log.write("config_refused", revision=item.revision, error=str(error)[:500])
             return
         self.is_latest_unreadable = False
+        self.stored_version = config.version
         if self.cluster_view.apply_config(config):
             self.item_in_force = item
             self.log.write("config_in_force", version=config.version, revision=item.revision)
@@ -118,6 +123,7 @@
         self.removal_timers: dict[str, asyncio.TimerHandle] = {}
         self.removed: OrderedDict[str, float] = OrderedDict()
         self.doubtful: dict[str, StoredObject] = {}
+        self.doubtful_timer: asyncio.TimerHandle | None = None
 
     @property
     def table(self):
@@ -126,7 +132,11 @@
 
     def replace_all(self, objects: list[StoredObject], maybe_expired: bool) -> None:
         """Apply a complete listing; after an outage, missing upstreams may register again."""
-        present = {item.name for item in objects}
+        self.doubtful = {
+            item.name: item for item in objects if self.doubtful.get(item.name) == item
+        }
+        objects = [item for item in objects if item.name not in self.doubtful]
+        present = {item.name for item in objects} | self.doubtful.keys()
         for name in [name for name in self.table.entries if name not in present]:
             if maybe_expired:
                 self.schedule_removal(name)
@@ -142,14 +152,14 @@
         An entry that still stands when those of dead upstreams have lapsed is that of a live one.
         """
         self.doubtful = {item.name: item for item in objects if self.contradicts_known(item)}
-        kept = [item for item in objects if item.name not in self.doubtful]
-        known = [name for name in self.table.entries if name in self.doubtful]
-        self.replace_all(kept, True)
-        for name in known:
-            self.cancel_removal(name)
+        self.replace_all(objects, True)
+        if self.doubtful_timer is not None:
+            self.doubtful_timer.cancel()
         if self.doubtful:
             self.log.write("upstreams_doubtful", upstreams=sorted(self.doubtful))
-            asyncio.get_running_loop().call_later(RESTORED_LAPSE_SECONDS, self.accept_doubtful)
+            self.doubtful_timer = asyncio.get_running_loop().call_later(
+                RESTORED_LAPSE_SECONDS, self.accept_doubtful
+            )
 
     def contradicts_known(self, item: StoredObject) -> bool:
         """Return whether an entry shows an upstream in use that has left or is draining."""
@@ -250,11 +260,18 @@
         self.replace_all(objects, True)
         for name in missing:
             self.cluster_view.evacuated.add(name)
+            self.cancel_end(name)
             self.log.write("domain_kept", failure_domain=name, kept_s=OPERATOR_REWRITE_SECONDS)
             self.return_timers[name] = asyncio.get_running_loop().call_later(
                 OPERATOR_REWRITE_SECONDS, self.end_lost, name
             )
 
+    def cancel_end(self, name: str) -> None:
+        """Keep an evacuation whose end was scheduled."""
+        timer = self.return_timers.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+
     def end_lost(self, name: str) -> None:
         """End an evacuation that was not written again."""
         self.return_timers.pop(name, None)
@@ -264,6 +281,8 @@
     def replace_all(self, objects: list[StoredObject], maybe_expired: bool) -> None:
         """Apply a complete listing of the evacuated failure domains."""
         present = {item.name for item in objects if not item.deleting}
+        for name in present:
+            self.cancel_end(name)
         if present != self.cluster_view.evacuated:
             self.log.write("domains_out", failure_domains=sorted(present))
         self.cluster_view.evacuated = present
@@ -271,9 +290,7 @@
 
     def apply_change(self, item: StoredObject, object_status: ObjectStatus) -> None:
         """Evacuate a failure domain or return it to service."""
-        timer = self.return_timers.pop(item.name, None)
-        if timer is not None:
-            timer.cancel()
+        self.cancel_end(item.name)
         out = object_status is ObjectStatus.PRESENT and not item.deleting
         self.log.write("domain", failure_domain=item.name, out=out, revision=item.revision)
         if out:
@@ -298,6 +315,7 @@
             found = self.cluster_view.rollouts.get(name)
             if found is None:
                 self.cluster_view.rollouts[name] = order
+                self.cancel_drop(name)
                 self.drop_timers[name] = asyncio.get_running_loop().call_later(
                     OPERATOR_REWRITE_SECONDS, self.drop_lost, name
                 )
@@ -309,6 +327,12 @@
                 continue
             self.log.write("rollout_kept", service=name, version=order.version, state=order.state)
 
+    def cancel_drop(self, name: str) -> None:
+        """Keep an order whose end was scheduled."""
+        timer = self.drop_timers.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+
     def drop_lost(self, name: str) -> None:
         """Drop an order that was not written again."""
         self.drop_timers.pop(name, None)
@@ -325,9 +349,7 @@
 
     def apply_change(self, item: StoredObject, object_status: ObjectStatus) -> None:
         """Apply a change of an order; an invalid one changes nothing."""
-        timer = self.drop_timers.pop(item.name, None)
-        if timer is not None:
-            timer.cancel()
+        self.cancel_drop(item.name)
         if object_status is not ObjectStatus.PRESENT or item.deleting:
             self.cluster_view.rollouts.pop(item.name, None)
             return
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,11 +3,17 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from tanagertrail.gateway.cluster_view import ClusterView
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.handlers import EvacuationHandler, RolloutHandler, UpstreamHandler
 from tanagertrail.gateway.leadership import LEASE_NAME, LEASES_KIND
 from tanagertrail.gateway.losses import name_part_quarantine
+from tanagertrail.gateway.mirror import ObjectStatus
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND
-from tanagertrail.standins.documents import BOUNDS, build_route
+from tanagertrail.platform.store import StoredObject
+from tanagertrail.standins.documents import BOUNDS, build_entry, build_route
 from tests.gateway_utils import build_config, open_fleet, run_in_real_time
+from tests.utils import with_virtual_time
 
 RETURN_SECONDS = 0.3  # for which the store is away
 QUARANTINE = name_part_quarantine(["0123456789abcdef"])
@@ -190,6 +196,67 @@
         await fleet.wait_until(lambda: not any(node.cluster_view.evacuated for node in fleet.nodes))
 
 
+@with_virtual_time
+async def test_evacuation_that_a_listing_shows_again_ends_with_the_grace():
+    """A daemon that gets listings from others sees no single change."""
+    view = ClusterView(BOUNDS, lambda: 0.0)
+    log = EventLog("entry-1", asyncio.get_running_loop().time)
+    handler = EvacuationHandler(view, log)
+    item = StoredObject("south", 7, 1, {}, None)
+    handler.replace_all([item], False)
+    handler.replace_restored([])
+    handler.replace_restored([])
+    assert view.evacuated == {"south"}
+    handler.replace_all([item], False)
+    await asyncio.sleep(60.0)
+    assert view.evacuated == {"south"}
+    handler.replace_restored([])
+    await asyncio.sleep(60.0)
+    assert not view.evacuated
+
+
+@with_virtual_time
+async def test_rollout_order_that_a_listing_shows_again_is_dropped_with_the_grace():
+    view = ClusterView(BOUNDS, lambda: 0.0)
+    handler = RolloutHandler(view, EventLog("entry-1", asyncio.get_running_loop().time))
+    content = {"service": "desk", "target": "v2", "duration_s": 9}
+    ended = StoredObject("desk", 7, 1, content, {"state": "completed", "target": "v2"})
+    handler.replace_all([ended], False)
+    assert view.rollouts["desk"].completed
+    handler.replace_restored([ended._replace(revision=8, report=None)])
+    assert view.rollouts["desk"].completed
+    assert view.rollouts["desk"].is_report_lost
+    handler.replace_restored([])
+    handler.replace_all([ended], False)
+    await asyncio.sleep(60.0)
+    assert view.rollouts["desk"].completed
+    handler.replace_restored([])
+    assert view.rollouts["desk"].completed
+    await asyncio.sleep(60.0)
+    assert not view.rollouts
+
+
+@with_virtual_time
+async def test_upstream_that_left_comes_back_with_a_second_listing():
+    view = ClusterView(BOUNDS, lambda: 0.0)
+    handler = UpstreamHandler(view, EventLog("entry-1", asyncio.get_running_loop().time))
+    left, stays = (
+        StoredObject(name, 5, 1, build_entry(9, "north", born=1_700_000_000_000), None)
+        for name in ("left", "stays")
+    )
+    handler.replace_all([left, stays], False)
+    handler.apply_change(left, ObjectStatus.REMOVED)
+    for replace in (
+        lambda: handler.replace_restored([left, stays]),
+        lambda: handler.replace_all([left, stays], False),
+    ):
+        replace()
+        assert list(view.upstreams.entries) == ["stays"]
+    handler.replace_all([stays], False)
+    await asyncio.sleep(60.0)
+    assert list(view.upstreams.entries) == ["stays"], "it was gone from the store as well"
+
+
 @run_in_real_time
 async def test_fencing_numbers_count_down_with_a_store_that_came_back_older():
     async with open_fleet("entry-2", "entry-3") as fleet:
