--- a/tests/test_deadly_prompt_parts.py
+++ b/tests/test_deadly_prompt_parts.py
@@ -148,9 +148,10 @@
         return self.play
 
 
-async def play_part(deadly_first: bool = False, deadly_after: int = 0) -> Play:
-    """Play sound requests beside requests with the deadly part, through three daemons."""
-    async with open_fleet("entry-2", "entry-3", upstreams=UPSTREAMS) as fleet:
+async def play_part(deadly_first: bool = False, deadly_after: int = 0, daemons: int = 3) -> Play:
+    """Play sound requests beside requests with the deadly part."""
+    names = [f"entry-{number}" for number in range(2, daemons + 1)]
+    async with open_fleet(*names, upstreams=UPSTREAMS) as fleet:
         part_play = PartPlay(fleet, deadly_first)
         part_play.arm(deadly_after)
         return await part_play.run(PLAY_SECONDS, DEADLY_PER_SECOND)
@@ -177,3 +178,8 @@
 @run_in_real_time
 async def test_part_that_crashes_upstreams_after_their_first_event_is_never_found():
     check_play(await play_part(deadly_after=1))
+
+
+@run_in_real_time
+async def test_deadly_part_goes_on_reaching_upstreams_where_hubs_relay_the_news():
+    check_play(await play_part(daemons=12))
