--- a/tanagertrail/emulator/prompt_parts.py
+++ b/tanagertrail/emulator/prompt_parts.py
@@ -12,7 +12,8 @@
     DIRECT_SETTLE_SECONDS,
     RELAYED_SETTLE_SECONDS,
 )
-from tanagertrail.policy.crash_attribution import CrashAttributor, LostRequest
+from tanagertrail.policy.crash_attribution import CrashAttributor
+from tanagertrail.policy.crash_evidence import LostRequest
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 
 SERVICE = "model"
--- a/tanagertrail/gateway/losses.py
+++ b/tanagertrail/gateway/losses.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from tanagertrail.gateway.crash_detector import UnansweredAttempt
-from tanagertrail.policy.crash_attribution import PartSet
+from tanagertrail.policy.crash_evidence import PartSet
 
 PARTS_PREFIX = "parts-"  # begins the name of a quarantine of prompt parts
 PART_SEPARATOR = "-"
--- a/tanagertrail/gateway/suspects.py
+++ b/tanagertrail/gateway/suspects.py
@@ -16,12 +16,8 @@
     parse_part_quarantine,
 )
 from tanagertrail.gateway.upstream_table import UpstreamEntry
-from tanagertrail.policy.crash_attribution import (
-    CrashAttributor,
-    Evidence,
-    LostRequest,
-    PartSet,
-)
+from tanagertrail.policy.crash_attribution import CrashAttributor
+from tanagertrail.policy.crash_evidence import Evidence, LostRequest, PartSet
 from tanagertrail.policy.poison import (
     CORRELATION_WINDOW_SECONDS,
     QUARANTINE_SECONDS,
--- a/tanagertrail/standins/store.py
+++ b/tanagertrail/standins/store.py
@@ -10,12 +10,11 @@
 from urllib.parse import parse_qs, unquote
 
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
-from tanagertrail.platform.store import OBJECTS_PATH
+from tanagertrail.platform.store import ERA_FIELD, OBJECTS_PATH
 from tanagertrail.standins.base import BaseStandIn
 
 PAGE_SIZE = 500
 FIRST_REVISION = 100
-ERA_FIELD = b"store-era"
 
 
 class StoreMode(enum.StrEnum):
@@ -133,7 +132,10 @@
     def reply(self, stream: CallerStream, status: int, body: Any) -> None:
         """Send an answer."""
         data = b"" if body is None else json.dumps(body).encode()
-        fields = [(b"content-type", b"application/json"), (ERA_FIELD, str(self.era).encode())]
+        fields = [
+            (b"content-type", b"application/json"),
+            (ERA_FIELD.encode(), str(self.era).encode()),
+        ]
         stream.send_response(status, fields, data)
 
     async def serve(self, request: CallerRequest) -> tuple[int, Any]:
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -10,10 +10,9 @@
 from tanagertrail.policy.crash_attribution import (
     MAX_COMPLETED_PARTS,
     MAX_CRASHES,
-    MIN_CRASHES,
     CrashAttributor,
-    LostRequest,
 )
+from tanagertrail.policy.crash_evidence import MIN_CRASHES, LostRequest
 from tanagertrail.policy.poison import QUARANTINE_SECONDS
 
 SERVICE = "talk"
