Show that the soak's new checks find what they are for, and tell the two kinds of deadly requests apart

Bodies of requests with a deadly part began like those of deadly requests, so the older check counted them too, and were all alike; they have a prefix of their own and a number now.

--- a/tanagertrail/gateway/store_follower.py
+++ b/tanagertrail/gateway/store_follower.py
@@ -1,6 +1,6 @@
 """Mirrors and watches of all kinds of stored objects that a daemon follows."""
 
-__all__ = ["StoreFollower"]
+__all__ = ["CONFIG_STALENESS_SHARE", "DRAIN_STALENESS_SHARE", "StoreFollower"]
 
 import asyncio
 import random
--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -145,7 +145,8 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
-            await self.send_anywhere(rng, "talk", body, part)
+            own_body = body + f" {next(self.numbers)}".encode()
+            await self.send_anywhere(rng, "talk", own_body, part)
             await asyncio.sleep(rng.uniform(*RESEND_SECONDS))
 
     async def send_anywhere(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from tanagertrail.soak.callers import Call
 from tanagertrail.soak.checks import (
     CHECKS,
+    PART_REFUSAL,
     Arrival,
     Evidence,
     Need,
@@ -103,6 +104,12 @@
     )
     usage = build_evidence([], [], usage=[(7, {"guild": 1}, 1), (7, {"guild": 2}, 2)])
     deadly = build_evidence([], [build_run(n, at=10.0 + n, body=b"deadly 1") for n in range(12)])
+    deadly_part = build_evidence(
+        [],
+        [build_run(n, at=10.0 + n, body=b"crashing part 1 %d" % n) for n in range(12)],
+        part_crashes=[("dead1", 10.0 + n) for n in range(12)],
+    )
+    refused_part = build_evidence([build_call(1, status=503, answer=PART_REFUSAL)], [])
     named = build_evidence(
         [build_call(n, sent_at=n * 0.1, named_rate=True) for n in range(200)],
         [build_run(n, at=n * 0.1) for n in range(200)],
@@ -120,6 +127,8 @@
         "quotas": quota,
         "cold upstreams": cold,
         "requests that end upstreams": deadly,
+        "prompt parts that end upstreams": deadly_part,
+        "sound prompts refused": refused_part,
         "no version goes back": back,
         "nothing cut by a planned stop": stopped,
         "one count for a window": usage,
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -6,7 +6,7 @@
 from tanagertrail.errors import StoreUnavailableError
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.mirror import KindMirror
-from tanagertrail.gateway.node import CONFIG_STALENESS_SHARE, DRAIN_STALENESS_SHARE
+from tanagertrail.gateway.store_follower import CONFIG_STALENESS_SHARE, DRAIN_STALENESS_SHARE
 from tanagertrail.gateway.store_watch import KindWatch, StoreBackoff, WatchRole, WatchTiming
 from tanagertrail.platform.store import Listing, WatchResponse
 from tanagertrail.testing import run_in_virtual_time
