Serve no connection of another daemon that was accepted just before the close

Cause: a connection that asyncio has accepted, and whose handler has not begun, is unknown to PeerServer.close(). The handler begins afterwards and serves states for as long as the process lives.

Change: after close() a handler closes its connection at once. The new test, with 0 to 5 turns, failed on the code before and passes.

--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -38,13 +38,17 @@
 
 
 class PeerServer:
-    """Serve the requests of other daemons."""
+    """Serve the requests of other daemons.
+
+    :ivar closed: whether it serves no more, not even connections accepted before
+    """
 
     def __init__(self, state_sync: StateSync, log: EventLog) -> None:
         self.state_sync = state_sync
         self.log = log
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.closed = False
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -57,6 +61,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve requests on one connection until it ends."""
+        if self.closed:
+            writer.close()
+            return
         set_socket_options(writer.get_extra_info("socket"))
         self.writers.add(writer)
         try:
@@ -87,6 +94,7 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
+        self.closed = True
         if self.server is not None:
             self.server.close()
         for writer in self.writers:
--- a/tests/test_large_fleet_failures.py
+++ b/tests/test_large_fleet_failures.py
@@ -1,9 +1,12 @@
 """Failures of fleets with hundreds of instances, reproduced with a few daemons."""
 
 import asyncio
+import socket
 import time
 
+from tanagertrail.daemons.frames import encode_frame
 from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.standins.ports import HOST
 from tanagertrail.standins.store import StoreMode
 from tests.gateway_utils import (
     build_config,
@@ -89,3 +92,24 @@
                 failed_node.own.front not in node.list_fronts("") for node in fleet.nodes[:2]
             )
         )
+
+
+@run_in_real_time
+async def test_closed_daemon_serves_no_connection_that_was_accepted_just_before():
+    for loop_turns in range(6):
+        async with open_fleet("entry-2") as fleet:
+            closed_node = fleet.nodes[1]
+            port = int(closed_node.own.address.rpartition(":")[2])
+            with socket.create_connection((HOST, port)) as connection:
+                connection.setblocking(False)
+                for _ in range(loop_turns):
+                    await asyncio.sleep(0)
+                closed_node.close()
+                message = fleet.node.state_sync.build_request(closed_node.own.daemon)
+                loop = asyncio.get_running_loop()
+                try:
+                    await loop.sock_sendall(connection, encode_frame(message, 0))
+                    async with asyncio.timeout(0.2):
+                        assert await loop.sock_recv(connection, 1) == b""
+                except (ConnectionError, TimeoutError):
+                    pass
