Count and log why callers' connections close

No line and no counter told why a caller's connection was closed while a request on it had no answer, so the hypotheses on LOST (idle timer, exception, stop) could not be told apart from the log.

Change: every close of a caller's connection has one CloseReason, is counted in the gauge caller_connections_closed, and is logged as caller_closed with the state of the request if there is one. Nothing else behaves differently.

--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -32,6 +32,8 @@
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
     yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
+    for reason, count in list(node.http_server.closes.items()):
+        yield GaugeRow("caller_connections_closed", count, {"reason": reason})
     for domain in list(node.cluster_view.evacuated):
         yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
     for entry in list(node.cluster_view.upstreams.entries.values()):
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -14,6 +14,7 @@
 import h11
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
+from tanagertrail.gateway.caller_close import RequestState
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.model import Limits
 
@@ -72,6 +73,7 @@
 class CallerStream:
     """The server side of a caller's connection.
 
+    :ivar awaits_response: whether a request was read and its response is not complete
     :ivar response_started: whether the head of the response to the current request was sent
     :ivar is_head_request: whether the response must not have a body
     :ivar close_after: whether the connection is to close after the response
@@ -81,6 +83,7 @@
         self.channel = channel
         self.limits = limits
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self.awaits_response = False
         self.response_started = False
         self.is_head_request = False
         self.close_after = False
@@ -90,6 +93,15 @@
         """Whether bytes of the next request have arrived."""
         return bool(self.channel.buffer or self.parser.trailing_data[0])
 
+    @property
+    def request_state(self) -> RequestState:
+        """Progress within the current request."""
+        if self.awaits_response and self.response_started:
+            return RequestState.RESPONSE_BEGUN
+        if self.awaits_response:
+            return RequestState.UNANSWERED
+        return RequestState.PARTLY_READ if self.has_partial_request else RequestState.IDLE
+
     async def read_request(self) -> CallerRequest | None:
         """Read the next request; None if the caller closed the connection or left it idle.
 
@@ -108,6 +120,7 @@
             raise RequestRefusedError(error.error_status_hint or 400, str(error)) from error
         except TimeoutError as error:
             raise RequestRefusedError(408, "the request took too long to arrive") from error
+        self.awaits_response = True
         self.response_started = False
         self.is_head_request = head.method == b"HEAD"
         return CallerRequest(head.method, head.target, list(head.headers), body)
@@ -162,6 +175,8 @@
     def write(self, *events: h11.Event) -> None:
         """Send the bytes of several events in one write."""
         self.channel.write(b"".join(self.parser.send(event) or b"" for event in events))
+        if isinstance(events[-1], h11.EndOfMessage):
+            self.awaits_response = False
 
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -3,10 +3,12 @@
 __all__ = ["HttpServer"]
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import h11
 
+from tanagertrail.gateway.caller_close import CloseReason, RequestState
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, RequestRefusedError
@@ -27,6 +29,7 @@
     :ivar busy_channels: connections with a request that is being handled
     :ivar streams: streams of all open connections
     :ivar stopping: whether the daemon is shutting down, so that responses announce the close
+    :ivar closes: closed connections by reason
     """
 
     def __init__(self, handler: Handler, limits: Callable[[], Limits], log: EventLog) -> None:
@@ -38,6 +41,7 @@
         self.busy_channels: set[Channel] = set()
         self.streams: set[CallerStream] = set()
         self.stopping = False
+        self.closes: Counter[CloseReason] = Counter()
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -59,25 +63,51 @@
         """Serve the requests of a connection until it closes."""
         stream = CallerStream(channel, self.limits())
         self.streams.add(stream)
+        reason = CloseReason.DEFECT
         try:
-            while True:
-                stream.limits = self.limits()
-                request = await stream.read_request()
-                if request is None:
-                    break
-                await self.handle_request(channel, stream, request)
-                if not stream.prepare_next_request():
-                    break
+            reason = await self.serve_requests(channel, stream)
         except RequestRefusedError as error:
+            reason = CloseReason.REFUSED
             self.log.write_routine("request_refused", status=error.status, reason=error.reason)
             await self.refuse(stream, error)
         except (ConnectionError, h11.LocalProtocolError) as error:
+            reason = CloseReason.CALLER_BROKE
             self.log.write_routine("caller_connection", error=repr(error)[:120])
+        except asyncio.CancelledError:
+            reason = CloseReason.STOPPED
+            raise
         finally:
+            self.note_close(stream, reason)
             self.busy_channels.discard(channel)
             self.streams.discard(stream)
             channel.close()
 
+    async def serve_requests(self, channel: Channel, stream: CallerStream) -> CloseReason:
+        """Serve requests one after another, and return why the connection is to close."""
+        while True:
+            stream.limits = self.limits()
+            request = await stream.read_request()
+            if request is None:
+                return CloseReason.CALLER_CLOSED if channel.peer_closed else CloseReason.IDLE
+            await self.handle_request(channel, stream, request)
+            if channel.peer_closed:
+                return CloseReason.CALLER_CLOSED
+            if channel.transport.is_closing():
+                return CloseReason.BROKEN_OFF
+            if not stream.prepare_next_request():
+                return CloseReason.ANNOUNCED
+
+    def note_close(self, stream: CallerStream, reason: CloseReason) -> None:
+        """Count a closed connection, and log it if a request on it was not answered."""
+        self.closes[reason] += 1
+        state = stream.request_state
+        if state is RequestState.IDLE or reason is CloseReason.REFUSED:
+            return
+        if reason in (CloseReason.CALLER_CLOSED, CloseReason.CALLER_BROKE):
+            self.log.write_routine("caller_closed", reason=reason, state=state)
+        else:
+            self.log.write("caller_closed", reason=reason, state=state)
+
     async def handle_request(
         self, channel: Channel, stream: CallerStream, request: CallerRequest
     ) -> None:
