Answer a request that arrives together with the idle timer

Cause: when the idle timer and a whole request came in one turn of the event loop, as after a stall of the process, the timer won: asyncio cancels the reader although its data has arrived, and the connection was closed with the request unread in the channel's buffer, or in the kernel's, which the event loop had not read yet. The timers of a head and of a body refused (408) what had arrived whole in the same way. relay_events already treated that case, the callers' side did not.

Change: receive_before checks the channel and the kernel's buffer when the timer ends, and receives what has arrived. The idle timer, the head's and the body's use it.

--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -17,6 +17,7 @@
 from tanagertrail.gateway.caller_close import RequestState
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.model import Limits
+from tanagertrail.gateway.timed_reads import receive_before
 
 Headers = list[tuple[bytes, bytes]]
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
@@ -111,8 +112,7 @@
         try:
             if not await self.wait_for_first_byte():
                 return None
-            async with asyncio.timeout(self.limits.header_timeout):
-                head = await self.next_event()
+            head = await self.next_event(self.limits.header_timeout)
             if not isinstance(head, h11.Request):
                 return None
             body = await self.read_body(head)
@@ -130,21 +130,26 @@
         if self.has_partial_request:
             return True
         try:
-            async with asyncio.timeout(self.limits.idle_timeout):
-                data = await self.channel.receive()
+            idle_until = asyncio.get_running_loop().time() + self.limits.idle_timeout
+            data = await receive_before(self.channel, idle_until)
         except TimeoutError:
             return False
         if data:
             self.parser.receive_data(data)
         return bool(data)
 
-    async def next_event(self) -> object:
-        """Return the next event of the parser."""
+    async def next_event(self, timeout: float) -> object:
+        """Read the next event of the parser.
+
+        :param timeout: seconds
+        :raises TimeoutError: if it is not complete in time
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
         while True:
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.parser.receive_data(await self.channel.receive())
+            self.parser.receive_data(await receive_before(self.channel, deadline))
 
     async def read_body(self, head: h11.Request) -> bytes:
         """Read the body of a request.
@@ -161,8 +166,7 @@
         chunks: list[bytes] = []
         body_length = 0
         while True:
-            async with asyncio.timeout(self.limits.idle_timeout):
-                event = await self.next_event()
+            event = await self.next_event(self.limits.idle_timeout)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(chunks)
             if not isinstance(event, h11.Data):
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,28 +2,35 @@
 
 import asyncio
 import functools
+import time
 from collections.abc import Awaitable, Callable
 
+from nose2.tools import params
+
 from tanagertrail.gateway.caller_close import CloseReason
+from tanagertrail.gateway.channel import open_channel
+from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.standins.ports import HOST, find_port
 from tanagertrail.testing import run_in_virtual_time
-from tests.caller_utils import IDLE_SECONDS, CallerWorld, turn_loop
+from tests.caller_utils import IDLE_SECONDS, REQUEST, CallerWorld, turn_loop
+from tests.gateway_utils import run_in_real_time
 
 
 def with_callers(test: Callable[[CallerWorld], Awaitable[None]]) -> Callable[[], None]:
     """Pass a server on in-memory connections to a test, and run it in virtual time."""
 
-    async def run_in_world() -> None:
+    async def run_in_world(*arguments) -> None:
         world = CallerWorld()
         try:
-            await test(world)
+            await test(world, *arguments)
         finally:
             world.close()
 
     @functools.wraps(test)
-    def run() -> None:
-        run_in_virtual_time(run_in_world())
+    def run(*arguments) -> None:
+        run_in_virtual_time(run_in_world(*arguments))
 
-    del run.__wrapped__  # else the test seems to take a parameter
+    del run.__wrapped__  # else the test seems to take the world as a parameter
     return run
 
 
@@ -45,3 +52,68 @@
         CloseReason.STOPPED: 1,
     }
     assert world.lines == [{"event": "caller_closed", "reason": "stopped", "state": "unanswered"}]
+
+
+def deliver_at(transport, data, delay, turns):
+    """Send bytes after a delay in seconds, and deliver them some turns of the loop later."""
+
+    def arrive():
+        transport.send(data)
+        transport.deliver_after(turns)
+
+    loop = asyncio.get_running_loop()
+    loop.call_at(loop.time() + delay, arrive)
+
+
+@params(0, 1, 2, 3)
+@with_callers
+async def test_request_that_comes_with_the_idle_timer_is_answered(world, turns):
+    transport = world.connect()
+    await turn_loop()
+    deliver_at(transport, REQUEST % 1, IDLE_SECONDS, turns)
+    await asyncio.sleep(IDLE_SECONDS + 1)
+    assert (transport.answers, world.handled) == (1, ["/1"])
+
+
+@params(0, 1, 2, 3)
+@with_callers
+async def test_head_that_comes_whole_with_the_timer_is_not_refused(world, turns):
+    transport = world.connect()
+    transport.send((REQUEST % 1)[:9])
+    transport.deliver()
+    await turn_loop()
+    deliver_at(transport, (REQUEST % 1)[9:], world.limits.header_timeout, turns)
+    await asyncio.sleep(world.limits.header_timeout + 1)
+    assert world.handled == ["/1"]
+
+
+@params(0, 1, 2, 3)
+@with_callers
+async def test_body_that_comes_whole_with_the_timer_is_not_refused(world, turns):
+    transport = world.connect()
+    transport.send(b"POST /1 HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 4\r\n\r\n")
+    transport.deliver()
+    await turn_loop()
+    deliver_at(transport, b"body", IDLE_SECONDS, turns)
+    await asyncio.sleep(IDLE_SECONDS + 1)
+    assert world.handled == ["/1"]
+
+
+def block_event_loop(seconds):
+    """Block the event loop, as a stall of the process does."""
+    time.sleep(seconds)
+
+
+@run_in_real_time
+async def test_request_received_during_a_stall_is_answered():
+    world = CallerWorld()
+    world.set_idle_limit(0.2)
+    port = find_port()
+    await world.server.start(HOST, port)
+    caller = UpstreamStream(await open_channel(HOST, port, 1.0))
+    await asyncio.sleep(0.05)
+    caller.send_request(b"GET", b"/1", [(b"host", b"desk.example")], b"")
+    block_event_loop(0.3)
+    assert (await caller.read_head()).status == 200
+    caller.abort()
+    world.close()
