Tell callers how long an idle connection is kept, and keep it that long

Cause: responses did not state when an idle connection closes, so callers had to guess, and the idle timeout was read from the configuration when a wait began: a limit that was shortened between the head of a response and its end cut what callers relied on, one that was lengthened did not apply to connections that were idle already (a caller may use four fifths of it), and a request sent at the end of the limit met the close.

Change: policy.keep_alive decides. A response that does not close states Keep-Alive: timeout=N (whole seconds of the limit in force, nothing below 1). A connection is kept for the longest of what its caller was told and a margin of 1 s, the limit at the start of the wait, and the limit in force when the timer ends. The limits of a request are those in force at its first byte. The test of the close reasons waits for the margin too; what it expects is unchanged.

Evidence, tests.test_caller_connections and tests.test_keep_alive: before, 5 of the 7 new tests of connections failed (use at the end of the limit after it was shortened from 15 s to 1 s, shortened within a response, lengthened, header, margin). Use at four fifths of the limit at the start of the wait passed before, too: a wait that had begun was not shortened. After, all pass, with test_gateway, test_unframed_answers, test_endless_answers, test_exporter: 62 passed.

--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -9,6 +9,7 @@
 ]
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -18,6 +19,7 @@
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.model import Limits
 from tanagertrail.gateway.timed_reads import receive_before
+from tanagertrail.policy.keep_alive import KeepAlive
 
 Headers = list[tuple[bytes, bytes]]
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
@@ -74,16 +76,21 @@
 class CallerStream:
     """The server side of a caller's connection.
 
+    :ivar get_limits: returns the limits that are currently in force
+    :ivar limits: limits that apply to the current request
+    :ivar keep_alive: how long the connection is kept while it is idle
     :ivar awaits_response: whether a request was read and its response is not complete
     :ivar response_started: whether the head of the response to the current request was sent
     :ivar is_head_request: whether the response must not have a body
     :ivar close_after: whether the connection is to close after the response
     """
 
-    def __init__(self, channel: Channel, limits: Limits) -> None:
+    def __init__(self, channel: Channel, get_limits: Callable[[], Limits]) -> None:
         self.channel = channel
-        self.limits = limits
-        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self.get_limits = get_limits
+        self.limits = get_limits()
+        self.keep_alive = KeepAlive()
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
         self.awaits_response = False
         self.response_started = False
         self.is_head_request = False
@@ -112,6 +119,7 @@
         try:
             if not await self.wait_for_first_byte():
                 return None
+            self.limits = self.get_limits()
             head = await self.next_event(self.limits.header_timeout)
             if not isinstance(head, h11.Request):
                 return None
@@ -129,14 +137,21 @@
         """Wait for the first byte of a request; false if the caller closed or stayed idle."""
         if self.has_partial_request:
             return True
-        try:
-            idle_until = asyncio.get_running_loop().time() + self.limits.idle_timeout
-            data = await receive_before(self.channel, idle_until)
-        except TimeoutError:
-            return False
-        if data:
-            self.parser.receive_data(data)
-        return bool(data)
+        loop = asyncio.get_running_loop()
+        limit = self.get_limits().idle_timeout
+        self.keep_alive.begin_wait(limit, loop.time())
+        while True:
+            deadline = self.keep_alive.compute_deadline(limit)
+            try:
+                data = await receive_before(self.channel, deadline)
+            except TimeoutError:
+                limit = self.get_limits().idle_timeout
+                if self.keep_alive.compute_deadline(limit) > deadline:
+                    continue
+                return False
+            if data:
+                self.parser.receive_data(data)
+            return bool(data)
 
     async def next_event(self, timeout: float) -> object:
         """Read the next event of the parser.
@@ -187,7 +202,7 @@
         fields = [
             *headers,
             (b"content-length", str(len(body)).encode()),
-            *self.build_close_header(),
+            *self.build_connection_header(),
         ]
         self.response_started = True
         head = h11.Response(status_code=status, headers=fields)
@@ -198,7 +213,7 @@
 
     def start_chunked_response(self, status: int, headers: Headers, first_chunk: bytes) -> None:
         """Send the head of a chunked response and its first chunk."""
-        fields = [*headers, (b"transfer-encoding", b"chunked"), *self.build_close_header()]
+        fields = [*headers, (b"transfer-encoding", b"chunked"), *self.build_connection_header()]
         self.response_started = True
         self.write(h11.Response(status_code=status, headers=fields), h11.Data(data=first_chunk))
 
@@ -210,9 +225,14 @@
         """End a chunked response."""
         self.write(h11.EndOfMessage())
 
-    def build_close_header(self) -> Headers:
-        """Return the ``Connection: close`` header if the connection is to close, else nothing."""
-        return [(b"connection", b"close")] if self.close_after else []
+    def build_connection_header(self) -> Headers:
+        """Build the header that announces the close or states for how long an idle one is kept."""
+        if self.close_after:
+            return [(b"connection", b"close")]
+        if self.parser.their_state is h11.MUST_CLOSE:
+            return []
+        timeout = self.keep_alive.state_timeout(self.get_limits().idle_timeout)
+        return [] if timeout is None else [(b"keep-alive", b"timeout=%d" % timeout)]
 
     def prepare_next_request(self) -> bool:
         """Reset the parser for the next request; false if the connection must close."""
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -61,7 +61,7 @@
 
     async def serve(self, channel: Channel) -> None:
         """Serve the requests of a connection until it closes."""
-        stream = CallerStream(channel, self.limits())
+        stream = CallerStream(channel, self.limits)
         self.streams.add(stream)
         reason = CloseReason.DEFECT
         try:
@@ -85,7 +85,6 @@
     async def serve_requests(self, channel: Channel, stream: CallerStream) -> CloseReason:
         """Serve requests one after another, and return why the connection is to close."""
         while True:
-            stream.limits = self.limits()
             request = await stream.read_request()
             if request is None:
                 return CloseReason.CALLER_CLOSED if channel.peer_closed else CloseReason.IDLE
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -10,6 +10,7 @@
 from tanagertrail.gateway.caller_close import CloseReason
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.policy.keep_alive import STATED_MARGIN_SECONDS
 from tanagertrail.standins.ports import HOST, find_port
 from tanagertrail.testing import run_in_virtual_time
 from tests.caller_utils import IDLE_SECONDS, REQUEST, CallerWorld, turn_loop
@@ -43,7 +44,7 @@
     await world.request(cut)
     left.end()
     left.deliver()
-    await asyncio.sleep(IDLE_SECONDS + 0.1)
+    await asyncio.sleep(IDLE_SECONDS + STATED_MARGIN_SECONDS + 0.1)
     world.server.close()
     await turn_loop()
     assert world.server.closes == {
@@ -117,3 +118,81 @@
     assert (await caller.read_head()).status == 200
     caller.abort()
     world.close()
+
+
+@with_callers
+async def test_response_states_for_how_long_the_connection_is_kept(world):
+    transport = world.connect()
+    await world.request(transport)
+    world.set_idle_limit(0.9)
+    await world.request(transport)
+    world.set_idle_limit(1.99)
+    await world.request(transport)
+    assert [f"keep-alive: timeout={n}".encode() in transport.sent for n in (15, 0, 1, 2)] == [
+        True,
+        False,
+        True,
+        False,
+    ]
+    assert transport.sent.count(b"keep-alive") == 2
+
+
+@with_callers
+async def test_closing_response_states_no_timeout(world):
+    asked, stopping = world.connect(), world.connect()
+    asked.send(b"GET /1 HTTP/1.1\r\nhost: desk.example\r\nconnection: close\r\n\r\n")
+    asked.deliver()
+    await turn_loop()
+    world.server.stopping = True
+    await world.request(stopping)
+    for transport in (asked, stopping):
+        assert b"connection: close" in transport.sent.lower()
+        assert b"keep-alive" not in transport.sent
+
+
+@params(0.8, 1.0)
+@with_callers
+async def test_shortened_idle_timeout_keeps_the_time_that_a_caller_was_told(world, share):
+    transport = world.connect()
+    await world.request(transport)
+    world.set_idle_limit(1.0)
+    await asyncio.sleep(IDLE_SECONDS * share)
+    await world.request(transport, 1)
+    assert (transport.answers, world.handled) == (2, ["/0", "/1"])
+
+
+@with_callers
+async def test_timeout_shortened_while_a_response_is_made_keeps_the_time_that_was_told(world):
+    async def answer_in_chunks(request, stream):
+        stream.start_chunked_response(200, [], b"first")
+        await asyncio.sleep(1)
+        stream.finish_response()
+
+    world.server.handler = answer_in_chunks
+    transport = world.connect()
+    await world.request(transport)
+    world.set_idle_limit(1.0)
+    await asyncio.sleep(1 + IDLE_SECONDS * 0.8)
+    assert transport.closed_at is None
+
+
+@with_callers
+async def test_lengthened_idle_timeout_applies_to_connections_that_wait(world):
+    world.set_idle_limit(1.0)
+    silent, told = world.connect(), world.connect()
+    await world.request(told)
+    world.set_idle_limit(IDLE_SECONDS)
+    await asyncio.sleep(IDLE_SECONDS * 0.8)
+    for transport in (silent, told):
+        await world.request(transport)
+    assert (silent.answers, told.answers) == (1, 2)
+
+
+@with_callers
+async def test_connection_is_closed_once_it_was_idle_for_what_was_told_and_a_margin(world):
+    told, silent = world.connect(), world.connect()
+    await world.request(told)
+    await asyncio.sleep(IDLE_SECONDS + 0.1)
+    assert (told.closed_at is None, silent.closed_at is None) == (True, False)
+    await asyncio.sleep(STATED_MARGIN_SECONDS)
+    assert told.closed_at is not None
