Answer a request whose handling fails with 500

Cause: an exception of a handler, also h11.LocalProtocolError on a response that cannot be sent, aborted the connection without an answer, and one while a request was read ended the connection's task. A handler that returned without a response, or that was cancelled by itself, closed the connection without a line in the log. response_started was set before anything was sent.

Change: handle_defect logs the error with its place, the request's id and state, and answers 500 (which promises nothing) on a fresh parser if no byte of a response was sent; a response that has begun is broken off with a reset, so that it does not look complete. The close is counted as a defect. response_started is set once the head was written.

--- a/tanagertrail/errors.py
+++ b/tanagertrail/errors.py
@@ -4,6 +4,7 @@
     "BodyTooLargeError",
     "ConflictError",
     "FrameError",
+    "IncompleteResponseError",
     "InvalidInputError",
     "PlatformError",
     "RateLimitedError",
@@ -57,6 +58,10 @@
     """The settings file violates one or more rules."""
 
 
+class IncompleteResponseError(TanagertrailError):
+    """A request's handler ended without a complete response."""
+
+
 class TicketError(InvalidInputError):
     """A ticket violates one or more rules."""
 
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -204,18 +204,25 @@
             (b"content-length", str(len(body)).encode()),
             *self.build_connection_header(),
         ]
-        self.response_started = True
         head = h11.Response(status_code=status, headers=fields)
         events: list[h11.Event] = [head, h11.EndOfMessage()]
         if body and not self.is_head_request:
             events.insert(1, h11.Data(data=body))
         self.write(*events)
+        self.response_started = True
+
+    def send_failure(self, status: int, reason: str) -> None:
+        """Send an error after which the connection closes, whatever state the parser is in."""
+        self.parser = h11.Connection(h11.SERVER)
+        self.close_after = True
+        body = b"" if self.is_head_request else reason.encode()
+        self.send_response(status, [(b"content-type", b"text/plain")], body)
 
     def start_chunked_response(self, status: int, headers: Headers, first_chunk: bytes) -> None:
         """Send the head of a chunked response and its first chunk."""
         fields = [*headers, (b"transfer-encoding", b"chunked"), *self.build_connection_header()]
-        self.response_started = True
         self.write(h11.Response(status_code=status, headers=fields), h11.Data(data=first_chunk))
+        self.response_started = True
 
     def send_chunk(self, data: bytes) -> None:
         """Send another chunk of a chunked response."""
@@ -241,6 +248,7 @@
         if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
+        self.response_started = False
         return True
 
 
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -3,16 +3,19 @@
 __all__ = ["HttpServer"]
 
 import asyncio
+import traceback
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import h11
 
+from tanagertrail.errors import IncompleteResponseError
 from tanagertrail.gateway.caller_close import CloseReason, RequestState
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, RequestRefusedError
 from tanagertrail.gateway.model import Limits
+from tanagertrail.platform.header_fields import decode_caller_fields
 
 BACKLOG = 1024
 DEFAULT_LIMITS = Limits(16_384, 4_194_304, 3.0, 15.0)
@@ -70,12 +73,14 @@
             reason = CloseReason.REFUSED
             self.log.write_routine("request_refused", status=error.status, reason=error.reason)
             await self.refuse(stream, error)
-        except (ConnectionError, h11.LocalProtocolError) as error:
+        except ConnectionError as error:
             reason = CloseReason.CALLER_BROKE
             self.log.write_routine("caller_connection", error=repr(error)[:120])
         except asyncio.CancelledError:
             reason = CloseReason.STOPPED
             raise
+        except Exception as error:
+            self.handle_defect(stream, error)
         finally:
             self.note_close(stream, reason)
             self.busy_channels.discard(channel)
@@ -88,11 +93,9 @@
             request = await stream.read_request()
             if request is None:
                 return CloseReason.CALLER_CLOSED if channel.peer_closed else CloseReason.IDLE
-            await self.handle_request(channel, stream, request)
-            if channel.peer_closed:
-                return CloseReason.CALLER_CLOSED
-            if channel.transport.is_closing():
-                return CloseReason.BROKEN_OFF
+            reason = await self.handle_request(channel, stream, request)
+            if reason is not None:
+                return reason
             if not stream.prepare_next_request():
                 return CloseReason.ANNOUNCED
 
@@ -109,8 +112,11 @@
 
     async def handle_request(
         self, channel: Channel, stream: CallerStream, request: CallerRequest
-    ) -> None:
-        """Run the handler for a request, and cancel it if the caller disconnects."""
+    ) -> CloseReason | None:
+        """Run the handler for a request, and cancel it if the caller disconnects.
+
+        :returns: why the connection must close, None if it may be kept
+        """
         self.busy_channels.add(channel)
         stream.close_after = self.stopping
         task = asyncio.create_task(self.handler(request, stream))
@@ -119,17 +125,49 @@
             task.cancel()
         try:
             await task
-        except asyncio.CancelledError:
-            if not channel.peer_closed:
+        except asyncio.CancelledError as error:
+            if asyncio.current_task().cancelling():
                 raise
+            if not channel.peer_closed:
+                self.handle_defect(stream, error, request)
+                return CloseReason.DEFECT
             channel.abort()
         except Exception as error:
-            self.log.write("defect", error=repr(error), where="request")
-            channel.abort()
-            raise
+            self.handle_defect(stream, error, request)
+            return CloseReason.DEFECT
         finally:
             channel.on_peer_closed = None
             self.busy_channels.discard(channel)
+        if channel.peer_closed:
+            return CloseReason.CALLER_CLOSED
+        if channel.transport.is_closing():
+            return CloseReason.BROKEN_OFF
+        if stream.awaits_response:
+            self.handle_defect(stream, IncompleteResponseError("no complete response"), request)
+            return CloseReason.DEFECT
+        return None
+
+    def handle_defect(
+        self, stream: CallerStream, error: BaseException, request: CallerRequest | None = None
+    ) -> None:
+        """Log an unexpected error and answer the request, or break off a response that has begun.
+
+        :param request: the request that failed, None if it was not read yet
+        """
+        origin = traceback.extract_tb(error.__traceback__)[-1:]
+        self.log.write(
+            "defect",
+            where="request",
+            error=repr(error)[:300],
+            at=[f"{frame.filename}:{frame.lineno}" for frame in origin],
+            request=decode_caller_fields(request.headers).request_id if request else None,
+            state=stream.request_state,
+        )
+        state = stream.request_state
+        if state is RequestState.RESPONSE_BEGUN:
+            stream.channel.abort()
+        elif state is not RequestState.IDLE and not stream.channel.transport.is_closing():
+            stream.send_failure(500, "the gateway failed")
 
     async def refuse(self, stream: CallerStream, error: RequestRefusedError) -> None:
         """Send an error for an unreadable request, and give the caller time to read it.
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -196,3 +196,81 @@
     assert (told.closed_at is None, silent.closed_at is None) == (True, False)
     await asyncio.sleep(STATED_MARGIN_SECONDS)
     assert told.closed_at is not None
+
+
+def build_failing_handler(failure):
+    """Return a handler that fails, and its name for what it had sent by then."""
+
+    async def fail_before(request, stream):
+        raise failure
+
+    async def fail_within(request, stream):
+        stream.start_chunked_response(200, [], b"first")
+        raise failure
+
+    async def fail_to_send(request, stream):
+        stream.send_response(200, [(b"bad\nname", b"")], b"")
+
+    async def fail_within_head(request, stream):
+        stream.send_response(204, [], b"a body that must not be")
+
+    async def return_nothing(request, stream):
+        pass
+
+    return {
+        "before": fail_before,
+        "within": fail_within,
+        "send": fail_to_send,
+        "head": fail_within_head,
+        "nothing": return_nothing,
+    }
+
+
+@params("before", "send", "head", "nothing")
+@with_callers
+async def test_failed_handler_gets_an_error_instead_of_a_bare_close(world, kind):
+    world.server.handler = build_failing_handler(KeyError("cause"))[kind]
+    transport = world.connect()
+    await world.request(transport)
+    await asyncio.sleep(2)
+    assert transport.sent.startswith(b"HTTP/1.1 500 ")
+    assert b"connection: close" in transport.sent
+    assert transport.closed_at is not None
+    assert world.server.closes == {CloseReason.DEFECT: 1}
+    assert [line["event"] for line in world.lines if line["event"] == "defect"] == ["defect"]
+
+
+@with_callers
+async def test_handler_cancelled_by_itself_gets_an_error(world):
+    world.server.handler = build_failing_handler(asyncio.CancelledError())["before"]
+    transport = world.connect()
+    await world.request(transport)
+    assert transport.sent.startswith(b"HTTP/1.1 500 ")
+
+
+@with_callers
+async def test_response_broken_by_a_failure_does_not_look_complete(world):
+    world.server.handler = build_failing_handler(KeyError("cause"))["within"]
+    transport = world.connect()
+    await world.request(transport)
+    assert (transport.answers, transport.aborted) == (1, True)
+    assert not transport.sent.endswith(b"0\r\n\r\n")
+    assert world.lines[-1] == {
+        "event": "caller_closed",
+        "reason": CloseReason.DEFECT,
+        "state": "response begun",
+    }
+
+
+@with_callers
+async def test_failure_while_a_request_is_read_gets_an_error(world):
+    def fail():
+        raise KeyError("cause")
+
+    transport = world.connect()
+    await turn_loop()
+    [stream] = world.server.streams
+    stream.parser.next_event = fail  # as a defect of the parser would
+    await world.request(transport)
+    assert transport.sent.startswith(b"HTTP/1.1 500 ")
+    assert world.server.closes == {CloseReason.DEFECT: 1}
