Send the refusal of an unreadable request that follows a HEAD request

Cause: is_head_request was kept from one request to the next, so the refusal was announced with a length and sent without its body, which h11 rejects: the connection was closed without an answer (answer_impossible).

Change: the mark is reset with the parser, and a refusal is sent by send_failure, on a fresh parser, which cannot be impossible.

--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -249,6 +249,7 @@
             return False
         self.parser.start_next_cycle()
         self.response_started = False
+        self.is_head_request = False
         return True
 
 
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -7,8 +7,6 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-import h11
-
 from tanagertrail.errors import IncompleteResponseError
 from tanagertrail.gateway.caller_close import CloseReason, RequestState
 from tanagertrail.gateway.channel import Channel
@@ -175,13 +173,7 @@
         Incoming bytes are discarded meanwhile: closing with unread ones would reset the
         connection.
         """
-        stream.close_after = True
-        try:
-            headers = [(b"content-type", b"text/plain")]
-            stream.send_response(error.status, headers, error.reason.encode())
-        except h11.LocalProtocolError as protocol_error:
-            self.log.write_routine("answer_impossible", reason=repr(protocol_error)[:120])
-            return
+        stream.send_failure(error.status, error.reason)
         loop = asyncio.get_running_loop()
         linger_until = loop.time() + LINGER_SECONDS
         while not stream.channel.peer_closed and loop.time() < linger_until:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -274,3 +274,16 @@
     await world.request(transport)
     assert transport.sent.startswith(b"HTTP/1.1 500 ")
     assert world.server.closes == {CloseReason.DEFECT: 1}
+
+
+@with_callers
+async def test_refusal_after_a_head_request_is_sent(world):
+    transport = world.connect()
+    transport.send(b"HEAD /1 HTTP/1.1\r\nhost: desk.example\r\n\r\n")
+    transport.deliver()
+    await turn_loop()
+    transport.send(b"no request\r\n\r\n")
+    transport.deliver()
+    await turn_loop()
+    assert transport.answers == 2
+    assert b"HTTP/1.1 400 " in transport.sent
