Apply a changed limit on request heads to open connections

Cause: the parser of a connection kept the limit on heads that was in force when the connection was opened, so after a configuration that raised it a proper request on a kept connection was refused with 431 and the connection closed.

Change: the limits in force at the first byte of a request apply to it; a parser with another limit takes over the bytes.

Evidence, tests.test_caller_connections: before, both new tests failed (raised from 1,000 to 16,384 bytes: refused; lowered to 20: accepted); after, 31 of 31 passed.

--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -119,7 +119,7 @@
         try:
             if not await self.wait_for_first_byte():
                 return None
-            self.limits = self.get_limits()
+            self.renew_limits()
             head = await self.next_event(self.limits.header_timeout)
             if not isinstance(head, h11.Request):
                 return None
@@ -153,6 +153,16 @@
                 self.parser.receive_data(data)
             return bool(data)
 
+    def renew_limits(self) -> None:
+        """Apply the limits in force to the request that has begun to arrive."""
+        former, self.limits = self.limits, self.get_limits()
+        if self.limits.header_bytes == former.header_bytes:
+            return
+        arrived = self.parser.trailing_data[0]
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+        if arrived:
+            self.parser.receive_data(arrived)
+
     async def next_event(self, timeout: float) -> object:
         """Read the next event of the parser.
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -287,3 +287,21 @@
     await turn_loop()
     assert transport.answers == 2
     assert b"HTTP/1.1 400 " in transport.sent
+
+
+@params(16_384, 20)
+@with_callers
+async def test_changed_head_limit_applies_to_connections_that_are_open(world, limit):
+    world.limits = world.limits._replace(header_bytes=1000)
+    transport = world.connect()
+    await world.request(transport)
+    world.limits = world.limits._replace(header_bytes=limit)
+    transport.send(b"GET /1 HTTP/1.1\r\nhost: desk.example\r\nx: %s\r\n" % (b"x" * (limit // 8)))
+    transport.deliver()
+    await turn_loop()
+    transport.send(b"\r\n")
+    transport.deliver()
+    await turn_loop()
+    is_allowed = limit > 1000
+    assert world.handled == (["/0", "/1"] if is_allowed else ["/0"])
+    assert (b"HTTP/1.1 431" in transport.sent) != is_allowed
