Half-close a connection behind its last response

Cause: a connection that was closed behind a response (Connection: close of either side) was closed with unread bytes in the kernel, which resets it: the response is lost if its caller has not read it yet. A refusal was followed by half a second of reading without a half-close, in steps of 50 ms, also when the caller had closed. An idle connection was closed in the turn of the event loop after the one that decided it, so a request that came in between was lost though the caller had sent it before any sign of the close.

Change: linger sends what is buffered, half-closes and discards what arrives until the caller closes, for half a second at most; it follows announced closes, refusals and defects. An idle connection is half-closed in the call that found it idle.

Evidence, tests.test_caller_connections: before, both new tests failed (on real sockets the response was lost to ECONNRESET at the first of 20 connections; no half-close behind a refusal); after, 33 of 33 passed, the 20 responses were whole.

--- a/tanagertrail/gateway/caller_close.py
+++ b/tanagertrail/gateway/caller_close.py
@@ -1,9 +1,15 @@
-"""Reasons for which callers' connections close."""
+"""Closing of callers' connections, and the reasons for it."""
 
-__all__ = ["CloseReason", "RequestState"]
+__all__ = ["LINGERING_REASONS", "CloseReason", "RequestState", "end_sending", "flush", "linger"]
 
+import asyncio
+import contextlib
 import enum
 
+from tanagertrail.gateway.channel import Channel
+
+LINGER_SECONDS = 0.5  # for the caller to read the last response and close
+
 
 class CloseReason(enum.StrEnum):
     """Why a caller's connection was closed.
@@ -29,3 +35,37 @@
     PARTLY_READ = "partly read"
     UNANSWERED = "unanswered"
     RESPONSE_BEGUN = "response begun"
+
+
+LINGERING_REASONS = frozenset({CloseReason.ANNOUNCED, CloseReason.REFUSED, CloseReason.DEFECT})
+
+
+async def flush(channel: Channel) -> None:
+    """Wait until the kernel has all bytes that were written.
+
+    :raises ConnectionError: if the connection is lost
+    """
+    channel.transport.set_write_buffer_limits(high=0)
+    await channel.drain()
+
+
+def end_sending(channel: Channel) -> None:
+    """Half-close a connection at once; closing it takes effect in the next turn of the loop."""
+    if not channel.transport.is_closing():
+        with contextlib.suppress(OSError):  # the caller has reset the connection
+            channel.transport.write_eof()
+
+
+async def linger(channel: Channel) -> None:
+    """Half-close a connection, and discard what arrives until the caller closes it.
+
+    Closing with unread bytes would reset the connection and destroy a response in flight.
+    """
+    try:
+        await flush(channel)
+        end_sending(channel)
+        async with asyncio.timeout(LINGER_SECONDS):
+            while not channel.peer_closed:
+                await channel.receive()
+    except (ConnectionError, TimeoutError):
+        return
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -8,7 +8,13 @@
 from collections.abc import Awaitable, Callable
 
 from tanagertrail.errors import IncompleteResponseError
-from tanagertrail.gateway.caller_close import CloseReason, RequestState
+from tanagertrail.gateway.caller_close import (
+    LINGERING_REASONS,
+    CloseReason,
+    RequestState,
+    end_sending,
+    linger,
+)
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, RequestRefusedError
@@ -17,7 +23,6 @@
 
 BACKLOG = 1024
 DEFAULT_LIMITS = Limits(16_384, 4_194_304, 3.0, 15.0)
-LINGER_SECONDS = 0.5  # after an error, so that the caller can read it before the connection closes
 
 Handler = Callable[[CallerRequest, CallerStream], Awaitable[None]]
 
@@ -61,29 +66,37 @@
         task.add_done_callback(self.tasks.discard)
 
     async def serve(self, channel: Channel) -> None:
-        """Serve the requests of a connection until it closes."""
+        """Serve the requests of a connection, and close it."""
+        try:
+            reason = await self.serve_until_close(channel)
+            if reason in LINGERING_REASONS:
+                await linger(channel)
+            elif reason is CloseReason.IDLE:
+                end_sending(channel)
+        finally:
+            channel.close()
+
+    async def serve_until_close(self, channel: Channel) -> CloseReason:
+        """Serve the requests of a connection until it is to close, and return the reason."""
         stream = CallerStream(channel, self.limits)
         self.streams.add(stream)
-        reason = CloseReason.DEFECT
+        reason = CloseReason.STOPPED
         try:
             reason = await self.serve_requests(channel, stream)
         except RequestRefusedError as error:
             reason = CloseReason.REFUSED
             self.log.write_routine("request_refused", status=error.status, reason=error.reason)
-            await self.refuse(stream, error)
+            stream.send_failure(error.status, error.reason)
         except ConnectionError as error:
             reason = CloseReason.CALLER_BROKE
             self.log.write_routine("caller_connection", error=repr(error)[:120])
-        except asyncio.CancelledError:
-            reason = CloseReason.STOPPED
-            raise
         except Exception as error:
+            reason = CloseReason.DEFECT
             self.handle_defect(stream, error)
         finally:
             self.note_close(stream, reason)
-            self.busy_channels.discard(channel)
             self.streams.discard(stream)
-            channel.close()
+        return reason
 
     async def serve_requests(self, channel: Channel, stream: CallerStream) -> CloseReason:
         """Serve requests one after another, and return why the connection is to close."""
@@ -167,19 +180,6 @@
         elif state is not RequestState.IDLE and not stream.channel.transport.is_closing():
             stream.send_failure(500, "the gateway failed")
 
-    async def refuse(self, stream: CallerStream, error: RequestRefusedError) -> None:
-        """Send an error for an unreadable request, and give the caller time to read it.
-
-        Incoming bytes are discarded meanwhile: closing with unread ones would reset the
-        connection.
-        """
-        stream.send_failure(error.status, error.reason)
-        loop = asyncio.get_running_loop()
-        linger_until = loop.time() + LINGER_SECONDS
-        while not stream.channel.peer_closed and loop.time() < linger_until:
-            stream.channel.read_buffered()
-            await asyncio.sleep(LINGER_SECONDS / 10)
-
     @property
     def unanswered(self) -> bool:
         """Whether a request is being handled or has begun to arrive."""
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -305,3 +305,44 @@
     is_allowed = limit > 1000
     assert world.handled == (["/0", "/1"] if is_allowed else ["/0"])
     assert (b"HTTP/1.1 431" in transport.sent) != is_allowed
+
+
+@with_callers
+async def test_caller_that_ignores_a_refusal_is_not_read_forever(world):
+    transport = world.connect()
+    transport.send(b"no request\r\n\r\n")
+    transport.deliver()
+    await turn_loop()
+    assert (transport.half_closed, transport.closed_at) == (True, None)
+    for _ in range(20):
+        transport.send(b"x" * 100)
+        transport.deliver()
+        await asyncio.sleep(0.1)
+    assert transport.closed_at is not None
+    assert (transport.answers, world.handled) == (1, [])
+
+
+@run_in_real_time
+async def test_bytes_behind_a_closing_response_do_not_reset_it():
+    world = CallerWorld()
+    port = find_port()
+    await world.server.start(HOST, port)
+    whole = 0
+    for number in range(20):
+        caller = UpstreamStream(await open_channel(HOST, port, 1.0))
+        caller.send_request(
+            b"GET", b"/1", [(b"host", b"desk.example"), (b"connection", b"close")], b""
+        )
+        caller.channel.transport.pause_reading()
+        while len(world.handled) == number:
+            await asyncio.sleep(0)
+        caller.channel.write(REQUEST % 2)
+        await asyncio.sleep(0.01)
+        caller.channel.write(REQUEST % 3)
+        await asyncio.sleep(0.01)
+        caller.channel.transport.resume_reading()
+        head = await caller.read_head()
+        whole += head.status == 200 and await caller.read_remaining_body(100) == b"/1"
+        caller.abort()
+    world.close()
+    assert whole == 20
