--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -9,13 +9,17 @@
 ]
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
+from tanagertrail.gateway.caller_close import RequestState
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.model import Limits
+from tanagertrail.gateway.timed_reads import has_unread_bytes, receive_before
+from tanagertrail.policy.keep_alive import KeepAlive
 
 Headers = list[tuple[bytes, bytes]]
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
@@ -72,15 +76,29 @@
 class CallerStream:
     """The server side of a caller's connection.
 
+    :ivar get_limits: returns the limits that are currently in force
+    :ivar is_stopping: returns whether the connection is to close soon
+    :ivar limits: limits that apply to the current request
+    :ivar keep_alive: how long the connection is kept while it is idle
+    :ivar awaits_response: whether a request was read and its response is not complete
     :ivar response_started: whether the head of the response to the current request was sent
     :ivar is_head_request: whether the response must not have a body
     :ivar close_after: whether the connection is to close after the response
     """
 
-    def __init__(self, channel: Channel, limits: Limits) -> None:
+    def __init__(
+        self,
+        channel: Channel,
+        get_limits: Callable[[], Limits],
+        is_stopping: Callable[[], bool],
+    ) -> None:
         self.channel = channel
-        self.limits = limits
-        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self.get_limits = get_limits
+        self.is_stopping = is_stopping
+        self.limits = get_limits()
+        self.keep_alive = KeepAlive()
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+        self.awaits_response = False
         self.response_started = False
         self.is_head_request = False
         self.close_after = False
@@ -90,6 +108,20 @@
         """Whether bytes of the next request have arrived."""
         return bool(self.channel.buffer or self.parser.trailing_data[0])
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether bytes of the next request have arrived, be it in the kernel's buffer."""
+        return bool(self.parser.trailing_data[0]) or has_unread_bytes(self.channel)
+
+    @property
+    def request_state(self) -> RequestState:
+        """Progress within the current request."""
+        if self.awaits_response and self.response_started:
+            return RequestState.RESPONSE_BEGUN
+        if self.awaits_response:
+            return RequestState.UNANSWERED
+        return RequestState.PARTLY_READ if self.has_partial_request else RequestState.IDLE
+
     async def read_request(self) -> CallerRequest | None:
         """Read the next request; None if the caller closed the connection or left it idle.
 
@@ -99,8 +131,8 @@
         try:
             if not await self.wait_for_first_byte():
                 return None
-            async with asyncio.timeout(self.limits.header_timeout):
-                head = await self.next_event()
+            self.renew_limits()
+            head = await self.next_event(self.limits.header_timeout)
             if not isinstance(head, h11.Request):
                 return None
             body = await self.read_body(head)
@@ -108,6 +140,7 @@
             raise RequestRefusedError(error.error_status_hint or 400, str(error)) from error
         except TimeoutError as error:
             raise RequestRefusedError(408, "the request took too long to arrive") from error
+        self.awaits_response = True
         self.response_started = False
         self.is_head_request = head.method == b"HEAD"
         return CallerRequest(head.method, head.target, list(head.headers), body)
@@ -116,22 +149,44 @@
         """Wait for the first byte of a request; false if the caller closed or stayed idle."""
         if self.has_partial_request:
             return True
-        try:
-            async with asyncio.timeout(self.limits.idle_timeout):
-                data = await self.channel.receive()
-        except TimeoutError:
-            return False
-        if data:
-            self.parser.receive_data(data)
-        return bool(data)
-
-    async def next_event(self) -> object:
-        """Return the next event of the parser."""
+        loop = asyncio.get_running_loop()
+        limit = self.get_limits().idle_timeout
+        self.keep_alive.begin_wait(limit, loop.time())
+        while True:
+            deadline = self.keep_alive.compute_deadline(limit)
+            try:
+                data = await receive_before(self.channel, deadline)
+            except TimeoutError:
+                limit = self.get_limits().idle_timeout
+                if self.keep_alive.compute_deadline(limit) > deadline:
+                    continue
+                return False
+            if data:
+                self.parser.receive_data(data)
+            return bool(data)
+
+    def renew_limits(self) -> None:
+        """Apply the limits in force to the request that has begun to arrive."""
+        former, self.limits = self.limits, self.get_limits()
+        if self.limits.header_bytes == former.header_bytes:
+            return
+        arrived = self.parser.trailing_data[0]
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+        if arrived:
+            self.parser.receive_data(arrived)
+
+    async def next_event(self, timeout: float) -> object:
+        """Read the next event of the parser.
+
+        :param timeout: seconds
+        :raises TimeoutError: if it is not complete in time
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
         while True:
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.parser.receive_data(await self.channel.receive())
+            self.parser.receive_data(await receive_before(self.channel, deadline))
 
     async def read_body(self, head: h11.Request) -> bytes:
         """Read the body of a request.
@@ -148,8 +203,7 @@
         chunks: list[bytes] = []
         body_length = 0
         while True:
-            async with asyncio.timeout(self.limits.idle_timeout):
-                event = await self.next_event()
+            event = await self.next_event(self.limits.idle_timeout)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(chunks)
             if not isinstance(event, h11.Data):
@@ -162,26 +216,35 @@
     def write(self, *events: h11.Event) -> None:
         """Send the bytes of several events in one write."""
         self.channel.write(b"".join(self.parser.send(event) or b"" for event in events))
+        if isinstance(events[-1], h11.EndOfMessage):
+            self.awaits_response = False
 
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
         fields = [
             *headers,
             (b"content-length", str(len(body)).encode()),
-            *self.build_close_header(),
+            *self.build_connection_header(),
         ]
-        self.response_started = True
         head = h11.Response(status_code=status, headers=fields)
         events: list[h11.Event] = [head, h11.EndOfMessage()]
         if body and not self.is_head_request:
             events.insert(1, h11.Data(data=body))
         self.write(*events)
+        self.response_started = True
+
+    def send_failure(self, status: int, reason: str) -> None:
+        """Send an error after which the connection closes, whatever state the parser is in."""
+        self.parser = h11.Connection(h11.SERVER)
+        self.close_after = True
+        body = b"" if self.is_head_request else reason.encode()
+        self.send_response(status, [(b"content-type", b"text/plain")], body)
 
     def start_chunked_response(self, status: int, headers: Headers, first_chunk: bytes) -> None:
         """Send the head of a chunked response and its first chunk."""
-        fields = [*headers, (b"transfer-encoding", b"chunked"), *self.build_close_header()]
-        self.response_started = True
+        fields = [*headers, (b"transfer-encoding", b"chunked"), *self.build_connection_header()]
         self.write(h11.Response(status_code=status, headers=fields), h11.Data(data=first_chunk))
+        self.response_started = True
 
     def send_chunk(self, data: bytes) -> None:
         """Send another chunk of a chunked response."""
@@ -191,9 +254,19 @@
         """End a chunked response."""
         self.write(h11.EndOfMessage())
 
-    def build_close_header(self) -> Headers:
-        """Return the ``Connection: close`` header if the connection is to close, else nothing."""
-        return [(b"connection", b"close")] if self.close_after else []
+    def build_connection_header(self) -> Headers:
+        """Build the header that announces the close or states for how long an idle one is kept.
+
+        A response behind which another request has arrived must not announce the close.
+        """
+        if self.is_stopping() and not self.has_next_request:
+            self.close_after = True
+        if self.close_after:
+            return [(b"connection", b"close")]
+        if self.parser.their_state is h11.MUST_CLOSE:
+            return []
+        timeout = self.keep_alive.state_timeout(self.get_limits().idle_timeout)
+        return [] if timeout is None else [(b"keep-alive", b"timeout=%d" % timeout)]
 
     def prepare_next_request(self) -> bool:
         """Reset the parser for the next request; false if the connection must close."""
@@ -202,6 +275,8 @@
         if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
+        self.response_started = False
+        self.is_head_request = False
         return True
 
 
