Attribute an answer only to the request that it names

Callers saw: "not run, try again" (503) for requests that an upstream had run or was running, after the upstream wrote an earlier refusal once more on a kept connection, without a request id.

Cause: an answer without a request id was taken for the awaited one, whatever it promised. Class: what comes from outside was trusted beyond what it proves. The same place also took a refusal with status 200 or 500, a signed 429 or 503 without the mark of a refusal, an answer that named two requests, and a refusal with the true answer right behind it.

Change: policy/answers.py decides from the answer's head alone. Answers need the id of the request. A refusal without one counts only as the first answer on a connection that carried nothing else, since it can be no copy of an earlier one there; the platform's examples of refusals (503, 421) bear no id. What can't be attributed ends the connection: result "broken", or "doubtful" for refusals, after which the request may have run, so callers get 502. A doubtful refusal is no failure of the upstream. Requests without an id, and requests that may run once at upstreams that refused without an id, get a connection of their own. `answer_unproven` lines and two gauges show all this.

Conclusion: no answer that lacks or contradicts its request's id reaches a caller, and no such refusal is told as "not run".

--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -17,15 +17,16 @@
     """How an attempt at one upstream ended.
 
     ``NOT_SENT`` and ``REFUSED`` prove that the request did not run there. ``MISDIRECTED`` is the
-    refusal of a different upstream that has taken over the address. After ``BROKEN`` and
-    ``TIMED_OUT`` the request may have run. ``FAILED`` is a complete response of the upstream that
-    reports an error.
+    refusal of a different upstream that has taken over the address. After ``BROKEN``,
+    ``TIMED_OUT`` and ``DOUBTFUL``, a refusal that may belong to another request, it may have run.
+    ``FAILED`` is a complete response of the upstream that reports an error.
     """
 
     DELIVERED = "delivered"
     NOT_SENT = "not sent"
     REFUSED = "refused"
     MISDIRECTED = "misdirected"
+    DOUBTFUL = "doubtful"
     FAILED = "failed"
     BROKEN = "broken"
     TIMED_OUT = "timed out"
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -24,6 +24,9 @@
     yield GaugeRow("fencing", node.leadership.fencing, {})
     yield GaugeRow("store_calls", node.store.call_count, {})
     yield GaugeRow("upstream_connections_opened", node.pools.opened_count, {})
+    answers = node.dispatcher.sender.answers
+    yield GaugeRow("answers_unproven", answers.unproven_count, {})
+    yield GaugeRow("answers_of_other_requests", answers.skipped_count, {})
     yield GaugeRow("requests_quarantined", len(node.suspects.poison_tracker.quarantined), {})
     yield GaugeRow("requests_suspected", len(node.suspects.poison_tracker.crashes), {})
     yield GaugeRow("store_era", node.store.era or 0, {})
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -57,10 +57,14 @@
 
 
 class ResponseHead(NamedTuple):
-    """Status and headers of an upstream's response."""
+    """Status and headers of an upstream's response.
+
+    :ivar interim_statuses: statuses of the interim responses before it
+    """
 
     status: int
     headers: Headers
+    interim_statuses: tuple[int, ...] = ()
 
     @property
     def is_framed(self) -> bool:
@@ -209,7 +213,8 @@
     """The client side of a connection to an upstream.
 
     :ivar request: the last request sent
-    :ivar has_sent_request: whether a request was sent before
+    :ivar sent_requests: number of requests sent
+    :ivar skipped_responses: number of responses that belonged to other requests
     :ivar idle_since: event-loop time in seconds at which it was returned to the pool
     :ivar keep_for: seconds for which the upstream keeps it open when idle, None if unknown
     """
@@ -218,15 +223,16 @@
         self.channel = channel
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
         self.request: h11.Request | None = None
-        self.has_sent_request = False
+        self.sent_requests = 0
+        self.skipped_responses = 0
         self.idle_since = 0.0
         self.keep_for: float | None = None
 
     def send_request(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a complete request."""
-        if self.has_sent_request:
+        if self.sent_requests:
             self.parser.start_next_cycle()
-        self.has_sent_request = True
+        self.sent_requests += 1
         self.request = h11.Request(method=method, target=target, headers=headers)
         data = self.parser.send(self.request)
         if body:
@@ -239,16 +245,16 @@
         :raises UpstreamProtocolError: if the upstream violates HTTP
         :raises ConnectionError: if the connection closed or broke before
         """
-        event = await self.next_event()
-        for _ in range(MAX_INTERIM_RESPONSES):
-            if not isinstance(event, h11.InformationalResponse):
-                break
-            event = await self.next_event()
-        if isinstance(event, h11.InformationalResponse):
-            raise UpstreamProtocolError(f"more than {MAX_INTERIM_RESPONSES} heads before an answer")
+        interim_statuses: list[int] = []
+        while isinstance(event := await self.next_event(), h11.InformationalResponse):
+            interim_statuses.append(event.status_code)
+            if len(interim_statuses) > MAX_INTERIM_RESPONSES:
+                raise UpstreamProtocolError(
+                    f"more than {MAX_INTERIM_RESPONSES} heads before an answer"
+                )
         if not isinstance(event, h11.Response):
             raise ConnectionResetError("the upstream closed before its answer")
-        return ResponseHead(event.status_code, list(event.headers))
+        return ResponseHead(event.status_code, list(event.headers), tuple(interim_statuses))
 
     async def read_body_chunk(self) -> bytes | None:
         """Read the next chunk of the response body, None at its end.
@@ -308,6 +314,17 @@
         if buffered:
             next_parser.receive_data(buffered)
         self.parser = next_parser
+        self.skipped_responses += 1
+
+    @property
+    def has_only_one_exchange(self) -> bool:
+        """Whether nothing but the current request and its response was exchanged."""
+        return self.sent_requests == 1 and not self.skipped_responses
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes were received beyond what was read."""
+        return bool(self.channel.buffer or self.parser.trailing_data[0])
 
     @property
     def reusable(self) -> bool:
@@ -315,7 +332,7 @@
         return (
             self.parser.our_state is h11.DONE
             and self.parser.their_state is h11.DONE
-            and not self.parser.trailing_data[0]
+            and not self.has_unread_bytes
             and self.channel.idle
         )
 
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -94,6 +94,7 @@
                 self.suspects,
                 self.rate_limits,
                 self.tuning.answers.most_bytes,
+                self.log,
             ),
             self.quota,
             self.suspects,
--- a/tanagertrail/gateway/trials.py
+++ b/tanagertrail/gateway/trials.py
@@ -112,7 +112,7 @@
 
         Results of a version that is not on trial become part of the baseline.
         """
-        if attempt.proves_not_run:
+        if attempt.proves_not_run or attempt.result is AttemptResult.DOUBTFUL:
             return
         request_result = build_request_result(exchange, version, attempt)
         if request_result is None:
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -5,7 +5,9 @@
 import asyncio
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
+from tanagertrail.gateway.answer_reader import AnswerReader, UnprovenAnswerError, may_reuse
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
+from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
 from tanagertrail.gateway.http1 import ResponseHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
@@ -18,14 +20,12 @@
     UpstreamFields,
     build_response_headers,
     build_upstream_headers,
-    decode_upstream_fields,
 )
+from tanagertrail.policy.answers import Claim, Judgement
 
-MISDIRECTED_STATUS = 421
 EVENT_GAP_FACTOR = 3.0  # multiple of the event gap objective after which a stream is given up
 MIN_EVENT_GAP_SECONDS = 1.0
 UNSAFE_REUSE_SECONDS = 0.5  # idle connections older than this get only repeatable requests
-MAX_SKIPPED_RESPONSES = 4  # late responses to other requests that are discarded
 EXECUTED_RESULTS = frozenset({AttemptResult.DELIVERED, AttemptResult.FAILED})
 ANSWERED_RESULTS = EXECUTED_RESULTS | {AttemptResult.REFUSED}
 
@@ -38,6 +38,7 @@
     """Send requests to upstreams and relay their responses.
 
     :ivar most_bytes: largest body of a response that is not streamed
+    :ivar answers: reader that attributes responses to requests
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         suspects: SuspectTracker,
         rate_limits: RateLimitTable,
         most_bytes: int,
+        log: EventLog,
     ) -> None:
         self.pools = pools
         self.usage = usage
@@ -55,6 +57,7 @@
         self.suspects = suspects
         self.rate_limits = rate_limits
         self.most_bytes = most_bytes
+        self.answers = AnswerReader(log, most_bytes)
 
     async def send_attempt(
         self, exchange: Exchange, entry: UpstreamEntry, first_byte_timeout: float
@@ -104,7 +107,7 @@
         :raises OSError: if it cannot be opened
         :raises TimeoutError: if that takes too long
         """
-        pooled = self.pools.acquire(entry.record.id)
+        pooled = self.pools.acquire(entry.record.id) if may_reuse(exchange, entry) else None
         if pooled is not None:
             idle = asyncio.get_running_loop().time() - pooled.idle_since
             if exchange.route.idempotent or idle < UNSAFE_REUSE_SECONDS:
@@ -126,24 +129,29 @@
         try:
             self.send(exchange, entry, stream)
             async with asyncio.timeout(min(first_byte_timeout, max(exchange.time_left, 0.0))):
-                head, fields = await self.read_matching_head(exchange, stream)
+                head, fields, claim = await self.answers.read_head(exchange, entry, stream)
             stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
             self.apply_upstream_fields(entry, fields)
-            if head.status != MISDIRECTED_STATUS and (fields.signed or fields.not_run):
+            if claim is not Claim.MISDIRECTED:
                 self.rate_limits.note_answer(entry, fields, sent_at)
-            if exchange.customer is not None and fields.signed and not fields.not_run:
+            if exchange.customer is not None and claim is Claim.RESULT:
                 self.usage.note_started(exchange.customer.name)
             step = Step.STREAM
-            if exchange.route.streamed and 200 <= head.status < 300:
-                return await self.relay_events(exchange, entry, stream, head, fields)
+            if claim is Claim.RESULT and exchange.route.streamed and 200 <= head.status < 300:
+                return await self.relay_events(exchange, entry, stream, head)
             async with asyncio.timeout(max(exchange.time_left, 0.0)):
                 body = await stream.read_remaining_body(self.most_bytes)
-            return self.handle_complete_response(exchange, entry, head, fields, body)
+            if claim is Claim.RESULT:
+                return self.handle_result(exchange, entry, head, body)
+            return self.handle_refusal(exchange, entry, stream, claim, head, body)
         except TimeoutError:
             stream.abort()
             return UpstreamAttempt(
                 AttemptResult.TIMED_OUT, step, entry.record.id, "no answer in time"
             )
+        except UnprovenAnswerError as error:
+            stream.abort()
+            return UpstreamAttempt(error.result, step, entry.record.id, str(error))
         except (OSError, UpstreamProtocolError) as error:
             stream.abort()
             return UpstreamAttempt(AttemptResult.BROKEN, step, entry.record.id, repr(error)[:100])
@@ -166,50 +174,42 @@
         )
         stream.send_request(request.method, request.target, headers, request.body)
 
-    async def read_matching_head(
-        self, exchange: Exchange, stream: UpstreamStream
-    ) -> tuple[ResponseHead, UpstreamFields]:
-        """Read the head of this request's response, discarding late responses to others.
-
-        :raises UpstreamProtocolError: if there are too many of those
-        """
-        for _ in range(MAX_SKIPPED_RESPONSES + 1):
-            head = await stream.read_head()
-            fields = decode_upstream_fields(head.headers)
-            if fields.request_id in ("", exchange.fields.request_id):
-                return head, fields
-            await stream.read_remaining_body(self.most_bytes)
-            stream.skip_response()
-        raise UpstreamProtocolError(f"more than {MAX_SKIPPED_RESPONSES} answers to other requests")
-
     def apply_upstream_fields(self, entry: UpstreamEntry, fields: UpstreamFields) -> None:
         """Apply what the response's headers say of the upstream's state."""
         now = asyncio.get_running_loop().time()
         if fields.cold_for:
             entry.cold_until = max(entry.cold_until, now + fields.cold_for)
 
-    def handle_complete_response(
+    def handle_refusal(
         self,
         exchange: Exchange,
         entry: UpstreamEntry,
+        stream: UpstreamStream,
+        claim: Claim,
         head: ResponseHead,
-        fields: UpstreamFields,
         body: bytes,
     ) -> UpstreamAttempt:
-        """Relay a complete response if it is a success, else classify it."""
+        """Classify a complete refusal.
+
+        :raises UnprovenAnswerError: if another answer may follow it
+        """
         name = entry.record.id
-        if head.status == MISDIRECTED_STATUS:
+        if stream.has_unread_bytes:
+            reason = "bytes follow a refusal"
+            self.answers.reject(exchange, entry, Judgement(Claim.DOUBTFUL_REFUSAL, reason))
+        if claim is Claim.MISDIRECTED:
             return UpstreamAttempt(
                 AttemptResult.MISDIRECTED, Step.HEAD, name, "another upstream answered"
             )
-        if fields.not_run:
-            return UpstreamAttempt(
-                AttemptResult.REFUSED, Step.HEAD, name, f"status {head.status}", head, body
-            )
-        if not fields.signed:
-            return UpstreamAttempt(
-                AttemptResult.BROKEN, Step.HEAD, name, f"unsigned status {head.status}"
-            )
+        return UpstreamAttempt(
+            AttemptResult.REFUSED, Step.HEAD, name, f"status {head.status}", head, body
+        )
+
+    def handle_result(
+        self, exchange: Exchange, entry: UpstreamEntry, head: ResponseHead, body: bytes
+    ) -> UpstreamAttempt:
+        """Relay a complete response if it is a success, else classify it."""
+        name = entry.record.id
         if head.status >= 500:
             return UpstreamAttempt(
                 AttemptResult.FAILED, Step.END, name, f"status {head.status}", head, body
@@ -230,7 +230,6 @@
         entry: UpstreamEntry,
         stream: UpstreamStream,
         head: ResponseHead,
-        fields: UpstreamFields,
     ) -> UpstreamAttempt:
         """Relay the events of a streamed response as they arrive.
 
@@ -238,9 +237,6 @@
         :raises TimeoutError: if no whole event comes in time
         """
         name = entry.record.id
-        if not fields.signed:
-            stream.abort()
-            return UpstreamAttempt(AttemptResult.BROKEN, Step.HEAD, name, "unsigned stream")
         splitter = exchange.splitter
         splitter.discard_partial_event()
         max_event_gap = max(
@@ -308,5 +304,5 @@
             self.crash_detector.note_crashed(entry, "another upstream has its address")
         elif attempt.result is AttemptResult.TIMED_OUT:
             entry.note_response(True)
-        elif attempt.result is not AttemptResult.REFUSED:
+        elif attempt.result not in (AttemptResult.REFUSED, AttemptResult.DOUBTFUL):
             entry.note_response(attempt.result is AttemptResult.FAILED)
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -33,6 +33,7 @@
     :ivar crashed_at: event-loop time in seconds at which it was found to have crashed, else None
     :ivar probe_task: task that checks whether it still accepts connections
     :ivar isolated_requests: requests of this daemon there that must run isolated
+    :ivar names_refused_requests: whether all its refusals so far named their request
     """
 
     def __init__(self, record: Upstream, first_seen_at: float = 0.0) -> None:
@@ -50,6 +51,7 @@
         self.crashed_at: float | None = None
         self.probe_task: asyncio.Task | None = None
         self.isolated_requests = 0
+        self.names_refused_requests = True
         self.cold_limiter: ColdRateLimiter | None = None
 
     @property
--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -124,7 +124,8 @@
 class UpstreamFields(NamedTuple):
     """Fields of an upstream's response.
 
-    :ivar request_id: id of the request that it responds to, empty if not stated
+    :ivar request_ids: ids of the requests that it responds to, more than one if it contradicts
+        itself
     :ivar not_run: whether the request was not run and will not be
     :ivar signed: whether the response has the upstream's signature field
     :ivar load: load of the upstream, None if not stated
@@ -133,9 +134,10 @@
     :ivar closes_connection: whether the upstream closes the connection after the response
     :ivar cold_for: seconds for which the upstream stays cold, None if not stated
     :ivar rate_limit: request rate that the upstream names, None if it names none
+    :ivar upstream: id of the upstream that responds, empty if not stated
     """
 
-    request_id: str
+    request_ids: frozenset[str]
     not_run: bool
     signed: bool
     load: UpstreamLoad | None
@@ -143,6 +145,7 @@
     closes_connection: bool
     cold_for: float | None
     rate_limit: NamedRate | None = None
+    upstream: str = ""
 
 
 def decode_text(value: bytes) -> str:
@@ -242,7 +245,7 @@
     values = {name: decode_text(value) for name, value in headers}
     cold_ms = parse_non_negative_int(values.get(COLD_MS, "").partition(".")[0])
     return UpstreamFields(
-        values.get(REQUEST_ID, ""),
+        frozenset(decode_text(value) for name, value in headers if name == REQUEST_ID) - {""},
         NOT_RUN in values,
         SERVER_STAMP in values,
         decode_load(values.get(SERVER_LOAD, "")),
@@ -250,6 +253,7 @@
         "close" in values.get(b"connection", "").lower(),
         None if cold_ms is None else cold_ms / 1000,
         decode_rate_limit(headers),
+        values.get(UPSTREAM_ID, ""),
     )
 
 
--- /dev/null
+++ b/tests/answer_utils.py
@@ -0,0 +1,312 @@
+"""Fixtures for the answers of upstreams: a daemon whose connections are all in memory."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import h11
+
+from tanagertrail.gateway.channel import Channel
+from tanagertrail.gateway.clock import read_boot_time
+from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.platform.records import decode_configuration, decode_upstream
+from tanagertrail.platform.store import StoredObject
+from tests.gateway_utils import build_config, build_entry, build_settings
+
+OWN_ID = b"@own"  # stands in scripts for the id of the request
+OTHER_ID = b"@other"  # and for that of the request before it on the connection
+DEADLINE_SECONDS = 2.0
+PORTS = dict.fromkeys(("front", "ready", "directory", "internal", "store", "cloud"), 1)
+
+
+class Step(NamedTuple):
+    """A part of what an upstream does with a request.
+
+    :ivar data: bytes that it sends, None to end the connection
+    :ivar delay: seconds before
+    """
+
+    data: bytes | None
+    delay: float = 0.0
+
+
+class Script(NamedTuple):
+    """What an upstream does with a request.
+
+    :ivar runs: whether it runs the request
+    :ivar after: what it sends once the connection has been idle for a moment
+    """
+
+    steps: tuple[Step, ...]
+    runs: bool = True
+
+
+class Reply(NamedTuple):
+    """What a caller got; ``whole`` is false if the answer has no proper end."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    whole: bool
+
+
+def build_answer(
+    body: bytes = b"own answer",
+    status: int = 200,
+    request_id: bytes | None = OWN_ID,
+    signed: bool = True,
+    headers: Iterable[bytes] = (),
+) -> bytes:
+    """Return an answer with a length; a request id of None is left out."""
+    lines = [b"HTTP/1.1 %d Status" % status, b"content-length: %d" % len(body), *headers]
+    if request_id is not None:
+        lines.append(b"tanagertrail-request-id: " + request_id)
+    if signed:
+        lines.append(b"tanagertrail-server-stamp: stamp." + (request_id or b""))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def build_refusal(request_id: bytes | None = OWN_ID, status: int = 503) -> bytes:
+    """Return a refusal of a request that was not run."""
+    mark = [b"tanagertrail-not-run: 1"]
+    return build_answer(b"full", status, request_id, signed=False, headers=mark)
+
+
+def build_stream_head(*headers: bytes, status: int = 200, request_id: bytes = OWN_ID) -> bytes:
+    """Return the head of a chunked stream of events."""
+    lines = [
+        b"HTTP/1.1 %d Status" % status,
+        b"transfer-encoding: chunked",
+        b"tanagertrail-request-id: " + request_id,
+        b"tanagertrail-server-stamp: stamp." + request_id,
+        *(headers or [b"content-type: text/event-stream"]),
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def build_chunk(data: bytes) -> bytes:
+    """Return a chunk; an empty one ends a stream."""
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+def build_events(first: int, last: int) -> bytes:
+    """Return the events of a stream with these ids, both included."""
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+def build_stream(first: int, last: int, *headers: bytes) -> bytes:
+    """Return a whole stream."""
+    return build_stream_head(*headers) + build_chunk(build_events(first, last)) + build_chunk(b"")
+
+
+class MemoryTransport(asyncio.Transport):
+    """A transport that hands what is written to a function."""
+
+    def __init__(self, channel: Channel, receive: Callable[[bytes], None]) -> None:
+        super().__init__()
+        self.channel = channel
+        self.receive = receive
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        if not self.closed:
+            self.receive(bytes(data))
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        self.close()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            asyncio.get_running_loop().call_soon(self.channel.connection_lost, None)
+
+
+class MemoryConnection:
+    """The upstream's side of a connection, which carries out scripts.
+
+    :ivar request_ids: ids of the requests so far
+    """
+
+    def __init__(self, upstream: "MemoryUpstream") -> None:
+        self.upstream = upstream
+        self.channel = Channel()
+        self.transport = MemoryTransport(self.channel, self.receive)
+        self.channel.transport = self.transport
+        self.received = b""
+        self.request_ids: list[bytes] = []
+        self.tasks: list[asyncio.Task] = []
+
+    def receive(self, data: bytes) -> None:
+        """Read requests, all of which have a length or no body."""
+        self.received += data
+        head, end, rest = self.received.partition(b"\r\n\r\n")
+        if not end:
+            return
+        headers = dict(
+            tuple(part.strip() for part in line.lower().split(b":", 1))
+            for line in head.split(b"\r\n")[1:]
+        )
+        length = int(headers.get(b"content-length", b"0"))
+        if len(rest) < length:
+            return
+        self.received = rest[length:]
+        self.request_ids.append(headers.get(b"tanagertrail-request-id", b""))
+        script = self.upstream.take_script(headers)
+        self.tasks.append(asyncio.create_task(self.carry_out(script, self.request_ids[-1])))
+
+    async def carry_out(self, script: Script, own_id: bytes) -> None:
+        """Send what a script says."""
+        earlier = [name for name in self.request_ids if name != own_id]
+        other_id = earlier[-1] if earlier else b"other"
+        for step in script.steps:
+            await asyncio.sleep(step.delay)
+            if self.transport.closed:
+                return
+            if step.data is None:
+                self.transport.close()
+                return
+            self.channel.data_received(
+                step.data.replace(OWN_ID, own_id).replace(OTHER_ID, other_id)
+            )
+
+
+class MemoryUpstream:
+    """An upstream whose next requests are treated as scripts say, further ones well.
+
+    :ivar runs: ids of the requests that it ran
+    :ivar arrivals: headers of the requests that reached it
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.scripts: list[Script] = []
+        self.runs: list[bytes] = []
+        self.arrivals: list[dict[bytes, bytes]] = []
+        self.connections: list[MemoryConnection] = []
+
+    def add(self, *data: bytes | None, runs: bool = True) -> None:
+        """Add a script of steps without delays."""
+        self.scripts.append(Script(tuple(Step(part) for part in data), runs))
+
+    def take_script(self, headers: dict[bytes, bytes]) -> Script:
+        """Return what to do with a request and note it."""
+        self.arrivals.append(headers)
+        script = self.scripts.pop(0) if self.scripts else Script((Step(build_answer()),))
+        if script.runs:
+            self.runs.append(headers.get(b"tanagertrail-request-id", b""))
+        return script
+
+    def connect(self) -> UpstreamStream:
+        """Return the daemon's side of a new connection."""
+        connection = MemoryConnection(self)
+        self.connections.append(connection)
+        return UpstreamStream(connection.channel)
+
+
+class MemoryWorld:
+    """A daemon with upstreams and callers in memory.
+
+    :ivar defects: defects that the daemon logged
+    """
+
+    def __init__(self, upstreams: int = 1, **changes: Any) -> None:
+        self.node = GatewayNode(build_settings(PORTS))
+        self.defects: list[dict[str, Any]] = []
+        write = self.node.log.write
+        self.node.log.write = lambda event, **fields: (
+            self.defects.append(fields) if event == "defect" else write(event, **fields)
+        )
+        self.numbers = itertools.count(1)
+        self.upstreams = {f"up-{letter}": MemoryUpstream(f"up-{letter}") for letter in "abc"}
+        self.upstreams = dict(itertools.islice(self.upstreams.items(), upstreams))
+        self.node.pools.open = self.open
+        view = self.node.cluster_view
+        view.apply_config(decode_configuration(build_config(**changes)))
+        view.config_confirmed_at = read_boot_time()
+        view.upstreams_known = view.evacuated_known = view.rollouts_known = True
+        view.limits_known = True
+        for number, name in enumerate(self.upstreams):
+            entry = build_entry(1000 + number, "north")
+            item = StoredObject(name, 1, 1, entry, None)
+            view.upstreams.put(decode_upstream(item), asyncio.get_running_loop().time())
+
+    async def open(self, address: str, timeout: float = 0.0) -> UpstreamStream:
+        """Open a connection to an upstream."""
+        names = list(self.upstreams)
+        return self.upstreams[names[int(address.rpartition(":")[2]) - 1000]].connect()
+
+    def prefer(self, name: str) -> None:
+        """Make the daemon choose an upstream first."""
+        for entry in self.node.cluster_view.upstreams.entries.values():
+            entry.in_flight_elsewhere = 0 if entry.record.id == name else 4
+
+    async def fetch(self, path: str, body: bytes = b"", **changes: str | None) -> Reply:
+        """Send a request as a caller would and return the answer.
+
+        :param changes: further headers; ``request_id=None`` leaves the id out
+        """
+        request_id = changes.pop("request_id", f"r{next(self.numbers)}")
+        headers = {
+            "host": "desk.example",
+            "tanagertrail-deadline-ms": str(int(DEADLINE_SECONDS * 1000)),
+            "api-key": "key-guild",
+        }
+        headers |= {name.replace("_", "-"): value for name, value in changes.items()}
+        if request_id is not None:
+            headers["tanagertrail-request-id"] = request_id
+        if body:
+            headers["content-length"] = str(len(body))
+        method = "POST" if body else "GET"
+        lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        received: list[bytes] = []
+        channel = Channel()
+        channel.transport = MemoryTransport(channel, received.append)
+        self.node.http_server.accept(channel)
+        channel.data_received("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return await self.read(channel, received, method)
+
+    async def read(self, channel: Channel, received: list[bytes], method: str) -> Reply:
+        """Read an answer until it is whole or the daemon ends the connection."""
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method=method, target="/", headers=[("host", "x")]))
+        parser.send(h11.EndOfMessage())
+        head, parts, whole = None, [], False
+        fed = 0
+        while not whole:
+            if fed == len(received):
+                if channel.transport.closed:
+                    break
+                await asyncio.sleep(0.001)
+                continue
+            parser.receive_data(b"".join(received[fed:]))
+            fed = len(received)
+            while (event := parser.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                if isinstance(event, h11.Response):
+                    head = event
+                elif isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    whole = True
+                    break
+        await asyncio.sleep(0.01)
+        assert len(received) == fed, "bytes follow a whole answer"
+        channel.transport.abort()
+        if head is None:
+            return Reply(0, {}, b"", False)
+        return Reply(head.status_code, dict(head.headers), b"".join(parts), whole)
+
+    @property
+    def runs(self) -> list[bytes]:
+        """Ids of the requests that upstreams ran."""
+        return [name for upstream in self.upstreams.values() for name in upstream.runs]
