Continue a broken stream only with events of the same kind

Callers saw, after a stream had begun and broke off at one upstream: a stream that ended as if it were complete when the next upstream answered 200 or 204 without an event, and events of an answer of another type, status or encoding. After a 302 or 404 of the next upstream the daemon tried to send a new head; only h11's state stopped that, as a defect with an exception.

Cause: a 2xx answer was read as the rest of the stream whatever it said of itself, and an answer below 500 was delivered without a look at whether the response had begun. Class: trusted beyond what it proves.

Change: an exchange keeps the head with which its stream has begun. Only an answer with the same status, media type and encoding continues it, and only if it brings at least one event beyond the last one forwarded. Any other complete answer is a failure of that upstream. The route's attempts, retry budget and crash rules decide as before whether a third one continues; else the connection is aborted without a terminating chunk.

The price: an upstream that broke off after its last event, before the end, now leaves a stream that is shown as broken if the next one answers without an event.

--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -71,6 +71,7 @@
     :ivar part_keys: hashes of the prompt's parts that other requests may have too
     :ivar sent_at: event-loop time in seconds at which the last attempt began
     :ivar splitter: parser of a streamed response, kept over the attempts so that it can resume
+    :ivar begun_head: head of the streamed response that the caller is being sent, None before
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
     """
 
@@ -99,6 +100,7 @@
         self.fingerprint = fingerprint
         self.part_keys = part_keys
         self.splitter = EventSplitter(fields.last_event_id)
+        self.begun_head: ResponseHead | None = None
         self.first_byte_at: float | None = None
         self.sent_at = now
 
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -72,6 +72,13 @@
         names = {name for name, _ in self.headers}
         return b"content-length" in names or b"transfer-encoding" in names
 
+    @property
+    def representation(self) -> tuple[int, bytes, bytes]:
+        """Status, media type and encoding, which all parts of one response share."""
+        fields = dict(self.headers)
+        media_type = fields.get(b"content-type", b"").partition(b";")[0].strip().lower()
+        return self.status, media_type, fields.get(b"content-encoding", b"").strip().lower()
+
 
 class CallerStream:
     """The server side of a caller's connection.
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -208,9 +208,12 @@
     def handle_result(
         self, exchange: Exchange, entry: UpstreamEntry, head: ResponseHead, body: bytes
     ) -> UpstreamAttempt:
-        """Relay a complete response if it is a success, else classify it."""
+        """Relay a complete response if it is a success, else classify it.
+
+        Within a stream that has begun, any complete response is a failure.
+        """
         name = entry.record.id
-        if head.status >= 500:
+        if head.status >= 500 or exchange.begun_head is not None:
             return UpstreamAttempt(
                 AttemptResult.FAILED, Step.END, name, f"status {head.status}", head, body
             )
@@ -233,12 +236,17 @@
     ) -> UpstreamAttempt:
         """Relay the events of a streamed response as they arrive.
 
-        :raises UpstreamProtocolError: if the stream contains malformed events
+        :raises UpstreamProtocolError: if the stream contains malformed events, or does not continue
+            the one that has begun
         :raises TimeoutError: if no whole event comes in time
         """
         name = entry.record.id
+        begun = exchange.begun_head
+        if begun is not None and head.representation != begun.representation:
+            raise UpstreamProtocolError(f"{head.representation} cannot continue the stream")
         splitter = exchange.splitter
         splitter.discard_partial_event()
+        events_before = splitter.events
         max_event_gap = max(
             EVENT_GAP_FACTOR * exchange.route.event_gap_objective, MIN_EVENT_GAP_SECONDS
         )
@@ -266,7 +274,9 @@
             return UpstreamAttempt(
                 AttemptResult.BROKEN, Step.STREAM, name, "the stream ended within an event"
             )
-        if not exchange.stream.response_started:
+        if begun is not None and splitter.events == events_before:
+            raise UpstreamProtocolError("no event continues the stream")
+        if exchange.begun_head is None:
             await self.forward_events(exchange, head, b"")
         exchange.stream.finish_response()
         return UpstreamAttempt(
@@ -282,9 +292,10 @@
 
         :raises CallerGoneError: if the caller has closed its connection
         """
-        if exchange.stream.response_started:
+        if exchange.begun_head is not None:
             exchange.stream.send_chunk(data)
         else:
+            exchange.begun_head = head
             exchange.first_byte_at = asyncio.get_running_loop().time()
             headers = build_response_headers(head.headers)
             exchange.stream.start_chunked_response(head.status, headers, data)
--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -11,6 +11,7 @@
 from tanagertrail.gateway.clock import read_boot_time
 from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.records import decode_configuration, decode_upstream
 from tanagertrail.platform.store import StoredObject
 from tests.gateway_utils import build_config, build_entry, build_settings
@@ -36,7 +37,6 @@
     """What an upstream does with a request.
 
     :ivar runs: whether it runs the request
-    :ivar after: what it sends once the connection has been idle for a moment
     """
 
     steps: tuple[Step, ...]
@@ -231,6 +231,7 @@
         self.upstreams = {f"up-{letter}": MemoryUpstream(f"up-{letter}") for letter in "abc"}
         self.upstreams = dict(itertools.islice(self.upstreams.items(), upstreams))
         self.node.pools.open = self.open
+        self.node.crash_detector.probe_connection = self.accept_probe
         view = self.node.cluster_view
         view.apply_config(decode_configuration(build_config(**changes)))
         view.config_confirmed_at = read_boot_time()
@@ -246,6 +247,9 @@
         names = list(self.upstreams)
         return self.upstreams[names[int(address.rpartition(":")[2]) - 1000]].connect()
 
+    async def accept_probe(self, entry: UpstreamEntry) -> None:
+        """Find an upstream alive."""
+
     def prefer(self, name: str) -> None:
         """Make the daemon choose an upstream first."""
         for entry in self.node.cluster_view.upstreams.entries.values():
