--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -234,7 +234,7 @@
     if priority is not None:
         result.append((PRIORITY, str(priority).encode()))
     if last_event_id is not None:
-        result.append((LAST_EVENT_ID, last_event_id.encode()))
+        result.append((LAST_EVENT_ID, last_event_id.encode("latin-1")))
     if body_length is not None:
         result.append((b"content-length", str(body_length).encode()))
     return result
--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -277,7 +277,7 @@
         channel = Channel()
         channel.transport = MemoryTransport(channel, received.append)
         self.node.http_server.accept(channel)
-        channel.data_received("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        channel.data_received("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
         return await self.read(channel, received, method)
 
     async def read(self, channel: Channel, received: list[bytes], method: str) -> Reply:
