Read odd header numbers as not stated instead of ending the request

Callers saw: a request that ended without an answer, if it or the upstream's answer stated a number of thousands of digits (deadline, token counts, parts of the prompt, cold time, load), or a superscript digit as keep-alive timeout. The upstream had run the request in the second case.

Cause: int() refuses over 4,300 digits, float() refuses digits that are no decimal numbers, and the division to seconds overflows from some 310 digits on; nobody caught these. Class: trusted beyond what it proves.

Change: one parser for such numbers, which takes at most 15 ASCII digits; anything else counts as not stated, as malformed values did before.

--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -42,6 +42,7 @@
 MAX_SHARED_PARTS = 32  # of one request, since callers choose how many they state
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 MAX_LOGGED_VALUE_LENGTH = 40
+MAX_NUMBER_DIGITS = 15  # larger numbers are no counts or milliseconds, and may not fit a float
 
 # Fields that apply to one connection, or to the framing of the body, which the gateway does anew.
 HOP_BY_HOP_FIELDS = frozenset(
@@ -154,8 +155,10 @@
 
 
 def parse_non_negative_int(value: str) -> int | None:
-    """Parse a non-negative integer; return None for anything else."""
-    return int(value) if value.isascii() and value.isdigit() else None
+    """Parse a non-negative integer; return None for anything else and for too many digits."""
+    if len(value) > MAX_NUMBER_DIGITS or not (value.isascii() and value.isdigit()):
+        return None
+    return int(value)
 
 
 def decode_caller_fields(headers: Headers) -> CallerFields:
@@ -193,9 +196,10 @@
         return None
     parts = []
     for entry in values.get(PROMPT_PREFIX, "").split(","):
-        name, _, tokens = entry.strip().rpartition(":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(name, int(tokens)))
+        name, _, count = entry.strip().rpartition(":")
+        tokens = parse_non_negative_int(count)
+        if name and tokens is not None:
+            parts.append(PromptPart(name, tokens))
     length_hint = parse_non_negative_int(values.get(LENGTH_HINT, ""))
     return PromptShape(
         values.get(MODEL, ""), token_counts[0], token_counts[1], length_hint, tuple(parts)
@@ -291,8 +295,9 @@
     """Decode the ``timeout`` parameter of a Keep-Alive field, in seconds."""
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.strip().isdigit():
-            return float(number)
+        if name.lower() == "timeout":
+            seconds = parse_non_negative_int(number.strip())
+            return None if seconds is None else float(seconds)
     return None
 
 
