--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -42,6 +42,7 @@
 MAX_SHARED_PARTS = 32  # of one request, since callers choose how many they state
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 MAX_LOGGED_VALUE_LENGTH = 40
+MAX_NUMBER_DIGITS = 15  # larger numbers are no counts or milliseconds, and may not fit a float
 
 # Fields that apply to one connection, or to the framing of the body, which the gateway does anew.
 HOP_BY_HOP_FIELDS = frozenset(
@@ -124,7 +125,8 @@
 class UpstreamFields(NamedTuple):
     """Fields of an upstream's response.
 
-    :ivar request_id: id of the request that it responds to, empty if not stated
+    :ivar request_ids: ids of the requests that it responds to, more than one if it contradicts
+        itself
     :ivar not_run: whether the request was not run and will not be
     :ivar signed: whether the response has the upstream's signature field
     :ivar load: load of the upstream, None if not stated
@@ -133,9 +135,10 @@
     :ivar closes_connection: whether the upstream closes the connection after the response
     :ivar cold_for: seconds for which the upstream stays cold, None if not stated
     :ivar rate_limit: request rate that the upstream names, None if it names none
+    :ivar upstream: id of the upstream that responds, empty if not stated
     """
 
-    request_id: str
+    request_ids: frozenset[str]
     not_run: bool
     signed: bool
     load: UpstreamLoad | None
@@ -143,6 +146,7 @@
     closes_connection: bool
     cold_for: float | None
     rate_limit: NamedRate | None = None
+    upstream: str = ""
 
 
 def decode_text(value: bytes) -> str:
@@ -151,8 +155,10 @@
 
 
 def parse_non_negative_int(value: str) -> int | None:
-    """Parse a non-negative integer; return None for anything else."""
-    return int(value) if value.isascii() and value.isdigit() else None
+    """Parse a non-negative integer; return None for anything else and for too many digits."""
+    if len(value) > MAX_NUMBER_DIGITS or not (value.isascii() and value.isdigit()):
+        return None
+    return int(value)
 
 
 def decode_caller_fields(headers: Headers) -> CallerFields:
@@ -190,9 +196,10 @@
         return None
     parts = []
     for entry in values.get(PROMPT_PREFIX, "").split(","):
-        name, _, tokens = entry.strip().rpartition(":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(name, int(tokens)))
+        name, _, count = entry.strip().rpartition(":")
+        tokens = parse_non_negative_int(count)
+        if name and tokens is not None:
+            parts.append(PromptPart(name, tokens))
     length_hint = parse_non_negative_int(values.get(LENGTH_HINT, ""))
     return PromptShape(
         values.get(MODEL, ""), token_counts[0], token_counts[1], length_hint, tuple(parts)
@@ -231,7 +238,7 @@
     if priority is not None:
         result.append((PRIORITY, str(priority).encode()))
     if last_event_id is not None:
-        result.append((LAST_EVENT_ID, last_event_id.encode()))
+        result.append((LAST_EVENT_ID, last_event_id.encode("latin-1")))
     if body_length is not None:
         result.append((b"content-length", str(body_length).encode()))
     return result
@@ -242,7 +249,7 @@
     values = {name: decode_text(value) for name, value in headers}
     cold_ms = parse_non_negative_int(values.get(COLD_MS, "").partition(".")[0])
     return UpstreamFields(
-        values.get(REQUEST_ID, ""),
+        frozenset(decode_text(value) for name, value in headers if name == REQUEST_ID) - {""},
         NOT_RUN in values,
         SERVER_STAMP in values,
         decode_load(values.get(SERVER_LOAD, "")),
@@ -250,6 +257,7 @@
         "close" in values.get(b"connection", "").lower(),
         None if cold_ms is None else cold_ms / 1000,
         decode_rate_limit(headers),
+        values.get(UPSTREAM_ID, ""),
     )
 
 
@@ -287,8 +295,9 @@
     """Decode the ``timeout`` parameter of a Keep-Alive field, in seconds."""
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.strip().isdigit():
-            return float(number)
+        if name.lower() == "timeout":
+            seconds = parse_non_negative_int(number.strip())
+            return None if seconds is None else float(seconds)
     return None
 
 
