Let keep-alive counts decide when a peer is dead

Cause: TCP_USER_TIMEOUT was 3 s on every connection. Where it is set, Linux takes it for keep-alive as well, whatever the number of probes, so the intended 2 + 3 x 1 s was never reached: one lost probe after 2 s of silence broke a sound connection. It also bounds how long a peer may leave data unread (zero window), so an upstream that answers before it has read a long body, or a caller that pauses, was reset after 3 s.

Change: the limits are named by side. Upstreams: probes from 1 s on, four of them, no user timeout, since the request's deadline bounds unread data. Callers: 10 s for both, as nothing else ends a stream to a caller that vanished. Daemons: 5 s for both, as was meant.

Sound and unchanged: platform/store.py sets TCP_USER_TIMEOUT to 2 s without keep-alive, so it bounds only unacknowledged bytes of a call, of which the read timeout is 1 s (a waiting watch 2.8 s, whose request is sent at once).

--- a/tanagertrail/gateway/channel.py
+++ b/tanagertrail/gateway/channel.py
@@ -1,22 +1,59 @@
 """An asyncio protocol for TCP connections, with flow control and detection of dead peers."""
 
-__all__ = ["Channel", "open_channel", "set_socket_options"]
+__all__ = [
+    "CALLER_LIMITS",
+    "PEER_LIMITS",
+    "UPSTREAM_LIMITS",
+    "Channel",
+    "DeadPeerLimits",
+    "open_channel",
+    "set_socket_options",
+]
 
 import asyncio
 import socket
 from collections.abc import Callable
+from typing import NamedTuple
 
 MAX_BUFFERED_BYTES = 256 * 1024
-USER_TIMEOUT_MS = 3000  # after which unacknowledged data breaks the connection
-KEEPALIVE_IDLE_SECONDS = 2
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 3
+
+
+class DeadPeerLimits(NamedTuple):
+    """When the kernel gives up a peer that acknowledges nothing.
+
+    :ivar idle_seconds: time without traffic before the first keep-alive probe
+    :ivar interval_seconds: time between probes
+    :ivar probes: unanswered probes after which the connection breaks
+    :ivar bounds_unread: whether data that the peer does not take for as long breaks it too
+    """
+
+    idle_seconds: int
+    interval_seconds: int
+    probes: int
+    bounds_unread: bool
+
+    @property
+    def dead_after(self) -> int:
+        """Seconds after which an idle connection to a dead peer breaks."""
+        return self.idle_seconds + self.interval_seconds * self.probes
+
+    @property
+    def user_timeout_ms(self) -> int:
+        """``TCP_USER_TIMEOUT``, which overrides the number of probes unless it is 0."""
+        return self.dead_after * 1000 if self.bounds_unread else 0
+
+
+# A request's deadline bounds how long an upstream may leave it unread.
+UPSTREAM_LIMITS = DeadPeerLimits(1, 1, 4, bounds_unread=False)
+CALLER_LIMITS = DeadPeerLimits(2, 2, 4, bounds_unread=True)
+PEER_LIMITS = DeadPeerLimits(2, 1, 3, bounds_unread=True)
 
 
 class Channel(asyncio.Protocol):
     """A buffered connection.
 
     :ivar on_connected: called once the connection is established
+    :ivar limits: when the peer counts as dead
     :ivar buffer: bytes that were received but not read yet
     :ivar peer_closed: whether the peer sends no more
     :ivar error: why the connection broke, None if it was closed in order
@@ -27,8 +64,13 @@
     :ivar paused: whether reading is paused because the buffer is full
     """
 
-    def __init__(self, on_connected: Callable[["Channel"], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_connected: Callable[["Channel"], None] | None = None,
+        limits: DeadPeerLimits = CALLER_LIMITS,
+    ) -> None:
         self.on_connected = on_connected
+        self.limits = limits
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.peer_closed = False
@@ -44,7 +86,7 @@
         """Store the transport, set socket options and call :attr:`on_connected`."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        set_socket_options(transport.get_extra_info("socket"))
+        set_socket_options(transport.get_extra_info("socket"), self.limits)
         if self.on_connected is not None:
             self.on_connected(self)
 
@@ -137,18 +179,18 @@
             self.transport.abort()
 
 
-def set_socket_options(sock: socket.socket) -> None:
+def set_socket_options(sock: socket.socket, limits: DeadPeerLimits) -> None:
     """Disable Nagle's algorithm, and make the kernel detect a dead peer within seconds."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, limits.idle_seconds)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, limits.interval_seconds)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, limits.probes)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limits.user_timeout_ms)
 
 
 async def open_channel(host: str, port: int, timeout: float) -> Channel:
-    """Open a connection.
+    """Open a connection to an upstream.
 
     :param timeout: seconds
     :raises OSError: if the connection cannot be made
@@ -156,5 +198,7 @@
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout):
-        _, channel = await loop.create_connection(Channel, host, port)
+        _, channel = await loop.create_connection(
+            lambda: Channel(limits=UPSTREAM_LIMITS), host, port
+        )
     return channel
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -10,7 +10,7 @@
 from tanagertrail.daemons.frames import encode_frame, read_frame
 from tanagertrail.daemons.peer_messages import PeerAck, PeerRequest, PeerResponse, PeerUpdate
 from tanagertrail.errors import FrameError
-from tanagertrail.gateway.channel import set_socket_options
+from tanagertrail.gateway.channel import PEER_LIMITS, set_socket_options
 from tanagertrail.gateway.clock import BootClock
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.members import MemberTable
@@ -57,7 +57,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve requests on one connection until it ends."""
-        set_socket_options(writer.get_extra_info("socket"))
+        set_socket_options(writer.get_extra_info("socket"), PEER_LIMITS)
         self.writers.add(writer)
         try:
             while True:
@@ -121,7 +121,7 @@
         self.close()
         host, _, port = self.address.rpartition(":")
         self.reader, self.writer = await asyncio.open_connection(host, int(port))
-        set_socket_options(self.writer.get_extra_info("socket"))
+        set_socket_options(self.writer.get_extra_info("socket"), PEER_LIMITS)
 
     def close(self) -> None:
         """Close the connection."""
