Decide in one place when a silent upstream is given up

What callers saw: streams that may not be resumed were cut 1.0 s after the last event of a sound upstream; resumable ones were begun again elsewhere, and safe requests and resumable streams were broken off with time left.

Cause: three places read silence as an end, each from its own clock. relay_events ended a stream after three times the pause objective or 1 s. The dispatcher gave the first byte half of the time left. Both gave up first and asked for a free upstream and the retry budget afterwards, so an empty budget turned a pause into a failure. Time in which the daemon itself was suspended counted as the upstream's silence.

Change: policy/silence.py judges, gateway/silence_watch.py collects what is known and interrupts. A request that may run once is waited for up to its deadline, unless a later start of the same id proves that its process has ended. A safe request or resumable stream moves on after 0.8 of what its callers wait (2 s, 4 x objective, 8 x pause objective), at most 2.4 s once begun and nothing else is heard of the upstream; after half of the time left if it answers others but not yet this one; after 1.25 s if its host acknowledges nothing (TCP_INFO: unanswered keep-alive probes or retransmissions) or it is no longer registered. It moves only once another upstream is free and the budget is charged; else it is kept and judged again. New requests pass over an upstream found silent for 4 s or until it is heard. Bytes without the end of an event are bounded apart (2 s of arriving), pauses between them are silence. The judgement takes an input for a daemon that is cut off from all upstreams, which nothing sets yet.

No probe is sent: the connection's own keep-alive shows whether the host lives, answers to other requests show whether the process does. A connect or a health check costs a connection or a slot, and a frozen process accepts connections as well.

Stand-ins pause before and within answers, stall, freeze and vanish (a BPF filter drops what arrives, so nothing is acknowledged).

--- a/tanagertrail/gateway/channel.py
+++ b/tanagertrail/gateway/channel.py
@@ -55,6 +55,7 @@
     :ivar on_connected: called once the connection is established
     :ivar limits: when the peer counts as dead
     :ivar buffer: bytes that were received but not read yet
+    :ivar received_bytes: number of bytes received so far
     :ivar peer_closed: whether the peer sends no more
     :ivar error: why the connection broke, None if it was closed in order
     :ivar disconnected: set once the connection is lost
@@ -73,6 +74,7 @@
         self.limits = limits
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
+        self.received_bytes = 0
         self.peer_closed = False
         self.error: Exception | None = None
         self.disconnected = asyncio.Event()
@@ -93,6 +95,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffer bytes, and pause reading if there are too many."""
         self.buffer += data
+        self.received_bytes += len(data)
         self.data_available.set()
         if len(self.buffer) > MAX_BUFFERED_BYTES and not self.paused:
             self.paused = True
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
+from tanagertrail.gateway.silence_watch import SilenceMonitor, SilenceWatch
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.trials import RolloutTrials
 from tanagertrail.gateway.upstream_selector import UpstreamSelector
@@ -25,7 +26,6 @@
 
 DEADLINE_MARGIN_SECONDS = 0.05  # kept back for the response to the caller
 MAX_CONNECT_ATTEMPTS = 4  # attempts after which another unreachable upstream ends the request
-FIRST_ATTEMPT_SHARE = 0.5  # of the remaining time, for the first byte if a retry is possible
 
 
 class Dispatcher:
@@ -57,6 +57,7 @@
         self.selector = UpstreamSelector(
             cluster_view, members, self.trials, sender.rate_limits, rng, placement
         )
+        self.silences = SilenceMonitor(log, self.may_resend, self.claim_resend)
         self.retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.in_flight = 0
         self.prompt_tokens_sent: Counter[str] = Counter()
@@ -107,7 +108,7 @@
             entry.isolated_requests += int(isolated)
             try:
                 attempt = await self.sender.send_attempt(
-                    exchange, entry, self.compute_first_byte_timeout(exchange, entry)
+                    exchange, entry, SilenceWatch(exchange, entry, self.silences)
                 )
             finally:
                 entry.isolated_requests -= int(isolated)
@@ -124,20 +125,36 @@
                 break
         self.finish_failed(exchange)
 
-    def compute_first_byte_timeout(self, exchange: Exchange, entry: UpstreamEntry) -> float:
-        """Return the seconds to wait for the first byte, leaving time for a retry if possible."""
-        left = max(exchange.time_left - DEADLINE_MARGIN_SECONDS, 0.0)
-        is_retryable = (
-            exchange.route.idempotent and exchange.sent_count + 1 < exchange.route.attempts
+    def may_resend(self, exchange: Exchange) -> bool:
+        """Return whether another upstream may get a request that this one may be running."""
+        return (
+            exchange.route.idempotent
+            and exchange.sent_count + 1 < exchange.route.attempts
+            and self.may_run_again(exchange)
         )
-        if is_retryable and self.selector.has_idle_alternative(exchange, entry):
-            return left * FIRST_ATTEMPT_SHARE
-        return left
+
+    def claim_resend(self, exchange: Exchange, entry: UpstreamEntry, must_be_idle: bool) -> bool:
+        """Charge a resend to the retry budget while the first attempt still lasts.
+
+        The attempt may be given up only then, since it would be the last one otherwise.
+
+        :param must_be_idle: whether only a lightly loaded upstream may get the request
+        :returns: whether another upstream may get it now
+        """
+        if not self.may_resend(exchange):
+            return False
+        if not self.selector.has_alternative(exchange, entry, must_be_idle):
+            return False
+        exchange.resend_claimed = self.spend_retry(exchange.service)
+        return exchange.resend_claimed
 
     def may_retry(self, exchange: Exchange, attempt: UpstreamAttempt) -> bool:
         """Return whether another attempt is allowed, and charge it to the retry budget."""
         if exchange.time_left <= DEADLINE_MARGIN_SECONDS:
             return False
+        if exchange.resend_claimed:
+            exchange.resend_claimed = False
+            return True
         if not attempt.proves_not_run and not exchange.route.idempotent:
             return False
         if exchange.sent_count >= exchange.route.attempts:
@@ -151,7 +168,11 @@
             and exchange.time_left < exchange.route.latency_objective / 2
         ):
             return False
-        return self.get_retry_budget(exchange.service).spend(self.members.count(), self.now())
+        return self.spend_retry(exchange.service)
+
+    def spend_retry(self, service: str) -> bool:
+        """Take a retry from the budget of a service; return whether one was available."""
+        return self.get_retry_budget(service).spend(self.members.count(), self.now())
 
     def may_risk_another_crash(self, exchange: Exchange) -> bool:
         """Return whether another upstream may get the request although it may crash it.
@@ -159,12 +180,21 @@
         A request that must run isolated is not retried by the gateway once an attempt may have
         run it; its caller has to send it again.
         """
-        fingerprint, parts = exchange.fingerprint, exchange.part_keys
-        if self.suspects.judge(fingerprint) is Verdict.QUARANTINED:
-            return False
-        if self.suspects.find_part_quarantine(parts) is not None:
+        if self.is_quarantined(exchange):
             return False
-        return exchange.known_not_run or self.suspects.may_send_again(fingerprint, parts)
+        return exchange.known_not_run or self.may_run_again(exchange)
+
+    def is_quarantined(self, exchange: Exchange) -> bool:
+        """Return whether no upstream may get a request, because it crashes them."""
+        if self.suspects.judge(exchange.fingerprint) is Verdict.QUARANTINED:
+            return True
+        return self.suspects.find_part_quarantine(exchange.part_keys) is not None
+
+    def may_run_again(self, exchange: Exchange) -> bool:
+        """Return whether a request that may have crashed an upstream may be sent to another."""
+        return not self.is_quarantined(exchange) and self.suspects.may_send_again(
+            exchange.fingerprint, exchange.part_keys
+        )
 
     def get_retry_budget(self, service: str) -> WindowedRetryBudget:
         """Return the retry budget of a service."""
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -70,6 +70,7 @@
     :ivar part_keys: hashes of the prompt's parts that other requests may have too
     :ivar sent_at: event-loop time in seconds at which the last attempt began
     :ivar splitter: parser of a streamed response, kept over the attempts so that it can resume
+    :ivar resend_claimed: whether the retry budget has a place for the next attempt
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
     """
 
@@ -98,6 +99,7 @@
         self.fingerprint = fingerprint
         self.part_keys = part_keys
         self.splitter = EventSplitter(fields.last_event_id)
+        self.resend_claimed = False
         self.first_byte_at: float | None = None
         self.sent_at = now
 
--- a/tanagertrail/gateway/exporter.py
+++ b/tanagertrail/gateway/exporter.py
@@ -47,6 +47,12 @@
             ("service", "result"),
             metrics.attempts,
         )
+        yield build_counter(
+            "silences",
+            "Silent attempts at upstreams by service and what became of them",
+            ("service", "outcome"),
+            metrics.silences,
+        )
         yield build_histogram(
             "first_byte_seconds", "Time to the first byte of an answer", metrics.first_byte
         )
--- a/tanagertrail/gateway/metrics.py
+++ b/tanagertrail/gateway/metrics.py
@@ -45,6 +45,7 @@
     :ivar requests: requests by (route, outcome)
     :ivar refusals: refusals by the gateway itself, by status
     :ivar attempts: attempts at upstreams by (service, result)
+    :ivar silences: silent attempts at upstreams by (service, what became of them)
     :ivar first_byte: latency of the first byte of an answer, by route
     :ivar duration: latency of the end of an answer, by route
     """
@@ -54,6 +55,7 @@
         self.requests: Counter[tuple[str, str]] = Counter()
         self.refusals: Counter[str] = Counter()
         self.attempts: Counter[tuple[str, str]] = Counter()
+        self.silences: Counter[tuple[str, str]] = Counter()
         self.first_byte: dict[str, LatencyHistogram] = {}
         self.duration: dict[str, LatencyHistogram] = {}
 
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -160,7 +160,8 @@
                 self.settings.directory, DirectoryPage(self.list_fronts, lifetime)
             )
         if self.tuning.metrics.port:
-            metrics = self.dispatcher.metrics = GatewayMetrics(lambda: list_gauges(self))
+            metrics = GatewayMetrics(lambda: list_gauges(self))
+            self.dispatcher.metrics = self.dispatcher.silences.metrics = metrics
             address = f"{self.settings.host}:{self.tuning.metrics.port}"
             await self.page_servers.serve_metrics(address, metrics)
         for watch in self.follower.build_watches(self.settings.bounds):
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -77,6 +77,7 @@
         if isolated:
             entries = self.prefer_unlimited(entries)
             return entries[max(entries, key=lambda name: score_pair(exchange.fingerprint, name))]
+        entries = self.prefer_heard(entries, now)
         entries = self.prefer_canary(exchange, entries)
         candidates = [self.build_candidate(entry) for entry in entries.values()]
         candidate = self.choose_candidate(
@@ -93,6 +94,13 @@
         }
         return unlimited or entries
 
+    def prefer_heard(
+        self, entries: dict[str, UpstreamEntry], now: float
+    ) -> dict[str, UpstreamEntry]:
+        """Keep only upstreams that were not found silent, if there are any."""
+        heard = {name: entry for name, entry in entries.items() if now >= entry.silent_until}
+        return heard or entries
+
     def prefer_canary(
         self, exchange: Exchange, entries: dict[str, UpstreamEntry]
     ) -> dict[str, UpstreamEntry]:
@@ -238,14 +246,18 @@
         staying = any(not (entry.gone or entry.record.draining) for entry in entries)
         return service in self.cluster_view.config.services and not staying
 
-    def has_idle_alternative(self, exchange: Exchange, entry: UpstreamEntry) -> bool:
-        """Return whether an untried upstream other than the selected one is lightly loaded."""
+    def has_alternative(self, exchange: Exchange, entry: UpstreamEntry, must_be_idle: bool) -> bool:
+        """Return whether an untried upstream other than the selected one may get the request.
+
+        :param must_be_idle: whether only a lightly loaded one counts
+        """
         now = self.now()
         tried_upstreams = {attempt.upstream for attempt in exchange.attempts}
         return any(
             other is not entry
             and other.record.id not in tried_upstreams
-            and other.running < other.record.slots * SPARE_LOAD_FACTOR
+            and not (must_be_idle and other.running >= other.record.slots * SPARE_LOAD_FACTOR)
+            and now >= other.silent_until
             and self.is_eligible(other, now)
             for other in self.cluster_view.upstreams.iter_service(exchange.service)
         )
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -10,6 +10,7 @@
 from tanagertrail.gateway.http1 import ResponseHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
 from tanagertrail.gateway.rate_limits import RateLimitTable
+from tanagertrail.gateway.silence_watch import SilenceWatch
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
@@ -20,10 +21,9 @@
     build_upstream_headers,
     decode_upstream_fields,
 )
+from tanagertrail.policy.silence import PartialEvent
 
 MISDIRECTED_STATUS = 421
-EVENT_GAP_FACTOR = 3.0  # multiple of the event gap objective after which a stream is given up
-MIN_EVENT_GAP_SECONDS = 1.0
 UNSAFE_REUSE_SECONDS = 0.5  # idle connections older than this get only repeatable requests
 MAX_SKIPPED_RESPONSES = 4  # late responses to other requests that are discarded
 EXECUTED_RESULTS = frozenset({AttemptResult.DELIVERED, AttemptResult.FAILED})
@@ -57,11 +57,11 @@
         self.most_bytes = most_bytes
 
     async def send_attempt(
-        self, exchange: Exchange, entry: UpstreamEntry, first_byte_timeout: float
+        self, exchange: Exchange, entry: UpstreamEntry, watch: SilenceWatch
     ) -> UpstreamAttempt:
         """Send a request to one upstream and relay the response if it is a success.
 
-        :param first_byte_timeout: seconds to wait for the head of the response
+        :param watch: decides how long a silence may last
         :raises CallerGoneError: if the caller has closed its connection
         """
         entry.in_flight += 1
@@ -74,7 +74,7 @@
             pending_attempt = self.crash_detector.start_attempt(
                 exchange.fingerprint, exchange.part_keys
             )
-            attempt = await self.send_and_receive(exchange, entry, stream, first_byte_timeout)
+            attempt = await self.send_and_receive(exchange, entry, stream, watch)
             answered = attempt.result in ANSWERED_RESULTS
             pending_attempt.broken = attempt.result is AttemptResult.BROKEN
         except (OSError, TimeoutError) as error:
@@ -118,32 +118,30 @@
         exchange: Exchange,
         entry: UpstreamEntry,
         stream: UpstreamStream,
-        first_byte_timeout: float,
+        watch: SilenceWatch,
     ) -> UpstreamAttempt:
         """Send the request and handle the response."""
         step = Step.HEAD
         sent_at = self.rate_limits.boot_time()
         try:
             self.send(exchange, entry, stream)
-            async with asyncio.timeout(min(first_byte_timeout, max(exchange.time_left, 0.0))):
+            async with watch.limit(stream.channel):
                 head, fields = await self.read_matching_head(exchange, stream)
-            stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
-            self.apply_upstream_fields(entry, fields)
-            if head.status != MISDIRECTED_STATUS and (fields.signed or fields.not_run):
-                self.rate_limits.note_answer(entry, fields, sent_at)
-            if exchange.customer is not None and fields.signed and not fields.not_run:
-                self.usage.note_started(exchange.customer.name)
-            step = Step.STREAM
-            if exchange.route.streamed and 200 <= head.status < 300:
-                return await self.relay_events(exchange, entry, stream, head, fields)
-            async with asyncio.timeout(max(exchange.time_left, 0.0)):
+                watch.note_head()
+                stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
+                self.apply_upstream_fields(entry, fields)
+                if head.status != MISDIRECTED_STATUS and (fields.signed or fields.not_run):
+                    self.rate_limits.note_answer(entry, fields, sent_at)
+                if exchange.customer is not None and fields.signed and not fields.not_run:
+                    self.usage.note_started(exchange.customer.name)
+                step = Step.STREAM
+                if exchange.route.streamed and 200 <= head.status < 300:
+                    return await self.relay_events(exchange, entry, stream, head, fields, watch)
                 body = await stream.read_remaining_body(self.most_bytes)
             return self.handle_complete_response(exchange, entry, head, fields, body)
         except TimeoutError:
             stream.abort()
-            return UpstreamAttempt(
-                AttemptResult.TIMED_OUT, step, entry.record.id, "no answer in time"
-            )
+            return UpstreamAttempt(watch.result, step, entry.record.id, watch.reason)
         except (OSError, UpstreamProtocolError) as error:
             stream.abort()
             return UpstreamAttempt(AttemptResult.BROKEN, step, entry.record.id, repr(error)[:100])
@@ -231,11 +229,11 @@
         stream: UpstreamStream,
         head: ResponseHead,
         fields: UpstreamFields,
+        watch: SilenceWatch,
     ) -> UpstreamAttempt:
         """Relay the events of a streamed response as they arrive.
 
-        :raises UpstreamProtocolError: if the stream contains malformed events
-        :raises TimeoutError: if no whole event comes in time
+        :raises UpstreamProtocolError: if the stream contains malformed or endless events
         """
         name = entry.record.id
         if not fields.signed:
@@ -243,27 +241,15 @@
             return UpstreamAttempt(AttemptResult.BROKEN, Step.HEAD, name, "unsigned stream")
         splitter = exchange.splitter
         splitter.discard_partial_event()
-        max_event_gap = max(
-            EVENT_GAP_FACTOR * exchange.route.event_gap_objective, MIN_EVENT_GAP_SECONDS
-        )
-        # Only complete events extend the timeout, so that an endless event cannot.
-        next_event_due_at = exchange.deadline
-        while True:
-            timeout = min(next_event_due_at - asyncio.get_running_loop().time(), exchange.time_left)
-            try:
-                async with asyncio.timeout(max(timeout, 0.0)):
-                    chunk = await stream.read_body_chunk()
-            except TimeoutError:
-                # The process may have been suspended; process what was received meanwhile.
-                if stream.channel.buffer and exchange.time_left > 0:
-                    continue
-                raise
-            if chunk is None:
-                break
+        partial_event = PartialEvent()
+        while (chunk := await stream.read_body_chunk()) is not None:
             events = splitter.feed(chunk)
             if events:
-                await self.forward_events(exchange, head, events)
-                next_event_due_at = asyncio.get_running_loop().time() + max_event_gap
+                partial_event.clear()
+                with watch.suspended():
+                    await self.forward_events(exchange, head, events)
+            elif partial_event.add_part(asyncio.get_running_loop().time()):
+                raise UpstreamProtocolError("an event takes too long to arrive")
             if splitter.error:
                 raise UpstreamProtocolError(splitter.error)
         if splitter.buffer:
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -3,6 +3,7 @@
 __all__ = ["UpstreamEntry", "UpstreamTable"]
 
 import asyncio
+import math
 from collections.abc import Callable, Collection, Iterator
 
 from tanagertrail.gateway.crash_detector import UnansweredAttempt
@@ -12,6 +13,7 @@
 FAILURE_RATE_WEIGHT = 0.2  # of the newest request in the moving average
 FIRST_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
+SILENT_SECONDS = 4.0  # for which a silent upstream is passed over, unless it is heard before
 OTHER_DAEMONS = ""  # key of the sums over all other daemons
 
 
@@ -28,6 +30,10 @@
     :ivar backoff_until: event-loop time in seconds until which it gets no new requests
     :ivar consecutive_failures: connections in a row that were refused or broke
     :ivar failure_rate: moving average of the share of requests that failed
+    :ivar heard_at: event-loop time in seconds of its last response or event
+    :ivar silent_until: event-loop time in seconds until which it is passed over, unless it is
+        heard before, because it was found silent
+    :ivar replaced: whether its process has ended, since a later one has its id
     :ivar gone: whether it is no longer registered or its address belongs to another upstream
     :ivar unanswered_attempts: failed attempts that no later response has cleared
     :ivar crashed_at: event-loop time in seconds at which it was found to have crashed, else None
@@ -45,6 +51,9 @@
         self.backoff_until = 0.0
         self.consecutive_failures = 0
         self.failure_rate = 0.0
+        self.heard_at = -math.inf
+        self.silent_until = -math.inf
+        self.replaced = False
         self.gone = False
         self.unanswered_attempts: list[UnansweredAttempt] = []
         self.crashed_at: float | None = None
@@ -61,6 +70,15 @@
         """Return whether it may get new requests."""
         return not (self.gone or self.record.draining or now < self.backoff_until)
 
+    def note_heard(self, now: float) -> None:
+        """Record that it has sent a response or an event."""
+        self.heard_at = now
+        self.silent_until = -math.inf
+
+    def note_silent(self, now: float) -> None:
+        """Record that nothing of it was heard for too long."""
+        self.silent_until = now + SILENT_SECONDS
+
     def note_response(self, failed: bool) -> None:
         """Update the failure rate after a response or a timeout, which end a series of failures."""
         self.consecutive_failures = 0
@@ -97,6 +115,7 @@
         """
         entry = self.entries.get(record.id)
         if entry is not None and entry.record.born != record.born:
+            entry.replaced = record.born > entry.record.born > 0
             self.on_registration_ended(entry, "it has started again")
             entry = None
         if entry is None:
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -64,6 +64,69 @@
     await asyncio.sleep(3600)
 
 
+@FAULTS.register("pause_first")
+async def pause_before_answer(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Be silent for a while before the answer."""
+    await asyncio.sleep(upstream.pause)
+    await upstream.run(request, stream)
+
+
+@FAULTS.register("pause_within")
+async def pause_within_answer(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send a part of the answer, be silent for a while, and send the rest."""
+    upstream.begin(request)
+    if not request.path.endswith(STREAM_SUFFIX):
+        body = b"answer of " + upstream.id.encode()
+        length = b"content-length: %d" % len(body)
+        stream.channel.write(build_head(upstream, request, length) + body[:4])
+        await asyncio.sleep(upstream.pause)
+        stream.channel.write(body[4:])
+        stream.close_after = True
+        return
+    last = await upstream.send_events(request, stream, 2)
+    await asyncio.sleep(upstream.pause)
+    await upstream.send_events(request, stream, EVENTS, last)
+    stream.finish_response()
+
+
+@FAULTS.register("stall_within")
+async def stall_within_stream(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send two events and no more, though others are answered."""
+    upstream.begin(request)
+    await upstream.send_events(request, stream, 2)
+    await asyncio.sleep(3600)
+
+
+@FAULTS.register("freeze_within")
+async def freeze_within_stream(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send two events, then stop the whole process while its connections stay open."""
+    upstream.begin(request)
+    last = await upstream.send_events(request, stream, 2)
+    upstream.thawed.clear()
+    await upstream.send_events(request, stream, EVENTS, last)
+    stream.finish_response()
+
+
+@FAULTS.register("vanish_within")
+async def vanish_within_stream(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send two events, then lose power: nothing that arrives is acknowledged."""
+    upstream.begin(request)
+    await upstream.send_events(request, stream, 2)
+    await asyncio.sleep(0.05)  # until the events are acknowledged
+    upstream.vanish()
+    await asyncio.sleep(3600)
+
+
 @FAULTS.register("half_event")
 async def break_within_event(
     upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -9,6 +9,7 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
 from tanagertrail.platform import header_fields
 from tanagertrail.standins.base import BaseStandIn
+from tanagertrail.standins.blackhole import drop_incoming
 from tanagertrail.standins.misbehaviour import EVENTS, FAULTS, STREAM_SUFFIX
 
 
@@ -37,6 +38,8 @@
     :ivar ended: whether it has ended
     :ivar endless_bytes: bytes sent by faults that have no end
     :ivar work: seconds that a plain request takes, and each event of a stream
+    :ivar pause: seconds of silence of the faults that go on afterwards
+    :ivar thawed: cleared while the process is stopped, so that nothing is answered
     :ivar released: set to end the requests that the fault "hold" keeps running
     :ivar named_rate: value of the rate limit that it names in its answers, None for none
     """
@@ -59,11 +62,15 @@
         self.ended = False
         self.endless_bytes = 0
         self.named_rate: str | None = None
+        self.pause = 1.2
+        self.thawed = asyncio.Event()
+        self.thawed.set()
         self.released = asyncio.Event()
         super().__init__(upstream_id)
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
         """Run a request, or misbehave."""
+        await self.thawed.wait()
         table = dict(request.headers)
         request_id = table.get(header_fields.REQUEST_ID, b"").decode()
         self.arrivals.append(request_id)
@@ -112,6 +119,13 @@
             channel.abort()
         self.close()
 
+    def vanish(self) -> None:
+        """Acknowledge nothing any more, as after a loss of power or of the link."""
+        for listening in self.server.server.sockets:
+            drop_incoming(listening)
+        for stream in self.server.streams:
+            drop_incoming(stream.channel.transport.get_extra_info("socket"))
+
     def begin(self, request: CallerRequest) -> None:
         """Note that a request begins to run."""
         table = dict(request.headers)
@@ -153,13 +167,22 @@
         """Answer a plain request."""
         stream.send_response(200, self.sign(request), b"answer of " + self.id.encode())
 
-    async def send_events(self, request: CallerRequest, stream: CallerStream, until: int) -> None:
-        """Send the events of a stream that come after the last one that the caller has."""
-        last = int(dict(request.headers).get(header_fields.LAST_EVENT_ID, b"0"))
+    async def send_events(
+        self, request: CallerRequest, stream: CallerStream, until: int, last: int | None = None
+    ) -> int:
+        """Send the events of a stream up to a number, and return the number of the last one.
+
+        :param last: number of the last event that was sent; without it, the last one that the
+            caller has
+        """
+        if last is None:
+            last = int(dict(request.headers).get(header_fields.LAST_EVENT_ID, b"0"))
         for number in range(last + 1, until + 1):
             await asyncio.sleep(self.work)
+            await self.thawed.wait()
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if stream.response_started:
                 stream.send_chunk(event)
             else:
                 stream.start_chunked_response(200, self.sign(request), event)
+        return max(last, until)
--- a/tests/test_exporter.py
+++ b/tests/test_exporter.py
@@ -21,6 +21,7 @@
     metrics.record_request("look", "refused", 40.0, None)
     metrics.refusals["503"] += 1
     metrics.attempts["desk", "delivered"] += 2
+    metrics.silences["desk", "went on"] += 1
     return metrics
 
 
@@ -31,6 +32,7 @@
         'tanagertrail_requests_total{outcome="refused",route="look"} 1.0',
         'tanagertrail_refusals_total{status="503"} 1.0',
         'tanagertrail_tries_total{result="delivered",service="desk"} 2.0',
+        'tanagertrail_silences_total{outcome="went on",service="desk"} 1.0',
         'tanagertrail_state{name="ready",service="",upstream=""} 1.0',
         'tanagertrail_state{name="upstream_running",service="desk",upstream="up-a"} 5.0',
     ):
