--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -72,6 +72,7 @@
     :ivar sent_at: event-loop time in seconds at which the last attempt began
     :ivar splitter: parser of a streamed response, kept over the attempts so that it can resume
     :ivar begun_head: head of the streamed response that the caller is being sent, None before
+    :ivar resend_claimed: whether the retry budget has a place for the next attempt
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
     """
 
@@ -101,6 +102,7 @@
         self.part_keys = part_keys
         self.splitter = EventSplitter(fields.last_event_id)
         self.begun_head: ResponseHead | None = None
+        self.resend_claimed = False
         self.first_byte_at: float | None = None
         self.sent_at = now
 
