Refuse a registration with values that no connection takes

Callers saw: with one entry among the upstreams whose port is 99999, every request to the daemon ended without an answer. The same held for an id with a line break, which no header field takes.

Cause: the pattern of an address let any five digits pass, also hosts like 999.1.1.1, and ids, durations and counts had no bounds. connect() raises OverflowError for the port and h11 a LocalProtocolError for the id, in the middle of a request; neither is among the errors of an attempt.

Change: tanagertrail.decoding states the bounds on names, addresses, counts and times; registrations and rollout orders are checked against them before use. An entry that breaks one is refused alone, and taken once it is sound.

--- a/tanagertrail/platform/records.py
+++ b/tanagertrail/platform/records.py
@@ -16,10 +16,18 @@
 ]
 
 from collections.abc import Mapping
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from tanagertrail.decoding import (
+    MAX_COUNT,
+    MAX_NAME_LENGTH,
+    MAX_SECONDS,
+    MAX_UNIX_MILLISECONDS,
+    is_address,
+    is_name,
+)
 from tanagertrail.errors import InvalidInputError, Violation
 from tanagertrail.gateway.model import (
     Customer,
@@ -43,12 +51,41 @@
 EVACUATIONS = "evacuations"
 MILLISECONDS = 1000
 DEFAULT_TIMEOUT_MS = 60_000
+MAX_SHOWN = 40  # characters of a value in an error
+
+
+MAX_MILLISECONDS = MAX_SECONDS * MILLISECONDS
+
+
+def check_address(text: str) -> str:
+    """Check that a text is the address and port of one host.
+
+    :raises ValueError: if it is not
+    """
+    if not is_address(text):
+        raise ValueError("must be the IPv4 address and port of one host")
+    return text
+
+
+def check_name(text: str) -> str:
+    """Check that a text can be a name.
+
+    :raises ValueError: if it cannot
+    """
+    if not is_name(text):
+        raise ValueError(f"must be a name of {MAX_NAME_LENGTH} printable characters at most")
+    return text
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+Name = Annotated[str, AfterValidator(check_name)]
+Duration = Annotated[float, Field(ge=0, le=MAX_MILLISECONDS, allow_inf_nan=False)]
 
 
 class Document(BaseModel):
     """Base of the platform's documents; unknown fields are ignored."""
 
-    model_config = ConfigDict(extra="ignore", defer_build=True)
+    model_config = ConfigDict(extra="ignore", defer_build=True, allow_inf_nan=False)
 
 
 class UpstreamDocument(Document):
@@ -58,18 +95,18 @@
     field ``sequence``, which counts orders and is not used.
     """
 
-    model_config = ConfigDict(extra="ignore", strict=True, defer_build=True)
+    model_config = ConfigDict(strict=True)
 
-    service: str = Field(min_length=1)
-    address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
-    zone: str
-    version: str
-    capacity: int = Field(ge=1)
+    service: Name
+    address: Address
+    zone: str = Field(max_length=MAX_NAME_LENGTH)
+    version: str = Field(max_length=MAX_NAME_LENGTH)
+    capacity: int = Field(ge=1, le=MAX_COUNT)
     state: Literal["ready", "draining"]
-    cold_left_ms: float = Field(default=0, ge=0)
-    born: int = 0
+    cold_left_ms: Duration = 0
+    born: int = Field(default=0, ge=0, le=MAX_UNIX_MILLISECONDS)
     spot: bool = False
-    leaves_ms: float | None = None
+    leaves_ms: Duration | None = None
 
 
 class BackendDocument(Document):
@@ -161,9 +198,9 @@
 class RolloutDocument(Document):
     """An order to roll out the version ``target`` of a service."""
 
-    service: str
-    target: str
-    duration_s: float
+    service: Name
+    target: str = Field(max_length=MAX_NAME_LENGTH)
+    duration_s: float = Field(ge=0, le=MAX_SECONDS)
 
 
 def convert_validation_error(error: ValidationError) -> InvalidInputError:
@@ -278,6 +315,8 @@
 
     :raises InvalidInputError: if it is malformed, as other writers may store anything there
     """
+    if not is_name(item.name):
+        raise InvalidInputError([Violation("name", "must be a name", item.name[:MAX_SHOWN])])
     try:
         document = UpstreamDocument.model_validate(item.content)
     except ValidationError as error:
@@ -312,13 +351,19 @@
         document.service,
         document.target,
         document.duration_s,
-        str(report.get("state", "")),
-        str(report.get("target", "")),
+        read_text(report, "state"),
+        read_text(report, "target"),
         item.revision,
         item.created,
     )
 
 
+def read_text(table: Mapping[str, Any], name: str) -> str:
+    """Return a text of a table, empty if it is missing or of another type."""
+    value = table.get(name)
+    return value if isinstance(value, str) else ""
+
+
 def encode_rollout_status(version: str, state: str) -> dict[str, str]:
     """Encode the state of a rollout as the status of its order."""
     return {"state": state, "target": version}
