Check the fields of other daemons' messages and registrations before use

Callers would see: a daemon that no longer follows the others or the store. One registration among the daemons' whose strength was a text ended the exchange with all daemons (the sort of the hub ranking raises TypeError in PeerClient.run), one with a list for its name ended the watch of that kind.

Cause: a registration was turned into a Member, and rows of messages into states, by the number of their fields alone. Types, ages, ports, revisions and finiteness were found out where a value was used, in tasks that don't expect it, or on other daemons, to which it was passed on: an integer above 64 bits makes every frame of the daemon that holds it fail with OverflowError.

Of relayed states, liveness records, store updates and mirrored objects an odd row is passed over alone, logged and counted (peer_row_refused, gauge peer_rows_refused). decode_frame and encode_frame raise FrameError only. The stored lease is checked likewise; one that isn't sound counts as none, as before.

Conclusion: what reaches the exchange and the mirrors has its declared form.

--- a/tanagertrail/daemons/frames.py
+++ b/tanagertrail/daemons/frames.py
@@ -16,10 +16,20 @@
 
 from tanagertrail.daemons import peer_messages
 from tanagertrail.daemons.messages import MESSAGES, Message
+from tanagertrail.daemons.row_checks import find_checker
+from tanagertrail.decoding import is_integer
 from tanagertrail.errors import FrameError
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 2_000_000
+DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    msgpack.UnpackException,
+)
 LENGTH_PREFIX = struct.Struct(">I")
 KIND_BY_TYPE: dict[type, str] = {entry: name for name, entry in MESSAGES.entries.items()}
 
@@ -27,9 +37,12 @@
 def encode_frame(message: Message, stamp: int) -> bytes:
     """Encode a message with the sender's Lamport stamp.
 
-    :raises FrameError: if the frame would be too large
+    :raises FrameError: if the frame would be too large, or a value cannot be encoded
     """
-    body = msgpack.packb([stamp, KIND_BY_TYPE[type(message)], list(message)])
+    try:
+        body = msgpack.packb([stamp, KIND_BY_TYPE[type(message)], list(message)])
+    except (ValueError, TypeError, OverflowError) as error:
+        raise FrameError(f"a message cannot be encoded: {error!r}") from error
     if len(body) > MAX_FRAME_BYTES:
         raise FrameError(f"a frame must be at most {MAX_FRAME_BYTES} bytes, has {len(body)}")
     return LENGTH_PREFIX.pack(len(body)) + body
@@ -44,9 +57,9 @@
         document = msgpack.unpackb(body, use_list=False, strict_map_key=True)
         stamp, kind, fields = document
         message = MESSAGES.get(kind)._make(fields)
-    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+    except DECODE_ERRORS as error:
         raise FrameError(f"malformed frame: {type(error).__name__}") from error
-    if not isinstance(stamp, int):
+    if not is_integer(stamp):
         raise FrameError("the stamp of a frame must be a number")
     check_fields(message)
     return stamp, message
@@ -55,16 +68,11 @@
 def check_fields(message: Message) -> None:
     """Check that the fields of a message have their declared types.
 
-    Fields of other than plain types must be arrays; what is in them isn't checked.
-
     :raises FrameError: if a field has another type
     """
     for name, value in zip(message._fields, message, strict=True):
-        expected = message.__annotations__[name]
-        if expected in (int, str, bytes, bool) and type(value) is not expected:
-            raise FrameError(f"field {name} must be {expected.__name__}")
-        if expected not in (int, str, bytes, bool) and not isinstance(value, tuple):
-            raise FrameError(f"field {name} must be an array")
+        if not find_checker(message.__annotations__[name])(value):
+            raise FrameError(f"field {name} of {type(message).__name__} is malformed")
 
 
 async def read_frame(reader: asyncio.StreamReader) -> tuple[int, Message]:
--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -23,10 +23,26 @@
 import msgpack
 
 from tanagertrail.daemons.messages import MESSAGES
-from tanagertrail.errors import FrameError
+from tanagertrail.decoding import load_json
+from tanagertrail.errors import DecodeError, FrameError
 
 ZLIB_LEVEL = 1  # shrinks packed states to a third; higher levels cost more time than they save
 MAX_UNPACKED_BYTES = 4_000_000
+UNPACK_ERRORS = (
+    zlib.error,
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+    msgpack.UnpackException,
+)
+CountRows = tuple[tuple[str, int], ...]
+QuotaRows = tuple[tuple[str, float, float], ...]
+UsageRows = tuple[tuple[int, CountRows], ...]
+TrialRows = tuple[tuple[str, int, tuple[int, int, int, int]], ...]
+LostRows = tuple[tuple[str, tuple[str, ...], int, int], ...]
+LossRows = tuple[tuple[int, str, str, str, str, LostRows, int], ...]
+LimitRows = tuple[tuple[str, float, float, float, float], ...]
 
 
 def pack_rows(rows: Iterable[tuple]) -> bytes:
@@ -43,9 +59,12 @@
     if not data:
         return ()
     try:
-        return msgpack.unpackb(decompress(data), use_list=False)
-    except (zlib.error, ValueError, msgpack.UnpackException) as error:
+        rows = msgpack.unpackb(decompress(data), use_list=False)
+    except UNPACK_ERRORS as error:
         raise FrameError(f"malformed rows: {type(error).__name__}") from error
+    if not isinstance(rows, tuple):
+        raise FrameError("rows must be an array")
+    return rows
 
 
 def decompress(data: bytes) -> bytes:
@@ -72,8 +91,8 @@
     :raises FrameError: if it is malformed or too long
     """
     try:
-        return json.loads(decompress(data))
-    except (zlib.error, ValueError) as error:
+        return load_json(decompress(data))
+    except (zlib.error, DecodeError) as error:
         raise FrameError(f"malformed document: {type(error).__name__}") from error
 
 
@@ -132,19 +151,19 @@
     strength: int
     serving: bool = False
     lease_fencing: int = 0
-    lease_renewal: tuple = ()
+    lease_renewal: tuple[int, ...] = ()
     store_reachable: bool = False
-    in_flight: tuple = ()
-    quota: tuple = ()
-    usage: tuple = ()
-    trials: tuple = ()
-    prompt_tokens: tuple = ()
+    in_flight: CountRows = ()
+    quota: QuotaRows = ()
+    usage: UsageRows = ()
+    trials: TrialRows = ()
+    prompt_tokens: tuple[tuple[str, float], ...] = ()
     age_ms: int = 0
-    upstream_losses: tuple = ()
-    limits: tuple = ()
-    cleared_parts: tuple = ()
-    suspected_parts: tuple = ()
-    completed: tuple = ()
+    upstream_losses: LossRows = ()
+    limits: LimitRows = ()
+    cleared_parts: CountRows = ()
+    suspected_parts: CountRows = ()
+    completed: CountRows = ()
 
 
 class MirrorUpdate(NamedTuple):
@@ -173,8 +192,8 @@
     """
 
     daemon_count: int
-    in_flight: tuple
-    quota: tuple
+    in_flight: CountRows
+    quota: QuotaRows
 
 
 @MESSAGES.register("peer_question")
@@ -191,7 +210,7 @@
     state: bytes
     from_hub: bool
     to_primary_hub: bool
-    revisions: tuple
+    revisions: CountRows
 
 
 @MESSAGES.register("peer_answer")
@@ -211,7 +230,7 @@
 
     state: bytes
     from_hub: bool
-    revisions: tuple
+    revisions: CountRows
     relayed: bytes
     liveness: bytes
     updates: tuple
@@ -224,7 +243,7 @@
     """Store updates that the receiver is assumed to lack, pushed without the sender's state."""
 
     daemon: str
-    revisions: tuple
+    revisions: CountRows
     updates: tuple
 
 
@@ -232,4 +251,4 @@
 class PeerAck(NamedTuple):
     """The store revisions that the receiver of a :class:`PeerUpdate` has afterwards."""
 
-    revisions: tuple
+    revisions: CountRows
--- a/tanagertrail/decoding.py
+++ b/tanagertrail/decoding.py
@@ -6,6 +6,7 @@
     "MAX_INTEGER",
     "MAX_NAME_LENGTH",
     "MAX_PORT",
+    "MAX_REVISION",
     "MAX_SECONDS",
     "MAX_TEXT_LENGTH",
     "MAX_UNIX_MILLISECONDS",
@@ -13,12 +14,14 @@
     "find_violation",
     "is_address",
     "is_encodable",
+    "is_endpoint",
     "is_integer",
     "is_name",
     "load_json",
     "load_leniently",
 ]
 
+import functools
 import ipaddress
 import json
 import math
@@ -34,13 +37,16 @@
 MAX_INTEGER = 2**64 - 1  # largest that msgpack encodes
 MAX_COUNT = 1_000_000  # requests, tokens or connections of one upstream
 MAX_PORT = 65_535
+MAX_REVISION = 10**18  # with the era of the store
 MAX_SECONDS = 366 * 86_400.0  # of a duration
 MAX_UNIX_MILLISECONDS = 10**14  # of a time of day
+MAX_CACHED_ENDPOINTS = 4096
 MAX_REASON_LENGTH = 120  # characters
 # A string without its end takes the rest, so that the search stays linear.
 TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[\]{},]', re.DOTALL)
 KEY = re.compile(rb'\s*("(?:[^"\\]++|\\.)*+")\s*:', re.DOTALL)
-ADDRESS = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})", re.ASCII)
+NUMERIC_HOST = re.compile(r"[0-9.]+")
+PORT = re.compile(r"[0-9]{1,5}")
 
 
 def is_name(text: str) -> bool:
@@ -50,11 +56,28 @@
 
 def is_address(text: str) -> bool:
     """Return whether a text is the IPv4 address and port of one host."""
-    match = ADDRESS.fullmatch(text)
-    if match is None or not 0 < int(match[2]) <= MAX_PORT:
+    host, _, port = text.rpartition(":")
+    return is_port(port) and is_numeric_host(host)
+
+
+@functools.lru_cache(MAX_CACHED_ENDPOINTS)
+def is_endpoint(text: str) -> bool:
+    """Return whether a text is the address or name of one host, and a port."""
+    host, _, port = text.rpartition(":")
+    if not (is_port(port) and is_name(host)):
         return False
+    return is_numeric_host(host) if NUMERIC_HOST.fullmatch(host) else " " not in host
+
+
+def is_port(text: str) -> bool:
+    """Return whether a text is the number of a port that can be connected to."""
+    return PORT.fullmatch(text) is not None and 0 < int(text) <= MAX_PORT
+
+
+def is_numeric_host(text: str) -> bool:
+    """Return whether a text is the IPv4 address of one host."""
     try:
-        host = ipaddress.IPv4Address(match[1])
+        host = ipaddress.IPv4Address(text)
     except ValueError:
         return False
     return not (host.is_unspecified or host.is_multicast or host.is_reserved)
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -28,6 +28,7 @@
     yield GaugeRow("requests_suspected", len(node.suspects.poison_tracker.crashes), {})
     yield GaugeRow("store_era", node.store.era or 0, {})
     yield GaugeRow("entries_refused", node.follower.refusals.counts.total(), {})
+    yield GaugeRow("peer_rows_refused", node.state_sync.refused_rows, {})
     attributor = node.suspects.attributor
     yield GaugeRow("prompt_parts_quarantined", len(attributor.quarantined), {})
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
--- a/tanagertrail/gateway/leadership.py
+++ b/tanagertrail/gateway/leadership.py
@@ -1,6 +1,6 @@
 """The lease that lets one daemon at a time perform the fleet-wide duties."""
 
-__all__ = ["Leadership"]
+__all__ = ["MAX_FENCING", "Leadership"]
 
 import asyncio
 import math
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from tanagertrail.decoding import is_integer
 from tanagertrail.errors import ConflictError, PlatformError, StoreOutcomeUnknownError
 from tanagertrail.gateway.clock import BootClock
 from tanagertrail.gateway.eventlog import EventLog
@@ -20,20 +21,20 @@
 OBSERVE_INTERVAL_SECONDS = 0.5  # between reads of a lease that this daemon does not hold
 MAX_LOST_CLAIMS = 100  # that a store may have forgotten, each of which took at least a lease
 LOST_CLAIMS_SECONDS = 60.0  # after the return of a store in which claims skip their numbers
+MAX_FENCING = 10**12  # a higher number is none that a daemon has claimed
 RECENT_RENEWAL_SHARE = 0.5  # of the lease; a holder whose last renewal is older counts as missing
 
 
 def decode_lease(content: Any) -> LeaseRecord | None:
     """Decode a stored lease, or return None if it is malformed."""
-    try:
-        return LeaseRecord(
-            str(content["holder"]),
-            int(content["fencing"]),
-            int(content["renewal"]),
-            bool(content.get("released")),
-        )
-    except (KeyError, TypeError, ValueError):
+    if not isinstance(content, dict):
         return None
+    holder, fencing, renewal = (content.get(name) for name in ("holder", "fencing", "renewal"))
+    if not (isinstance(holder, str) and is_integer(fencing, 0, MAX_FENCING)):
+        return None
+    if not is_integer(renewal, 0, MAX_FENCING):
+        return None
+    return LeaseRecord(holder, fencing, renewal, content.get("released") is True)
 
 
 class ReportedRenewal(NamedTuple):
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -1,17 +1,35 @@
 """Members of the fleet of daemons, their liveness and their registration."""
 
-__all__ = ["Member", "MemberHandler", "MemberTable", "build_own_member", "register_member"]
+__all__ = [
+    "Member",
+    "MemberHandler",
+    "MemberTable",
+    "build_own_member",
+    "check_member",
+    "decode_member",
+    "register_member",
+]
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from tanagertrail.daemons.peer_messages import DaemonState, LivenessRecord
-from tanagertrail.errors import ConflictError, PlatformError
+from tanagertrail.daemons.row_checks import decode_row
+from tanagertrail.decoding import (
+    MAX_COUNT,
+    MAX_UNIX_MILLISECONDS,
+    is_endpoint,
+    is_integer,
+    is_name,
+)
+from tanagertrail.errors import ConflictError, FrameError, PlatformError
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.mirror import BaseKindHandler, ObjectStatus
 from tanagertrail.gateway.model import GatewaySettings
+from tanagertrail.gateway.refusals import RefusalLog
 from tanagertrail.platform.store import StoreClient, StoredObject
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS, compute_hub_capacity
 
@@ -56,6 +74,36 @@
         return cls(*(getattr(state, name) for name in cls._fields))
 
 
+def check_member(member: Member) -> None:
+    """Check the values by which a daemon is reached and compared with others.
+
+    :raises FrameError: if one is out of its bounds
+    """
+    if not is_name(member.daemon):
+        raise FrameError("a daemon must have a name")
+    if not is_integer(member.incarnation, 0, MAX_UNIX_MILLISECONDS):
+        raise FrameError(f"incarnation {member.incarnation} of {member.daemon} is out of range")
+    if not (is_endpoint(member.address) and is_endpoint(member.front)):
+        raise FrameError(f"an address of {member.daemon} is not host:port")
+    if not is_integer(member.strength, 0, MAX_COUNT):
+        raise FrameError(f"strength {member.strength} of {member.daemon} is out of range")
+
+
+def decode_member(content: Any) -> Member:
+    """Decode a stored registration; unknown fields are ignored.
+
+    :raises FrameError: if a field is missing, of another type or out of its bounds
+    """
+    if not isinstance(content, dict):
+        raise FrameError("a registration must be a table")
+    names = Member._fields
+    member = decode_row(
+        Member, tuple(content.get(name, Member._field_defaults.get(name)) for name in names)
+    )
+    check_member(member)
+    return member
+
+
 @dataclass
 class MemberState:
     """What this daemon knows about a member.
@@ -102,7 +150,7 @@
 
         Incarnations come from the wall clock, which may have been ahead at an earlier start.
         """
-        if incarnation > self.own.incarnation:
+        if self.own.incarnation < incarnation < MAX_UNIX_MILLISECONDS:
             self.log.write("incarnation_raised", old=self.own.incarnation, known=incarnation)
             self.own = self.own._replace(incarnation=incarnation + 1)
 
@@ -206,19 +254,29 @@
         await store.create(MEMBERS_KIND, name, table.own.encode())
     except ConflictError:
         found = await store.read(MEMBERS_KIND, name)
-        if found is not None and isinstance(found.content, dict):
-            earlier = found.content.get("incarnation")
-            table.raise_incarnation(earlier if isinstance(earlier, int) else 0)
+        if found is not None:
+            table.raise_incarnation(read_incarnation(found))
         revision = found.revision if found else 0
         await store.replace(MEMBERS_KIND, name, table.own.encode(), revision)
 
 
+def read_incarnation(item: StoredObject) -> int:
+    """Return the incarnation in a stored registration, 0 if it cannot be read."""
+    try:
+        return decode_member(item.content).incarnation
+    except FrameError:
+        return 0
+
+
 class MemberHandler(BaseKindHandler):
     """Learn members from their registrations in the store."""
 
-    def __init__(self, table: MemberTable, now) -> None:
+    def __init__(
+        self, table: MemberTable, now: Callable[[], float], refusals: RefusalLog | None = None
+    ) -> None:
         self.table = table
         self.now = now
+        self.refusals = refusals or RefusalLog(table.log)
 
     def replace_all(self, objects: list[StoredObject], maybe_expired: bool) -> None:
         """Apply all registrations; members are removed only after long silence."""
@@ -230,11 +288,13 @@
 
     def apply_change(self, item: StoredObject, object_status: ObjectStatus) -> None:
         """Apply a registration, which provides an address but no proof of liveness."""
-        if object_status is not ObjectStatus.PRESENT or not isinstance(item.content, dict):
+        if object_status is not ObjectStatus.PRESENT:
             return
         try:
-            member = Member(**item.content)
-        except TypeError as error:
-            self.table.log.write("member_refused", member=item.name, error=str(error))
+            member = decode_member(item.content)
+        except FrameError as error:
+            self.refusals.write(
+                "member_refused", MEMBERS_KIND, item.name, item.revision, error, member=item.name
+            )
             return
         self.table.merge_member(member, self.now() - self.table.alive_timeout, False)
--- a/tanagertrail/gateway/mirror.py
+++ b/tanagertrail/gateway/mirror.py
@@ -5,11 +5,13 @@
 import enum
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from tanagertrail.daemons.peer_messages import MirrorUpdate, pack_json, unpack_json
+from tanagertrail.decoding import MAX_REVISION, find_violation, is_encodable, is_integer
+from tanagertrail.errors import FrameError
 from tanagertrail.gateway.clock import BootClock
-from tanagertrail.platform.store import Listing, StoredObject, WatchResponse, get_era
+from tanagertrail.platform.store import Listing, Refusal, StoredObject, WatchResponse, get_era
 
 MAX_CHANGES = 300  # changes kept for lagging daemons; one that lags further gets a full listing
 EXPIRY_OUTAGE_SECONDS = 2.5  # two heartbeats of an upstream; entries outlive a shorter outage
@@ -28,6 +30,9 @@
     MAYBE_EXPIRED = 2
 
 
+STATUSES = frozenset(ObjectStatus)
+
+
 class Change(NamedTuple):
     """A change of one object.
 
@@ -69,6 +74,7 @@
 
     :ivar on_restored: called with the former and the new revision when a listing shows that the
         store came back from an older copy
+    :ivar on_refused: called with a row of another daemon that cannot be read
     :ivar revision: revision up to which all changes are known, 0 before the first listing
     :ivar changes: recent changes, for daemons whose mirrors lag
     :ivar oldest_base_revision: oldest revision that ``changes`` can be applied to
@@ -83,6 +89,7 @@
         self.handler = handler
         self.boot_time = boot_time
         self.on_restored: Callable[[int, int], None] = lambda former, revision: None
+        self.on_refused: Callable[[Refusal], None] = lambda refusal: None
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
         self.changes: deque[Change] = deque()
@@ -228,14 +235,49 @@
 
     def apply_objects(self, update: MirrorUpdate) -> bool:
         """Apply the objects of an update that is newer than this mirror."""
-        rows = unpack_json(update.objects) if update.objects else []
+        rows = self.decode_rows(unpack_json(update.objects) if update.objects else [])
         if update.base_revision == 0:
-            maybe_expired = any(row[-1] == ObjectStatus.MAYBE_EXPIRED for row in rows)
-            items = [StoredObject(*row[:-1]) for row in rows]
+            maybe_expired = any(status is ObjectStatus.MAYBE_EXPIRED for _, status in rows)
+            items = [item for item, _ in rows]
             return self.replace(items, update.revision, maybe_expired)
         if update.base_revision > self.revision:
             return False
-        for row in rows:
-            self.apply(StoredObject(*row[:-1]), ObjectStatus(row[-1]), update.revision)
+        for item, status in rows:
+            self.apply(item, status, update.revision)
         self.revision = update.revision
         return bool(rows)
+
+    def decode_rows(self, rows: Any) -> list[tuple[StoredObject, ObjectStatus]]:
+        """Decode the objects of an update without those that cannot be read.
+
+        :raises FrameError: if there is no array of rows
+        """
+        if not isinstance(rows, list):
+            raise FrameError("the objects of an update must be an array")
+        decoded = []
+        for row in rows:
+            try:
+                decoded.append(decode_object_row(row))
+            except FrameError as error:
+                self.on_refused(Refusal("", 0, str(error)))
+        return decoded
+
+
+def decode_object_row(row: Any) -> tuple[StoredObject, ObjectStatus]:
+    """Decode an object and its status; a content that exceeds a bound is left out.
+
+    :raises FrameError: if its name, a revision or the status cannot be read
+    """
+    if not isinstance(row, list) or len(row) != len(StoredObject._fields) + 1:
+        raise FrameError("a row of an update has other fields")
+    item, status = StoredObject(*row[:-1]), row[-1]
+    if not (isinstance(item.name, str) and item.name and is_encodable(item.name)):
+        raise FrameError("a row of an update without a name")
+    revisions = (item.revision, item.created)
+    if not all(is_integer(revision, 0, MAX_REVISION) for revision in revisions):
+        raise FrameError(f"object {item.name}: a revision is out of range")
+    if type(item.deleting) is not bool or not is_integer(status) or status not in STATUSES:
+        raise FrameError(f"object {item.name}: its status cannot be read")
+    content = None if find_violation(item.content) else item.content
+    report = None if find_violation(item.report) else item.report
+    return item._replace(content=content, report=report), ObjectStatus(status)
--- a/tanagertrail/gateway/state_sync.py
+++ b/tanagertrail/gateway/state_sync.py
@@ -10,7 +10,6 @@
     DaemonState,
     FleetSummary,
     LivenessRecord,
-    MirrorUpdate,
     PeerAck,
     PeerRequest,
     PeerResponse,
@@ -21,11 +20,19 @@
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.members import Member, MemberTable
 from tanagertrail.gateway.mirror import KindMirror
+from tanagertrail.gateway.peer_rows import (
+    decode_liveness,
+    decode_state,
+    decode_update,
+    unpack_one,
+    unpack_state,
+)
 from tanagertrail.policy.hubs import Topology
 
 CLIENT_TIMEOUT_SECONDS = 2.0  # after its last request, a daemon stays a client of this hub
 REACHABILITY_MAX_AGE_SECONDS = 2.0  # older states do not show that the store answers
 STATE_MAX_AGE_SECONDS = 4.5  # older states are neither relayed nor counted
+MAX_ERROR_LENGTH = 200  # characters
 
 
 class SyncDelegate:
@@ -118,6 +125,7 @@
     :ivar peer_revisions: store revisions by kind that each daemon is known to have
     :ivar last_request_at: event-loop time in seconds of the last request of each daemon that gets
         store updates from here
+    :ivar refused_rows: rows of other daemons that were passed over
     :ivar quota_used: units by customer that all other daemons reported in total; never decreases
     """
 
@@ -133,6 +141,7 @@
         self.last_request_at: dict[str, float] = {}
         self.quota_used: Counter[str] = Counter()
         self.totals = FleetTotals()
+        self.refused_rows = 0
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -314,7 +323,7 @@
         self.apply_liveness(response.liveness)
         self.peer_revisions[state.daemon] = dict(response.revisions)
         if response.fleet_summary and state.daemon in self.topology.partners[:1]:
-            summary = FleetSummary(*unpack_rows(response.fleet_summary)[0])
+            summary = unpack_one(FleetSummary, response.fleet_summary)
             self.delegate.apply_fleet_summary(state.daemon, state.incarnation, summary)
         if self.apply_updates(response.updates, sent_at):
             self.delegate.on_store_update()
@@ -322,13 +331,22 @@
     def apply_relayed_states(self, packed: bytes) -> None:
         """Apply the states that a hub relayed."""
         for row in unpack_rows(packed):
-            self.apply_state(DaemonState(*row), direct=False)
+            try:
+                state = decode_state(row)
+            except FrameError as error:
+                self.refuse_row(error)
+            else:
+                self.apply_state(state, direct=False)
 
     def apply_liveness(self, packed: bytes) -> None:
         """Apply the liveness records that a hub sent."""
         now = self.now()
         for row in unpack_rows(packed):
-            record = LivenessRecord(*row)
+            try:
+                record = decode_liveness(row)
+            except FrameError as error:
+                self.refuse_row(error)
+                continue
             self.members.apply_liveness_record(record, now)
             if record.lease_fencing:
                 self.delegate.record_leader_seen(record.age_ms / 1000)
@@ -341,12 +359,20 @@
         """
         changed = False
         for row in rows:
-            update = MirrorUpdate(*row)
-            mirror = self.mirrors.get(update.kind)
-            if mirror is not None and mirror.apply_update(update, sent_at):
-                changed = True
+            try:
+                update = decode_update(row)
+                mirror = self.mirrors.get(update.kind)
+                if mirror is not None and mirror.apply_update(update, sent_at):
+                    changed = True
+            except FrameError as error:
+                self.refuse_row(error)
         return changed
 
+    def refuse_row(self, error: FrameError) -> None:
+        """Log and count a row of another daemon that is passed over."""
+        self.refused_rows += 1
+        self.members.log.write_routine("peer_row_refused", error=str(error)[:MAX_ERROR_LENGTH])
+
     def list_outdated_peers(self) -> list[str]:
         """Return the partners and recent clients that lack changes known here."""
         now = self.now()
@@ -366,17 +392,6 @@
         ]
 
 
-def unpack_state(packed: bytes) -> DaemonState:
-    """Unpack a single state.
-
-    :raises FrameError: if it is malformed
-    """
-    rows = unpack_rows(packed)
-    if len(rows) != 1:
-        raise FrameError(f"one state must be given, not {len(rows)}")
-    return DaemonState(*rows[0])
-
-
 def is_newer(state: DaemonState, known: DaemonState) -> bool:
     """Return whether a state is newer than another one of the same daemon."""
     return (state.incarnation, state.counter) > (known.incarnation, known.counter)
--- a/tanagertrail/gateway/store_follower.py
+++ b/tanagertrail/gateway/store_follower.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 
 from tanagertrail.gateway.clock import read_boot_time
 from tanagertrail.gateway.cluster_view import ClusterView
@@ -84,7 +85,7 @@
         upstream_timing = WatchTiming(MAX_WAIT_SECONDS, DRAIN_STALENESS_SHARE * bounds.drain)
         order_timing = WatchTiming(MAX_WAIT_SECONDS, ORDER_STALENESS_SHARE * bounds.evacuate)
         view, log, refusals = self.cluster_view, self.log, self.refusals
-        member_handler = MemberHandler(self.members, asyncio.get_running_loop().time)
+        member_handler = MemberHandler(self.members, asyncio.get_running_loop().time, refusals)
         self.add_watch(CONFIGURATION, self.config_handler, config_timing)
         self.share_kept_config()
         self.add_watch(UPSTREAMS, UpstreamHandler(view, log, refusals), upstream_timing)
@@ -97,6 +98,7 @@
     def add_watch(self, kind: str, handler: BaseKindHandler, timing: WatchTiming) -> None:
         """Add the mirror and the watch of a kind of stored objects."""
         mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
+        mirror.on_refused = partial(self.refusals.note, kind)
         mirror.on_restored = lambda former, revision: self.note_era(
             get_era(former), get_era(revision)
         )
@@ -120,6 +122,7 @@
         mirror = KindMirror(
             KEPT_CONFIG_KIND, KeptConfigHandler(self.config_handler), read_boot_time
         )
+        mirror.on_refused = partial(self.refusals.note, KEPT_CONFIG_KIND)
         self.mirrors[KEPT_CONFIG_KIND] = mirror
 
         def keep(version: int, item: StoredObject) -> None:
--- a/tanagertrail/platform/records.py
+++ b/tanagertrail/platform/records.py
@@ -23,6 +23,7 @@
 from tanagertrail.decoding import (
     MAX_COUNT,
     MAX_NAME_LENGTH,
+    MAX_REVISION,
     MAX_SECONDS,
     MAX_UNIX_MILLISECONDS,
     is_address,
@@ -188,7 +189,7 @@
 class ConfigurationDocument(Document):
     """The operator's configuration."""
 
-    version: int
+    version: int = Field(ge=0, le=MAX_REVISION)
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument = Field(default_factory=LimitsDocument)
