Answer what arrives until the end of a planned stop

Cause: the daemon closed all connections in the turn of the event loop in which it stopped listening, without a look at the kernel's buffers, so a request that had come on a kept connection since the loop last read, or that followed on a connection accepted last, was reset. A request whose head was read and whose body was arriving did not count as unanswered, nor did a response that was still in the process's send buffer, which the end of the process discards. A request in progress at the end of the grace period was closed without an answer. With a short grace period the drain left no time for any of this.

Change: HttpServer.finish accepts what waits, stops listening, leaves 0.1 s for first requests, closes idle connections only after a look at the kernel's buffer, waits for the rest, and at the deadline answers 504 (may have run), or 503 if the request was not read whole. A begun response is broken off. Bodies and unsent bytes count as unanswered. The drain leaves 0.3 s for this.

--- a/tanagertrail/gateway/caller_close.py
+++ b/tanagertrail/gateway/caller_close.py
@@ -1,6 +1,14 @@
 """Closing of callers' connections, and the reasons for it."""
 
-__all__ = ["LINGERING_REASONS", "CloseReason", "RequestState", "end_sending", "flush", "linger"]
+__all__ = [
+    "LINGERING_REASONS",
+    "LINGER_SECONDS",
+    "CloseReason",
+    "RequestState",
+    "end_sending",
+    "flush",
+    "linger",
+]
 
 import asyncio
 import contextlib
@@ -15,7 +23,8 @@
     """Why a caller's connection was closed.
 
     ``ANNOUNCED`` follows a ``Connection: close`` of either side. ``BROKEN_OFF`` cuts a response
-    that cannot be completed, so that it does not look complete.
+    that cannot be completed, so that it does not look complete. ``STOPPED`` closes an idle
+    connection and ``CUT`` one with an unanswered request, both because the daemon ends.
     """
 
     CALLER_CLOSED = "caller closed"
@@ -26,6 +35,7 @@
     BROKEN_OFF = "response broken off"
     DEFECT = "defect"
     STOPPED = "stopped"
+    CUT = "cut by the stop"
 
 
 class RequestState(enum.StrEnum):
@@ -37,7 +47,9 @@
     RESPONSE_BEGUN = "response begun"
 
 
-LINGERING_REASONS = frozenset({CloseReason.ANNOUNCED, CloseReason.REFUSED, CloseReason.DEFECT})
+LINGERING_REASONS = frozenset(
+    {CloseReason.ANNOUNCED, CloseReason.REFUSED, CloseReason.DEFECT, CloseReason.CUT}
+)
 
 
 async def flush(channel: Channel) -> None:
@@ -46,7 +58,10 @@
     :raises ConnectionError: if the connection is lost
     """
     channel.transport.set_write_buffer_limits(high=0)
-    await channel.drain()
+    try:
+        await channel.drain()
+    finally:
+        channel.transport.set_write_buffer_limits()
 
 
 def end_sending(channel: Channel) -> None:
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -17,9 +17,9 @@
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
 from tanagertrail.gateway.caller_close import RequestState
 from tanagertrail.gateway.channel import Channel
+from tanagertrail.gateway.idle_wait import IdleWait
 from tanagertrail.gateway.model import Limits
 from tanagertrail.gateway.timed_reads import has_unread_bytes, receive_before
-from tanagertrail.policy.keep_alive import KeepAlive
 
 Headers = list[tuple[bytes, bytes]]
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
@@ -79,7 +79,7 @@
     :ivar get_limits: returns the limits that are currently in force
     :ivar is_stopping: returns whether the connection is to close soon
     :ivar limits: limits that apply to the current request
-    :ivar keep_alive: how long the connection is kept while it is idle
+    :ivar idle_wait: the wait for the next request
     :ivar awaits_response: whether a request was read and its response is not complete
     :ivar response_started: whether the head of the response to the current request was sent
     :ivar is_head_request: whether the response must not have a body
@@ -96,7 +96,7 @@
         self.get_limits = get_limits
         self.is_stopping = is_stopping
         self.limits = get_limits()
-        self.keep_alive = KeepAlive()
+        self.idle_wait = IdleWait(channel, get_limits)
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
         self.awaits_response = False
         self.response_started = False
@@ -105,8 +105,9 @@
 
     @property
     def has_partial_request(self) -> bool:
-        """Whether bytes of the next request have arrived."""
-        return bool(self.channel.buffer or self.parser.trailing_data[0])
+        """Whether a request has begun to arrive and is not complete."""
+        is_within_body = self.parser.their_state is h11.SEND_BODY
+        return is_within_body or bool(self.channel.buffer or self.parser.trailing_data[0])
 
     @property
     def has_next_request(self) -> bool:
@@ -149,21 +150,13 @@
         """Wait for the first byte of a request; false if the caller closed or stayed idle."""
         if self.has_partial_request:
             return True
-        loop = asyncio.get_running_loop()
-        limit = self.get_limits().idle_timeout
-        self.keep_alive.begin_wait(limit, loop.time())
-        while True:
-            deadline = self.keep_alive.compute_deadline(limit)
-            try:
-                data = await receive_before(self.channel, deadline)
-            except TimeoutError:
-                limit = self.get_limits().idle_timeout
-                if self.keep_alive.compute_deadline(limit) > deadline:
-                    continue
-                return False
-            if data:
-                self.parser.receive_data(data)
-            return bool(data)
+        try:
+            data = await self.idle_wait.receive()
+        except TimeoutError:
+            return False
+        if data:
+            self.parser.receive_data(data)
+        return bool(data)
 
     def renew_limits(self) -> None:
         """Apply the limits in force to the request that has begun to arrive."""
@@ -186,7 +179,8 @@
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.parser.receive_data(await receive_before(self.channel, deadline))
+            timer = asyncio.timeout_at(deadline)
+            self.parser.receive_data(await receive_before(self.channel, timer))
 
     async def read_body(self, head: h11.Request) -> bytes:
         """Read the body of a request.
@@ -265,7 +259,7 @@
             return [(b"connection", b"close")]
         if self.parser.their_state is h11.MUST_CLOSE:
             return []
-        timeout = self.keep_alive.state_timeout(self.get_limits().idle_timeout)
+        timeout = self.idle_wait.state_timeout()
         return [] if timeout is None else [(b"keep-alive", b"timeout=%d" % timeout)]
 
     def prepare_next_request(self) -> bool:
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -9,6 +9,7 @@
 
 from tanagertrail.errors import IncompleteResponseError
 from tanagertrail.gateway.caller_close import (
+    LINGER_SECONDS,
     LINGERING_REASONS,
     CloseReason,
     RequestState,
@@ -22,6 +23,9 @@
 from tanagertrail.platform.header_fields import decode_caller_fields
 
 BACKLOG = 1024
+ACCEPT_TURNS = 2  # of the event loop, in which connections that are waiting are accepted
+LAST_ARRIVALS_SECONDS = 0.1  # for the first request on a connection that was accepted last
+LAST_READ_SECONDS = 0.05  # to read what has arrived, also at the end of the grace period
 DEFAULT_LIMITS = Limits(16_384, 4_194_304, 3.0, 15.0)
 
 Handler = Callable[[CallerRequest, CallerStream], Awaitable[None]]
@@ -35,6 +39,7 @@
     :ivar busy_channels: connections with a request that is being handled
     :ivar streams: streams of all open connections
     :ivar stopping: whether the daemon is shutting down, so that responses announce the close
+    :ivar ending: whether idle connections close at once
     :ivar closes: closed connections by reason
     """
 
@@ -47,6 +52,7 @@
         self.busy_channels: set[Channel] = set()
         self.streams: set[CallerStream] = set()
         self.stopping = False
+        self.ending = False
         self.closes: Counter[CloseReason] = Counter()
 
     async def start(self, host: str, port: int) -> None:
@@ -71,7 +77,7 @@
             reason = await self.serve_until_close(channel)
             if reason in LINGERING_REASONS:
                 await linger(channel)
-            elif reason is CloseReason.IDLE:
+            elif reason in (CloseReason.IDLE, CloseReason.STOPPED):
                 end_sending(channel)
         finally:
             channel.close()
@@ -90,6 +96,10 @@
         except ConnectionError as error:
             reason = CloseReason.CALLER_BROKE
             self.log.write_routine("caller_connection", error=repr(error)[:120])
+        except asyncio.CancelledError:
+            reason = self.answer_cut_request(stream)
+            if reason is CloseReason.STOPPED:
+                raise
         except Exception as error:
             reason = CloseReason.DEFECT
             self.handle_defect(stream, error)
@@ -102,8 +112,10 @@
         """Serve requests one after another, and return why the connection is to close."""
         while True:
             request = await stream.read_request()
+            if request is None and channel.peer_closed:
+                return CloseReason.CALLER_CLOSED
             if request is None:
-                return CloseReason.CALLER_CLOSED if channel.peer_closed else CloseReason.IDLE
+                return CloseReason.STOPPED if self.ending else CloseReason.IDLE
             reason = await self.handle_request(channel, stream, request)
             if reason is not None:
                 return reason
@@ -114,8 +126,8 @@
         """Count a closed connection, and log it if a request on it was not answered."""
         self.closes[reason] += 1
         state = stream.request_state
-        if state is RequestState.IDLE or reason is CloseReason.REFUSED:
-            return
+        if state is RequestState.IDLE or reason in (CloseReason.REFUSED, CloseReason.CUT):
+            return  # these are logged where they are decided
         if reason in (CloseReason.CALLER_CLOSED, CloseReason.CALLER_BROKE):
             self.log.write_routine("caller_closed", reason=reason, state=state)
         else:
@@ -179,13 +191,55 @@
         elif state is not RequestState.IDLE and not stream.channel.transport.is_closing():
             stream.send_failure(500, "the gateway failed")
 
+    def answer_cut_request(self, stream: CallerStream) -> CloseReason:
+        """Answer a request that is cut because the daemon ends, or break off its response."""
+        state = stream.request_state
+        if not self.ending or state is RequestState.IDLE or stream.channel.peer_closed:
+            return CloseReason.STOPPED
+        asyncio.current_task().uncancel()  # the task goes on to send the answer
+        self.log.write("caller_closed", reason=CloseReason.CUT, state=state)
+        if state is RequestState.RESPONSE_BEGUN:
+            stream.channel.abort()
+        elif state is RequestState.UNANSWERED:
+            stream.send_failure(504, "the gateway ends")
+        else:
+            stream.send_failure(503, "the gateway ends")
+        return CloseReason.CUT
+
     @property
     def unanswered(self) -> bool:
-        """Whether a request is being handled or has begun to arrive."""
+        """Whether a request is being handled or has begun to arrive, or a response is unsent."""
         return bool(self.busy_channels) or any(
-            stream.has_partial_request for stream in self.streams
+            stream.has_partial_request or stream.channel.transport.get_write_buffer_size()
+            for stream in self.streams
         )
 
+    async def finish(self, deadline: float) -> int:
+        """Stop accepting, answer what has arrived, and close all connections.
+
+        :param deadline: event-loop time in seconds at which requests in progress are cut
+        :returns: number of requests that were cut
+        """
+        loop = asyncio.get_running_loop()
+        self.stopping = True
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self.stop_listening()
+        await self.wait_for_connections(min(deadline, loop.time() + LAST_ARRIVALS_SECONDS))
+        self.ending = True
+        for stream in self.streams:
+            stream.idle_wait.end()
+        await self.wait_for_connections(max(deadline, loop.time() + LAST_READ_SECONDS))
+        for task in self.tasks:
+            task.cancel()
+        await self.wait_for_connections(loop.time() + LINGER_SECONDS)
+        return self.closes[CloseReason.CUT]
+
+    async def wait_for_connections(self, latest: float) -> None:
+        """Wait until all connections have closed, until an event-loop time in seconds at most."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=latest - asyncio.get_running_loop().time())
+
     def stop_listening(self) -> None:
         """Stop accepting new connections."""
         if self.server is not None:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -50,6 +50,7 @@
 CLEANUP_INTERVAL_SECONDS = 1.0
 MIN_DRAIN_SECONDS = 3.5  # callers use a directory answer for three times its lifetime
 STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
+LAST_CALL_SECONDS = 0.3  # of the grace period, left for requests that come at its end
 DRAIN_CHECK_SECONDS = 0.05
 LEADER_MISSING_SECONDS = 1.5  # of a lease of 3 s, which must expire before a claim
 LEADER_LOST_SECONDS = 4.0  # after which lower-ranked daemons claim the lease too
@@ -389,13 +390,13 @@
         self.peer_client.exchange_with_all()
         started = self.loop.time()
         latest = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
-        await self.wait_until_drained(started + MIN_DRAIN_SECONDS, latest)
+        drained_at = min(started + MIN_DRAIN_SECONDS, latest - LAST_CALL_SECONDS)
+        await self.wait_until_drained(drained_at, latest)
         await self.leadership.release()
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, latest)
-        self.http_server.stop_listening()
-        await self.wait_until_drained(started, latest)
-        self.log.write("stopped", in_flight=self.dispatcher.in_flight)
+        cut = await self.http_server.finish(latest)
+        self.log.write("stopped", in_flight=cut)
         self.close()
 
     async def wait_until_drained(self, earliest: float, latest: float) -> None:
--- a/tanagertrail/gateway/timed_reads.py
+++ b/tanagertrail/gateway/timed_reads.py
@@ -19,18 +19,18 @@
     return unread[0] > 0
 
 
-async def receive_before(channel: Channel, deadline: float) -> bytes:
+async def receive_before(channel: Channel, timer: asyncio.Timeout) -> bytes:
     """Receive bytes, empty at the end of the stream.
 
     The event loop may run the timer late, and the reader after it. Bytes that have arrived by
     then are received in spite of the timer.
 
-    :param deadline: event-loop time in seconds
+    :param timer: a timer that is not started yet
     :raises ConnectionError: if the connection broke
     :raises TimeoutError: if nothing has arrived
     """
     try:
-        async with asyncio.timeout_at(deadline):
+        async with timer:
             return await channel.receive()
     except TimeoutError:
         if not has_unread_bytes(channel):
--- a/tanagertrail/policy/keep_alive.py
+++ b/tanagertrail/policy/keep_alive.py
@@ -15,12 +15,14 @@
     :ivar stated: timeout that the caller was told last, None if it was told none
     :ivar idle_since: time at which the connection became idle
     :ivar longest: longest limit in force since then
+    :ivar ended: whether the connection is to close as soon as it is idle
     """
 
     def __init__(self) -> None:
         self.stated: int | None = None
         self.idle_since = 0.0
         self.longest = 0.0
+        self.ended = False
 
     def state_timeout(self, limit: float) -> int | None:
         """Choose the timeout to state in a response, None for a limit below a second."""
@@ -38,6 +40,8 @@
 
         :param limit: idle timeout in force
         """
+        if self.ended:
+            return self.idle_since
         self.longest = max(self.longest, limit)
         stated = 0.0 if self.stated is None else self.stated + STATED_MARGIN_SECONDS
         return self.idle_since + max(self.longest, stated)
--- a/tests/caller_utils.py
+++ b/tests/caller_utils.py
@@ -1,6 +1,7 @@
 """Fixtures of tests of callers' connections: a server on in-memory connections."""
 
 import asyncio
+import functools
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -9,6 +10,7 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.http_server import HttpServer
 from tanagertrail.gateway.model import Limits
+from tanagertrail.testing import run_in_virtual_time
 
 IDLE_SECONDS = 15.0
 REQUEST = b"GET /%d HTTP/1.1\r\nhost: desk.example\r\n\r\n"
@@ -37,6 +39,7 @@
     :ivar closed_at: event-loop time in seconds at which the server closed, None if it has not
     :ivar aborted: whether the server closed without sending the rest
     :ivar half_closed: whether the server announced that it sends no more
+    :ivar unsent: bytes that the kernel has not taken from the server yet
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -47,6 +50,7 @@
         self.closed_at: float | None = None
         self.aborted = False
         self.half_closed = False
+        self.unsent = 0
         self.is_peer_closed = False
         self.channel = Channel(server.accept)
         self.channel.connection_made(self)
@@ -101,8 +105,8 @@
         """Ignore the limits, since all bytes are sent at once."""
 
     def get_write_buffer_size(self) -> int:
-        """Return 0, since all bytes are sent at once."""
-        return 0
+        """Return the number of bytes that are not sent yet."""
+        return self.unsent
 
     def pause_reading(self) -> None:
         """Ignore the full buffer."""
@@ -190,3 +194,21 @@
     """Let the event loop run the callbacks that are ready."""
     for _ in range(turns):
         await asyncio.sleep(0)
+
+
+def with_callers(test: Callable[[CallerWorld], Awaitable[None]]) -> Callable[[], None]:
+    """Pass a server on in-memory connections to a test, and run it in virtual time."""
+
+    async def run_in_world(*arguments) -> None:
+        world = CallerWorld()
+        try:
+            await test(world, *arguments)
+        finally:
+            world.close()
+
+    @functools.wraps(test)
+    def run(*arguments) -> None:
+        run_in_virtual_time(run_in_world(*arguments))
+
+    del run.__wrapped__  # else the test seems to take the world as a parameter
+    return run
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,9 +1,7 @@
 """Tests that callers' connections close without losing a request."""
 
 import asyncio
-import functools
 import time
-from collections.abc import Awaitable, Callable
 
 from nose2.tools import params
 
@@ -12,29 +10,10 @@
 from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.policy.keep_alive import STATED_MARGIN_SECONDS
 from tanagertrail.standins.ports import HOST, find_port
-from tanagertrail.testing import run_in_virtual_time
-from tests.caller_utils import IDLE_SECONDS, REQUEST, CallerWorld, turn_loop
+from tests.caller_utils import IDLE_SECONDS, REQUEST, CallerWorld, turn_loop, with_callers
 from tests.gateway_utils import run_in_real_time
 
 
-def with_callers(test: Callable[[CallerWorld], Awaitable[None]]) -> Callable[[], None]:
-    """Pass a server on in-memory connections to a test, and run it in virtual time."""
-
-    async def run_in_world(*arguments) -> None:
-        world = CallerWorld()
-        try:
-            await test(world, *arguments)
-        finally:
-            world.close()
-
-    @functools.wraps(test)
-    def run(*arguments) -> None:
-        run_in_virtual_time(run_in_world(*arguments))
-
-    del run.__wrapped__  # else the test seems to take the world as a parameter
-    return run
-
-
 @with_callers
 async def test_closed_connections_are_counted_by_reason(world):
     idle, left, cut = world.connect(), world.connect(), world.connect()
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,129 @@
+"""Tests that a planned stop answers what has arrived."""
+
+import asyncio
+
+from tanagertrail.gateway.channel import open_channel
+from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.standins.ports import HOST
+from tests.caller_utils import REQUEST, turn_loop, with_callers
+from tests.gateway_utils import open_world, run_in_real_time
+
+LATE_SECONDS = 0.05
+
+
+def set_grace(world, seconds):
+    """Change the grace period of a daemon."""
+    bounds = world.node.settings.bounds._replace(grace=seconds)
+    world.node.settings = world.node.settings._replace(bounds=bounds)
+
+
+def call_before_listening_ends(world, action):
+    """Call a function when the daemon is about to stop listening."""
+    server = world.node.http_server
+    stop_listening = server.stop_listening
+
+    def stop_listening_late():
+        server.stop_listening = stop_listening
+        action()
+        stop_listening()
+
+    server.stop_listening = stop_listening_late
+
+
+@run_in_real_time
+async def test_request_sent_on_a_kept_connection_as_the_daemon_ends_is_answered():
+    async with open_world() as world:
+        set_grace(world, 2.0)
+        callers = [await world.connect() for _ in range(8)]
+        for caller in callers[:4]:
+            world.send(caller, "/look/1")
+            assert (await world.read(caller)).status == 200
+        call_before_listening_ends(
+            world, lambda: [world.send(caller, "/look/2") for caller in callers]
+        )
+        await world.node.stop()
+        assert [(await world.read(caller)).status for caller in callers] == [200] * 8
+
+
+@run_in_real_time
+async def test_first_request_on_a_connection_accepted_last_is_answered():
+    async with open_world() as world:
+        set_grace(world, 2.0)
+        caller = UpstreamStream(await open_channel(HOST, world.ports["front"], 1.0))
+        loop = asyncio.get_running_loop()
+        call_before_listening_ends(
+            world, lambda: loop.call_later(LATE_SECONDS, world.send, caller, "/look/1")
+        )
+        await world.node.stop()
+        assert (await world.read(caller)).status == 200
+
+
+@run_in_real_time
+async def test_request_cut_at_the_end_of_the_grace_period_gets_an_error():
+    async with open_world() as world:
+        set_grace(world, 0.9)
+        world.keep_one_upstream().faults.append("silent")
+        await world.wait_for_upstreams(1)
+        pending_reply = asyncio.create_task(world.fetch("/book/1", b"thing"))
+        await world.wait_until(lambda: world.upstreams[0].runs)
+        await world.node.stop()
+        reply = await pending_reply
+        assert (reply.status, reply.whole) == (504, True)
+
+
+@run_in_real_time
+async def test_stream_cut_at_the_end_of_the_grace_period_does_not_look_complete():
+    async with open_world() as world:
+        set_grace(world, 0.9)
+        world.keep_one_upstream().work = 0.2
+        await world.wait_for_upstreams(1)
+        pending_reply = asyncio.create_task(world.fetch("/talk/a/events", b"thing"))
+        await world.wait_until(lambda: world.upstreams[0].runs)
+        await world.node.stop()
+        reply = await pending_reply
+        assert (reply.status, reply.whole) == (200, False)
+
+
+@with_callers
+async def test_body_that_is_arriving_counts_as_unanswered(world):
+    transport = world.connect()
+    transport.send(b"POST /1 HTTP/1.1\r\nhost: desk.example\r\ncontent-length: 4\r\n\r\n")
+    transport.deliver()
+    await turn_loop()
+    assert world.server.unanswered
+    transport.send(b"body")
+    transport.deliver()
+    await turn_loop()
+    assert (transport.answers, world.server.unanswered) == (1, False)
+
+
+@with_callers
+async def test_response_that_is_not_sent_yet_counts_as_unanswered(world):
+    transport = world.connect()
+    transport.unsent = 100_000
+    await world.request(transport)
+    assert world.server.unanswered
+    transport.unsent = 0
+    assert not world.server.unanswered
+
+
+@with_callers
+async def test_idle_connections_do_not_hold_up_the_end(world):
+    transports = [world.connect() for _ in range(3)]
+    await world.request(transports[0])
+    started = asyncio.get_running_loop().time()
+    assert await world.server.finish(started + 10) == 0
+    assert asyncio.get_running_loop().time() - started < 0.5
+    assert all(transport.half_closed for transport in transports)
+
+
+@with_callers
+async def test_request_read_by_half_at_the_end_is_refused_as_not_run(world):
+    transport = world.connect()
+    transport.send((REQUEST % 1)[:9])
+    transport.deliver()
+    await turn_loop()
+    world.server.stopping = True
+    await world.server.finish(asyncio.get_running_loop().time() + 1)
+    assert transport.sent.startswith(b"HTTP/1.1 503 ")
+    assert world.handled == []
