Bound the release of the lease by the grace period

Cause: a planned stop waited for the store's answer to the release of the lease without a bound of its own; with a store that does not answer and a short grace period the process was killed with requests open, which nothing had answered.

Change: the release is given up early enough to answer what is open; the lease then expires.

Evidence, tests.test_planned_stop: before, test_slow_release_of_the_lease_does_not_use_up_the_grace_period failed (5 s at a grace period of 1 s); after, 9 of 9.

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -51,6 +51,7 @@
 MIN_DRAIN_SECONDS = 3.5  # callers use a directory answer for three times its lifetime
 STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
 LAST_CALL_SECONDS = 0.3  # of the grace period, left for requests that come at its end
+MIN_RELEASE_SECONDS = 0.2  # for the store to answer, also at the end of the grace period
 DRAIN_CHECK_SECONDS = 0.05
 LEADER_MISSING_SECONDS = 1.5  # of a lease of 3 s, which must expire before a claim
 LEADER_LOST_SECONDS = 4.0  # after which lower-ranked daemons claim the lease too
@@ -392,13 +393,23 @@
         latest = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
         drained_at = min(started + MIN_DRAIN_SECONDS, latest - LAST_CALL_SECONDS)
         await self.wait_until_drained(drained_at, latest)
-        await self.leadership.release()
+        await self.release_lease(
+            max(latest - LAST_CALL_SECONDS, self.loop.time() + MIN_RELEASE_SECONDS)
+        )
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, latest)
         cut = await self.http_server.finish(latest)
         self.log.write("stopped", in_flight=cut)
         self.close()
 
+    async def release_lease(self, latest: float) -> None:
+        """Release the lease, or leave it to expire at ``latest``, an event-loop time in seconds."""
+        try:
+            async with asyncio.timeout_at(latest):
+                await self.leadership.release()
+        except TimeoutError:
+            self.log.write("lease_release_failed", error="no answer within the grace period")
+
     async def wait_until_drained(self, earliest: float, latest: float) -> None:
         """Wait until ``earliest``, then until no caller waits for an answer or until ``latest``.
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Tests that a planned stop answers what has arrived."""
 
 import asyncio
+import time
 
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
@@ -84,6 +85,16 @@
         assert (reply.status, reply.whole) == (200, False)
 
 
+@run_in_real_time
+async def test_slow_release_of_the_lease_does_not_use_up_the_grace_period():
+    async with open_world() as world:
+        set_grace(world, 1.0)
+        world.node.leadership.release = lambda: asyncio.sleep(5.0)
+        started = time.monotonic()
+        await world.node.stop()
+        assert time.monotonic() - started < 1.0
+
+
 @with_callers
 async def test_body_that_is_arriving_counts_as_unanswered(world):
     transport = world.connect()
