--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -1,13 +1,15 @@
 """Tests of how long callers' idle connections are kept."""
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tanagertrail.policy.keep_alive import MAX_STATED_SECONDS, STATED_MARGIN_SECONDS, KeepAlive
 
 LIMITS = st.floats(0.0, 60.0)
+FIXED = settings(derandomize=True, deadline=None, database=None)
 
 
+@FIXED
 @given(st.floats())
 def test_stated_timeout_is_never_longer_than_the_limit(limit):
     stated = KeepAlive().state_timeout(limit)
@@ -15,6 +17,7 @@
     assert stated is None or not stated > limit
 
 
+@FIXED
 @given(st.none() | LIMITS, LIMITS, st.lists(LIMITS))
 def test_wait_never_ends_before_any_limit_that_its_caller_may_know(told, at_start, later):
     wait = KeepAlive()
