Pass over odd lines and values in explain and beliefs

Operators saw: `explain` ended with an exception, and explained nothing, if one line of the logs was nested very deep, had an infinite time, or tries, durations or names of another type; `beliefs` likewise for one value of a metrics page that is no number.

Change: a line that can't be read is passed over, as lines of another kind were; odd tries and durations count as not stated; values that are no finite number are left out.

Measured: the two new tests failed before (RecursionError, ValueError; 8 of 10 of tests.test_explain and tests.test_beliefs passed), 10 of 10 pass with the change.

--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -2,6 +2,7 @@
 
 __all__ = ["BeliefReport", "UpstreamBelief", "format_report", "parse_metrics", "read_report"]
 
+import math
 import re
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -55,7 +56,18 @@
     for line in text.splitlines():
         match = SAMPLE.match(line)
         if match is not None and match["metric"] == STATE_METRIC:
-            yield dict(LABEL.findall(match["labels"])), float(match["value"])
+            value = parse_value(match["value"])
+            if value is not None:
+                yield dict(LABEL.findall(match["labels"])), value
+
+
+def parse_value(text: str) -> float | None:
+    """Parse the value of a sample, None if it is no finite number."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
 
 
 def parse_metrics(text: str) -> BeliefReport:
@@ -106,7 +118,7 @@
             raise OperatorError(0, [f"{address} is not reached: {error}"]) from error
     if reply.status != 200:
         raise OperatorError(reply.status, [f"{address} answered {reply.status}"])
-    return parse_metrics(reply.data.decode())
+    return parse_metrics(reply.data.decode(errors="replace"))
 
 
 def format_report(report: BeliefReport) -> Iterator[str]:
--- a/tanagertrail/operators/explain.py
+++ b/tanagertrail/operators/explain.py
@@ -3,12 +3,14 @@
 __all__ = ["Explanation", "LogLine", "explain_request", "format_line", "merge_logs", "read_log"]
 
 import json
+import math
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
 BEFORE_SECONDS = 10.0  # span before a request in which a cause is looked for
 AFTER_SECONDS = 1.0
+MAX_DURATION_MS = 3_600_000  # no request takes longer
 DEPENDENCY_EVENTS = frozenset(
     {
         "store_lost",
@@ -67,9 +69,11 @@
         return None
     try:
         fields = json.loads(text[start:])
-        return LogLine(float(fields["t"]), fields["daemon"], fields["event"], fields)
-    except (ValueError, KeyError, TypeError):
+        at = float(fields["t"])
+        line = LogLine(at, str(fields["daemon"]), str(fields["event"]), fields)
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
+    return line if math.isfinite(at) else None
 
 
 def read_log(path: str) -> Iterator[LogLine]:
@@ -97,17 +101,33 @@
     if not own:
         return Explanation([], [], [])
     daemons = {line.daemon for line in own}
-    tried = {attempt[0] for line in own for attempt in line.fields.get("tries", [])}
-    start = own[0].at - own[0].fields.get("ms", 0) / 1000 - BEFORE_SECONDS
+    tried = {upstream for line in own for upstream in iter_tried(line)}
+    start = own[0].at - read_duration(own[0]) - BEFORE_SECONDS
     end = own[-1].at + AFTER_SECONDS
     near = [line for line in lines if start <= line.at <= end and line.daemon in daemons]
     return Explanation(
         own,
-        [line for line in near if line.fields.get("upstream") in tried],
+        [line for line in near if str(line.fields.get("upstream")) in tried],
         [line for line in near if line.event in DEPENDENCY_EVENTS],
     )
 
 
+def iter_tried(line: LogLine) -> Iterator[str]:
+    """Yield the upstreams that a line says a request was sent to."""
+    attempts = line.fields.get("tries")
+    for attempt in attempts if isinstance(attempts, list) else []:
+        if isinstance(attempt, list) and attempt:
+            yield str(attempt[0])
+
+
+def read_duration(line: LogLine) -> float:
+    """Return the seconds that a line says a request took, 0 if it does not say."""
+    duration = line.fields.get("ms")
+    if not isinstance(duration, int | float) or not 0 <= duration < MAX_DURATION_MS:
+        return 0.0
+    return duration / 1000
+
+
 def format_line(line: LogLine) -> str:
     """Return a line for people."""
     rest = " ".join(
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -71,3 +71,13 @@
             assert {row.upstream for row in report.upstreams} == {"up-a", "up-b"}
         finally:
             node.close()
+
+
+def test_odd_value_ends_the_reading_of_a_page():
+    lines = [
+        'tanagertrail_state{name="ready"} yes',
+        'tanagertrail_state{name="fencing"} NaN',
+        'tanagertrail_state{name="in_flight"} +Inf',
+        'tanagertrail_state{name="config_version"} 3',
+    ]
+    assert parse_metrics("\n".join(lines)).values == {"config_version": 3.0}
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,7 +4,12 @@
 import tempfile
 from pathlib import Path
 
-from tanagertrail.operators.explain import explain_request, format_line, merge_logs
+from tanagertrail.operators.explain import (
+    explain_request,
+    format_line,
+    merge_logs,
+    parse_line,
+)
 
 
 def write_log(folder, name, lines, prefix=""):
@@ -65,3 +70,21 @@
     assert [item.at for item in lines] == sorted(item.at for item in lines)
     assert {item.daemon for item in lines} == {"d1", "d2"}
     assert "store_lost" in format_line(lines[1])
+
+
+def test_odd_log_line_ends_the_explanation_of_a_request():
+    texts = [
+        '{"t":' + "[" * 100_000,
+        '{"t":1e999,"daemon":"a","event":"request","request":"r1"}',
+        '{"t":NaN,"daemon":"a","event":"request","request":"r1"}',
+        '{"t":%s,"daemon":"a","event":"request"}' % ("9" * 5000),
+        '{"t":1,"daemon":["a"],"event":{},"request":"r1","tries":5,"ms":"slow"}',
+        '{"t":1,"daemon":"a","event":"request","request":"r1","tries":[5,[],[["u"]]],"ms":1e300}',
+        '{"t":2,"daemon":"a","event":"x","upstream":["u"]}',
+        '{"t":3,"daemon":"a","event":"request","request":"r1","tries":[["up-a"]],"ms":2000}',
+        '{"t":3,"daemon":"a","event":"upstream_removed","upstream":"up-a"}',
+    ]
+    lines = [line for line in map(parse_line, texts) if line is not None]
+    found = explain_request("r1", lines)
+    assert [line.at for line in found.own] == [1.0, 1.0, 3.0]
+    assert "upstream_removed" in {line.event for line in found.upstreams}
