Start a daemon's tasks again when they fail

Callers saw: a daemon that served on while one of its tasks had ended, and so used upstreams that had left or was unknown to the other daemons, with one line in the log.

Cause: start_task logged an exception and left it at that. Calls to other daemons, their connections, tasks that store quarantines, the watcher of the settings file, timers and the log's thread had no one to see their exceptions; a call that ended so kept its connection open with an unread answer.

Change: gateway/supervision.py runs all long-lived tasks: an exception is logged with its cause and innermost frames, counted by task and followed by a restart after 0.1 to 2 s (policy/restarts.py); a cancellation that nobody asked for counts as a failure. A watch lists its kind anew, since a handler may have missed a change. Other tasks, callbacks and connections report to the same place (defect, gauges task_failures and tasks_failing, 'beliefs'). The log's thread outlives a write that fails, and a lease that cannot be released does not end a planned stop early.

--- a/tanagertrail/gateway/eventlog.py
+++ b/tanagertrail/gateway/eventlog.py
@@ -58,9 +58,14 @@
         lines = []
         while self.queued_lines:
             lines.append(self.queued_lines.popleft())
-        if lines:
+        if not lines:
+            return
+        try:
             self.stream.write("\n".join(lines) + "\n")
             self.stream.flush()
+        except (OSError, ValueError):
+            # The reader is gone or the disk is full; later lines may be read again.
+            self.dropped += len(lines)
 
     def close(self) -> None:
         """Write all queued lines and stop the thread."""
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -34,6 +34,9 @@
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
     yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
+    yield GaugeRow("tasks_failing", len(node.supervisor.failing), {})
+    for task, count in list(node.supervisor.failure_counts.items()):
+        yield GaugeRow("task_failures", count, {"task": task})
     for domain in list(node.cluster_view.evacuated):
         yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
     for entry in list(node.cluster_view.upstreams.entries.values()):
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -34,6 +34,7 @@
 from tanagertrail.gateway.state_sync import StateSync, SyncDelegate
 from tanagertrail.gateway.store_follower import StoreFollower
 from tanagertrail.gateway.store_watch import WatchRole
+from tanagertrail.gateway.supervision import Supervisor
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_sender import UpstreamSender
 from tanagertrail.gateway.usage import UsageCounter
@@ -128,7 +129,8 @@
         self.leadership.may_hold = lambda: self.state_sync.topology.is_hub
         self.started_at = self.loop.time()
         self.page_servers = PageServers(self.log)
-        self.tasks: list[asyncio.Task] = []
+        self.supervisor = Supervisor(self.log)
+        self.peer_server.on_defect = self.peer_client.on_defect = self.supervisor.report
         self.state_counter = 0
         self.quarantine: QuarantineStore | None = None
         self.duty_runner: DutyRunner | None = None
@@ -164,7 +166,7 @@
             address = f"{self.settings.host}:{self.tuning.metrics.port}"
             await self.page_servers.serve_metrics(address, metrics)
         for watch in self.follower.build_watches(self.settings.bounds):
-            self.start_task(watch.run())
+            self.supervisor.start(f"watch of {watch.mirror.kind}", watch.run)
         self.quarantine = QuarantineStore(
             self.store, self.mirrors[QUARANTINE_KIND], self.settings.name, self.log, self.rng
         )
@@ -175,15 +177,16 @@
         self.suspects.on_refuted = self.quarantine.start_removing
         self.suspects.hears_all_losses = lambda: self.state_sync.topology.is_hub
         self.suspects.relays = self.is_relaying_hub
-        self.start_task(self.quarantine.run(lambda: self.leadership.fencing > 0))
-        self.start_task(register_member(self.store, self.members, self.log, self.rng))
-        self.start_task(self.peer_client.run())
-        self.start_task(self.await_limits())
-        self.start_task(self.run_cleanup())
-        self.start_task(self.leadership.run())
+        self.quarantine.adopt_task = self.supervisor.adopt
+        self.supervisor.start("quarantines", self.run_quarantines)
+        self.start_registration()
+        self.supervisor.start("exchange", self.peer_client.run)
+        self.supervisor.start("limits", self.await_limits)
+        self.supervisor.start("cleanup", self.run_cleanup)
+        self.supervisor.start("lease", self.leadership.run)
         if self.settings.cloud:
             self.duty_runner = self.build_duty_runner()
-            self.start_task(self.duty_runner.run())
+            self.supervisor.start("duties", self.duty_runner.run)
         self.log.write("started", incarnation=self.incarnation, front=self.settings.front)
 
     def build_duty_runner(self) -> DutyRunner:
@@ -223,7 +226,18 @@
         self.leadership.note_store_restored()
         if self.duty_runner is not None:
             self.duty_runner.note_store_restored()
-        self.start_task(register_member(self.store, self.members, self.log, self.rng))
+        self.start_registration()
+
+    def start_registration(self) -> None:
+        """Start to register this daemon in the store."""
+        self.supervisor.start(
+            "registration",
+            lambda: register_member(self.store, self.members, self.log, self.rng),
+        )
+
+    async def run_quarantines(self) -> None:
+        """Remove expired quarantines while this daemon holds the lease, until cancelled."""
+        await self.quarantine.run(lambda: self.leadership.fencing > 0)
 
     def get_watch_role(self) -> WatchRole:
         """Return this daemon's part in watching the store."""
@@ -236,18 +250,6 @@
             is_watching = not self.state_sync.is_store_reachable_by(topology.hubs[: topology.rank])
         return WatchRole(is_watching and settled, topology.is_standby, propagation_seconds)
 
-    def start_task(self, work) -> None:
-        """Start a task; its failure is logged and passed to the event loop."""
-        task = asyncio.create_task(work)
-        self.tasks.append(task)
-        task.add_done_callback(self.on_task_done)
-
-    def on_task_done(self, task: asyncio.Task) -> None:
-        """Log the failure of a task and raise it for the event loop's exception handler."""
-        if not task.cancelled() and task.exception() is not None:
-            self.log.write("defect", error=repr(task.exception()), where=task.get_name())
-            raise task.exception()
-
     async def run_cleanup(self) -> None:
         """Drop connections and counts that are no longer needed, until cancelled."""
         while True:
@@ -390,7 +392,10 @@
         started = self.loop.time()
         latest = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
         await self.wait_until_drained(started + MIN_DRAIN_SECONDS, latest)
-        await self.leadership.release()
+        try:
+            await self.leadership.release()
+        except Exception as error:
+            self.supervisor.report("release of the lease", error)
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, latest)
         self.http_server.stop_listening()
@@ -411,8 +416,7 @@
     def close(self) -> None:
         """Close all ports and connections immediately."""
         self.http_server.close()
-        for task in self.tasks:
-            task.cancel()
+        self.supervisor.close()
         if self.quarantine is not None:
             self.quarantine.close()
         self.peer_server.close()
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeVar
 
 from tanagertrail.daemons.frames import encode_frame, read_frame
@@ -15,6 +16,7 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.state_sync import StateSync
+from tanagertrail.gateway.supervision import log_defect
 from tanagertrail.policy.hubs import Topology, plan_topology
 
 EXCHANGE_PERIOD_SECONDS = 0.5
@@ -24,6 +26,7 @@
 SECOND_HUB_PERIODS = 3  # between exchanges with the second hub, which may have to take over
 SILENT_MEMBERS_PER_PERIOD = 2  # members not known to be alive that are tried each period
 
+DefectHandler = Callable[[str, BaseException], None]
 Reply = TypeVar("Reply", PeerResponse, PeerAck)
 
 
@@ -38,13 +41,17 @@
 
 
 class PeerServer:
-    """Serve the requests of other daemons."""
+    """Serve the requests of other daemons.
+
+    :ivar on_defect: called with the place and an exception that no code expects
+    """
 
     def __init__(self, state_sync: StateSync, log: EventLog) -> None:
         self.state_sync = state_sync
         self.log = log
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.on_defect: DefectHandler = partial(log_defect, log)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -68,8 +75,10 @@
             pass  # the peer closed or died; the client's exchanges with it detect that
         except asyncio.CancelledError:
             pass  # the daemon stops; asyncio would log a cancelled stream task as an error
-        except (FrameError, TypeError, ValueError) as error:
+        except FrameError as error:
             self.log.write("peer_frame_refused", error=repr(error)[:200])
+        except Exception as error:
+            self.on_defect("peer connection", error)
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -141,6 +150,7 @@
     :ivar active_calls: running calls by address, at most one per daemon
     :ivar pending_pushes: members to push updates to once their running call ends
     :ivar period: number of the current exchange period
+    :ivar on_defect: called with the place and an exception that no code expects
     """
 
     def __init__(
@@ -163,6 +173,7 @@
         self.pending_pushes: set[str] = set()
         self.period = 0
         self.push_timer: asyncio.TimerHandle | None = None
+        self.on_defect: DefectHandler = partial(log_defect, log)
 
     async def run(self) -> None:
         """Exchange states periodically until cancelled."""
@@ -265,9 +276,12 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             connection.close()
             self.log_failure(name, error)
-        except (FrameError, TypeError, ValueError) as error:
+        except FrameError as error:
             connection.close()
             self.log.write("peer_frame_refused", member=name, error=repr(error)[:200])
+        except Exception as error:
+            connection.close()
+            self.on_defect("peer call", error)
 
     async def exchange_states(self, name: str, connection: PeerConnection) -> None:
         """Exchange states with one member."""
--- a/tanagertrail/gateway/program.py
+++ b/tanagertrail/gateway/program.py
@@ -29,8 +29,9 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(node, path, "signal"))
+    loop.set_exception_handler(node.supervisor.handle_loop_error)
     await node.start()
-    settings_watcher = asyncio.create_task(watch_settings(node, path))
+    settings_watcher = node.supervisor.start("settings", lambda: watch_settings(node, path))
     await stopping.wait()
     settings_watcher.cancel()
     await node.stop()
--- a/tanagertrail/gateway/quarantine.py
+++ b/tanagertrail/gateway/quarantine.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.clock import read_wall_time
@@ -65,7 +66,10 @@
 
 
 class QuarantineStore:
-    """Store the quarantines that this daemon imposes, and remove expired ones."""
+    """Store the quarantines that this daemon imposes, and remove expired ones.
+
+    :ivar adopt_task: called with the name and each task, to log its failure
+    """
 
     def __init__(
         self, store: StoreClient, mirror: KindMirror, daemon: str, log: EventLog, rng: random.Random
@@ -76,12 +80,18 @@
         self.log = log
         self.rng = rng
         self.tasks: set[asyncio.Task] = set()
+        self.adopt_task: Callable[[str, asyncio.Task], object] = lambda name, task: None
 
     def start_storing(self, name: str) -> None:
         """Start a task that stores a quarantine unless another daemon does first."""
-        task = asyncio.create_task(self.store_quarantine(name))
+        self.start_task(self.store_quarantine(name))
+
+    def start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Start a task that ends by itself."""
+        task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        self.adopt_task("quarantine", task)
 
     async def store_quarantine(self, name: str) -> None:
         """Store a quarantine after a random delay, unless it is stored by then."""
@@ -101,9 +111,7 @@
 
     def start_removing(self, name: str) -> None:
         """Start a task that removes a quarantine that was refuted."""
-        task = asyncio.create_task(self.remove_quarantine(name))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.start_task(self.remove_quarantine(name))
 
     async def remove_quarantine(self, name: str) -> None:
         """Remove a quarantine from the store, unless another daemon does first."""
--- a/tanagertrail/gateway/store_watch.py
+++ b/tanagertrail/gateway/store_watch.py
@@ -119,7 +119,15 @@
         self.takeover_jitter = rng.random()
 
     async def run(self) -> None:
-        """Watch the kind until cancelled."""
+        """Watch the kind until cancelled; after a failure, the next run lists it anew."""
+        try:
+            await self.follow()
+        except Exception:
+            self.needs_relist = True
+            raise
+
+    async def follow(self) -> None:
+        """Call the store whenever that is due, until cancelled."""
         while True:
             delay = self.get_poll_delay()
             delay = max(delay, self.backoff.get_delay(self.mirror.boot_time()))
--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -43,11 +43,13 @@
 
     :ivar values: values without labels, by name
     :ivar domains_out: failure domains that get no work
+    :ivar failed_tasks: tasks that failed unexpectedly, with how often
     """
 
     values: dict[str, float]
     domains_out: tuple[str, ...]
     upstreams: tuple[UpstreamBelief, ...]
+    failed_tasks: tuple[str, ...] = ()
 
 
 def iter_states(text: str) -> Iterator[tuple[dict[str, str], float]]:
@@ -65,12 +67,15 @@
     """
     values: dict[str, float] = {}
     domains: list[str] = []
+    tasks: list[str] = []
     upstreams: dict[tuple[str, str], dict[str, float]] = {}
     for labels, value in iter_states(text):
         name = labels.get("name", "")
         if labels.get("upstream"):
             key = labels["upstream"], labels.get("service", "")
             upstreams.setdefault(key, {})[name] = value
+        elif name == "task_failures":
+            tasks.append(f"{labels.get('task', '')} ({value:.0f})")
         elif name == "domain_out":
             domains.append(labels.get("failure_domain", ""))
         else:
@@ -90,7 +95,7 @@
         )
         for (upstream, service), found in sorted(upstreams.items())
     )
-    return BeliefReport(values, tuple(sorted(domains)), rows)
+    return BeliefReport(values, tuple(sorted(domains)), rows, tuple(sorted(tasks)))
 
 
 def read_report(address: str) -> BeliefReport:
@@ -130,6 +135,11 @@
         f"{suspected:.0f} parts of prompts suspected to crash upstreams, "
         f"{quarantined:.0f} quarantined"
     )
+    if report.failed_tasks:
+        yield f"tasks that failed since the start: {', '.join(report.failed_tasks)}"
+    failing = values.get("tasks_failing", 0)
+    if failing:
+        yield f"{failing:.0f} tasks keep failing"
     refused = values.get("entries_refused", 0)
     if refused:
         yield f"{refused:.0f} stored objects could not be read and were passed over"
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -44,6 +44,17 @@
     assert shown in lines
 
 
+def test_failed_tasks_and_refused_objects_are_shown():
+    page = PAGE + """tanagertrail_state{name="task_failures",task="watch of servers"} 7.0
+tanagertrail_state{name="tasks_failing"} 1.0
+tanagertrail_state{name="entries_refused"} 2.0
+"""
+    lines = list(format_report(parse_metrics(page)))
+    assert "tasks that failed since the start: watch of servers (7)" in lines
+    assert "1 tasks keep failing" in lines
+    assert "2 stored objects could not be read and were passed over" in lines
+
+
 def test_page_of_another_kind_is_refused():
     with raises(OperatorError):
         parse_metrics("process_cpu_seconds_total 4.0\n")
