Perform each duty whether or not another one fails

Callers would see: one odd rollout order, whose service is not its name, makes usage reports and orders of upstreams stop for as long as it stands.

Cause: the three duties of the lease holder shared one try block, and the report of a rollout came first. The status of an order is stored under the order's service, so that one under another name fails each time.

Change: the failure of a duty is logged and the next duty goes on, as long as the lease allows it; an order whose service is not its name is refused.

Measured: the new test waits 20 s in vain for a usage report on the code before; now it passes, as do all of test_duties.

Conclusion: one duty's failure costs that duty alone.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.cluster_view import ClusterView
@@ -91,14 +91,16 @@
         while True:
             await asyncio.sleep(DUTY_PERIOD_SECONDS)
             self.record_demand()
-            if not self.leadership.may_act(MAX_CALL_SECONDS):
-                continue
-            try:
-                await self.report_rollouts()
-                await self.reconcile_fleets()
-                await self.report_windows()
-            except PlatformError as error:
-                self.log.write("duty_failed", error=str(error)[:200])
+            for duty in (self.report_rollouts, self.reconcile_fleets, self.report_windows):
+                if self.leadership.may_act(MAX_CALL_SECONDS):
+                    await self.perform(duty)
+
+    async def perform(self, duty: Callable[[], Awaitable[None]]) -> None:
+        """Perform one duty; its failure keeps no other from being performed."""
+        try:
+            await duty()
+        except PlatformError as error:
+            self.log.write("duty_failed", error=str(error)[:200])
 
     def record_demand(self) -> None:
         """Record how many requests run at the upstreams of each service."""
--- a/tanagertrail/platform/records.py
+++ b/tanagertrail/platform/records.py
@@ -347,6 +347,9 @@
         document = RolloutDocument.model_validate(item.content)
     except ValidationError as error:
         raise convert_validation_error(error) from error
+    if document.service != item.name:
+        shown = document.service[:MAX_SHOWN]
+        raise InvalidInputError([Violation("service", "must be the order's name", shown)])
     report = item.report if isinstance(item.report, Mapping) else {}
     return RolloutOrder(
         document.service,
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -45,10 +45,13 @@
 
 
 def test_failed_tasks_and_refused_objects_are_shown():
-    page = PAGE + """tanagertrail_state{name="task_failures",task="watch of servers"} 7.0
+    page = (
+        PAGE
+        + """tanagertrail_state{name="task_failures",task="watch of servers"} 7.0
 tanagertrail_state{name="tasks_failing"} 1.0
 tanagertrail_state{name="entries_refused"} 2.0
 """
+    )
     lines = list(format_report(parse_metrics(page)))
     assert "tasks that failed since the start: watch of servers (7)" in lines
     assert "1 tasks keep failing" in lines
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -162,6 +162,20 @@
         assert await first.commit_window_counts(7) is None
 
 
+@run_in_real_time
+async def test_rollout_that_cannot_be_reported_holds_up_no_other_duty():
+    async with open_environment() as environment:
+        runner = environment.build_runner("a", {"guild": 5})
+        await runner.leadership.try_claim()
+        order = RolloutOrder("desk", "v2", 15.0, "", "", 5, 5)
+        runner.cluster_view.rollouts["desk"] = order
+        task = asyncio.create_task(runner.run())
+        while not environment.cloud.calls:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        assert environment.cloud.calls[0].path == "/usage"
+
+
 @run_in_real_time
 async def test_window_is_reported_once_it_has_settled():
     async with open_environment() as environment:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -158,6 +158,7 @@
     assert decode_rollout(StoredObject("desk", 1, 1, order, ["odd"])).state == ""
     for field, value in (
         ("service", ""),
+        ("service", "other"),
         ("target", None),
         ("duration_s", -1),
         ("duration_s", float("inf")),
