Read the stored records of usage and quarantines without trust in their form

Callers would see: usage reports that stop. A record of a window without 'counts' raised KeyError and one with a text for its window TypeError, which ended the duties' task; a record of another form, or with a window far ahead, kept every eighth window from ever being reported. A quarantine with a start that is not a number, or lies far ahead, was never removed.

Cause: records that daemons themselves write were taken for sound, though another writer may change them.

Change: a record is checked before use. What was reported from a spoiled one is unknown, so its window is reported only by a daemon that remembers its counts, and the record is written again, so that later windows use it. Starts of quarantines must be times within the duration of one. The answer to a call of the cloud API is read to 64 kB at most.

Measured: on the code before both new tests of test_duties fail; now they pass, with all of test_duties.

Conclusion: a spoiled record costs one window's report at most.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
 
+from tanagertrail.decoding import is_integer
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
@@ -35,6 +37,28 @@
 EXHAUSTED_SECONDS = 6.0  # two repeated orders; then an exhausted domain is asked again
 
 
+class CommittedWindow(NamedTuple):
+    """The stored counts of a usage window.
+
+    :ivar counts: requests by customer, None if the window must not be reported
+    """
+
+    window: int
+    counts: dict[str, int] | None
+
+
+def decode_window(content: Any) -> CommittedWindow | None:
+    """Decode the stored counts of a usage window, or return None if they are malformed."""
+    if not isinstance(content, dict) or not is_integer(content.get("window")):
+        return None
+    counts = content.get("counts")
+    if counts is not None and not (
+        isinstance(counts, dict) and all(map(is_integer, counts.values()))
+    ):
+        return None
+    return CommittedWindow(content["window"], counts)
+
+
 class DutyRunner:
     """Perform the duties while this daemon holds the lease.
 
@@ -199,7 +223,7 @@
         """Store a window's counts, or return those that another holder has stored.
 
         Only one set of counts may ever be reported for a window. Returns None if a later window
-        already uses the stored object.
+        already uses the stored object, or another writer has spoiled it.
         """
         name = f"window-{window % USAGE_SLOTS}"
         committed = self.committed_counts.get(window)
@@ -210,11 +234,16 @@
             return content["counts"]
         except ConflictError:
             found = await self.store.read(USAGE_KIND, name)
-        if found is None or not isinstance(found.content, dict):
+        if found is None:
             return None
-        if found.content.get("window") == window:
-            return found.content["counts"]
-        if found.content.get("window", 0) > window:
+        stored = decode_window(found.content)
+        if stored is None or stored.window > window + USAGE_SLOTS:
+            # Counts that were reported from this record may be lost, so others must not be.
+            self.log.write("usage_record_refused", name=name, revision=found.revision)
+            content["counts"] = committed
+        elif stored.window == window:
+            return stored.counts
+        elif stored.window > window:
             return None
         await self.store.replace(USAGE_KIND, name, content, found.revision)
         return content["counts"]
--- a/tanagertrail/gateway/quarantine.py
+++ b/tanagertrail/gateway/quarantine.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from tanagertrail.decoding import MAX_UNIX_MILLISECONDS
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.clock import read_wall_time
 from tanagertrail.gateway.eventlog import EventLog
@@ -65,6 +66,13 @@
         """Do nothing: a quarantine applies even if the mirror is out of date."""
 
 
+def read_start(content: Any) -> float | None:
+    """Read the Unix time in seconds at which a quarantine began, None if it is malformed."""
+    since = content.get("at") if isinstance(content, dict) else None
+    is_number = isinstance(since, int | float) and not isinstance(since, bool)
+    return float(since) if is_number and abs(since) <= MAX_UNIX_MILLISECONDS else None
+
+
 class QuarantineStore:
     """Store the quarantines that this daemon imposes, and remove expired ones.
 
@@ -147,10 +155,10 @@
 
         :raises PlatformError: if the store is unavailable
         """
-        cutoff = read_wall_time() - QUARANTINE_SECONDS
+        now = read_wall_time()
         for item in list(self.mirror.objects.values()):
-            since = item.content.get("at") if isinstance(item.content, dict) else None
-            if not isinstance(since, int | float) or since < cutoff:
+            since = read_start(item.content)
+            if since is None or abs(now - since) > QUARANTINE_SECONDS:
                 await self.store.delete(QUARANTINE_KIND, item.name, item.revision)
 
     def close(self) -> None:
--- a/tanagertrail/platform/cloud.py
+++ b/tanagertrail/platform/cloud.py
@@ -19,6 +19,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 MAX_CALL_SECONDS = RESPONSE_TIMEOUT_SECONDS + CONNECT_TIMEOUT_SECONDS
 THREAD_COUNT = 2
+MAX_RESPONSE_BYTES = 65_536  # of which only the status is used
 LEASE_HOLDER_HEADER = "Tanagertrail-Lease-Holder"
 FENCING_TOKEN_HEADER = "Tanagertrail-Fence-Token"
 # SO_LINGER with a timeout of 0: closing a connection resets it and discards unsent data, so that a
@@ -104,7 +105,13 @@
         """Send one call and read the response; runs in a worker thread."""
         timeouts = urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=RESPONSE_TIMEOUT_SECONDS)
         try:
-            response = self.pool.request("POST", path, body=body, headers=headers, timeout=timeouts)
+            response = self.pool.request(
+                "POST", path, body=body, headers=headers, timeout=timeouts, preload_content=False
+            )
+            if len(response.read(MAX_RESPONSE_BYTES + 1)) > MAX_RESPONSE_BYTES:
+                response.close()
+            else:
+                response.release_conn()
         except urllib3.exceptions.HTTPError:
             return CloudResult.UNKNOWN
         if 200 <= response.status < 300:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -162,6 +162,44 @@
         assert await first.commit_window_counts(7) is None
 
 
+ODD_USAGE_RECORDS = (
+    None,
+    [],
+    {},
+    {"window": 7},
+    {"window": True, "counts": {}},
+    {"window": "7", "counts": {}},
+    {"window": -1, "counts": {}},
+    {"window": 10**15, "counts": {}},
+    {"window": 7, "counts": 5},
+    {"window": 7, "counts": {"guild": "5"}},
+    {"window": 7, "counts": {"guild": -5}},
+)
+
+
+@run_in_real_time
+async def test_spoiled_usage_record_is_not_reported_and_holds_up_no_later_window():
+    for content in ODD_USAGE_RECORDS:
+        async with open_environment() as environment:
+            first = environment.build_runner("a", {"guild": 5})
+            second = environment.build_runner("b", {"guild": 9})
+            environment.store.put("tanagertrail-usage", "window-7", content)
+            assert await first.commit_window_counts(7) is None, content
+            assert await second.commit_window_counts(7) is None, content
+            assert await second.commit_window_counts(7 + 8) == {}, content
+
+
+@run_in_real_time
+async def test_spoiled_usage_record_is_written_again_by_the_daemon_that_reported_it():
+    async with open_environment() as environment:
+        first = environment.build_runner("a", {"guild": 5})
+        second = environment.build_runner("b", {"guild": 9})
+        first.committed_counts[7] = await first.commit_window_counts(7)
+        environment.store.put("tanagertrail-usage", "window-7", [])
+        assert await first.commit_window_counts(7) == {"guild": 5}
+        assert await second.commit_window_counts(7) == {"guild": 5}
+
+
 @run_in_real_time
 async def test_rollout_that_cannot_be_reported_holds_up_no_other_duty():
     async with open_environment() as environment:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,7 +10,7 @@
     UpstreamProtocolError,
 )
 from tanagertrail.gateway.members import MEMBERS_KIND
-from tanagertrail.gateway.quarantine import QUARANTINE_KIND
+from tanagertrail.gateway.quarantine import QUARANTINE_KIND, read_start
 from tanagertrail.platform.records import decode_rollout, decode_upstream
 from tanagertrail.platform.store import HistoryLostError, StoredObject
 from tanagertrail.platform.stored_objects import decode_changes, decode_listing_page, decode_object
@@ -268,3 +268,9 @@
         with raises(DecodeError):
             load_json(data)
         assert find_violation(load_leniently(data, 4))
+
+
+def test_start_of_a_quarantine_is_a_time():
+    assert read_start({"at": 1.5}) == 1.5
+    for content in (None, [], {}, {"at": True}, {"at": "1"}, {"at": float("nan")}, {"at": 10**400}):
+        assert read_start(content) is None
