Refuse settings that cannot be converted, instead of failing on them

Operators would see: a changed settings file with an infinite number, a port in other digits or deep nesting raised OverflowError, ValueError or RecursionError. That ended the task that watches the file, so that no later change was read; on SIGHUP it ended as an error of the event loop, and at the start as a traceback.

Cause: NaN and infinite numbers pass a comparison with 0 or are converted later, isdigit() accepts digits that int() doesn't, and only ValueError of the parser was expected.

Change: numbers have an upper bound, ports are checked by tanagertrail.decoding and any file is decoded or refused with SettingsError, which names the field.

Conclusion: an unreadable settings file changes nothing, as documented.

--- a/tanagertrail/decoding.py
+++ b/tanagertrail/decoding.py
@@ -17,6 +17,7 @@
     "is_endpoint",
     "is_integer",
     "is_name",
+    "is_port",
     "load_json",
     "load_leniently",
 ]
--- a/tanagertrail/platform/settings.py
+++ b/tanagertrail/platform/settings.py
@@ -6,11 +6,22 @@
 from collections.abc import Mapping
 from typing import Any
 
+from tanagertrail.decoding import MAX_PORT, is_integer, is_port
 from tanagertrail.errors import SettingsError, Violation
 from tanagertrail.gateway.model import GatewaySettings, SharedBounds
 
 SETTINGS_VARIABLE = "TANAGERTRAIL_NODE_FILE"
 MEGABYTE = 1024 * 1024
+MAX_NUMBER = 10**12
+MAX_SHOWN = 200  # characters of a value in an error
+
+
+def shorten(value: object) -> str:
+    """Return the start of a value as text, its type if it has no text."""
+    try:
+        return str(value)[:MAX_SHOWN]
+    except (ValueError, RecursionError):
+        return type(value).__name__
 
 
 class TableReader:
@@ -35,7 +46,7 @@
 
     def add_violation(self, name: str, rule: str, seen: object) -> None:
         """Record that a field violates a rule."""
-        self.violations.append(Violation(f"{self.prefix}{name}", rule, str(seen)))
+        self.violations.append(Violation(f"{self.prefix}{name}", rule, shorten(seen)))
 
     def read_string(self, name: str, default: str | None = None) -> str:
         """Read a string; it is required unless there is a default."""
@@ -49,15 +60,16 @@
         """Read an address of the form ``host:port``, empty if optional and missing."""
         value = self.read_string(name, None if required else "")
         host, _, port = value.rpartition(":")
-        if value and not (host and port.isdigit() and 0 < int(port) < 65536):
+        if value and not (host and is_port(port)):
             self.add_violation(name, "must be host:port", value)
         return value
 
     def read_number(self, name: str, default: float) -> float:
         """Read a non-negative number."""
         value = self.table.get(name, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-            self.add_violation(name, "must be a number that is not negative", value)
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not (is_number and 0 <= value <= MAX_NUMBER):
+            self.add_violation(name, f"must be a number from 0 to {MAX_NUMBER}", value)
             return default
         return float(value)
 
@@ -70,8 +82,9 @@
     try:
         with open(path, "rb") as file:
             document = tomllib.load(file)
-    except (OSError, ValueError) as error:
-        raise SettingsError([Violation("settings", "must be readable TOML", str(error))]) from error
+    except (OSError, ValueError, RecursionError) as error:
+        seen = shorten(error)
+        raise SettingsError([Violation("settings", "must be readable TOML", seen)]) from error
     return decode_settings(document)
 
 
@@ -85,7 +98,6 @@
     listen = root.open_table("listen")
     limits = root.open_table("limits")
     cloud = root.open_table("cloud_api")
-    duties = cloud.table.get("duties", [])
     settings = GatewaySettings(
         name=root.read_string("node_name"),
         host=root.read_string("ip"),
@@ -99,7 +111,7 @@
         failure_domains=dict(root.open_table("zones").table),
         store=root.open_table("platform").read_address("address"),
         cloud=cloud.read_address("address", required=False),
-        duties=frozenset(duties) if isinstance(duties, list) else frozenset(),
+        duties=read_duties(cloud),
         heartbeat=root.read_number("heartbeat_ms", 1200) / 1000,
         max_descriptors=int(limits.read_number("max_fds", 1024)),
         memory=int(limits.read_number("memory_mb", 256) * MEGABYTE),
@@ -113,6 +125,14 @@
     return settings
 
 
+def read_duties(cloud: TableReader) -> frozenset[str]:
+    """Read the names of the duties; what is no name is ignored."""
+    duties = cloud.table.get("duties", [])
+    if not isinstance(duties, list):
+        return frozenset()
+    return frozenset(item for item in duties if isinstance(item, str))
+
+
 def read_seeds(root: TableReader) -> tuple[str, ...]:
     """Read the addresses of other machines."""
     seeds = root.table.get("seeds", [])
@@ -128,7 +148,7 @@
     if (
         not isinstance(ports, list)
         or len(ports) != 2
-        or not all(type(number) is int for number in ports)
+        or not all(is_integer(number, 1, MAX_PORT) for number in ports)
     ):
         root.add_violation("internal_ports", "must be two port numbers", ports)
         return (0, 0)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,20 +1,25 @@
 """Entries that another writer left in the store, and what daemons make of them."""
 
 import json
+import tomllib
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from tanagertrail.decoding import MAX_DEPTH, find_violation, is_address, load_json, load_leniently
 from tanagertrail.errors import (
     DecodeError,
     InvalidInputError,
     PlatformError,
+    SettingsError,
     UpstreamProtocolError,
 )
 from tanagertrail.gateway.members import MEMBERS_KIND
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, read_start
 from tanagertrail.platform.records import decode_rollout, decode_upstream
+from tanagertrail.platform.settings import decode_settings, read_settings_file
 from tanagertrail.platform.store import HistoryLostError, StoredObject
 from tanagertrail.platform.stored_objects import decode_changes, decode_listing_page, decode_object
-from tanagertrail.standins.documents import build_entry
+from tanagertrail.standins.documents import DaemonPorts, build_entry, build_node_file
 from tests.gateway_utils import World, build_config, open_world, run_in_real_time
 from tests.utils import raises
 
@@ -274,3 +279,32 @@
     assert read_start({"at": 1.5}) == 1.5
     for content in (None, [], {}, {"at": True}, {"at": "1"}, {"at": float("nan")}, {"at": 10**400}):
         assert read_start(content) is None
+
+
+ODD_SETTINGS = (
+    ("limits.max_fds", "limits = {max_fds = inf}"),
+    ("limits.memory_mb", "limits = {memory_mb = nan}"),
+    ("heartbeat_ms", f"heartbeat_ms = {10**400}"),
+    ("heartbeat_ms", "heartbeat_ms = true"),
+    ("listen.ready", 'listen = {ready = "127.0.0.1:\u00b2"}'),
+    ("listen.ready", f'listen = {{ready = "127.0.0.1:{"9" * 5000}"}}'),
+    ("internal_ports", "internal_ports = [0, 99999]"),
+    ("bounds.grace_s", "bounds = {grace_s = nan}"),
+    ("settings", f"x = {'[' * 2000}{']' * 2000}"),
+    ("settings", f"x = {'9' * 6000}"),
+)
+
+
+def test_odd_settings_raise_the_declared_error():
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        for field, text in ODD_SETTINGS:
+            path.write_text(text)
+            with raises(SettingsError) as caught:
+                read_settings_file(str(path))
+            assert field in {violation.field for violation in caught[0].violations}, text
+        document = tomllib.loads(
+            build_node_file("entry", "north", DaemonPorts(1, 2, 3, 4), 5, 6, [])
+        )
+        document["cloud_api"]["duties"] = ["usage", [1], {}]
+        assert decode_settings(document).duties == {"usage"}
