--- a/tanagertrail/gateway/quarantine.py
+++ b/tanagertrail/gateway/quarantine.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
+from tanagertrail.decoding import MAX_UNIX_MILLISECONDS
 from tanagertrail.errors import ConflictError, PlatformError
 from tanagertrail.gateway.clock import read_wall_time
 from tanagertrail.gateway.eventlog import EventLog
@@ -64,8 +66,18 @@
         """Do nothing: a quarantine applies even if the mirror is out of date."""
 
 
+def read_start(content: Any) -> float | None:
+    """Read the Unix time in seconds at which a quarantine began, None if it is malformed."""
+    since = content.get("at") if isinstance(content, dict) else None
+    is_number = isinstance(since, int | float) and not isinstance(since, bool)
+    return float(since) if is_number and abs(since) <= MAX_UNIX_MILLISECONDS else None
+
+
 class QuarantineStore:
-    """Store the quarantines that this daemon imposes, and remove expired ones."""
+    """Store the quarantines that this daemon imposes, and remove expired ones.
+
+    :ivar adopt_task: called with the name and each task, to log its failure
+    """
 
     def __init__(
         self, store: StoreClient, mirror: KindMirror, daemon: str, log: EventLog, rng: random.Random
@@ -76,12 +88,18 @@
         self.log = log
         self.rng = rng
         self.tasks: set[asyncio.Task] = set()
+        self.adopt_task: Callable[[str, asyncio.Task], object] = lambda name, task: None
 
     def start_storing(self, name: str) -> None:
         """Start a task that stores a quarantine unless another daemon does first."""
-        task = asyncio.create_task(self.store_quarantine(name))
+        self.start_task(self.store_quarantine(name))
+
+    def start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Start a task that ends by itself."""
+        task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        self.adopt_task("quarantine", task)
 
     async def store_quarantine(self, name: str) -> None:
         """Store a quarantine after a random delay, unless it is stored by then."""
@@ -101,9 +119,7 @@
 
     def start_removing(self, name: str) -> None:
         """Start a task that removes a quarantine that was refuted."""
-        task = asyncio.create_task(self.remove_quarantine(name))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.start_task(self.remove_quarantine(name))
 
     async def remove_quarantine(self, name: str) -> None:
         """Remove a quarantine from the store, unless another daemon does first."""
@@ -139,10 +155,10 @@
 
         :raises PlatformError: if the store is unavailable
         """
-        cutoff = read_wall_time() - QUARANTINE_SECONDS
+        now = read_wall_time()
         for item in list(self.mirror.objects.values()):
-            since = item.content.get("at") if isinstance(item.content, dict) else None
-            if not isinstance(since, int | float) or since < cutoff:
+            since = read_start(item.content)
+            if since is None or abs(now - since) > QUARANTINE_SECONDS:
                 await self.store.delete(QUARANTINE_KIND, item.name, item.revision)
 
     def close(self) -> None:
