Tell a caller that does not read from an upstream that does not answer

What callers saw: nothing directly; upstreams of slow callers were passed over, and a version on trial was charged with a failure.

Cause: forward_events waited for the caller until the request's deadline and raised the same TimeoutError as a silent upstream. The attempt ended as "timed out", which counts in the upstream's failure rate, in the trial of its version and among the attempts that a crash may explain.

Change: while the caller takes what has arrived, the silence watch is suspended; if the deadline passes then, the caller is gone and its connection is reset, as it was before.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -92,6 +92,7 @@
             self.log_outcome(exchange, "caller gone")
             if isinstance(error, asyncio.CancelledError):
                 raise
+            stream.channel.abort()
         finally:
             self.suspects.note_finished(fingerprint)
 
--- a/tanagertrail/gateway/silence_watch.py
+++ b/tanagertrail/gateway/silence_watch.py
@@ -128,14 +128,15 @@
 
     @contextmanager
     def suspended(self) -> Iterator[None]:
-        """Record progress, and count no silence while the caller takes what has arrived."""
+        """Record progress, and count no silence while the caller takes what has arrived.
+
+        An interrupted block leaves the attempt suspended, which shows that the caller held it up.
+        """
         self.note_progress()
         self.is_suspended = True
-        try:
-            yield
-        finally:
-            self.is_suspended = False
-            self.progress_at = self.loop.time()
+        yield
+        self.is_suspended = False
+        self.progress_at = self.loop.time()
 
     def review_after(self, seconds: float) -> None:
         """Schedule the next review."""
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -31,7 +31,7 @@
 
 
 class CallerGoneError(TanagertrailError):
-    """The caller closed its connection while the response was being sent."""
+    """The caller closed its connection, or did not read, while the response was being sent."""
 
 
 class UpstreamSender:
@@ -62,7 +62,7 @@
         """Send a request to one upstream and relay the response if it is a success.
 
         :param watch: decides how long a silence may last
-        :raises CallerGoneError: if the caller has closed its connection
+        :raises CallerGoneError: if the caller has closed its connection or does not read
         """
         entry.in_flight += 1
         entry.sent_count += 1
@@ -139,8 +139,10 @@
                     return await self.relay_events(exchange, entry, stream, head, fields, watch)
                 body = await stream.read_remaining_body(self.most_bytes)
             return self.handle_complete_response(exchange, entry, head, fields, body)
-        except TimeoutError:
+        except TimeoutError as error:
             stream.abort()
+            if watch.is_suspended:
+                raise CallerGoneError("the caller did not read the response in time") from error
             return UpstreamAttempt(watch.result, step, entry.record.id, watch.reason)
         except (OSError, UpstreamProtocolError) as error:
             stream.abort()
@@ -257,7 +259,8 @@
                 AttemptResult.BROKEN, Step.STREAM, name, "the stream ended within an event"
             )
         if not exchange.stream.response_started:
-            await self.forward_events(exchange, head, b"")
+            with watch.suspended():
+                await self.forward_events(exchange, head, b"")
         exchange.stream.finish_response()
         return UpstreamAttempt(
             AttemptResult.DELIVERED,
@@ -279,8 +282,7 @@
             headers = build_response_headers(head.headers)
             exchange.stream.start_chunked_response(head.status, headers, data)
         try:
-            async with asyncio.timeout(max(exchange.time_left, 0.0)):
-                await exchange.stream.channel.drain()
+            await exchange.stream.channel.drain()
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
 
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -18,6 +18,7 @@
 STREAM_SUFFIX = "/events"
 EVENTS = 6
 ENDLESS_BLOCK = 16_384
+LONG_EVENTS = 800
 COPY_SECONDS = 0.03  # a caller's next request comes before or after it
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # lingers for no time, so that a close sends a reset
 DRIP_SECONDS = 0.1  # less than any pause that is allowed between events
@@ -284,6 +285,19 @@
     await send_endlessly(upstream, stream, b"noise: x\n\n" * 100)
 
 
+@FAULTS.register("long_stream")
+async def send_long_stream(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send long events, more than sockets buffer, as fast as they are taken."""
+    upstream.begin(request)
+    stream.start_chunked_response(200, upstream.sign(request), b"")
+    for number in range(1, LONG_EVENTS + 1):
+        stream.send_chunk(b"id: %d\ndata: %s\n\n" % (number, b"x" * ENDLESS_BLOCK))
+        await stream.channel.drain()
+    stream.finish_response()
+
+
 async def send_unframed(
     upstream: "StandInUpstream",
     request: CallerRequest,
