--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -31,7 +31,7 @@
 
 
 class CallerGoneError(TanagertrailError):
-    """The caller closed its connection while the response was being sent."""
+    """The caller closed its connection, or did not read, while the response was being sent."""
 
 
 class UpstreamSender:
@@ -65,7 +65,7 @@
         """Send a request to one upstream and relay the response if it is a success.
 
         :param watch: decides how long a silence may last
-        :raises CallerGoneError: if the caller has closed its connection
+        :raises CallerGoneError: if the caller has closed its connection or does not read
         """
         entry.in_flight += 1
         entry.sent_count += 1
@@ -144,8 +144,10 @@
             if claim is Claim.RESULT:
                 return self.handle_result(exchange, entry, head, body)
             return self.handle_refusal(exchange, entry, stream, claim, head, body)
-        except TimeoutError:
+        except TimeoutError as error:
             stream.abort()
+            if watch.is_suspended:
+                raise CallerGoneError("the caller did not read the response in time") from error
             return UpstreamAttempt(watch.result, step, entry.record.id, watch.reason)
         except UnprovenAnswerError as error:
             stream.abort()
@@ -263,7 +265,8 @@
         if begun is not None and splitter.events == events_before:
             raise UpstreamProtocolError("no event continues the stream")
         if exchange.begun_head is None:
-            await self.forward_events(exchange, head, b"")
+            with watch.suspended():
+                await self.forward_events(exchange, head, b"")
         exchange.stream.finish_response()
         return UpstreamAttempt(
             AttemptResult.DELIVERED,
@@ -286,8 +289,7 @@
             headers = build_response_headers(head.headers)
             exchange.stream.start_chunked_response(head.status, headers, data)
         try:
-            async with asyncio.timeout(max(exchange.time_left, 0.0)):
-                await exchange.stream.channel.drain()
+            await exchange.stream.channel.drain()
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
 
