--- a/tanagertrail/errors.py
+++ b/tanagertrail/errors.py
@@ -3,7 +3,9 @@
 __all__ = [
     "BodyTooLargeError",
     "ConflictError",
+    "DecodeError",
     "FrameError",
+    "IncompleteResponseError",
     "InvalidInputError",
     "PlatformError",
     "RateLimitedError",
@@ -57,10 +59,18 @@
     """The settings file violates one or more rules."""
 
 
+class IncompleteResponseError(TanagertrailError):
+    """A request's handler ended without a complete response."""
+
+
 class TicketError(InvalidInputError):
     """A ticket violates one or more rules."""
 
 
+class DecodeError(TanagertrailError):
+    """A document from outside cannot be decoded or exceeds a bound."""
+
+
 class FrameError(TanagertrailError):
     """A frame between daemons is malformed, oversized or of an unknown type."""
 
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -27,14 +27,24 @@
     yield GaugeRow("fencing", node.leadership.fencing, {})
     yield GaugeRow("store_calls", node.store.call_count, {})
     yield GaugeRow("upstream_connections_opened", node.pools.opened_count, {})
+    answers = node.dispatcher.sender.answers
+    yield GaugeRow("answers_unproven", answers.unproven_count, {})
+    yield GaugeRow("answers_of_other_requests", answers.skipped_count, {})
     yield GaugeRow("requests_quarantined", len(node.suspects.poison_tracker.quarantined), {})
     yield GaugeRow("requests_suspected", len(node.suspects.poison_tracker.crashes), {})
     yield GaugeRow("store_era", node.store.era or 0, {})
+    yield GaugeRow("entries_refused", node.follower.refusals.counts.total(), {})
+    yield GaugeRow("peer_rows_refused", node.state_sync.refused_rows, {})
     attributor = node.suspects.attributor
     yield GaugeRow("prompt_parts_quarantined", len(attributor.quarantined), {})
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
     yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
+    for reason, count in list(node.http_server.closes.items()):
+        yield GaugeRow("caller_connections_closed", count, {"reason": reason})
+    yield GaugeRow("tasks_failing", len(node.supervisor.failing), {})
+    for task, count in list(node.supervisor.failure_counts.items()):
+        yield GaugeRow("task_failures", count, {"task": task})
     for domain in list(node.cluster_view.evacuated):
         yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
     for entry in list(node.cluster_view.upstreams.entries.values()):
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -3,18 +3,30 @@
 __all__ = ["HttpServer"]
 
 import asyncio
+import traceback
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
-import h11
-
+from tanagertrail.errors import IncompleteResponseError
+from tanagertrail.gateway.caller_close import (
+    LINGER_SECONDS,
+    LINGERING_REASONS,
+    CloseReason,
+    RequestState,
+    end_sending,
+    linger,
+)
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, RequestRefusedError
 from tanagertrail.gateway.model import Limits
+from tanagertrail.platform.header_fields import decode_caller_fields
 
 BACKLOG = 1024
+ACCEPT_TURNS = 2  # of the event loop, in which connections that are waiting are accepted
+LAST_ARRIVALS_SECONDS = 0.1  # for the first request on a connection that was accepted last
+LAST_READ_SECONDS = 0.05  # to read what has arrived, also at the end of the grace period
 DEFAULT_LIMITS = Limits(16_384, 4_194_304, 3.0, 15.0)
-LINGER_SECONDS = 0.5  # after an error, so that the caller can read it before the connection closes
 
 Handler = Callable[[CallerRequest, CallerStream], Awaitable[None]]
 
@@ -27,6 +39,8 @@
     :ivar busy_channels: connections with a request that is being handled
     :ivar streams: streams of all open connections
     :ivar stopping: whether the daemon is shutting down, so that responses announce the close
+    :ivar ending: whether idle connections close at once
+    :ivar closes: closed connections by reason
     """
 
     def __init__(self, handler: Handler, limits: Callable[[], Limits], log: EventLog) -> None:
@@ -38,6 +52,8 @@
         self.busy_channels: set[Channel] = set()
         self.streams: set[CallerStream] = set()
         self.stopping = False
+        self.ending = False
+        self.closes: Counter[CloseReason] = Counter()
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -56,78 +72,174 @@
         task.add_done_callback(self.tasks.discard)
 
     async def serve(self, channel: Channel) -> None:
-        """Serve the requests of a connection until it closes."""
-        stream = CallerStream(channel, self.limits())
+        """Serve the requests of a connection, and close it."""
+        try:
+            reason = await self.serve_until_close(channel)
+            if reason in LINGERING_REASONS:
+                await linger(channel)
+            elif reason in (CloseReason.IDLE, CloseReason.STOPPED):
+                end_sending(channel)
+        finally:
+            channel.close()
+
+    async def serve_until_close(self, channel: Channel) -> CloseReason:
+        """Serve the requests of a connection until it is to close, and return the reason."""
+        stream = CallerStream(channel, self.limits, lambda: self.stopping)
         self.streams.add(stream)
+        reason = CloseReason.STOPPED
         try:
-            while True:
-                stream.limits = self.limits()
-                request = await stream.read_request()
-                if request is None:
-                    break
-                await self.handle_request(channel, stream, request)
-                if not stream.prepare_next_request():
-                    break
+            reason = await self.serve_requests(channel, stream)
         except RequestRefusedError as error:
+            reason = CloseReason.REFUSED
             self.log.write_routine("request_refused", status=error.status, reason=error.reason)
-            await self.refuse(stream, error)
-        except (ConnectionError, h11.LocalProtocolError) as error:
+            stream.send_failure(error.status, error.reason)
+        except ConnectionError as error:
+            reason = CloseReason.CALLER_BROKE
             self.log.write_routine("caller_connection", error=repr(error)[:120])
+        except asyncio.CancelledError:
+            reason = self.answer_cut_request(stream)
+            if reason is CloseReason.STOPPED:
+                raise
+        except Exception as error:
+            reason = CloseReason.DEFECT
+            self.handle_defect(stream, error)
         finally:
-            self.busy_channels.discard(channel)
+            self.note_close(stream, reason)
             self.streams.discard(stream)
-            channel.close()
+        return reason
+
+    async def serve_requests(self, channel: Channel, stream: CallerStream) -> CloseReason:
+        """Serve requests one after another, and return why the connection is to close."""
+        while True:
+            request = await stream.read_request()
+            if request is None and channel.peer_closed:
+                return CloseReason.CALLER_CLOSED
+            if request is None:
+                return CloseReason.STOPPED if self.ending else CloseReason.IDLE
+            reason = await self.handle_request(channel, stream, request)
+            if reason is not None:
+                return reason
+            if not stream.prepare_next_request():
+                return CloseReason.ANNOUNCED
+
+    def note_close(self, stream: CallerStream, reason: CloseReason) -> None:
+        """Count a closed connection, and log it if a request on it was not answered."""
+        self.closes[reason] += 1
+        state = stream.request_state
+        if state is RequestState.IDLE or reason in (CloseReason.REFUSED, CloseReason.CUT):
+            return  # these are logged where they are decided
+        if reason in (CloseReason.CALLER_CLOSED, CloseReason.CALLER_BROKE):
+            self.log.write_routine("caller_closed", reason=reason, state=state)
+        else:
+            self.log.write("caller_closed", reason=reason, state=state)
 
     async def handle_request(
         self, channel: Channel, stream: CallerStream, request: CallerRequest
-    ) -> None:
-        """Run the handler for a request, and cancel it if the caller disconnects."""
+    ) -> CloseReason | None:
+        """Run the handler for a request, and cancel it if the caller disconnects.
+
+        :returns: why the connection must close, None if it may be kept
+        """
         self.busy_channels.add(channel)
-        stream.close_after = self.stopping
         task = asyncio.create_task(self.handler(request, stream))
         channel.on_peer_closed = task.cancel
         if channel.peer_closed:
             task.cancel()
         try:
             await task
-        except asyncio.CancelledError:
-            if not channel.peer_closed:
+        except asyncio.CancelledError as error:
+            if asyncio.current_task().cancelling():
                 raise
+            if not channel.peer_closed:
+                self.handle_defect(stream, error, request)
+                return CloseReason.DEFECT
             channel.abort()
         except Exception as error:
-            self.log.write("defect", error=repr(error), where="request")
-            channel.abort()
-            raise
+            self.handle_defect(stream, error, request)
+            return CloseReason.DEFECT
         finally:
             channel.on_peer_closed = None
             self.busy_channels.discard(channel)
+        if channel.peer_closed:
+            return CloseReason.CALLER_CLOSED
+        if channel.transport.is_closing():
+            return CloseReason.BROKEN_OFF
+        if stream.awaits_response:
+            self.handle_defect(stream, IncompleteResponseError("no complete response"), request)
+            return CloseReason.DEFECT
+        return None
+
+    def handle_defect(
+        self, stream: CallerStream, error: BaseException, request: CallerRequest | None = None
+    ) -> None:
+        """Log an unexpected error and answer the request, or break off a response that has begun.
 
-    async def refuse(self, stream: CallerStream, error: RequestRefusedError) -> None:
-        """Send an error for an unreadable request, and give the caller time to read it.
-
-        Incoming bytes are discarded meanwhile: closing with unread ones would reset the
-        connection.
+        :param request: the request that failed, None if it was not read yet
         """
-        stream.close_after = True
-        try:
-            headers = [(b"content-type", b"text/plain")]
-            stream.send_response(error.status, headers, error.reason.encode())
-        except h11.LocalProtocolError as protocol_error:
-            self.log.write_routine("answer_impossible", reason=repr(protocol_error)[:120])
-            return
-        loop = asyncio.get_running_loop()
-        linger_until = loop.time() + LINGER_SECONDS
-        while not stream.channel.peer_closed and loop.time() < linger_until:
-            stream.channel.read_buffered()
-            await asyncio.sleep(LINGER_SECONDS / 10)
+        origin = traceback.extract_tb(error.__traceback__)[-1:]
+        self.log.write(
+            "defect",
+            where="request",
+            error=repr(error)[:300],
+            at=[f"{frame.filename}:{frame.lineno}" for frame in origin],
+            request=decode_caller_fields(request.headers).request_id if request else None,
+            state=stream.request_state,
+        )
+        state = stream.request_state
+        if state is RequestState.RESPONSE_BEGUN:
+            stream.channel.abort()
+        elif state is not RequestState.IDLE and not stream.channel.transport.is_closing():
+            stream.send_failure(500, "the gateway failed")
+
+    def answer_cut_request(self, stream: CallerStream) -> CloseReason:
+        """Answer a request that is cut because the daemon ends, or break off its response."""
+        state = stream.request_state
+        if not self.ending or state is RequestState.IDLE or stream.channel.peer_closed:
+            return CloseReason.STOPPED
+        asyncio.current_task().uncancel()  # the task goes on to send the answer
+        self.log.write("caller_closed", reason=CloseReason.CUT, state=state)
+        if state is RequestState.RESPONSE_BEGUN:
+            stream.channel.abort()
+        elif state is RequestState.UNANSWERED:
+            stream.send_failure(504, "the gateway ends")
+        else:
+            stream.send_failure(503, "the gateway ends")
+        return CloseReason.CUT
 
     @property
     def unanswered(self) -> bool:
-        """Whether a request is being handled or has begun to arrive."""
+        """Whether a request is being handled or has begun to arrive, or a response is unsent."""
         return bool(self.busy_channels) or any(
-            stream.has_partial_request for stream in self.streams
+            stream.has_partial_request or stream.channel.transport.get_write_buffer_size()
+            for stream in self.streams
         )
 
+    async def finish(self, deadline: float) -> int:
+        """Stop accepting, answer what has arrived, and close all connections.
+
+        :param deadline: event-loop time in seconds at which requests in progress are cut
+        :returns: number of requests that were cut
+        """
+        loop = asyncio.get_running_loop()
+        self.stopping = True
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self.stop_listening()
+        await self.wait_for_connections(min(deadline, loop.time() + LAST_ARRIVALS_SECONDS))
+        self.ending = True
+        for stream in self.streams:
+            stream.idle_wait.end()
+        await self.wait_for_connections(max(deadline, loop.time() + LAST_READ_SECONDS))
+        for task in self.tasks:
+            task.cancel()
+        await self.wait_for_connections(loop.time() + LINGER_SECONDS)
+        return self.closes[CloseReason.CUT]
+
+    async def wait_for_connections(self, latest: float) -> None:
+        """Wait until all connections have closed, until an event-loop time in seconds at most."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=latest - asyncio.get_running_loop().time())
+
     def stop_listening(self) -> None:
         """Stop accepting new connections."""
         if self.server is not None:
--- a/tanagertrail/gateway/store_follower.py
+++ b/tanagertrail/gateway/store_follower.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 
 from tanagertrail.gateway.clock import read_boot_time
 from tanagertrail.gateway.cluster_view import ClusterView
@@ -21,6 +22,7 @@
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import SharedBounds
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler
+from tanagertrail.gateway.refusals import RefusalLog
 from tanagertrail.gateway.store_watch import KindWatch, StoreBackoff, WatchRole, WatchTiming
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
@@ -39,6 +41,7 @@
     :ivar mirrors: mirrors by kind, also those that only other daemons update
     :ivar watches: watches of the kinds that the store has
     :ivar era: newest era of the store that was handled
+    :ivar refusals: stored objects that cannot be used
     :ivar get_watch_role: returns the daemon's part in watching the store
     :ivar on_change: called after a watch has changed a mirror
     :ivar on_config_kept: called when a restored store has an older configuration than is in force
@@ -63,13 +66,15 @@
         self.mirrors: dict[str, KindMirror] = {}
         self.watches: list[KindWatch] = []
         self.era = 0
-        self.config_handler = ConfigHandler(cluster_view, log)
+        self.refusals = RefusalLog(log)
+        self.config_handler = ConfigHandler(cluster_view, log, self.refusals)
         self.quarantine_handler = QuarantineHandler(suspects)
         self.get_watch_role: Callable[[], WatchRole] = lambda: WatchRole(True, False, 0.0)
         self.on_change: Callable[[], None] = lambda: None
         self.on_config_kept: Callable[[], None] = lambda: None
         self.on_restored: Callable[[], None] = lambda: None
         store.on_restored = self.note_era
+        store.on_refused = self.refusals.note
 
     def build_watches(self, bounds: SharedBounds) -> list[KindWatch]:
         """Build the mirrors, and return the watches that are to be run.
@@ -79,13 +84,13 @@
         config_timing = WatchTiming(MAX_WAIT_SECONDS, CONFIG_STALENESS_SHARE * bounds.config_apply)
         upstream_timing = WatchTiming(MAX_WAIT_SECONDS, DRAIN_STALENESS_SHARE * bounds.drain)
         order_timing = WatchTiming(MAX_WAIT_SECONDS, ORDER_STALENESS_SHARE * bounds.evacuate)
-        view, log = self.cluster_view, self.log
-        member_handler = MemberHandler(self.members, asyncio.get_running_loop().time)
+        view, log, refusals = self.cluster_view, self.log, self.refusals
+        member_handler = MemberHandler(self.members, asyncio.get_running_loop().time, refusals)
         self.add_watch(CONFIGURATION, self.config_handler, config_timing)
         self.share_kept_config()
-        self.add_watch(UPSTREAMS, UpstreamHandler(view, log), upstream_timing)
+        self.add_watch(UPSTREAMS, UpstreamHandler(view, log, refusals), upstream_timing)
         self.add_watch(EVACUATIONS, EvacuationHandler(view, log), order_timing)
-        self.add_watch(ROLLOUTS, RolloutHandler(view, log), order_timing)
+        self.add_watch(ROLLOUTS, RolloutHandler(view, log, refusals), order_timing)
         self.add_watch(MEMBERS_KIND, member_handler, RARE_TIMING)
         self.add_watch(QUARANTINE_KIND, self.quarantine_handler, RARE_TIMING)
         return self.watches
@@ -93,6 +98,7 @@
     def add_watch(self, kind: str, handler: BaseKindHandler, timing: WatchTiming) -> None:
         """Add the mirror and the watch of a kind of stored objects."""
         mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
+        mirror.on_refused = partial(self.refusals.note, kind)
         mirror.on_restored = lambda former, revision: self.note_era(
             get_era(former), get_era(revision)
         )
@@ -116,6 +122,7 @@
         mirror = KindMirror(
             KEPT_CONFIG_KIND, KeptConfigHandler(self.config_handler), read_boot_time
         )
+        mirror.on_refused = partial(self.refusals.note, KEPT_CONFIG_KIND)
         self.mirrors[KEPT_CONFIG_KIND] = mirror
 
         def keep(version: int, item: StoredObject) -> None:
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -5,11 +5,14 @@
 import asyncio
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
+from tanagertrail.gateway.answer_reader import AnswerReader, UnprovenAnswerError, may_reuse
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
+from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
 from tanagertrail.gateway.http1 import ResponseHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
 from tanagertrail.gateway.rate_limits import RateLimitTable
+from tanagertrail.gateway.silence_watch import SilenceWatch
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_table import UpstreamEntry
@@ -19,26 +22,24 @@
     UpstreamFields,
     build_response_headers,
     build_upstream_headers,
-    decode_upstream_fields,
 )
+from tanagertrail.policy.answers import Claim, Judgement
+from tanagertrail.policy.silence import PartialEvent
 
-MISDIRECTED_STATUS = 421
-EVENT_GAP_FACTOR = 3.0  # multiple of the event gap objective after which a stream is given up
-MIN_EVENT_GAP_SECONDS = 1.0
 UNSAFE_REUSE_SECONDS = 0.5  # idle connections older than this get only repeatable requests
-MAX_SKIPPED_RESPONSES = 4  # late responses to other requests that are discarded
 EXECUTED_RESULTS = frozenset({AttemptResult.DELIVERED, AttemptResult.FAILED})
 ANSWERED_RESULTS = EXECUTED_RESULTS | {AttemptResult.REFUSED}
 
 
 class CallerGoneError(TanagertrailError):
-    """The caller closed its connection while the response was being sent."""
+    """The caller closed its connection, or did not read, while the response was being sent."""
 
 
 class UpstreamSender:
     """Send requests to upstreams and relay their responses.
 
     :ivar most_bytes: largest body of a response that is not streamed
+    :ivar answers: reader that attributes responses to requests
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         rate_limits: RateLimitTable,
         links: UpstreamLinks,
         most_bytes: int,
+        log: EventLog,
     ) -> None:
         self.pools = pools
         self.usage = usage
@@ -58,14 +60,15 @@
         self.rate_limits = rate_limits
         self.links = links
         self.most_bytes = most_bytes
+        self.answers = AnswerReader(log, most_bytes)
 
     async def send_attempt(
-        self, exchange: Exchange, entry: UpstreamEntry, first_byte_timeout: float
+        self, exchange: Exchange, entry: UpstreamEntry, watch: SilenceWatch
     ) -> UpstreamAttempt:
         """Send a request to one upstream and relay the response if it is a success.
 
-        :param first_byte_timeout: seconds to wait for the head of the response
-        :raises CallerGoneError: if the caller has closed its connection
+        :param watch: decides how long a silence may last
+        :raises CallerGoneError: if the caller has closed its connection or does not read
         """
         entry.in_flight += 1
         entry.sent_count += 1
@@ -77,7 +80,7 @@
             pending_attempt = self.crash_detector.start_attempt(
                 exchange.fingerprint, exchange.part_keys
             )
-            attempt = await self.send_and_receive(exchange, entry, stream, first_byte_timeout)
+            attempt = await self.send_and_receive(exchange, entry, stream, watch)
             answered = attempt.result in ANSWERED_RESULTS
             pending_attempt.broken = attempt.result is AttemptResult.BROKEN
         except (OSError, TimeoutError) as error:
@@ -107,7 +110,7 @@
         :raises OSError: if it cannot be opened
         :raises TimeoutError: if that takes too long
         """
-        pooled = self.pools.acquire(entry.record.id)
+        pooled = self.pools.acquire(entry.record.id) if may_reuse(exchange, entry) else None
         if pooled is not None:
             idle = asyncio.get_running_loop().time() - pooled.idle_since
             if exchange.route.idempotent or idle < UNSAFE_REUSE_SECONDS:
@@ -122,33 +125,38 @@
         exchange: Exchange,
         entry: UpstreamEntry,
         stream: UpstreamStream,
-        first_byte_timeout: float,
+        watch: SilenceWatch,
     ) -> UpstreamAttempt:
         """Send the request and handle the response."""
         step = Step.HEAD
         sent_at = self.rate_limits.boot_time()
         try:
             self.send(exchange, entry, stream)
-            async with asyncio.timeout(min(first_byte_timeout, max(exchange.time_left, 0.0))):
-                head, fields = await self.read_matching_head(exchange, stream)
-            self.links.note_reached(entry)
-            stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
-            self.apply_upstream_fields(entry, fields)
-            if head.status != MISDIRECTED_STATUS and (fields.signed or fields.not_run):
-                self.rate_limits.note_answer(entry, fields, sent_at)
-            if exchange.customer is not None and fields.signed and not fields.not_run:
-                self.usage.note_started(exchange.customer.name)
-            step = Step.STREAM
-            if exchange.route.streamed and 200 <= head.status < 300:
-                return await self.relay_events(exchange, entry, stream, head, fields)
-            async with asyncio.timeout(max(exchange.time_left, 0.0)):
+            async with watch.limit(stream.channel):
+                head, fields, claim = await self.answers.read_head(exchange, entry, stream)
+                watch.note_head()
+                self.links.note_reached(entry)
+                stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
+                self.apply_upstream_fields(entry, fields)
+                if claim is not Claim.MISDIRECTED:
+                    self.rate_limits.note_answer(entry, fields, sent_at)
+                if exchange.customer is not None and claim is Claim.RESULT:
+                    self.usage.note_started(exchange.customer.name)
+                step = Step.STREAM
+                if claim is Claim.RESULT and exchange.route.streamed and 200 <= head.status < 300:
+                    return await self.relay_events(exchange, entry, stream, head, watch)
                 body = await stream.read_remaining_body(self.most_bytes)
-            return self.handle_complete_response(exchange, entry, head, fields, body)
-        except TimeoutError:
+            if claim is Claim.RESULT:
+                return self.handle_result(exchange, entry, head, body)
+            return self.handle_refusal(exchange, entry, stream, claim, head, body)
+        except TimeoutError as error:
             stream.abort()
-            return UpstreamAttempt(
-                AttemptResult.TIMED_OUT, step, entry.record.id, "no answer in time"
-            )
+            if watch.is_suspended:
+                raise CallerGoneError("the caller did not read the response in time") from error
+            return UpstreamAttempt(watch.result, step, entry.record.id, watch.reason)
+        except UnprovenAnswerError as error:
+            stream.abort()
+            return UpstreamAttempt(error.result, step, entry.record.id, str(error))
         except (OSError, UpstreamProtocolError) as error:
             stream.abort()
             return UpstreamAttempt(AttemptResult.BROKEN, step, entry.record.id, repr(error)[:100])
@@ -171,51 +179,46 @@
         )
         stream.send_request(request.method, request.target, headers, request.body)
 
-    async def read_matching_head(
-        self, exchange: Exchange, stream: UpstreamStream
-    ) -> tuple[ResponseHead, UpstreamFields]:
-        """Read the head of this request's response, discarding late responses to others.
-
-        :raises UpstreamProtocolError: if there are too many of those
-        """
-        for _ in range(MAX_SKIPPED_RESPONSES + 1):
-            head = await stream.read_head()
-            fields = decode_upstream_fields(head.headers)
-            if fields.request_id in ("", exchange.fields.request_id):
-                return head, fields
-            await stream.read_remaining_body(self.most_bytes)
-            stream.skip_response()
-        raise UpstreamProtocolError(f"more than {MAX_SKIPPED_RESPONSES} answers to other requests")
-
     def apply_upstream_fields(self, entry: UpstreamEntry, fields: UpstreamFields) -> None:
         """Apply what the response's headers say of the upstream's state."""
         now = asyncio.get_running_loop().time()
         if fields.cold_for:
             entry.cold_until = max(entry.cold_until, now + fields.cold_for)
 
-    def handle_complete_response(
+    def handle_refusal(
         self,
         exchange: Exchange,
         entry: UpstreamEntry,
+        stream: UpstreamStream,
+        claim: Claim,
         head: ResponseHead,
-        fields: UpstreamFields,
         body: bytes,
     ) -> UpstreamAttempt:
-        """Relay a complete response if it is a success, else classify it."""
+        """Classify a complete refusal.
+
+        :raises UnprovenAnswerError: if another answer may follow it
+        """
         name = entry.record.id
-        if head.status == MISDIRECTED_STATUS:
+        if stream.has_unread_bytes:
+            reason = "bytes follow a refusal"
+            self.answers.reject(exchange, entry, Judgement(Claim.DOUBTFUL_REFUSAL, reason))
+        if claim is Claim.MISDIRECTED:
             return UpstreamAttempt(
                 AttemptResult.MISDIRECTED, Step.HEAD, name, "another upstream answered"
             )
-        if fields.not_run:
-            return UpstreamAttempt(
-                AttemptResult.REFUSED, Step.HEAD, name, f"status {head.status}", head, body
-            )
-        if not fields.signed:
-            return UpstreamAttempt(
-                AttemptResult.BROKEN, Step.HEAD, name, f"unsigned status {head.status}"
-            )
-        if head.status >= 500:
+        return UpstreamAttempt(
+            AttemptResult.REFUSED, Step.HEAD, name, f"status {head.status}", head, body
+        )
+
+    def handle_result(
+        self, exchange: Exchange, entry: UpstreamEntry, head: ResponseHead, body: bytes
+    ) -> UpstreamAttempt:
+        """Relay a complete response if it is a success, else classify it.
+
+        Within a stream that has begun, any complete response is a failure.
+        """
+        name = entry.record.id
+        if head.status >= 500 or exchange.begun_head is not None:
             return UpstreamAttempt(
                 AttemptResult.FAILED, Step.END, name, f"status {head.status}", head, body
             )
@@ -235,49 +238,41 @@
         entry: UpstreamEntry,
         stream: UpstreamStream,
         head: ResponseHead,
-        fields: UpstreamFields,
+        watch: SilenceWatch,
     ) -> UpstreamAttempt:
         """Relay the events of a streamed response as they arrive.
 
-        :raises UpstreamProtocolError: if the stream contains malformed events
-        :raises TimeoutError: if no whole event comes in time
+        :raises UpstreamProtocolError: if the stream contains malformed or endless events, or does
+            not continue the one that has begun
         """
         name = entry.record.id
-        if not fields.signed:
-            stream.abort()
-            return UpstreamAttempt(AttemptResult.BROKEN, Step.HEAD, name, "unsigned stream")
+        begun = exchange.begun_head
+        if begun is not None and head.representation != begun.representation:
+            raise UpstreamProtocolError(f"{head.representation} cannot continue the stream")
         splitter = exchange.splitter
         splitter.discard_partial_event()
-        max_event_gap = max(
-            EVENT_GAP_FACTOR * exchange.route.event_gap_objective, MIN_EVENT_GAP_SECONDS
-        )
-        # Only complete events extend the timeout, so that an endless event cannot.
-        next_event_due_at = exchange.deadline
-        while True:
-            timeout = min(next_event_due_at - asyncio.get_running_loop().time(), exchange.time_left)
-            try:
-                async with asyncio.timeout(max(timeout, 0.0)):
-                    chunk = await stream.read_body_chunk()
-            except TimeoutError:
-                # The process may have been suspended; process what was received meanwhile.
-                if stream.channel.buffer and exchange.time_left > 0:
-                    continue
-                raise
-            if chunk is None:
-                break
+        events_before = splitter.events
+        partial_event = PartialEvent()
+        while (chunk := await stream.read_body_chunk()) is not None:
             events = splitter.feed(chunk)
             if events:
                 self.links.note_reached(entry)
-                await self.forward_events(exchange, head, events)
-                next_event_due_at = asyncio.get_running_loop().time() + max_event_gap
+                partial_event.clear()
+                with watch.suspended():
+                    await self.forward_events(exchange, head, events)
+            elif partial_event.add_part(asyncio.get_running_loop().time()):
+                raise UpstreamProtocolError("an event takes too long to arrive")
             if splitter.error:
                 raise UpstreamProtocolError(splitter.error)
         if splitter.buffer:
             return UpstreamAttempt(
                 AttemptResult.BROKEN, Step.STREAM, name, "the stream ended within an event"
             )
-        if not exchange.stream.response_started:
-            await self.forward_events(exchange, head, b"")
+        if begun is not None and splitter.events == events_before:
+            raise UpstreamProtocolError("no event continues the stream")
+        if exchange.begun_head is None:
+            with watch.suspended():
+                await self.forward_events(exchange, head, b"")
         exchange.stream.finish_response()
         return UpstreamAttempt(
             AttemptResult.DELIVERED,
@@ -292,15 +287,15 @@
 
         :raises CallerGoneError: if the caller has closed its connection
         """
-        if exchange.stream.response_started:
+        if exchange.begun_head is not None:
             exchange.stream.send_chunk(data)
         else:
+            exchange.begun_head = head
             exchange.first_byte_at = asyncio.get_running_loop().time()
             headers = build_response_headers(head.headers)
             exchange.stream.start_chunked_response(head.status, headers, data)
         try:
-            async with asyncio.timeout(max(exchange.time_left, 0.0)):
-                await exchange.stream.channel.drain()
+            await exchange.stream.channel.drain()
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
 
@@ -314,5 +309,5 @@
             self.crash_detector.note_crashed(entry, "another upstream has its address")
         elif attempt.result is AttemptResult.TIMED_OUT:
             entry.note_response(True)
-        elif attempt.result is not AttemptResult.REFUSED:
+        elif attempt.result not in (AttemptResult.REFUSED, AttemptResult.DOUBTFUL):
             entry.note_response(attempt.result is AttemptResult.FAILED)
--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -2,6 +2,7 @@
 
 __all__ = ["BeliefReport", "UpstreamBelief", "format_report", "parse_metrics", "read_report"]
 
+import math
 import re
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -43,11 +44,13 @@
 
     :ivar values: values without labels, by name
     :ivar domains_out: failure domains that get no work
+    :ivar failed_tasks: tasks that failed unexpectedly, with how often
     """
 
     values: dict[str, float]
     domains_out: tuple[str, ...]
     upstreams: tuple[UpstreamBelief, ...]
+    failed_tasks: tuple[str, ...] = ()
 
 
 def iter_states(text: str) -> Iterator[tuple[dict[str, str], float]]:
@@ -55,7 +58,18 @@
     for line in text.splitlines():
         match = SAMPLE.match(line)
         if match is not None and match["metric"] == STATE_METRIC:
-            yield dict(LABEL.findall(match["labels"])), float(match["value"])
+            value = parse_value(match["value"])
+            if value is not None:
+                yield dict(LABEL.findall(match["labels"])), value
+
+
+def parse_value(text: str) -> float | None:
+    """Parse the value of a sample, None if it is no finite number."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
 
 
 def parse_metrics(text: str) -> BeliefReport:
@@ -65,12 +79,15 @@
     """
     values: dict[str, float] = {}
     domains: list[str] = []
+    tasks: list[str] = []
     upstreams: dict[tuple[str, str], dict[str, float]] = {}
     for labels, value in iter_states(text):
         name = labels.get("name", "")
         if labels.get("upstream"):
             key = labels["upstream"], labels.get("service", "")
             upstreams.setdefault(key, {})[name] = value
+        elif name == "task_failures":
+            tasks.append(f"{labels.get('task', '')} ({value:.0f})")
         elif name == "domain_out":
             domains.append(labels.get("failure_domain", ""))
         else:
@@ -90,7 +107,7 @@
         )
         for (upstream, service), found in sorted(upstreams.items())
     )
-    return BeliefReport(values, tuple(sorted(domains)), rows)
+    return BeliefReport(values, tuple(sorted(domains)), rows, tuple(sorted(tasks)))
 
 
 def read_report(address: str) -> BeliefReport:
@@ -106,7 +123,7 @@
             raise OperatorError(0, [f"{address} is not reached: {error}"]) from error
     if reply.status != 200:
         raise OperatorError(reply.status, [f"{address} answered {reply.status}"])
-    return parse_metrics(reply.data.decode())
+    return parse_metrics(reply.data.decode(errors="replace"))
 
 
 def format_report(report: BeliefReport) -> Iterator[str]:
@@ -130,6 +147,14 @@
         f"{suspected:.0f} parts of prompts suspected to crash upstreams, "
         f"{quarantined:.0f} quarantined"
     )
+    if report.failed_tasks:
+        yield f"tasks that failed since the start: {', '.join(report.failed_tasks)}"
+    failing = values.get("tasks_failing", 0)
+    if failing:
+        yield f"{failing:.0f} tasks keep failing"
+    refused = values.get("entries_refused", 0)
+    if refused:
+        yield f"{refused:.0f} stored objects could not be read and were passed over"
     for row in report.upstreams:
         yield (
             f"upstream {row.upstream} of {row.service}: {row.in_flight:.0f} here, "
