--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -62,11 +62,13 @@
 
     :ivar last_seen_at: event-loop time in seconds at which it was last known to be alive
     :ivar serving: whether it accepts callers' requests
+    :ivar reaches_upstreams: whether it reaches upstreams over its own connections
     """
 
     member: Member
     last_seen_at: float
     serving: bool
+    reaches_upstreams: bool = True
 
 
 class MemberTable:
