Carry requests of daemons that are cut off from all upstreams

What callers saw: first tries at daemons that had lost their links to all upstreams were refused (503) or ran into their deadline, while the other daemons served theirs and had room for more.

Cause: a daemon has one way to an upstream, its own connection. Daemons exchange states but never requests, so a daemon without links refuses whatever the others could bear.

Change: a cut daemon (origin) admits, charges the quota, decides on retries and answers as before, and sends each attempt to another daemon (carrier) on the second internal port. The carrier chooses the upstream, makes one attempt with its own limiters, counts and crash detection, and passes the answer on with a field that says how the attempt ended. One hop only. A carrier that is cut, stopping, full or does not know the origin refuses as not run, and up to three are asked. A hop that breaks after the request was sent proves nothing: 502, or another carrier if the request may run twice; nothing is held against an upstream for it. A cut daemon holds no part of the rates that are divided over the daemons. One fake exchange in tests/test_trials.py gains the new field of Exchange; no check changed.

Conclusion: while a daemon knows that it is cut, its callers are served through the others. Whether it knows is the other half of this matter; until that is in, nothing sets is_cut.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -121,6 +121,7 @@
     :ivar suspected_parts: (part of prompts, milliseconds since a request with it was lost) pairs,
         from a hub to daemons that do not hear of all losses
     :ivar completed: (service, requests that completed since the start) pairs
+    :ivar carrier: address for requests that it carries for other daemons, empty if it carries none
     """
 
     daemon: str
@@ -145,6 +146,7 @@
     cleared_parts: tuple = ()
     suspected_parts: tuple = ()
     completed: tuple = ()
+    carrier: str = ""
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from tanagertrail.gateway.admission import Admission, Refusal
+from tanagertrail.gateway.carry_client import CarryClient
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
@@ -15,6 +16,7 @@
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.trials import RolloutTrials
+from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_selector import UpstreamSelector
 from tanagertrail.gateway.upstream_sender import CallerGoneError, UpstreamSender
 from tanagertrail.gateway.upstream_table import UpstreamEntry
@@ -31,6 +33,7 @@
 class Dispatcher:
     """Serve callers' requests.
 
+    :ivar links: whether this daemon reaches the upstreams itself
     :ivar in_flight: requests of callers in progress
     :ivar prompt_tokens_sent: prompt tokens of the requests so far, by service
     :ivar metrics: None if metrics are not exported
@@ -43,6 +46,7 @@
         sender: UpstreamSender,
         quota: QuotaLimiter,
         suspects: SuspectTracker,
+        links: UpstreamLinks,
         log: EventLog,
         rng: random.Random,
         placement: str = "expected_cost",
@@ -52,6 +56,8 @@
         self.sender = sender
         self.log = log
         self.suspects = suspects
+        self.links = links
+        self.carry_client = CarryClient(members, sender, suspects, rng)
         self.admission = Admission(cluster_view, members, quota, suspects, rng)
         self.trials = RolloutTrials(cluster_view)
         self.selector = UpstreamSelector(
@@ -95,35 +101,63 @@
             self.suspects.note_finished(fingerprint)
 
     async def try_upstreams(self, exchange: Exchange) -> None:
-        """Send a request to one upstream after another until one succeeds or retries end."""
-        while True:
-            isolated = self.suspects.must_run_isolated(exchange.fingerprint)
-            entry = self.selector.select_upstream(exchange, isolated)
-            if entry is None:
-                break
-            exchange.upstream = entry.record.id
-            exchange.sent_at = self.now()
-            self.selector.note_dispatch(exchange, entry)
-            entry.isolated_requests += int(isolated)
-            try:
-                attempt = await self.sender.send_attempt(
-                    exchange, entry, self.compute_first_byte_timeout(exchange, entry)
-                )
-            finally:
-                entry.isolated_requests -= int(isolated)
+        """Make one attempt after another until one succeeds or retries end."""
+        while (attempt := await self.make_attempt(exchange)) is not None:
             exchange.attempts.append(attempt)
-            self.trials.note_result(exchange, entry.record.version, attempt)
-            if self.metrics is not None:
-                self.metrics.attempts[exchange.service, attempt.result.value] += 1
             if attempt.result is AttemptResult.DELIVERED:
                 self.log_outcome(exchange, "answered")
                 return
-            if attempt.result is AttemptResult.BROKEN:
-                await self.sender.crash_detector.probe(entry)
             if not self.may_retry(exchange, attempt):
                 break
         self.finish_failed(exchange)
 
+    async def make_attempt(self, exchange: Exchange) -> UpstreamAttempt | None:
+        """Send a request to an upstream, through another daemon if this one is cut off from all.
+
+        It is None if no upstream may get the request.
+        """
+        if not self.links.uses_own_links():
+            return await self.have_carried(exchange)
+        attempt = await self.attempt_directly(exchange)
+        if attempt is not None:
+            if attempt.result is AttemptResult.NOT_SENT:
+                await self.links.settle()
+            return attempt
+        if self.selector.has_unreachable(exchange.service) and await self.links.settle():
+            return await self.have_carried(exchange)
+        return None
+
+    async def have_carried(self, exchange: Exchange) -> UpstreamAttempt | None:
+        """Have another daemon make an attempt; None if none did."""
+        ended = await self.carry_client.send_attempt(exchange)
+        if isinstance(ended, Refusal):
+            exchange.refusal = ended
+            return None
+        return ended
+
+    async def attempt_directly(self, exchange: Exchange) -> UpstreamAttempt | None:
+        """Send a request to an upstream over an own connection, None if none may get it."""
+        isolated = self.suspects.must_run_isolated(exchange.fingerprint)
+        entry = self.selector.select_upstream(exchange, isolated)
+        if entry is None:
+            return None
+        exchange.upstream = entry.record.id
+        exchange.sent_at = self.now()
+        self.selector.note_dispatch(exchange, entry)
+        entry.isolated_requests += int(isolated)
+        try:
+            attempt = await self.sender.send_attempt(
+                exchange, entry, self.compute_first_byte_timeout(exchange, entry)
+            )
+        finally:
+            entry.isolated_requests -= int(isolated)
+        self.trials.note_result(exchange, entry.record.version, attempt)
+        if self.metrics is not None:
+            self.metrics.attempts[exchange.service, attempt.result.value] += 1
+        if attempt.result is AttemptResult.BROKEN:
+            await self.sender.crash_detector.probe(entry)
+        return attempt
+
     def compute_first_byte_timeout(self, exchange: Exchange, entry: UpstreamEntry) -> float:
         """Return the seconds to wait for the first byte, leaving time for a retry if possible."""
         left = max(exchange.time_left - DEADLINE_MARGIN_SECONDS, 0.0)
@@ -190,7 +224,9 @@
             stream.send_response(failure.head.status, headers, failure.body)
             self.log_outcome(exchange, "failed upstream")
         elif exchange.known_not_run:
-            refusal = self.selector.build_refusal(exchange.service, last.reason if last else "")
+            refusal = exchange.refusal or self.selector.build_refusal(
+                exchange.service, last.reason if last else ""
+            )
             self.refuse(stream, exchange.fields.request_id, refusal)
             self.log_outcome(exchange, "refused")
         elif last is not None and last.result is AttemptResult.TIMED_OUT:
@@ -250,6 +286,9 @@
             "config": self.cluster_view.config.version,
             "config_age_s": round(min(self.cluster_view.config_age, 1e6), 2),
         }
+        if exchange.carrier:
+            fields["carriers"] = [attempt.carrier for attempt in exchange.attempts]
+            fields["last_carrier"] = exchange.carrier
         if outcome == "answered" and len(exchange.attempts) == 1:
             self.log.write_routine("request", **fields)
         else:
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -6,6 +6,7 @@
 import enum
 from typing import NamedTuple
 
+from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, ResponseHead
 from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.sse import EventSplitter
@@ -38,6 +39,7 @@
     :ivar head: status and headers of a complete response that was not delivered, if any
     :ivar body: body of that response
     :ivar completed: whether a success was delivered whole, with an end that its framing shows
+    :ivar carrier: daemon that made the attempt for this one, empty if this daemon made it itself
     """
 
     result: AttemptResult
@@ -47,6 +49,7 @@
     head: ResponseHead | None = None
     body: bytes = b""
     completed: bool = False
+    carrier: str = ""
 
     @property
     def proves_not_run(self) -> bool:
@@ -71,6 +74,9 @@
     :ivar sent_at: event-loop time in seconds at which the last attempt began
     :ivar splitter: parser of a streamed response, kept over the attempts so that it can resume
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
+    :ivar continues: whether this continues a stream whose events another upstream has begun
+    :ivar carrier: daemon that was last asked to carry the request, empty if none was
+    :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
     """
 
     def __init__(
@@ -99,6 +105,9 @@
         self.part_keys = part_keys
         self.splitter = EventSplitter(fields.last_event_id)
         self.first_byte_at: float | None = None
+        self.continues = False
+        self.carrier = ""
+        self.refusal: Refusal | None = None
         self.sent_at = now
 
     @property
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -32,6 +32,14 @@
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
     yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
+    carry_client, carry_server = node.dispatcher.carry_client, node.carry_server
+    yield GaugeRow("carried_out", carry_client.in_flight, {})
+    yield GaugeRow("carried_in", carry_server.in_flight, {})
+    yield GaugeRow("carry_room", carry_server.room, {})
+    yield GaugeRow("carried_total", carry_server.carried_count, {})
+    yield GaugeRow("refused_carry", carry_server.refused_count, {})
+    for result, count in list(carry_client.results.items()):
+        yield GaugeRow(f"carried_out_{result.replace(' ', '_')}", count, {})
     for domain in list(node.cluster_view.evacuated):
         yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
     for entry in list(node.cluster_view.upstreams.entries.values()):
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -9,7 +9,12 @@
 
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.http1 import CallerRequest, CallerStream, RequestRefusedError
+from tanagertrail.gateway.http1 import (
+    CallerRequest,
+    CallerStream,
+    Headers,
+    RequestRefusedError,
+)
 from tanagertrail.gateway.model import Limits
 
 BACKLOG = 1024
@@ -27,6 +32,7 @@
     :ivar busy_channels: connections with a request that is being handled
     :ivar streams: streams of all open connections
     :ivar stopping: whether the daemon is shutting down, so that responses announce the close
+    :ivar refusal_headers: fields of the response to an unreadable request
     """
 
     def __init__(self, handler: Handler, limits: Callable[[], Limits], log: EventLog) -> None:
@@ -38,6 +44,7 @@
         self.busy_channels: set[Channel] = set()
         self.streams: set[CallerStream] = set()
         self.stopping = False
+        self.refusal_headers: Headers = [(b"content-type", b"text/plain")]
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -110,8 +117,7 @@
         """
         stream.close_after = True
         try:
-            headers = [(b"content-type", b"text/plain")]
-            stream.send_response(error.status, headers, error.reason.encode())
+            stream.send_response(error.status, self.refusal_headers, error.reason.encode())
         except h11.LocalProtocolError as protocol_error:
             self.log.write_routine("answer_impossible", reason=repr(protocol_error)[:120])
             return
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -29,6 +29,7 @@
     :ivar address: address for traffic between daemons
     :ivar front: address for callers
     :ivar strength: capacity of its instance for the work of a hub
+    :ivar carrier: address for requests that it carries for other daemons, empty if it carries none
     """
 
     daemon: str
@@ -37,6 +38,7 @@
     front: str
     failure_domain: str
     strength: int = 0
+    carrier: str = ""
 
     def encode(self) -> dict[str, object]:
         """Return the content of the stored registration."""
@@ -164,6 +166,27 @@
         """Return the members that are alive and accept callers' requests."""
         return [state.member for state in self.list_alive(now) if state.serving]
 
+    def list_sending_members(self, now: float) -> list[Member]:
+        """Return the members that serve callers and reach upstreams."""
+        return [
+            state.member
+            for state in self.list_alive(now)
+            if state.serving and state.reaches_upstreams
+        ]
+
+    def list_carriers(self, now: float) -> list[Member]:
+        """Return the members that can carry requests to upstreams."""
+        return [member for member in self.list_sending_members(now) if has_carrier(member)]
+
+    def is_alive(self, daemon: str, now: float) -> bool:
+        """Return whether a member is alive."""
+        state = self.states.get(daemon)
+        return state is not None and now - state.last_seen_at < self.alive_timeout
+
+    def list_hosts(self) -> set[str]:
+        """Return the hosts of all known members."""
+        return {str(state.member.address).rpartition(":")[0] for state in self.states.values()}
+
     def count(self) -> int:
         """Count all known members, including this daemon."""
         return len(self.states) + 1
@@ -182,9 +205,21 @@
         settings.front,
         settings.failure_domain,
         compute_hub_capacity(settings.cores, settings.link),
+        find_carrier_address(settings),
     )
 
 
+def has_carrier(member: Member) -> bool:
+    """Return whether a member names an address for carried requests."""
+    return isinstance(member.carrier, str) and ":" in member.carrier
+
+
+def find_carrier_address(settings: GatewaySettings) -> str:
+    """Return the address for carried requests, empty if there is no port for them."""
+    first, last = settings.internal
+    return f"{settings.host}:{first + 1}" if first < last else ""
+
+
 async def register_member(
     store: StoreClient, table: MemberTable, log: EventLog, rng: random.Random
 ) -> None:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -6,6 +6,7 @@
 import random
 
 from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
+from tanagertrail.gateway.carry_server import CarryServer
 from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.crash_detector import CrashDetector
@@ -35,6 +36,7 @@
 from tanagertrail.gateway.store_follower import StoreFollower
 from tanagertrail.gateway.store_watch import WatchRole
 from tanagertrail.gateway.suspects import SuspectTracker
+from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_sender import UpstreamSender
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import CloudClient
@@ -82,7 +84,10 @@
         self.quota = QuotaLimiter(settings.bounds.quota_window, self.loop.time())
         self.wall_clock = SteadyWallClock(read_wall_time, read_boot_time)
         self.usage = UsageCounter(settings.bounds.usage_window, self.wall_clock.read)
-        self.shared_rates = SharedRates(self.members, lambda: self.ready)
+        self.upstream_links = UpstreamLinks()
+        self.shared_rates = SharedRates(
+            self.members, lambda: self.ready and not self.upstream_links.is_cut
+        )
         self.rate_limits = RateLimitTable(self.shared_rates, self.log, read_boot_time)
         self.dispatcher = Dispatcher(
             self.cluster_view,
@@ -97,6 +102,7 @@
             ),
             self.quota,
             self.suspects,
+            self.upstream_links,
             self.log,
             self.rng,
             self.tuning.policy.placement,
@@ -111,6 +117,11 @@
             self.rng,
         )
         self.http_server = HttpServer(self.dispatcher.handle, self.get_limits, self.log)
+        self.carry_server = CarryServer(
+            self.dispatcher, self.get_limits, self.log, settings.cores, settings.max_descriptors
+        )
+        self.carry_server.is_ready = lambda: self.ready
+        self.carry_server.list_hosts = self.list_peer_hosts
         self.follower = StoreFollower(
             self.store, self.cluster_view, self.members, self.suspects, self.log, self.rng
         )
@@ -151,6 +162,8 @@
         :raises OSError: if a port is already in use
         """
         await self.peer_server.start(self.settings.host, self.settings.internal[0])
+        if self.own.carrier:
+            await self.carry_server.start(self.settings.host, self.settings.internal[0] + 1)
         host, _, port = self.settings.front.rpartition(":")
         await self.http_server.start(host, int(port))
         await self.page_servers.serve(self.settings.ready, ReadyPage(lambda: self.ready))
@@ -218,6 +231,11 @@
         hosts = (seed.rpartition(":")[0] for seed in self.settings.seeds)
         return tuple(f"{host}:{port}" for host in hosts)
 
+    def list_peer_hosts(self) -> set[str]:
+        """Return the hosts of other daemons."""
+        seed_hosts = {seed.rpartition(":")[0] for seed in self.settings.seeds}
+        return self.members.list_hosts() | seed_hosts
+
     def handle_restored_store(self) -> None:
         """Do again what a store that came back from an older copy may have lost."""
         self.leadership.note_store_restored()
@@ -256,6 +274,7 @@
                 if upstream_id not in self.cluster_view.upstreams.entries:
                     self.pools.close_idle(upstream_id)
             self.pools.close_expired()
+            self.dispatcher.carry_client.pools.close_expired()
             alive = [state.member.daemon for state in self.members.list_alive(self.loop.time())]
             self.cluster_view.upstreams.drop_dead_daemons(alive)
             self.suspects.forget_daemons_except(alive)
@@ -384,7 +403,7 @@
 
     async def stop(self) -> None:
         """Stop being listed, serve what still arrives, and end within the grace period."""
-        self.stopping = self.http_server.stopping = True
+        self.stopping = self.http_server.stopping = self.carry_server.stopping = True
         self.log.write("leaving", in_flight=self.dispatcher.in_flight)
         self.peer_client.exchange_with_all()
         started = self.loop.time()
@@ -394,23 +413,26 @@
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, latest)
         self.http_server.stop_listening()
+        self.carry_server.stop_listening()
         await self.wait_until_drained(started, latest)
         self.log.write("stopped", in_flight=self.dispatcher.in_flight)
         self.close()
 
     async def wait_until_drained(self, earliest: float, latest: float) -> None:
-        """Wait until ``earliest``, then until no caller waits for an answer or until ``latest``.
+        """Wait until ``earliest``, then until no one waits for an answer or until ``latest``.
 
         Both are event-loop times in seconds.
         """
         while self.loop.time() < latest:
-            if self.loop.time() >= earliest and not self.http_server.unanswered:
+            unanswered = self.http_server.unanswered or self.carry_server.unanswered
+            if self.loop.time() >= earliest and not unanswered:
                 break
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
     def close(self) -> None:
         """Close all ports and connections immediately."""
         self.http_server.close()
+        self.carry_server.close()
         for task in self.tasks:
             task.cancel()
         if self.quarantine is not None:
@@ -418,5 +440,6 @@
         self.peer_server.close()
         self.peer_client.close()
         self.pools.close()
+        self.dispatcher.carry_client.close()
         self.store.close()
         self.page_servers.close()
--- a/tanagertrail/gateway/shared_rates.py
+++ b/tanagertrail/gateway/shared_rates.py
@@ -18,7 +18,9 @@
 class SharedRates:
     """Divide shared rates among the daemons that this one knows to be alive.
 
-    :ivar is_serving: returns whether this daemon accepts callers' requests
+    A daemon that is cut off from all upstreams holds no part, which the others use meanwhile.
+
+    :ivar is_serving: returns whether this daemon accepts callers' requests and reaches upstreams
     :ivar held_rates: this daemon's parts
     """
 
@@ -38,12 +40,12 @@
         return len(self.held_rates.fleet.serving)
 
     def refresh_fleet(self) -> None:
-        """Look up which daemons are alive and serving, unless that was done just now."""
+        """Look up which daemons send requests to upstreams, unless that was done just now."""
         now = self.now()
         if now - self.refreshed_at < FLEET_REFRESH_SECONDS:
             return
         self.refreshed_at = now
-        serving = {member.daemon for member in self.members.list_serving_members(now)}
+        serving = {member.daemon for member in self.members.list_sending_members(now)}
         if self.is_serving():
             serving.add(self.members.own.daemon)
         known = self.members.count()
--- a/tanagertrail/gateway/trials.py
+++ b/tanagertrail/gateway/trials.py
@@ -45,7 +45,7 @@
     if attempt.result in FAILURE_RESULTS:
         return RequestResult(version, route, True, now - exchange.sent_at)
     first = exchange.first_byte_at or now
-    if first < exchange.sent_at:
+    if first < exchange.sent_at or exchange.continues:
         return None
     gaps = exchange.splitter.events - 1
     pace = (now - first) / gaps if exchange.route.streamed and gaps > 0 else None
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -129,6 +129,22 @@
         use = self.trials.get_version_use(record.service, record.version)
         return use is not VersionUse.FORBIDDEN
 
+    def has_shared_limit(self, service: str) -> bool:
+        """Return whether the daemons divide a rate of requests to an upstream in use."""
+        now = self.now()
+        return any(
+            self.is_in_use(entry, now)
+            and (now < entry.cold_until or self.rate_limits.get_rate(entry) is not None)
+            for entry in self.cluster_view.upstreams.iter_service(service)
+        )
+
+    def has_unreachable(self, service: str) -> bool:
+        """Return whether an upstream gets no requests because its connections failed."""
+        now = self.now()
+        return any(
+            now < entry.backoff_until for entry in self.cluster_view.upstreams.iter_service(service)
+        )
+
     def may_receive_canary(self, entry: UpstreamEntry, now: float) -> bool:
         """Return whether an upstream of a version on trial may get a request.
 
--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -5,6 +5,7 @@
     "NamedRate",
     "UpstreamFields",
     "UpstreamLoad",
+    "build_carried_headers",
     "build_response_headers",
     "build_upstream_headers",
     "decode_caller_fields",
@@ -211,6 +212,27 @@
 ) -> list[tuple[bytes, bytes]]:
     """Build the header fields of a request to an upstream.
 
+    :param headers: fields of the caller's request, their names in lower case
+    :param seconds_left: seconds until the deadline of the request
+    :param last_event_id: id of the event after which to resume a stream
+    :param body_length: length of the body in bytes, None for a request without one
+    """
+    result = build_carried_headers(
+        headers, seconds_left=seconds_left, last_event_id=last_event_id, body_length=body_length
+    )
+    result.append((EXPECTED_UPSTREAM, upstream.encode()))
+    if customer is not None:
+        result.append((CUSTOMER, customer.encode()))
+    if priority is not None:
+        result.append((PRIORITY, str(priority).encode()))
+    return result
+
+
+def build_carried_headers(
+    headers: Headers, *, seconds_left: float, last_event_id: str | None, body_length: int | None
+) -> list[tuple[bytes, bytes]]:
+    """Build the header fields of a request that another daemon carries to an upstream.
+
     :param headers: fields of the caller's request, their names in lower case
     :param seconds_left: seconds until the deadline of the request
     :param last_event_id: id of the event after which to resume a stream
@@ -224,12 +246,7 @@
     }
     dropped = HOP_BY_HOP_FIELDS | GATEWAY_SET_FIELDS | connection_options
     result = [(name, value) for name, value in headers if name not in dropped]
-    result.append((EXPECTED_UPSTREAM, upstream.encode()))
     result.append((DEADLINE_MS, str(max(int(seconds_left * 1000), 1)).encode()))
-    if customer is not None:
-        result.append((CUSTOMER, customer.encode()))
-    if priority is not None:
-        result.append((PRIORITY, str(priority).encode()))
     if last_event_id is not None:
         result.append((LAST_EVENT_ID, last_event_id.encode()))
     if body_length is not None:
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -25,7 +25,7 @@
     build_entry,
     build_node_file,
 )
-from tanagertrail.standins.ports import HOST, find_port
+from tanagertrail.standins.ports import HOST, find_port, find_port_pair
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
 
@@ -219,7 +219,7 @@
     async def add_daemons(self, store_port: int, cloud_port: int) -> None:
         """Build the daemons and the proxies around them."""
         ports = [
-            DaemonPorts(*(find_port() for _ in DaemonPorts._fields))
+            DaemonPorts(find_port(), find_port(), find_port(), *find_port_pair())
             for _ in range(self.daemon_count)
         ]
         seeds = [item.internal for item in ports[:3]]
--- a/tanagertrail/standins/documents.py
+++ b/tanagertrail/standins/documents.py
@@ -54,12 +54,17 @@
 
 
 class DaemonPorts(NamedTuple):
-    """Ports of one daemon on loopback."""
+    """Ports of one daemon on loopback.
+
+    :ivar carrier: port for requests that it carries for other daemons, the next one after
+        ``internal``; 0 if it carries none
+    """
 
     front: int
     ready: int
     directory: int
     internal: int
+    carrier: int = 0
 
 
 class SoakCustomer(NamedTuple):
@@ -155,7 +160,7 @@
         f"ip = {json.dumps(HOST)}",
         f"zone = {json.dumps(domain)}",
         'region = "island"',
-        f"internal_ports = [{ports.internal}, {ports.internal}]",
+        f"internal_ports = [{ports.internal}, {ports.carrier or ports.internal}]",
         f"seeds = {json.dumps([f'{HOST}:{port}' for port in seeds])}",
         "heartbeat_ms = 1200",
     ]
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -3,6 +3,7 @@
 __all__ = ["EVENTS", "FAULTS", "STREAM_SUFFIX"]
 
 import asyncio
+import itertools
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -64,6 +65,14 @@
     await asyncio.sleep(3600)
 
 
+@FAULTS.register("stall")
+async def stall(upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream) -> None:
+    """Send two events of a stream and nothing more."""
+    upstream.begin(request)
+    await upstream.send_events(request, stream, 2)
+    await asyncio.sleep(3600)
+
+
 @FAULTS.register("half_event")
 async def break_within_event(
     upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
@@ -221,6 +230,20 @@
     await send_endlessly(upstream, stream, b"noise: x\n\n" * 100)
 
 
+@FAULTS.register("endless_events")
+async def send_endless_events(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Send whole events as fast as they are taken."""
+    upstream.begin(request)
+    stream.start_chunked_response(200, upstream.sign(request), b"id: 0\ndata: piece 0\n\n")
+    for number in itertools.count(1):
+        event = f"id: {number}\ndata: {'x' * ENDLESS_BLOCK}\n\n".encode()
+        stream.send_chunk(event)
+        upstream.endless_bytes += len(event)
+        await stream.channel.drain()
+
+
 async def send_unframed(
     upstream: "StandInUpstream",
     request: CallerRequest,
--- a/tanagertrail/standins/ports.py
+++ b/tanagertrail/standins/ports.py
@@ -1,6 +1,6 @@
 """Ports of loopback that stand-ins and daemons under test may listen on."""
 
-__all__ = ["HOST", "claim_block", "find_port"]
+__all__ = ["HOST", "claim_block", "find_port", "find_port_pair"]
 
 import functools
 import itertools
@@ -68,3 +68,11 @@
                 continue
             return port
     raise AssertionError("a cycle has no end")
+
+
+def find_port_pair() -> tuple[int, int]:
+    """Return two ports that are free now and follow each other."""
+    first, second = find_port(), find_port()
+    while second != first + 1:
+        first, second = second, find_port()
+    return first, second
--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import string
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -12,10 +13,12 @@
 from tanagertrail.gateway.mirror import BaseKindHandler
 from tanagertrail.gateway.model import GatewaySettings
 from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.gateway.pools import CONNECT_SECONDS
 from tanagertrail.platform.settings import decode_settings
+from tanagertrail.registry import Registry
 from tanagertrail.standins.cloud import StandInCloud
 from tanagertrail.standins.documents import build_entry, build_route
-from tanagertrail.standins.ports import HOST, find_port
+from tanagertrail.standins.ports import HOST, find_port, find_port_pair
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
 
@@ -61,7 +64,7 @@
             "ip": HOST,
             "zone": "north",
             "region": "island",
-            "internal_ports": [ports["internal"], ports["internal"]],
+            "internal_ports": [ports["internal"], ports.get("carrier", ports["internal"])],
             "zones": {"north": "island"},
             "listen": {
                 "front": f"{HOST}:{ports['front']}",
@@ -106,8 +109,9 @@
 
     def __init__(self, upstreams: int = 2) -> None:
         upstream_ids = [f"up-{letter}" for letter in string.ascii_lowercase[:upstreams]]
-        names = ("front", "ready", "directory", "internal", "store", "cloud", *upstream_ids)
+        names = ("front", "ready", "directory", "store", "cloud", *upstream_ids)
         self.ports = {name: find_port() for name in names}
+        self.ports["internal"], self.ports["carrier"] = find_port_pair()
         self.front_ports = [self.ports["front"]]
         self.store = StandInStore()
         self.cloud = StandInCloud()
@@ -225,7 +229,8 @@
 
     async def add_daemon(self, name: str) -> GatewayNode:
         """Start another daemon."""
-        own_ports = {key: find_port() for key in ("front", "ready", "directory", "internal")}
+        own_ports = {key: find_port() for key in ("front", "ready", "directory")}
+        own_ports["internal"], own_ports["carrier"] = find_port_pair()
         settings = build_settings(self.ports | own_ports, name)
         node = GatewayNode(settings)
         await node.start()
@@ -255,3 +260,33 @@
         yield fleet
     finally:
         await fleet.close()
+
+
+Cut = Callable[[str, float], Awaitable[UpstreamStream]]
+CUTS: Registry[Cut] = Registry("cut")
+
+
+@CUTS.register("hanging")
+async def hang(address: str, timeout: float = CONNECT_SECONDS) -> UpstreamStream:
+    """Open no connection within the timeout."""
+    await asyncio.sleep(timeout)
+    raise TimeoutError("the connection hangs")
+
+
+@CUTS.register("refused")
+async def refuse_connection(address: str, timeout: float = CONNECT_SECONDS) -> UpstreamStream:
+    """Refuse a connection."""
+    raise ConnectionRefusedError("the connection is refused")
+
+
+def cut_off_from_upstreams(node: GatewayNode, cut: str = "hanging") -> None:
+    """Let a daemon open no connection to any upstream, and tell it that it is cut off."""
+    node.pools.close()
+    node.pools.open = CUTS.get(cut)
+    node.upstream_links.is_cut = True
+
+
+def list_tries(node: GatewayNode) -> Counter[str]:
+    """Return the requests that a daemon sent to each upstream."""
+    entries = node.cluster_view.upstreams.entries
+    return Counter({name: entry.sent_count for name, entry in entries.items()})
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -49,6 +49,7 @@
         sent_at=sent_at,
         first_byte_at=sent_at + first_event_delay,
         splitter=SimpleNamespace(events=EVENT_COUNT),
+        continues=False,
     )
     book.note_result(exchange, version, UpstreamAttempt(result, Step.END, "up-a"))
 
