--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -143,6 +143,7 @@
         from a hub to daemons that do not hear of all losses
     :ivar completed: (service, requests that completed since the start) pairs
     :ivar reaches_upstreams: whether the daemon reaches the upstreams, as far as it knows
+    :ivar carrier: address for requests that it carries for other daemons, empty if it carries none
     """
 
     daemon: str
@@ -168,6 +169,7 @@
     suspected_parts: CountRows = ()
     completed: CountRows = ()
     reaches_upstreams: bool = True
+    carrier: str = ""
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -6,6 +6,7 @@
 import enum
 from typing import NamedTuple
 
+from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, ResponseHead
 from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.sse import EventSplitter
@@ -39,6 +40,7 @@
     :ivar head: status and headers of a complete response that was not delivered, if any
     :ivar body: body of that response
     :ivar completed: whether a success was delivered whole, with an end that its framing shows
+    :ivar carrier: daemon that made the attempt for this one, empty if this daemon made it itself
     """
 
     result: AttemptResult
@@ -48,6 +50,7 @@
     head: ResponseHead | None = None
     body: bytes = b""
     completed: bool = False
+    carrier: str = ""
 
     @property
     def proves_not_run(self) -> bool:
@@ -74,6 +77,9 @@
     :ivar begun_head: head of the streamed response that the caller is being sent, None before
     :ivar resend_claimed: whether the retry budget has a place for the next attempt
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
+    :ivar continues: whether this continues a stream whose events another upstream has begun
+    :ivar carrier: daemon that was last asked to carry the request, empty if none was
+    :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
     """
 
     def __init__(
@@ -104,6 +110,9 @@
         self.begun_head: ResponseHead | None = None
         self.resend_claimed = False
         self.first_byte_at: float | None = None
+        self.continues = False
+        self.carrier = ""
+        self.refusal: Refusal | None = None
         self.sent_at = now
 
     @property
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -45,6 +45,14 @@
     yield GaugeRow("tasks_failing", len(node.supervisor.failing), {})
     for task, count in list(node.supervisor.failure_counts.items()):
         yield GaugeRow("task_failures", count, {"task": task})
+    carry_client, carry_server = node.dispatcher.carry_client, node.carry_server
+    yield GaugeRow("carried_out", carry_client.in_flight, {})
+    yield GaugeRow("carried_in", carry_server.in_flight, {})
+    yield GaugeRow("carry_room", carry_server.room, {})
+    yield GaugeRow("carried_total", carry_server.carried_count, {})
+    yield GaugeRow("refused_carry", carry_server.refused_count, {})
+    for result, count in list(carry_client.results.items()):
+        yield GaugeRow(f"carried_out_{result.replace(' ', '_')}", count, {})
     for domain in list(node.cluster_view.evacuated):
         yield GaugeRow("domain_out", 1.0, {"failure_domain": domain})
     for entry in list(node.cluster_view.upstreams.entries.values()):
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -9,7 +9,7 @@
 ]
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import h11
@@ -22,6 +22,7 @@
 from tanagertrail.gateway.timed_reads import has_unread_bytes, receive_before
 
 Headers = list[tuple[bytes, bytes]]
+FAILURE_HEADERS = ((b"content-type", b"text/plain"),)
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one; servers send one or two
 
@@ -238,12 +239,14 @@
         self.write(*events)
         self.response_started = True
 
-    def send_failure(self, status: int, reason: str) -> None:
+    def send_failure(
+        self, status: int, reason: str, headers: Sequence[tuple[bytes, bytes]] = FAILURE_HEADERS
+    ) -> None:
         """Send an error after which the connection closes, whatever state the parser is in."""
         self.parser = h11.Connection(h11.SERVER)
         self.close_after = True
         body = b"" if self.is_head_request else reason.encode()
-        self.send_response(status, [(b"content-type", b"text/plain")], body)
+        self.send_response(status, list(headers), body)
 
     def start_chunked_response(self, status: int, headers: Headers, first_chunk: bytes) -> None:
         """Send the head of a chunked response and its first chunk."""
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -18,7 +18,13 @@
 )
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.http1 import CallerRequest, CallerStream, RequestRefusedError
+from tanagertrail.gateway.http1 import (
+    FAILURE_HEADERS,
+    CallerRequest,
+    CallerStream,
+    Headers,
+    RequestRefusedError,
+)
 from tanagertrail.gateway.model import Limits
 from tanagertrail.platform.header_fields import decode_caller_fields
 
@@ -41,6 +47,7 @@
     :ivar stopping: whether the daemon is shutting down, so that responses announce the close
     :ivar ending: whether idle connections close at once
     :ivar closes: closed connections by reason
+    :ivar refusal_headers: fields of the response to an unreadable request
     """
 
     def __init__(self, handler: Handler, limits: Callable[[], Limits], log: EventLog) -> None:
@@ -54,6 +61,7 @@
         self.stopping = False
         self.ending = False
         self.closes: Counter[CloseReason] = Counter()
+        self.refusal_headers: Headers = list(FAILURE_HEADERS)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -92,7 +100,7 @@
         except RequestRefusedError as error:
             reason = CloseReason.REFUSED
             self.log.write_routine("request_refused", status=error.status, reason=error.reason)
-            stream.send_failure(error.status, error.reason)
+            stream.send_failure(error.status, error.reason, self.refusal_headers)
         except ConnectionError as error:
             reason = CloseReason.CALLER_BROKE
             self.log.write_routine("caller_connection", error=repr(error)[:120])
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -6,6 +6,7 @@
 import random
 
 from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
+from tanagertrail.gateway.carry_server import CarryServer
 from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.crash_detector import CrashDetector
@@ -109,6 +110,7 @@
             ),
             self.quota,
             self.suspects,
+            self.links,
             self.log,
             self.rng,
             self.tuning.policy.placement,
@@ -123,6 +125,11 @@
             self.rng,
         )
         self.http_server = HttpServer(self.dispatcher.handle, self.get_limits, self.log)
+        self.carry_server = CarryServer(
+            self.dispatcher, self.get_limits, self.log, settings.cores, settings.max_descriptors
+        )
+        self.carry_server.is_ready = lambda: self.ready
+        self.carry_server.list_hosts = self.list_peer_hosts
         self.follower = StoreFollower(
             self.store, self.cluster_view, self.members, self.suspects, self.log, self.rng
         )
@@ -164,6 +171,8 @@
         :raises OSError: if a port is already in use
         """
         await self.peer_server.start(self.settings.host, self.settings.internal[0])
+        if self.own.carrier:
+            await self.carry_server.start(self.settings.host, self.settings.internal[0] + 1)
         host, _, port = self.settings.front.rpartition(":")
         await self.http_server.start(host, int(port))
         await self.page_servers.serve(self.settings.ready, ReadyPage(lambda: self.ready))
@@ -235,6 +244,11 @@
         hosts = (seed.rpartition(":")[0] for seed in self.settings.seeds)
         return tuple(f"{host}:{port}" for host in hosts)
 
+    def list_peer_hosts(self) -> set[str]:
+        """Return the hosts of other daemons."""
+        seed_hosts = {seed.rpartition(":")[0] for seed in self.settings.seeds}
+        return self.members.list_hosts() | seed_hosts
+
     def handle_restored_store(self) -> None:
         """Do again what a store that came back from an older copy may have lost."""
         self.leadership.note_store_restored()
@@ -272,6 +286,7 @@
                 if upstream_id not in self.cluster_view.upstreams.entries:
                     self.pools.close_idle(upstream_id)
             self.pools.close_expired()
+            self.dispatcher.carry_client.pools.close_expired()
             alive = [state.member.daemon for state in self.members.list_alive(self.loop.time())]
             self.cluster_view.upstreams.drop_dead_daemons(alive)
             self.suspects.forget_daemons_except(alive)
@@ -414,7 +429,7 @@
 
     async def stop(self) -> None:
         """Stop being listed, serve what still arrives, and end within the grace period."""
-        self.stopping = self.http_server.stopping = True
+        self.stopping = self.http_server.stopping = self.carry_server.stopping = True
         self.log.write("leaving", in_flight=self.dispatcher.in_flight)
         self.peer_client.exchange_with_all()
         started = self.loop.time()
@@ -426,8 +441,10 @@
         )
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, latest)
-        cut = await self.http_server.finish(latest)
-        self.log.write("stopped", in_flight=cut)
+        cut, cut_carried = await asyncio.gather(
+            self.http_server.finish(latest), self.carry_server.finish(latest)
+        )
+        self.log.write("stopped", in_flight=cut + cut_carried)
         self.close()
 
     async def release_lease(self, latest: float) -> None:
@@ -441,23 +458,26 @@
             self.supervisor.report("release of the lease", error)
 
     async def wait_until_drained(self, earliest: float, latest: float) -> None:
-        """Wait until ``earliest``, then until no caller waits for an answer or until ``latest``.
+        """Wait until ``earliest``, then until no one waits for an answer or until ``latest``.
 
         Both are event-loop times in seconds.
         """
         while self.loop.time() < latest:
-            if self.loop.time() >= earliest and not self.http_server.unanswered:
+            unanswered = self.http_server.unanswered or self.carry_server.unanswered
+            if self.loop.time() >= earliest and not unanswered:
                 break
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
     def close(self) -> None:
         """Close all ports and connections immediately."""
         self.http_server.close()
+        self.carry_server.close()
         self.supervisor.close()
         if self.quarantine is not None:
             self.quarantine.close()
         self.peer_server.close()
         self.peer_client.close()
         self.pools.close()
+        self.dispatcher.carry_client.close()
         self.store.close()
         self.page_servers.close()
--- a/tanagertrail/gateway/shared_rates.py
+++ b/tanagertrail/gateway/shared_rates.py
@@ -18,6 +18,8 @@
 class SharedRates:
     """Divide shared rates among the daemons that this one knows to be alive.
 
+    A daemon that is cut off from all upstreams holds no part, which the others use meanwhile.
+
     :ivar is_serving: returns whether this daemon accepts callers' requests and reaches upstreams
     :ivar held_rates: this daemon's parts
     """
@@ -38,7 +40,7 @@
         return len(self.held_rates.fleet.serving)
 
     def refresh_fleet(self) -> None:
-        """Look up which daemons are alive and serving, unless that was done just now."""
+        """Look up which daemons send requests to upstreams, unless that was done just now."""
         now = self.now()
         if now - self.refreshed_at < FLEET_REFRESH_SECONDS:
             return
--- a/tests/test_upstream_links.py
+++ b/tests/test_upstream_links.py
@@ -18,6 +18,7 @@
 from tests.gateway_utils import open_fleet, run_in_real_time
 
 CUT_KNOWN_SECONDS = 1.0
+DETECTION_SECONDS = 1.5
 
 
 class CutLinks:
@@ -113,6 +114,27 @@
         await fleet.wait_until(lambda: all(len(node.list_fronts("")) == 2 for node in fleet.nodes))
 
 
+@run_in_real_time
+async def test_daemons_that_reach_no_upstream_serve_their_callers_through_others():
+    async with open_fleet("entry-2", "entry-3") as fleet:
+
+        async def hang(address, timeout=0.4):
+            await asyncio.sleep(timeout)
+            raise TimeoutError
+
+        for node in fleet.nodes[:2]:
+            node.pools.open = hang
+            node.pools.close()
+        await asyncio.gather(*(fleet.fetch("/look/first", front=n) for n in (0, 1)))
+        await asyncio.sleep(DETECTION_SECONDS)
+        replies = [
+            await fleet.fetch(path, body, front=front)
+            for front in (0, 1)
+            for path, body in (("/look/1", b""), ("/book/1", b"order"), ("/talk/1/events", b"ask"))
+        ]
+        assert [reply.status for reply in replies] == [200] * 6
+
+
 @given(st.lists(st.tuples(st.integers(0, 5), st.floats(0.01, 3.0)), max_size=40))
 def test_links_are_used_again_only_after_rounds_that_reach_upstreams(rounds):
     judge = LinkJudge()
