--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -102,17 +102,22 @@
 
 
 class MemoryTransport(asyncio.Transport):
-    """A transport that hands what is written to a function."""
+    """A transport that hands what is written to a function.
+
+    :ivar changed: set when something is written or the connection is closed
+    """
 
     def __init__(self, channel: Channel, receive: Callable[[bytes], None]) -> None:
         super().__init__()
         self.channel = channel
         self.receive = receive
         self.closed = False
+        self.changed = asyncio.Event()
 
     def write(self, data: bytes) -> None:
         if not self.closed:
             self.receive(bytes(data))
+            self.changed.set()
 
     def is_closing(self) -> bool:
         return self.closed
@@ -129,6 +134,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
+            self.changed.set()
             asyncio.get_running_loop().call_soon(self.channel.connection_lost, None)
 
 
@@ -136,6 +142,7 @@
     """The upstream's side of a connection, which carries out scripts.
 
     :ivar request_ids: ids of the requests so far
+    :ivar answers: answers to requests that were sent so far, for copies
     """
 
     def __init__(self, upstream: "MemoryUpstream") -> None:
@@ -145,6 +152,7 @@
         self.channel.transport = self.transport
         self.received = b""
         self.request_ids: list[bytes] = []
+        self.answers: list[bytes] = []
         self.tasks: list[asyncio.Task] = []
 
     def receive(self, data: bytes) -> None:
@@ -153,16 +161,17 @@
         head, end, rest = self.received.partition(b"\r\n\r\n")
         if not end:
             return
+        request_line, *lines = head.split(b"\r\n")
         headers = dict(
-            tuple(part.strip() for part in line.lower().split(b":", 1))
-            for line in head.split(b"\r\n")[1:]
+            tuple(part.strip() for part in line.lower().split(b":", 1)) for line in lines
         )
+        headers[b":path"] = request_line.split(b" ")[1]
         length = int(headers.get(b"content-length", b"0"))
         if len(rest) < length:
             return
         self.received = rest[length:]
         self.request_ids.append(headers.get(b"tanagertrail-request-id", b""))
-        script = self.upstream.take_script(headers)
+        script = self.upstream.take_script(self, headers)
         self.tasks.append(asyncio.create_task(self.carry_out(script, self.request_ids[-1])))
 
     async def carry_out(self, script: Script, own_id: bytes) -> None:
@@ -199,7 +208,7 @@
         """Add a script of steps without delays."""
         self.scripts.append(Script(tuple(Step(part) for part in data), runs))
 
-    def take_script(self, headers: dict[bytes, bytes]) -> Script:
+    def take_script(self, connection: MemoryConnection, headers: dict[bytes, bytes]) -> Script:
         """Return what to do with a request and note it."""
         self.arrivals.append(headers)
         script = self.scripts.pop(0) if self.scripts else Script((Step(build_answer()),))
@@ -291,7 +300,8 @@
             if fed == len(received):
                 if channel.transport.closed:
                     break
-                await asyncio.sleep(0.001)
+                await channel.transport.changed.wait()
+                channel.transport.changed.clear()
                 continue
             parser.receive_data(b"".join(received[fed:]))
             fed = len(received)
@@ -310,6 +320,14 @@
             return Reply(0, {}, b"", False)
         return Reply(head.status_code, dict(head.headers), b"".join(parts), whole)
 
+    def close(self) -> None:
+        """Stop the daemon and end what upstreams still do."""
+        self.node.close()
+        for upstream in self.upstreams.values():
+            for connection in upstream.connections:
+                for task in connection.tasks:
+                    task.cancel()
+
     @property
     def runs(self) -> list[bytes]:
         """Ids of the requests that upstreams ran."""
