Soak: pausing upstreams, odd entries, repeated refusals, errors after broken streams, and a check for lost requests

New kinds, each with a chance of its own so that the draws of others stay: "upstream pauses" (0.8 to 2 s within a stream, then it goes on), "odd entries" beside those of the upstreams (nested 50,000 deep, a number of 6,000 digits, port 99999, NaN, infinity, texts and null for values), "odd entry of an upstream" (later sound again), "refusal written again" (with and without an id, on kept connections) and "error after a broken stream" (500, 404, text, nothing, half a head). The check "nothing lost" finds calls that ended before their deadline without a whole answer while only planned work or these faults were on. Callers use a stream route that may not be resumed; "at most once" and "true refusals" cover it. `--kinds` plays chosen kinds only.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -1,6 +1,6 @@
 """Callers of the soak: they ask for addresses, keep connections and write down what they see."""
 
-__all__ = ["Call", "CallerCrowd"]
+__all__ = ["ONCE_ROUTES", "STREAM_ROUTES", "Call", "CallerCrowd"]
 
 import asyncio
 import itertools
@@ -25,7 +25,9 @@
 FIRST_PART = "soak"  # that the prompts of all streams share
 SECOND_PARTS = ("a", "b", "c", "d")
 LEAVE_SHARE = 0.03  # of calls whose caller closes its connection before the answer
-ROUTES = ("look", "look", "book", "book", "talk")
+ROUTES = ("look", "look", "book", "book", "talk", "once")
+STREAM_ROUTES = frozenset({"talk", "once"})
+ONCE_ROUTES = frozenset({"book", "once"})  # whose requests may run at most once
 
 
 class Call(NamedTuple):
@@ -122,7 +124,7 @@
         body = f"order {number}".encode() if route == "book" else b""
         loop = asyncio.get_running_loop()
         request_id = f"soak-{number}"
-        second_part = SECOND_PARTS[number % len(SECOND_PARTS)] if route == "talk" else ""
+        second_part = SECOND_PARTS[number % len(SECOND_PARTS)] if route in STREAM_ROUTES else ""
         self.send(stream, request_id, route, customer, body, second_part)
         call = Call(request_id, route, customer, body, front, loop.time(), loop.time())
         if rng.random() < LEAVE_SHARE:
@@ -200,7 +202,7 @@
             headers.append((header_fields.PROMPT_PREFIX, prefix.encode()))
         if body:
             headers.append((b"content-length", str(len(body)).encode()))
-        suffix = "events" if route == "talk" else "x"
+        suffix = "events" if route in STREAM_ROUTES else "x"
         method = b"POST" if body else b"GET"
         stream.send_request(method, f"/{route}/{suffix}".encode(), headers, body)
 
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from tanagertrail.registry import Registry
-from tanagertrail.soak.callers import Call
+from tanagertrail.soak.callers import ONCE_ROUTES, STREAM_ROUTES, Call
 from tanagertrail.soak.plan import Fault, was_disturbed
 from tanagertrail.standins.documents import BOUNDS, COLD_RATE, COLD_SLACK, CUSTOMERS, PLAIN_UNITS
 from tanagertrail.standins.misbehaviour import EVENTS
@@ -143,7 +143,7 @@
     """Find requests that may run once and ran more often."""
     counts = count_runs(evidence)
     for call in evidence.calls:
-        if call.route == "book" and counts[call.request_id] > 1:
+        if call.route in ONCE_ROUTES and counts[call.request_id] > 1:
             yield f"{call.request_id} ran {counts[call.request_id]} times"
 
 
@@ -152,7 +152,7 @@
     """Find requests that ran though their caller was told that they had not."""
     counts = count_runs(evidence)
     for call in evidence.calls:
-        if call.route == "book" and call.status in PROMISES and counts[call.request_id]:
+        if call.route in ONCE_ROUTES and call.status in PROMISES and counts[call.request_id]:
             yield f"{call.request_id} was answered {call.status} and ran"
 
 
@@ -165,9 +165,9 @@
         upstream, _, own = call.stamp.partition(".")
         if own != call.request_id:
             yield f"{call.request_id} got the answer of {call.stamp!r}"
-        elif call.route == "talk" and call.answer != build_events():
+        elif call.route in STREAM_ROUTES and call.answer != build_events():
             yield f"{call.request_id} got other events: {call.answer[:80]!r}"
-        elif call.route != "talk" and call.answer != f"answer of {upstream}".encode():
+        elif call.route not in STREAM_ROUTES and call.answer != f"answer of {upstream}".encode():
             yield f"{call.request_id} got {call.answer[:80]!r} from {upstream}"
 
 
@@ -359,20 +359,6 @@
             served.setdefault(key, call.ended_at)
 
 
-@CHECKS.register("nothing cut by a planned stop")
-def check_stops(evidence: Evidence) -> Iterator[str]:
-    """Find calls that a stopping daemon had read and did not answer, in calm times."""
-    for port, at in evidence.terms:
-        for call in evidence.calls:
-            concerned = call.port == port and at <= call.sent_at <= at + STABILITY_SECONDS
-            cut = call.status == 0 or not call.whole
-            in_time = call.ended_at - call.sent_at < 1.0
-            if concerned and cut and not call.left and in_time:
-                ran = any(run.request_id == call.request_id for run in evidence.runs)
-                if ran and evidence.was_calm(at, call.ended_at):
-                    yield f"{call.request_id} ran at a stopping daemon and was cut"
-
-
 @CHECKS.register("one count for a window")
 def check_usage(evidence: Evidence) -> Iterator[str]:
     """Find windows that were reported with different counts, and tokens that went back."""
--- a/tanagertrail/soak/plan.py
+++ b/tanagertrail/soak/plan.py
@@ -3,7 +3,7 @@
 __all__ = ["FAULTS", "Fault", "FaultKind", "draw_plan", "register_fault", "was_disturbed"]
 
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import Any, NamedTuple
 
 from tanagertrail.registry import Registry
@@ -40,7 +40,7 @@
 
     :ivar shortest: seconds that it lasts at least
     :ivar longest: seconds that it lasts at most
-    :ivar planned: whether it is planned work, which must cut nothing
+    :ivar planned: whether it is planned work or no disruption at all, so that it must cut nothing
     :ivar chance: probability that a run has it, 0 for kinds that are drawn from the common ones
     """
 
@@ -66,13 +66,15 @@
     return register
 
 
-def draw_plan(seed: int, seconds: float) -> list[Fault]:
+def draw_plan(seed: int, seconds: float, kinds: Collection[str] = ()) -> list[Fault]:
     """Draw the faults of a run; the same seed gives the same plan.
 
     :param seconds: length of the run
+    :param kinds: the only kinds to draw, empty for all
     """
     rng = random.Random(seed)
     common = [name for name in sorted(FAULTS) if not FAULTS.get(name).chance]
+    common = sorted(kinds) or common
     plan = []
     at = FIRST_FAULT_SECONDS
     while at < seconds * LAST_FAULT_SHARE:
@@ -81,7 +83,8 @@
         lasts = rng.uniform(kind.shortest, kind.longest)
         plan.append(Fault(at, name, rng.randrange(1000), lasts))
         at += rng.expovariate(1.0 / MEAN_GAP_SECONDS)
-    return plan + [fault for name in sorted(FAULTS) for fault in draw_apart(seed, name, seconds)]
+    apart = [] if kinds else sorted(FAULTS)
+    return plan + [fault for name in apart for fault in draw_apart(seed, name, seconds)]
 
 
 def draw_apart(seed: int, name: str, seconds: float) -> list[Fault]:
--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -6,12 +6,15 @@
 import shutil
 import sys
 import tempfile
+from collections.abc import Collection
 from pathlib import Path
 from typing import NamedTuple
 
 import fire
 
 from tanagertrail.soak import faults as _faults  # noqa: F401  fills the registry of faults
+from tanagertrail.soak import loss_checks as _loss_checks  # noqa: F401  and that of checks
+from tanagertrail.soak import upstream_faults as _upstream_faults  # noqa: F401
 from tanagertrail.soak.checks import find_broken
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
 from tanagertrail.soak.world import SoakWorld
@@ -71,10 +74,14 @@
     daemons: int = DEFAULT_DAEMONS,
     upstreams: int = DEFAULT_UPSTREAMS,
     callers: int = DEFAULT_CALLERS,
+    kinds: Collection[str] = (),
 ) -> SoakResult:
-    """Play the plan of one seed and check what it shows."""
+    """Play the plan of one seed and check what it shows.
+
+    :param kinds: the only kinds of faults to play, empty for all
+    """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    plan = draw_plan(seed, seconds)
+    plan = draw_plan(seed, seconds, kinds)
     world = SoakWorld(seed, daemons, upstreams, folder)
     try:
         broken = await play(world, plan, seconds, callers)
@@ -108,14 +115,17 @@
         daemons: int = DEFAULT_DAEMONS,
         upstreams: int = DEFAULT_UPSTREAMS,
         callers: int = DEFAULT_CALLERS,
+        kinds: str = "",
     ) -> None:
         """Play one seed, or all of ``--seeds A..B`` in turn.
 
         :param seconds: length of a run
+        :param kinds: the only kinds of faults to play, separated by slashes
         """
         failed = 0
+        names = [name for name in kinds.split("/") if name]
         for number in parse_seeds(seeds or str(seed)):
-            result = asyncio.run(run_seed(number, seconds, daemons, upstreams, callers))
+            result = asyncio.run(run_seed(number, seconds, daemons, upstreams, callers, names))
             failed += bool(result.broken)
             print_result(result)
         sys.exit(1 if failed else 0)
--- a/tanagertrail/standins/documents.py
+++ b/tanagertrail/standins/documents.py
@@ -107,6 +107,7 @@
     routes = [
         build_route("book", "unsafe", **PATIENT),
         build_route("talk", "stream", **repeated),
+        build_route("once", "stream", **PATIENT, resumable=False, attempts=1),
         *(build_route(name, "safe", **repeated) for name in ("look", *extra_routes)),
     ]
     tenants = []
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -122,6 +122,72 @@
     return head + b"old copy"
 
 
+async def refuse_earlier(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream, *lines: bytes
+) -> None:
+    """Run the request after a refusal of an earlier one on the connection, if it had one."""
+    if stream in upstream.kept:
+        mark = header_fields.NOT_RUN + b": 1"
+        head = [b"HTTP/1.1 503 Service Unavailable", mark, b"content-length: 4", *lines]
+        stream.channel.write(b"\r\n".join(head) + b"\r\n\r\nfull")
+    await upstream.run(request, stream)
+
+
+@FAULTS.register("refusal_again")
+async def refuse_earlier_unnamed(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Refuse an earlier request once more, without its id."""
+    await refuse_earlier(upstream, request, stream)
+
+
+@FAULTS.register("named_refusal_again")
+async def refuse_earlier_named(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Refuse an earlier request once more, with its id."""
+    await refuse_earlier(upstream, request, stream, header_fields.REQUEST_ID + b": earlier")
+
+
+@FAULTS.register("missing")
+async def answer_missing(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Run the request and answer that there is nothing."""
+    upstream.begin(request)
+    stream.send_response(404, upstream.sign(request), b"missing")
+
+
+@FAULTS.register("text")
+async def answer_text(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Run the request and answer with a success that holds text, and no events."""
+    upstream.begin(request)
+    fields = [*upstream.sign(request), (b"content-type", b"text/plain")]
+    stream.send_response(200, fields, b"an error of the upstream\n")
+
+
+@FAULTS.register("empty")
+async def answer_empty(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Run the request and answer with a success that holds nothing."""
+    upstream.begin(request)
+    stream.send_response(200, upstream.sign(request), b"")
+
+
+@FAULTS.register("half_head")
+async def break_within_head(
+    upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream
+) -> None:
+    """Run the request and break off within the head of a failure."""
+    upstream.begin(request)
+    stream.channel.write(b"HTTP/1.1 500 Internal Server Error\r\ncontent-le")
+    await asyncio.sleep(0.02)
+    stream.channel.close()
+
+
 @FAULTS.register("drip")
 async def drip(upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream) -> None:
     """Send two events and then a byte of the third now and then."""
--- a/tanagertrail/standins/store.py
+++ b/tanagertrail/standins/store.py
@@ -40,6 +40,7 @@
 
     :ivar lost_writes: writes that are done and not answered
     :ivar delay: seconds by which each answer is late
+    :ivar raw_values: JSON texts that replace the strings by which stored documents name them
     :ivar refused_hosts: hosts whose calls are refused
     :ivar refused_kinds: kinds whose calls are refused, as at a store over its rate
     """
@@ -53,6 +54,7 @@
         self.mode = StoreMode.UP
         self.lost_writes = 0
         self.refused_kinds: set[str] = set()
+        self.raw_values: dict[str, str] = {}
         self.delay = 0.0
         self.calls = 0
         self.changed = asyncio.Event()
@@ -131,13 +133,20 @@
 
     def reply(self, stream: CallerStream, status: int, body: Any) -> None:
         """Send an answer."""
-        data = b"" if body is None else json.dumps(body).encode()
+        data = b"" if body is None else self.encode(body)
         fields = [
             (b"content-type", b"application/json"),
             (ERA_FIELD.encode(), str(self.era).encode()),
         ]
         stream.send_response(status, fields, data)
 
+    def encode(self, body: Any) -> bytes:
+        """Encode a document, with the raw values in their places."""
+        text = json.dumps(body)
+        for name, raw_value in self.raw_values.items():
+            text = text.replace(json.dumps(name), raw_value)
+        return text.encode()
+
     async def serve(self, request: CallerRequest) -> tuple[int, Any]:
         """Carry out a call and return its status and body."""
         query = {
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -3,6 +3,7 @@
 __all__ = ["RunRecord", "StandInUpstream"]
 
 import asyncio
+import weakref
 from collections import deque
 from typing import NamedTuple
 
@@ -24,6 +25,8 @@
     """Run requests.
 
     :ivar faults: names of faults for the next requests, in order
+    :ivar resume_fault: name of the fault for requests that resume a stream, empty for none
+    :ivar kept: connections that have carried a request before
     :ivar runs: requests that were begun
     :ivar arrivals: ids of the requests that reached it
     :ivar arrival_times: event-loop time in seconds of each arrival
@@ -45,6 +48,8 @@
         self.id = upstream_id
         self.work = work
         self.faults: deque[str] = deque()
+        self.resume_fault = ""
+        self.kept: weakref.WeakSet[CallerStream] = weakref.WeakSet()
         self.runs: list[RunRecord] = []
         self.arrivals: list[str] = []
         self.arrival_times: list[float] = []
@@ -77,6 +82,8 @@
                 self.crash()
             elif self.is_deadly(request):
                 await self.crash_on_part(request, stream)
+            elif self.resume_fault and header_fields.LAST_EVENT_ID in table:
+                await FAULTS.get(self.resume_fault)(self, request, stream)
             elif self.faults:
                 await FAULTS.get(self.faults.popleft())(self, request, stream)
             else:
@@ -84,6 +91,8 @@
         except asyncio.CancelledError:
             self.cut.append(request_id)
             raise
+        finally:
+            self.kept.add(stream)
 
     def is_deadly(self, request: CallerRequest) -> bool:
         """Return whether the prompt has the deadly part and its turn has come."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,7 +25,9 @@
 from tanagertrail.soak.world import SoakWorld
 from tanagertrail.standins.documents import CUSTOMERS, DaemonPorts
 from tanagertrail.standins.ports import HOST, find_port
+from tanagertrail.standins.store import StandInStore
 from tests.gateway_utils import run_in_real_time
+from tests.utils import with_virtual_time
 
 GUILD = CUSTOMERS[0]
 NARROW = CUSTOMERS[1]
@@ -102,6 +104,7 @@
     stopped = build_evidence(
         [build_call(1, status=0, whole=False)], [build_run(1)], terms=[(1000, 9.9)]
     )
+    lost = build_evidence([build_call(1, status=0, whole=False)], [build_run(1)])
     usage = build_evidence([], [], usage=[(7, {"guild": 1}, 1), (7, {"guild": 2}, 2)])
     deadly = build_evidence([], [build_run(n, at=10.0 + n, body=b"deadly 1") for n in range(12)])
     deadly_part = build_evidence(
@@ -131,6 +134,7 @@
         "sound prompts refused": refused_part,
         "no version goes back": back,
         "nothing cut by a planned stop": stopped,
+        "nothing lost": lost,
         "one count for a window": usage,
         "rates that upstreams name": named,
         "recovery": dead,
@@ -141,6 +145,29 @@
     assert "whole own answers" in name_broken(cut)
 
 
+def test_pauses_and_odd_entries_of_upstreams_excuse_no_lost_request():
+    cut = [build_call(1, "talk", whole=False, sent_at=17.0)]
+    ran = [build_run(1, "talk", at=17.05)]
+    kinds = ("upstream pauses", "odd entries", "odd entry of an upstream", "refusal written again")
+    plan = [Fault(16.0, kind, 0, 2.0) for kind in kinds]
+    assert name_broken(build_evidence(cut, ran, plan=plan)) == {"nothing lost"}
+    excused = [*plan, Fault(15.0, "upstream resets", 0, 0.5)]
+    assert name_broken(build_evidence(cut, ran, plan=excused)) == set()
+    too_late = [call._replace(ended_at=call.sent_at + 3.0) for call in cut]
+    assert name_broken(build_evidence(too_late, ran)) == set()
+    stopped = build_evidence(cut, [], plan=plan, terms=[(1000, 16.0)])
+    assert name_broken(stopped) == set()
+    assert name_broken(stopped._replace(terms=[])) == {"nothing lost"}
+
+
+@with_virtual_time
+async def test_raw_values_are_missing_from_the_answers_of_the_store():
+    store = StandInStore()
+    store.raw_values = {"@nested": "[[]]", "@long": "9" * 6000}
+    text = store.encode({"a": "@nested", "b": ["@long", "@nested too"]})
+    assert text == b'{"a": [[]], "b": [' + b"9" * 6000 + b', "@nested too"]}'
+
+
 def test_disturbance_excuses_late_work_at_an_upstream_that_left_but_no_removed_key():
     plan = [Fault(16.0, "pause", 0, 2.0)]
     calls, runs = [build_call(1, sent_at=21.0)], [build_run(1, at=21.1)]
