Test answers to HEAD requests among copies

An answer to a HEAD request has no body, so a copy with one in front of it ends the connection as malformed; a copy without one is skipped.

--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -267,9 +267,10 @@
     async def fetch(self, path: str, body: bytes = b"", **changes: str | None) -> Reply:
         """Send a request as a caller would and return the answer.
 
-        :param changes: further headers; ``request_id=None`` leaves the id out
+        :param changes: further headers, and ``method``; ``request_id=None`` leaves the id out
         """
         request_id = changes.pop("request_id", f"r{next(self.numbers)}")
+        method = changes.pop("method", "POST" if body else "GET")
         headers = {
             "host": "desk.example",
             "tanagertrail-deadline-ms": str(int(DEADLINE_SECONDS * 1000)),
@@ -280,7 +281,6 @@
             headers["tanagertrail-request-id"] = request_id
         if body:
             headers["content-length"] = str(len(body))
-        method = "POST" if body else "GET"
         lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
         received: list[bytes] = []
         channel = Channel()
--- a/tests/test_answer_ownership.py
+++ b/tests/test_answer_ownership.py
@@ -174,6 +174,19 @@
     assert (await world.fetch("/look/1")).body == b"of up-b"
 
 
+@with_virtual_time
+async def test_answer_to_a_head_request_is_lost_behind_copies():
+    own = build_answer().removesuffix(b"own answer")
+    world = MemoryWorld()
+    await warm_up(world)
+    world.upstreams["up-a"].add(build_refusal(OTHER).removesuffix(b"full") + own)
+    reply = await world.fetch("/look/1", method="HEAD")
+    assert (reply.status, reply.body, reply.whole) == (200, b"", True)
+    world.upstreams["up-a"].add(build_refusal(OTHER) + own)
+    reply = await world.fetch("/look/1", method="HEAD")
+    assert (reply.status, reply.whole) == (502, True)
+
+
 @with_virtual_time
 async def test_unnamed_stream_is_passed_on():
     world = MemoryWorld()
