--- a/tanagertrail/standins/store.py
+++ b/tanagertrail/standins/store.py
@@ -40,9 +40,9 @@
 
     :ivar lost_writes: writes that are done and not answered
     :ivar delay: seconds by which each answer is late
+    :ivar raw_values: bytes that stand in answers for the strings by which documents name them
     :ivar refused_hosts: hosts whose calls are refused
     :ivar refused_kinds: kinds whose calls are refused, as at a store over its rate
-    :ivar raw_contents: bytes that stand in answers for the contents stored by :meth:`put_raw`
     """
 
     def __init__(self) -> None:
@@ -54,10 +54,10 @@
         self.mode = StoreMode.UP
         self.lost_writes = 0
         self.refused_kinds: set[str] = set()
+        self.raw_values: dict[str, bytes] = {}
         self.delay = 0.0
         self.calls = 0
         self.changed = asyncio.Event()
-        self.raw_contents: dict[bytes, bytes] = {}
         super().__init__("store")
 
     def put(self, kind: str, name: str, content: Any, report: Any = None) -> None:
@@ -81,8 +81,8 @@
 
     def put_raw(self, kind: str, name: str, content: bytes) -> None:
         """Store an object whose content stands in answers as these bytes."""
-        label = f"raw content {len(self.raw_contents)}"
-        self.raw_contents[json.dumps(label).encode()] = content
+        label = f"raw content {len(self.raw_values)}"
+        self.raw_values[label] = content
         self.put(kind, name, label)
 
     def remove(self, kind: str, name: str) -> None:
@@ -139,15 +139,20 @@
 
     def reply(self, stream: CallerStream, status: int, body: Any) -> None:
         """Send an answer."""
-        data = b"" if body is None else json.dumps(body).encode()
-        for label, content in self.raw_contents.items():
-            data = data.replace(label, content)
+        data = b"" if body is None else self.encode(body)
         fields = [
             (b"content-type", b"application/json"),
             (ERA_FIELD.encode(), str(self.era).encode()),
         ]
         stream.send_response(status, fields, data)
 
+    def encode(self, body: Any) -> bytes:
+        """Encode a document, with the raw values in their places."""
+        data = json.dumps(body).encode()
+        for name, raw_value in self.raw_values.items():
+            data = data.replace(json.dumps(name).encode(), raw_value)
+        return data
+
     async def serve(self, request: CallerRequest) -> tuple[int, Any]:
         """Carry out a call and return its status and body."""
         query = {
