Let the soak's upstreams pause, and check that calm times cut nothing

Why the soak missed the fault: its only streams could be resumed, its upstreams were either answering or ended, and no check looked at answers that were cut outside a planned stop.

Change: a fault "upstream pauses" (silent for 1.1 s before or within some answers, planned, with a chance of its own, so that the other draws of a seed stay), every second stream goes to a route whose requests may run only once, and the check "nothing cut in calm times". The checks on requests that may run once cover these streams too.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -12,7 +12,7 @@
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.platform import header_fields
-from tanagertrail.standins.documents import CUSTOMERS, HOST_NAME, SoakCustomer
+from tanagertrail.standins.documents import CUSTOMERS, HOST_NAME, STREAM_ROUTES, SoakCustomer
 from tanagertrail.standins.ports import HOST
 
 DEADLINE_SECONDS = 3.0
@@ -118,11 +118,13 @@
         """Send one request and read its answer."""
         number = next(self.numbers)
         route = rng.choice([*ROUTES, *self.extra_routes[-1:]])
+        if route == "talk" and number % 2:
+            route = "tell"
         customer = rng.choice(CUSTOMERS)
         body = f"order {number}".encode() if route == "book" else b""
         loop = asyncio.get_running_loop()
         request_id = f"soak-{number}"
-        second_part = SECOND_PARTS[number % len(SECOND_PARTS)] if route == "talk" else ""
+        second_part = SECOND_PARTS[number % len(SECOND_PARTS)] if route in STREAM_ROUTES else ""
         self.send(stream, request_id, route, customer, body, second_part)
         call = Call(request_id, route, customer, body, front, loop.time(), loop.time())
         if rng.random() < LEAVE_SHARE:
@@ -200,7 +202,7 @@
             headers.append((header_fields.PROMPT_PREFIX, prefix.encode()))
         if body:
             headers.append((b"content-length", str(len(body)).encode()))
-        suffix = "events" if route == "talk" else "x"
+        suffix = "events" if route in STREAM_ROUTES else "x"
         method = b"POST" if body else b"GET"
         stream.send_request(method, f"/{route}/{suffix}".encode(), headers, body)
 
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -9,12 +9,21 @@
 from tanagertrail.registry import Registry
 from tanagertrail.soak.callers import Call
 from tanagertrail.soak.plan import Fault, was_disturbed
-from tanagertrail.standins.documents import BOUNDS, COLD_RATE, COLD_SLACK, CUSTOMERS, PLAIN_UNITS
+from tanagertrail.standins.documents import (
+    BOUNDS,
+    COLD_RATE,
+    COLD_SLACK,
+    CUSTOMERS,
+    ONCE_ROUTES,
+    PLAIN_UNITS,
+    STREAM_ROUTES,
+)
 from tanagertrail.standins.misbehaviour import EVENTS
 
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: has not run and never will
 STABILITY_SECONDS = BOUNDS.stability
 REGRESS_SECONDS = 0.25
+LONGEST_CALL_SECONDS = 2.7  # beyond which a call may have been cut by its deadline
 DEADLY = b"deadly "  # begins the bodies of requests that end the upstreams that run them
 DEADLY_PART = b"crashing part "  # begins the bodies of requests with a part that ends upstreams
 MOST_CRASHES = 5  # of upstreams after which such a part is to be known
@@ -143,7 +152,7 @@
     """Find requests that may run once and ran more often."""
     counts = count_runs(evidence)
     for call in evidence.calls:
-        if call.route == "book" and counts[call.request_id] > 1:
+        if call.route in ONCE_ROUTES and counts[call.request_id] > 1:
             yield f"{call.request_id} ran {counts[call.request_id]} times"
 
 
@@ -152,7 +161,8 @@
     """Find requests that ran though their caller was told that they had not."""
     counts = count_runs(evidence)
     for call in evidence.calls:
-        if call.route == "book" and call.status in PROMISES and counts[call.request_id]:
+        promised = call.route in ONCE_ROUTES and call.status in PROMISES
+        if promised and counts[call.request_id]:
             yield f"{call.request_id} was answered {call.status} and ran"
 
 
@@ -165,9 +175,9 @@
         upstream, _, own = call.stamp.partition(".")
         if own != call.request_id:
             yield f"{call.request_id} got the answer of {call.stamp!r}"
-        elif call.route == "talk" and call.answer != build_events():
+        elif call.route in STREAM_ROUTES and call.answer != build_events():
             yield f"{call.request_id} got other events: {call.answer[:80]!r}"
-        elif call.route != "talk" and call.answer != f"answer of {upstream}".encode():
+        elif call.route not in STREAM_ROUTES and call.answer != f"answer of {upstream}".encode():
             yield f"{call.request_id} got {call.answer[:80]!r} from {upstream}"
 
 
@@ -373,6 +383,18 @@
                     yield f"{call.request_id} ran at a stopping daemon and was cut"
 
 
+@CHECKS.register("nothing cut in calm times")
+def check_cuts(evidence: Evidence) -> Iterator[str]:
+    """Find calls that ran and were cut before their deadline though nothing was disturbed."""
+    ran = count_runs(evidence)
+    for call in evidence.calls:
+        cut = call.status == 0 or not call.whole
+        in_time = call.ended_at - call.sent_at < LONGEST_CALL_SECONDS
+        calm = evidence.was_calm(call.sent_at, call.ended_at)
+        if cut and ran[call.request_id] and in_time and calm and not call.left:
+            yield f"{call.request_id} was cut after {call.ended_at - call.sent_at:.2f} s"
+
+
 @CHECKS.register("one count for a window")
 def check_usage(evidence: Evidence) -> Iterator[str]:
     """Find windows that were reported with different counts, and tokens that went back."""
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -30,6 +30,8 @@
 COLD_SECONDS = 3.0
 NAMED_RATES = ("0.3", "1.4", "6")  # requests per second that upstreams in need accept
 UNFRAMED = ("unframed", "unframed_half")  # the links pass a reset on as an end
+PAUSING = ("pause_first", "pause_within")
+PAUSE_SECONDS = 1.1
 HARMLESS_TO_ONCE = ("refuse", "fail", "reset", "half_event", "extra", "late_other", "short")
 
 
@@ -238,6 +240,16 @@
     upstream.faults.clear()
 
 
+@register_fault("upstream pauses", 2.0, 5.0, planned=True, chance=0.7)
+async def pause_answers(world: SoakWorld, fault: Fault) -> None:
+    """Have an upstream fall silent before or within some answers, and go on."""
+    _, upstream = pick_upstream(world, fault)
+    upstream.pause = PAUSE_SECONDS
+    upstream.faults.extend([PAUSING[fault.target % len(PAUSING)]] * MISBEHAVING_REQUESTS)
+    await asyncio.sleep(fault.seconds)
+    upstream.faults.clear()
+
+
 @register_fault("upstream leaves", 3.0, 6.0, planned=True)
 async def let_upstream_leave(world: SoakWorld, fault: Fault) -> None:
     """Have an upstream drain, and come back under its name."""
--- a/tanagertrail/standins/documents.py
+++ b/tanagertrail/standins/documents.py
@@ -49,6 +49,8 @@
 COLD_SLACK = BOUND_FIELDS["cold_slack"]  # requests of a second beyond a cold upstream's rate
 
 
+STREAM_ROUTES = frozenset({"talk", "tell"})
+ONCE_ROUTES = frozenset({"book", "tell"})  # whose requests may run only once
 # Faults last for seconds, and the soak's prompts share no parts.
 PATIENT = {"timeout_ms": 4000, "slo_ms": 400, "gap_aim_ms": 200, "sticky": False}
 
@@ -107,6 +109,7 @@
     routes = [
         build_route("book", "unsafe", **PATIENT),
         build_route("talk", "stream", **repeated),
+        build_route("tell", "stream", resumable=False, attempts=1, **PATIENT),
         *(build_route(name, "safe", **repeated) for name in ("look", *extra_routes)),
     ]
     tenants = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,7 +23,7 @@
 from tanagertrail.soak.program import run_seed
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
 from tanagertrail.soak.world import SoakWorld
-from tanagertrail.standins.documents import CUSTOMERS, DaemonPorts
+from tanagertrail.standins.documents import CUSTOMERS, STREAM_ROUTES, DaemonPorts
 from tanagertrail.standins.ports import HOST, find_port
 from tests.gateway_utils import run_in_real_time
 
@@ -42,7 +42,7 @@
 def build_call(number, route="book", status=200, sent_at=10.0, customer=GUILD, **changes):
     """Return a call that went well, with changes."""
     body = b"order" if route == "book" else b""
-    answer = build_events() if route == "talk" else b"answer of up-1"
+    answer = build_events() if route in STREAM_ROUTES else b"answer of up-1"
     call = Call(f"r{number}", route, customer, body, 1000, sent_at, sent_at + 0.1)
     call = call._replace(status=status, stamp=f"up-1.r{number}", answer=answer, whole=True)
     return call._replace(**changes)
@@ -67,8 +67,9 @@
 
 
 def test_a_calm_run_breaks_nothing():
-    calls = [build_call(n, route) for n, route in enumerate(["book", "look", "talk"])]
-    runs = [build_run(n, route) for n, route in enumerate(["book", "look", "talk"])]
+    routes = ["book", "look", "talk", "tell"]
+    calls = [build_call(n, route) for n, route in enumerate(routes)]
+    runs = [build_run(n, route) for n, route in enumerate(routes)]
     assert find_broken(build_evidence(calls, runs)) == []
 
 
@@ -102,6 +103,7 @@
     stopped = build_evidence(
         [build_call(1, status=0, whole=False)], [build_run(1)], terms=[(1000, 9.9)]
     )
+    broken_off = build_evidence([build_call(1, "tell", whole=False)], [build_run(1, "tell")])
     usage = build_evidence([], [], usage=[(7, {"guild": 1}, 1), (7, {"guild": 2}, 2)])
     deadly = build_evidence([], [build_run(n, at=10.0 + n, body=b"deadly 1") for n in range(12)])
     deadly_part = build_evidence(
@@ -131,6 +133,7 @@
         "sound prompts refused": refused_part,
         "no version goes back": back,
         "nothing cut by a planned stop": stopped,
+        "nothing cut in calm times": broken_off,
         "one count for a window": usage,
         "rates that upstreams name": named,
         "recovery": dead,
