Follow the other rows of an update when one cannot be decoded

Daemons that follow the store through another one would see: a row whose content json refuses (deep nesting, thousands of digits) fails the update as a whole, and with it the kind, until the row changes.

Cause: rows of an update were decoded at once. A decoder at the limit of recursion also kept finalizers from running that the garbage collector calls there ('Exception ignored in sys.unraisablehook: RecursionError', once in 17,000 examples of the fuzzer).

Change: the rows are told apart like the objects of a page, and the depth of a document is checked before json decodes it.

Conclusion: an update loses only the rows that cannot be read.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -23,11 +23,12 @@
 import msgpack
 
 from tanagertrail.daemons.messages import MESSAGES
-from tanagertrail.decoding import load_json
-from tanagertrail.errors import DecodeError, FrameError
+from tanagertrail.decoding import Unreadable, load_leniently
+from tanagertrail.errors import FrameError
 
 ZLIB_LEVEL = 1  # shrinks packed states to a third; higher levels cost more time than they save
 MAX_UNPACKED_BYTES = 4_000_000
+ROW_LEVELS = 2  # an array of rows and a row, whose values are told apart
 UNPACK_ERRORS = (
     zlib.error,
     ValueError,
@@ -86,14 +87,17 @@
 
 
 def unpack_json(data: bytes) -> Any:
-    """Decode a document packed by :func:`pack_json`.
+    """Decode rows packed by :func:`pack_json`; odd values in them become ``Unreadable``.
 
-    :raises FrameError: if it is malformed or too long
+    :raises FrameError: if they are malformed as a whole or too long
     """
     try:
-        return load_json(decompress(data))
-    except (zlib.error, DecodeError) as error:
+        document = load_leniently(decompress(data), ROW_LEVELS)
+    except zlib.error as error:
         raise FrameError(f"malformed document: {type(error).__name__}") from error
+    if isinstance(document, Unreadable):
+        raise FrameError(f"malformed document: {document.reason}")
+    return document
 
 
 class LivenessRecord(NamedTuple):
--- a/tanagertrail/decoding.py
+++ b/tanagertrail/decoding.py
@@ -33,6 +33,7 @@
 from tanagertrail.errors import DecodeError
 
 MAX_DEPTH = 32  # nested arrays and objects
+MAX_DOCUMENT_DEPTH = 100  # of a whole document, which may hold several objects
 MAX_TEXT_LENGTH = 65_536  # characters
 MAX_NAME_LENGTH = 253  # characters
 MAX_INTEGER = 2**64 - 1  # largest that msgpack encodes
@@ -45,6 +46,10 @@
 MAX_REASON_LENGTH = 120  # characters
 # A string without its end takes the rest, so that the search stays linear.
 TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[\]{},]', re.DOTALL)
+STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"?', re.DOTALL)
+OPENING = ord("[")
+BRACKET_KINDS = bytes.maketrans(b"{}", b"[]")
+OTHER_BYTES = bytes(set(range(256)) - set(b"[]{}"))
 KEY = re.compile(rb'\s*("(?:[^"\\]++|\\.)*+")\s*:', re.DOTALL)
 NUMERIC_HOST = re.compile(r"[0-9.]+")
 PORT = re.compile(r"[0-9]{1,5}")
@@ -153,14 +158,32 @@
 def load_json(data: bytes) -> Any:
     """Decode a JSON document.
 
+    The depth is checked before, since a decoder at the limit of recursion can keep finalizers that
+    the garbage collector calls from running.
+
     :raises DecodeError: if it is malformed, not in UTF-8, nested too deep or has too long a number
     """
+    if is_nested_beyond(data, MAX_DOCUMENT_DEPTH):
+        raise DecodeError(f"nested deeper than {MAX_DOCUMENT_DEPTH}")
     try:
         return json.loads(data.decode())
     except (ValueError, RecursionError) as error:
         raise DecodeError(f"{type(error).__name__}: {error}"[:MAX_REASON_LENGTH]) from error
 
 
+def is_nested_beyond(data: bytes, depth: int) -> bool:
+    """Return whether arrays and objects of a JSON document are nested deeper than a limit."""
+    if data.count(b"[") + data.count(b"{") <= depth:
+        return False
+    brackets = STRING.sub(b"", data).translate(BRACKET_KINDS, OTHER_BYTES)
+    level = 0
+    for bracket in brackets:
+        level += 1 if bracket == OPENING else -1
+        if level > depth:
+            return True
+    return False
+
+
 def load_leniently(data: bytes, levels: int) -> Any:
     """Decode a JSON document in which some members cannot be decoded.
 
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -1,6 +1,7 @@
 """What other daemons and registrations of daemons say, with values that are not as declared."""
 
 import asyncio
+import zlib
 
 import msgpack
 
@@ -135,6 +136,18 @@
     assert daemon.state_sync.refused_rows == len(updates) - 1
 
 
+@with_virtual_time
+async def test_odd_bytes_of_one_row_do_not_spoil_an_update():
+    mirror = KindMirror("servers", NoOpHandler(), asyncio.get_running_loop().time)
+    for revision, content in enumerate((b"[" * 500 + b"]" * 500, b"9" * 6_000, b"NaN"), start=5):
+        rows = b'[["up-a",1,1,{"zone":"north"},null,false,0],["odd",2,2,%b,null,false,0]]' % content
+        update = MirrorUpdate("servers", 0, revision, 0, zlib.compress(rows))
+        assert mirror.apply_update(update, 1.0)
+        assert mirror.objects["up-a"].content == {"zone": "north"}
+        assert mirror.objects["odd"].content is None
+        mirror.objects.clear()
+
+
 def test_frame_with_odd_bytes_raises_the_declared_error():
     deep = b"\x91" * 5_000 + b"\xc0"
     for body in (
