Close connections that are accepted while a stop closes idle ones like these

Cause: a connection whose task began after the stop had ended the waits of the others waited under the idle timeout until it was cancelled, and was then closed without a look at the kernel's buffer. Under load the drain used up the time that was meant for last arrivals.

--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -86,6 +86,8 @@
         """Serve the requests of a connection until it is to close, and return the reason."""
         stream = CallerStream(channel, self.limits, lambda: self.stopping)
         self.streams.add(stream)
+        if self.ending:
+            stream.idle_wait.end()
         reason = CloseReason.STOPPED
         try:
             reason = await self.serve_requests(channel, stream)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -391,13 +391,11 @@
         self.peer_client.exchange_with_all()
         started = self.loop.time()
         latest = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
-        drained_at = min(started + MIN_DRAIN_SECONDS, latest - LAST_CALL_SECONDS)
-        await self.wait_until_drained(drained_at, latest)
-        await self.release_lease(
-            max(latest - LAST_CALL_SECONDS, self.loop.time() + MIN_RELEASE_SECONDS)
-        )
+        last_call = latest - LAST_CALL_SECONDS
+        await self.wait_until_drained(min(started + MIN_DRAIN_SECONDS, last_call), last_call)
+        await self.release_lease(max(last_call, self.loop.time() + MIN_RELEASE_SECONDS))
         # Requests may have arrived while the lease was released.
-        await self.wait_until_drained(started, latest)
+        await self.wait_until_drained(started, last_call)
         cut = await self.http_server.finish(latest)
         self.log.write("stopped", in_flight=cut)
         self.close()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -5,6 +5,7 @@
 
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.http_server import LAST_READ_SECONDS
 from tanagertrail.standins.ports import HOST
 from tests.caller_utils import REQUEST, turn_loop, with_callers
 from tests.gateway_utils import open_world, run_in_real_time
@@ -128,6 +129,17 @@
     assert all(transport.half_closed for transport in transports)
 
 
+@with_callers
+async def test_connection_accepted_while_idle_ones_close_is_not_cut_in_its_wait(world):
+    world.work = 5.0
+    await world.request(world.connect())
+    transports = []
+    loop = asyncio.get_running_loop()
+    loop.call_later(LAST_READ_SECONDS / 2, lambda: transports.append(world.connect()))
+    await world.server.finish(loop.time() - 1)
+    assert transports[0].half_closed
+
+
 @with_callers
 async def test_request_read_by_half_at_the_end_is_refused_as_not_run(world):
     transport = world.connect()
