Reset connections that still hold a request on its way

What callers saw: nothing; upstreams behind a link that was cut for a while got requests whose callers had left or had been answered.

Cause: closing a connection leaves its send queue to the kernel, which goes on sending it, request and end, for as long as TCP_USER_TIMEOUT allows (3 s before, no such bound since the limits were told apart).

Change: when an attempt ends and the upstream has not acknowledged all of its request, the connection is reset, which discards the queue, as platform/cloud.py does. Otherwise it is closed as before, since an orderly end is sent again if it is lost and a reset is not.

--- a/tanagertrail/gateway/channel.py
+++ b/tanagertrail/gateway/channel.py
@@ -11,11 +11,15 @@
 ]
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from typing import NamedTuple
 
 MAX_BUFFERED_BYTES = 256 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER for no time, which discards unsent data
 
 
 class DeadPeerLimits(NamedTuple):
@@ -181,6 +185,24 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def discard(self) -> None:
+        """Close the connection immediately, and keep what is on its way from arriving later.
+
+        The kernel would go on sending what the peer has not acknowledged.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        if count_unacknowledged_bytes(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
+
+def count_unacknowledged_bytes(sock: socket.socket) -> int:
+    """Count the bytes in the kernel's send queue that the peer has not acknowledged."""
+    (count,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))
+    return count
+
 
 def set_socket_options(sock: socket.socket, limits: DeadPeerLimits) -> None:
     """Disable Nagle's algorithm, and make the kernel detect a dead peer within seconds."""
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -321,4 +321,4 @@
 
     def abort(self) -> None:
         """Close the connection immediately, which cancels the request at the upstream."""
-        self.channel.abort()
+        self.channel.discard()
--- a/tests/test_dead_peers.py
+++ b/tests/test_dead_peers.py
@@ -5,7 +5,8 @@
 
 from tanagertrail.gateway import channel
 from tanagertrail.gateway.channel import Channel, open_channel, set_socket_options
-from tanagertrail.standins.blackhole import drop_incoming
+from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.standins.blackhole import drop_incoming, pass_incoming
 from tanagertrail.standins.ports import HOST
 from tests.gateway_utils import run_in_real_time
 
@@ -63,6 +64,24 @@
     second_server.close()
 
 
+@run_in_real_time
+async def test_request_that_was_given_up_does_not_arrive_after_the_link_is_back():
+    """The kernel went on sending requests of connections that had been closed."""
+    opened, accepted, server = await open_pair()
+    link = accepted.transport.get_extra_info("socket")
+    drop_incoming(link)
+    stream = UpstreamStream(opened)
+    stream.send_request(b"GET", b"/late", [(b"host", b"desk.example")], b"")
+    await asyncio.sleep(0.1)
+    stream.abort()
+    await asyncio.sleep(0.1)
+    pass_incoming(link)
+    await asyncio.sleep(1.2)
+    assert not accepted.buffer
+    accepted.abort()
+    server.close()
+
+
 def test_unread_data_is_bounded_for_callers_only():
     assert channel.UPSTREAM_LIMITS.user_timeout_ms == 0
     for limits in (channel.CALLER_LIMITS, channel.PEER_LIMITS):
