Avoid a silent upstream although its request may run only once

What callers saw: requests went on to an upstream that had stopped within an answer, as long as those it was silent on could not be sent elsewhere.

Cause: an upstream was noted as silent only when a request was to be resent.

Change: the judgement says whether an upstream is suspect: silent beyond the limit, not heard on other requests, and either within an answer, or with more that speaks against it, or on a request that may be resent. An answer that has not begun to a request that may run once may only be slow.

Measured: test_new_requests_avoid_an_upstream_whose_stream_may_run_only_once failed on the code before (the next request was held to its deadline of 9 s); tests.test_silence and tests.test_silence_policy: 30 passed.

--- a/tanagertrail/gateway/silence_watch.py
+++ b/tanagertrail/gateway/silence_watch.py
@@ -163,6 +163,8 @@
             return
         silence = self.describe(now)
         judgement = judge_silence(silence)
+        if judgement.is_suspect:
+            self.entry.note_silent(now)
         if judgement.action is not SilenceAction.WAIT and self.give_up(silence, judgement):
             self.scope.reschedule(now)
             return
@@ -192,8 +194,6 @@
 
     def give_up(self, silence: Silence, judgement: SilenceJudgement) -> bool:
         """Reserve a resend where one is needed; return whether the attempt ends."""
-        if not silence.heard:
-            self.entry.note_silent(self.loop.time())
         if judgement.action is SilenceAction.END:
             self.result = AttemptResult.BROKEN
             outcome = "ended"
--- a/tanagertrail/policy/silence.py
+++ b/tanagertrail/policy/silence.py
@@ -98,12 +98,14 @@
     :ivar reason: what decided
     :ivar proven: whether more than the silence shows that no answer will come
     :ivar limit: seconds of silence at which the request is sent elsewhere, infinite for never
+    :ivar is_suspect: whether new requests should go to upstreams that are heard
     """
 
     action: SilenceAction
     reason: str
     proven: bool
     limit: float
+    is_suspect: bool = False
 
 
 def judge_silence(silence: Silence) -> SilenceJudgement:
@@ -114,14 +116,18 @@
     """
     if silence.registration is Registration.REPLACED:
         return SilenceJudgement(SilenceAction.END, "it has started again", True, 0.0)
-    if not silence.repeatable:
-        return SilenceJudgement(SilenceAction.WAIT, "it may run only once", False, math.inf)
     limit, reason, proven = find_limit(silence)
-    if silence.seconds < limit:
-        return SilenceJudgement(SilenceAction.WAIT, reason, proven, limit)
-    if silence.time_left < MIN_RESEND_SECONDS:
-        return SilenceJudgement(SilenceAction.WAIT, "too little time is left", proven, limit)
-    return SilenceJudgement(SilenceAction.RESEND, reason, proven, limit)
+    is_over = silence.seconds >= limit
+    # A request that has not begun may only be slow, which a resend would show.
+    is_suspect = is_over and not silence.heard and (silence.begun or proven or silence.repeatable)
+    action = SilenceAction.WAIT
+    if not silence.repeatable:
+        reason, limit = "it may run only once", math.inf
+    elif is_over and silence.time_left < MIN_RESEND_SECONDS:
+        reason = "too little time is left"
+    elif is_over:
+        action = SilenceAction.RESEND
+    return SilenceJudgement(action, reason, proven, limit, is_suspect)
 
 
 def find_limit(silence: Silence) -> tuple[float, str, bool]:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -197,6 +197,22 @@
         assert {reply.body for reply, _ in replies} == {b"answer of up-b"}
 
 
+@run_in_real_time
+async def test_new_requests_avoid_an_upstream_whose_stream_may_run_only_once():
+    """Requests went on to an upstream as long as its silent ones could not be sent elsewhere."""
+    async with open_patient_world() as world:
+        prefer_first(world)
+        world.upstreams[0].faults.append("freeze_within")
+        held = asyncio.create_task(ask(world, "/once/a/events"))
+        await world.wait_until(lambda: world.upstreams[0].runs)
+        await asyncio.sleep(1.9)
+        reply, seconds = await ask(world, "/book/1")
+        assert (reply.body, seconds < 0.5) == (b"answer of up-b", True)
+        world.upstreams[0].thawed.set()
+        reply, _ = await held
+        assert reply.whole and reply.body == EVENTS
+
+
 @run_in_real_time
 async def test_stream_lasts_though_its_upstream_left_the_registry():
     async with open_patient_world() as world:
--- a/tests/test_silence_policy.py
+++ b/tests/test_silence_policy.py
@@ -78,6 +78,18 @@
         assert later.action is first.action
 
 
+@given(SILENCES)
+def test_slow_request_that_may_run_once_is_no_reason_to_avoid_its_upstream(silence):
+    slow = silence._replace(
+        begun=False,
+        repeatable=False,
+        host_answers=True,
+        registration=Registration.CURRENT,
+        cut_off=False,
+    )
+    assert not judge_silence(slow).is_suspect
+
+
 @given(SILENCES)
 def test_evidence_never_makes_a_silence_last_longer(silence):
     plain = silence._replace(
