--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -91,6 +91,7 @@
         self.consecutive_failures = 0
         self.failure_rate = 0.0
         self.backoff_until = 0.0
+        self.silent_until = -math.inf
 
     def note_connection_failure(self, now: float) -> None:
         """Update the failure rate after a refused or broken connection, and back off."""
