--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -28,6 +28,7 @@
 from tanagertrail.gateway.model import GatewaySettings, Limits
 from tanagertrail.gateway.page_server import PageServers
 from tanagertrail.gateway.peers import PeerClient, PeerServer
+from tanagertrail.gateway.planned_stop import PlannedStop
 from tanagertrail.gateway.pools import ConnectionPools
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineStore
 from tanagertrail.gateway.rate_limits import RateLimitTable
@@ -52,11 +53,6 @@
 RELAYED_PROPAGATION_SECONDS = 1.75  # two exchange periods with relays by hubs
 DIRECTORY_TTL_SECONDS = 1.0
 CLEANUP_INTERVAL_SECONDS = 1.0
-MIN_DRAIN_SECONDS = 3.5  # callers use a directory answer for three times its lifetime
-STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
-LAST_CALL_SECONDS = 0.3  # of the grace period, left for requests that come at its end
-MIN_RELEASE_SECONDS = 0.2  # for the store to answer, also at the end of the grace period
-DRAIN_CHECK_SECONDS = 0.05
 LEADER_MISSING_SECONDS = 1.5  # of a lease of 3 s, which must expire before a claim
 LEADER_LOST_SECONDS = 4.0  # after which lower-ranked daemons claim the lease too
 LEASE_CANDIDATES = 3  # highest-ranked daemons, which claim a missing holder's lease first
@@ -429,43 +425,15 @@
 
     async def stop(self) -> None:
         """Stop being listed, serve what still arrives, and end within the grace period."""
-        self.stopping = self.http_server.stopping = self.carry_server.stopping = True
+        self.stopping = True
         self.log.write("leaving", in_flight=self.dispatcher.in_flight)
         self.peer_client.exchange_with_all()
-        started = self.loop.time()
-        latest = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
-        last_call = latest - LAST_CALL_SECONDS
-        await self.wait_until_drained(min(started + MIN_DRAIN_SECONDS, last_call), last_call)
-        await self.release_lease(max(last_call, self.loop.time() + MIN_RELEASE_SECONDS))
-        # Requests may have arrived while the lease was released.
-        await self.wait_until_drained(started, last_call)
-        cut, cut_carried = await asyncio.gather(
-            self.http_server.finish(latest), self.carry_server.finish(latest)
-        )
-        self.log.write("stopped", in_flight=cut + cut_carried)
+        servers = (self.http_server, self.carry_server)
+        stop = PlannedStop(servers, self.leadership, self.supervisor, self.log)
+        cut = await stop.run(self.settings.bounds.grace)
+        self.log.write("stopped", in_flight=cut)
         self.close()
 
-    async def release_lease(self, latest: float) -> None:
-        """Release the lease, or leave it to expire at ``latest``, an event-loop time in seconds."""
-        try:
-            async with asyncio.timeout_at(latest):
-                await self.leadership.release()
-        except TimeoutError:
-            self.log.write("lease_release_failed", error="no answer within the grace period")
-        except Exception as error:
-            self.supervisor.report("release of the lease", error)
-
-    async def wait_until_drained(self, earliest: float, latest: float) -> None:
-        """Wait until ``earliest``, then until no one waits for an answer or until ``latest``.
-
-        Both are event-loop times in seconds.
-        """
-        while self.loop.time() < latest:
-            unanswered = self.http_server.unanswered or self.carry_server.unanswered
-            if self.loop.time() >= earliest and not unanswered:
-                break
-            await asyncio.sleep(DRAIN_CHECK_SECONDS)
-
     def close(self) -> None:
         """Close all ports and connections immediately."""
         self.http_server.close()
--- a/tests/test_cut_daemons.py
+++ b/tests/test_cut_daemons.py
@@ -9,6 +9,7 @@
 
 from tanagertrail.gateway.carry_protocol import CarriedResult, CarryOutcome, build_result_headers
 from tanagertrail.gateway.exchange import AttemptResult
+from tanagertrail.gateway.planned_stop import PlannedStop
 from tanagertrail.operators.explain import LogLine, explain_request
 from tanagertrail.platform.header_fields import LAST_EVENT_ID
 from tanagertrail.standins.documents import build_route
@@ -443,7 +444,9 @@
         carrier.stopping = carrier.carry_server.stopping = True
         assert (await fetch_timed(fleet, "/book/2", b"order")).status == 503
         now = carrier.loop.time()
-        draining = asyncio.create_task(carrier.wait_until_drained(now, now + 3.0))
+        servers = (carrier.http_server, carrier.carry_server)
+        stop = PlannedStop(servers, carrier.leadership, carrier.supervisor, carrier.log)
+        draining = asyncio.create_task(stop.wait_until_drained(now, now + 3.0))
         await asyncio.sleep(0.1)
         assert not draining.done()
         for upstream in fleet.upstreams:
