--- a/tests/test_cut_daemons.py
+++ b/tests/test_cut_daemons.py
@@ -186,6 +186,7 @@
 
 def tell_others_of_cut(fleet, node):
     """Let all other daemons know that one reaches no upstream."""
+    node.links.reaches_upstreams = False
     for other in fleet.nodes:
         if other is not node:
             other.members.states[node.settings.name].reaches_upstreams = False
