Reset the connection of an HTTP/1.0 caller whose stream breaks off

Callers of HTTP/1.0 saw a stream that broke off as complete: they got five of six events and then the end of the connection in order, which ends a response without a length.

Cause: a response that cannot be completed is broken off by closing the connection. That shows the break only where chunks or a length frame the response, which HTTP/1.0 callers do not get.

Change: CallerStream.break_off resets the connection of such a caller and closes that of any other caller as before. All places that break off a response use it.

--- a/tanagertrail/gateway/channel.py
+++ b/tanagertrail/gateway/channel.py
@@ -12,10 +12,12 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from typing import NamedTuple
 
 MAX_BUFFERED_BYTES = 256 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0
 
 
 class DeadPeerLimits(NamedTuple):
@@ -181,6 +183,13 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection immediately, so that its peer does not see an end in order."""
+        if not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
 
 def set_socket_options(sock: socket.socket, limits: DeadPeerLimits) -> None:
     """Disable Nagle's algorithm, and make the kernel detect a dead peer within seconds."""
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -92,7 +92,7 @@
             self.log_outcome(exchange, "caller gone")
             if isinstance(error, asyncio.CancelledError):
                 raise
-            stream.channel.abort()
+            stream.break_off()
         finally:
             self.suspects.note_finished(fingerprint)
 
@@ -214,7 +214,7 @@
         last = exchange.attempts[-1] if exchange.attempts else None
         failure = exchange.find_last_failure()
         if stream.response_started:
-            stream.channel.abort()
+            stream.break_off()
             self.log_outcome(exchange, "broken off")
         elif failure is not None:
             headers = build_response_headers(failure.head.headers)
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -259,6 +259,17 @@
         """End a chunked response."""
         self.write(h11.EndOfMessage())
 
+    def break_off(self) -> None:
+        """Close the connection within a response, so that it does not look complete.
+
+        A caller of HTTP/1.0 takes the end of the connection for that of a response without length.
+        """
+        version = self.parser.their_http_version
+        if version is not None and version < b"1.1":
+            self.channel.reset()
+        else:
+            self.channel.abort()
+
     def build_connection_header(self) -> Headers:
         """Build the header that announces the close or states for how long an idle one is kept.
 
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -187,7 +187,7 @@
         )
         state = stream.request_state
         if state is RequestState.RESPONSE_BEGUN:
-            stream.channel.abort()
+            stream.break_off()
         elif state is not RequestState.IDLE and not stream.channel.transport.is_closing():
             stream.send_failure(500, "the gateway failed")
 
@@ -199,7 +199,7 @@
         asyncio.current_task().uncancel()  # the task goes on to send the answer
         self.log.write("caller_closed", reason=CloseReason.CUT, state=state)
         if state is RequestState.RESPONSE_BEGUN:
-            stream.channel.abort()
+            stream.break_off()
         elif state is RequestState.UNANSWERED:
             stream.send_failure(504, "the gateway ends")
         else:
