Tell other daemons sums of prompt tokens of any size

A daemon that had served some 18,500 requests with token counts of 15 digits could not encode its state for other daemons any more, until it was started again. What follows is read from the code, not run: each exchange with it fails in PeerClient.run_call or handle_message, so that the others count it as lost. Its callers see no error at first.

Cause: the counts that callers state are summed as integers for as long as the daemon runs. msgpack encodes none above 2**64 - 1, and pack_rows raises OverflowError.

Change: the state holds the sums as floats, as its type declares.

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -328,6 +328,11 @@
         )
         quota_usage = self.quota.build_report(now)
         quota = tuple((name, item.used, item.rate) for name, item in quota_usage.items())
+        # Callers state the counts, whose sums may exceed any integer that a message can hold.
+        prompt_tokens = tuple(
+            (service, float(tokens))
+            for service, tokens in self.dispatcher.prompt_tokens_sent.items()
+        )
         return self.own.build_state(
             self.state_counter,
             serving=self.ready,
@@ -338,7 +343,7 @@
             quota=quota,
             usage=self.usage.encode(),
             trials=self.dispatcher.trials.encode(),
-            prompt_tokens=tuple(self.dispatcher.prompt_tokens_sent.items()),
+            prompt_tokens=prompt_tokens,
             upstream_losses=self.suspects.encode_losses(),
             limits=self.rate_limits.encode(),
             cleared_parts=self.suspects.encode_cleared(),
