Pass on fields for all recipients though a Connection field names them

A request with "Connection: tanagertrail-request-id" ran and got 502, and all upstreams that it was tried at got no requests of any caller for half a second or longer: an answer to it cannot be attributed, which counts as a broken connection. "Connection: host" got 500 with a defect. A success whose Connection field named the signature reached its caller without it.

Cause: all fields that a Connection field names were dropped, also those that every recipient needs. RFC 9110 forbids senders to name them, which proves nothing of what callers and upstreams send.

Change: such fields are passed on; other options are dropped as before.

--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -58,6 +58,10 @@
         b"expect",
     }
 )
+# Fields for all recipients, which are passed on even if a Connection field names them.
+END_TO_END_FIELDS = frozenset(
+    {b"host", REQUEST_ID, SERVER_STAMP, UPSTREAM_ID, MODEL, TOKEN_COUNT, PROMPT_PREFIX}
+)
 # Only the gateway may set these for an upstream; values from callers are dropped.
 GATEWAY_SET_FIELDS = frozenset(
     {
@@ -206,6 +210,17 @@
     )
 
 
+def list_connection_options(headers: Headers) -> set[bytes]:
+    """List the fields that a ``Connection`` field restricts to its connection."""
+    options = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return options - END_TO_END_FIELDS
+
+
 def build_upstream_headers(
     headers: Headers,
     *,
@@ -223,13 +238,7 @@
     :param last_event_id: id of the event after which to resume a stream
     :param body_length: length of the body in bytes, None for a request without one
     """
-    connection_options = {
-        token.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for token in value.split(b",")
-    }
-    dropped = HOP_BY_HOP_FIELDS | GATEWAY_SET_FIELDS | connection_options
+    dropped = HOP_BY_HOP_FIELDS | GATEWAY_SET_FIELDS | list_connection_options(headers)
     result = [(name, value) for name, value in headers if name not in dropped]
     result.append((EXPECTED_UPSTREAM, upstream.encode()))
     result.append((DEADLINE_MS, str(max(int(seconds_left * 1000), 1)).encode()))
@@ -306,11 +315,5 @@
 
     The upstream's signature passes through; hop-by-hop fields and the not-run mark are dropped.
     """
-    connection_options = {
-        token.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for token in value.split(b",")
-    }
-    dropped = HOP_BY_HOP_FIELDS | connection_options | {NOT_RUN}
+    dropped = HOP_BY_HOP_FIELDS | list_connection_options(headers) | {NOT_RUN}
     return [(name, value) for name, value in headers if name not in dropped]
