Refuse requests for a tunnel

A request with the method CONNECT on any route got 502, and the upstreams that it was tried at got no requests of any caller for half a second or longer, more after each further one.

Cause: an upstream's success is the start of a tunnel for the parser, which reads no answer any more; that counts as a broken connection.

Evidence: the new test failed before: "AssertionError: /look/1", "0 passed, 1 failed"; a trial against a daemon with two upstreams: "HTTP/1.1 502", "backoff [0.49, 0.5]".

Change: such requests are refused with 501 before their route is looked up. Afterwards test_gateway 24 and test_caller_connections 37 passed.

--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -147,6 +147,8 @@
             head = await self.next_event(self.limits.header_timeout)
             if not isinstance(head, h11.Request):
                 return None
+            if head.method == b"CONNECT":
+                raise RequestRefusedError(501, "the gateway opens no tunnels")
             body = await self.read_body(head)
         except h11.RemoteProtocolError as error:
             raise RequestRefusedError(error.error_status_hint or 400, str(error)) from error
