Refuse counts of requests in flight that no daemon can have

Two states with counts of 2**64 - 1 for one upstream, each of which a message can hold, kept a hub from answering any daemon: their sum fits in no message. A negative count made an upstream look free.

Cause: integers in states were bounded by what a message can hold, but a hub sums them up and passes the sums on.

Change: a state whose counts are negative or above MAX_COUNT is passed over, as one with other odd values is.

--- a/tanagertrail/gateway/peer_rows.py
+++ b/tanagertrail/gateway/peer_rows.py
@@ -17,7 +17,7 @@
     unpack_rows,
 )
 from tanagertrail.daemons.row_checks import decode_row
-from tanagertrail.decoding import MAX_REVISION, MAX_UNIX_MILLISECONDS, is_integer
+from tanagertrail.decoding import MAX_COUNT, MAX_REVISION, MAX_UNIX_MILLISECONDS, is_integer
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.leadership import MAX_FENCING
 from tanagertrail.gateway.members import Member, check_member
@@ -66,6 +66,8 @@
     check_age(state.age_ms)
     if not is_integer(state.counter) or not is_integer(state.lease_fencing, 0, MAX_FENCING):
         raise FrameError(f"a number of {state.daemon} is out of range")
+    if not all(is_integer(count, 0, MAX_COUNT) for _, count in state.in_flight):
+        raise FrameError(f"a count of requests in flight of {state.daemon} is out of range")
     renewal_fields = len(state.lease_renewal)
     if renewal_fields not in (0, RENEWAL_FIELDS) or (state.lease_fencing and not renewal_fields):
         raise FrameError(f"the lease's renewal of {state.daemon} is malformed")
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -91,6 +91,19 @@
                 decode_state(tuple(SOUND_STATE._replace(**{field: value})))
 
 
+@with_virtual_time
+async def test_huge_count_of_one_daemon_keeps_a_hub_from_telling_the_totals():
+    sync = Daemon("d0").state_sync
+    request = PeerRequest(pack_rows([SOUND_STATE]), False, True, ())
+    for count in (2**64 - 1, 2**63, -1):
+        for name in ("d2", "d3"):
+            odd = SOUND_STATE._replace(daemon=name, in_flight=(("up", count),))
+            sync.apply_relayed_states(pack_rows([odd]))
+        assert not sync.totals.in_flight
+        assert encode_frame(sync.handle_request(request), 0)
+    assert sync.refused_rows == 6
+
+
 @with_virtual_time
 async def test_odd_row_among_relayed_states_is_passed_over():
     daemon = Daemon("d0")
