Report each rollout whether or not another one can be reported

While one rollout could not be reported, those behind it in the list were not either: none ended or was rolled back.

Cause: each duty goes on when another one fails, but within the reports of rollouts the first failure ended the loop, in each period anew.

Evidence: the new test failed before: assert found.report == {"target": "v2", "state": "running"} AssertionError 21 passed, 1 failed, 0 known red

Change: each order is a step of its own, taken only while the lease lasts for its call. Afterwards test_duties 22 passed.

--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, NamedTuple
 
 from tanagertrail.decoding import is_integer
@@ -150,21 +151,29 @@
         return max(increase, 0.0) / span if span >= MIN_PROMPT_RATE_SPAN_SECONDS else 0.0
 
     async def report_rollouts(self) -> None:
-        """Report the rollouts whose state has changed."""
-        now = asyncio.get_running_loop().time()
+        """Report the rollouts whose state has changed; one that fails holds up no other."""
         for order in list(self.cluster_view.rollouts.values()):
-            seen_at = self.rollouts_seen_at.setdefault((order.service, order.order_id), now)
-            if order.is_report_lost:
-                counts = self.get_trial_counts(order.service, order.order_id)
-                await self.report_rollout(order, order.state, counts)
-            if order.ended:
-                continue
-            state = order.state if order.reported_version == order.version else ""
+            if self.leadership.may_act(MAX_CALL_SECONDS):
+                await self.perform(partial(self.update_rollout, order))
+
+    async def update_rollout(self, order: RolloutOrder) -> None:
+        """Report a rollout if its state has changed or its last report was lost.
+
+        :raises PlatformError: if the order has changed or the store is unreachable
+        """
+        now = asyncio.get_running_loop().time()
+        seen_at = self.rollouts_seen_at.setdefault((order.service, order.order_id), now)
+        if order.is_report_lost:
             counts = self.get_trial_counts(order.service, order.order_id)
-            trial_upstreams = self.count_trial_upstreams(order.service)
-            new_state = decide_canary_state(counts, now - seen_at, order.seconds, trial_upstreams)
-            if new_state != state:
-                await self.report_rollout(order, new_state, counts)
+            await self.report_rollout(order, order.state, counts)
+        if order.ended:
+            return
+        state = order.state if order.reported_version == order.version else ""
+        counts = self.get_trial_counts(order.service, order.order_id)
+        trial_upstreams = self.count_trial_upstreams(order.service)
+        new_state = decide_canary_state(counts, now - seen_at, order.seconds, trial_upstreams)
+        if new_state != state:
+            await self.report_rollout(order, new_state, counts)
 
     async def report_rollout(
         self, order: RolloutOrder, state: CanaryState, counts: TrialCounts
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -214,6 +214,22 @@
         assert environment.cloud.calls[0].path == "/usage"
 
 
+@run_in_real_time
+async def test_rollout_that_cannot_be_reported_holds_up_no_other_rollout():
+    async with open_environment() as environment:
+        runner = environment.build_runner("a", {"guild": 5})
+        await runner.leadership.try_claim()
+        spec = {"service": "till", "target": "v2", "duration_s": 15}
+        environment.store.put("rollouts", "till", spec)
+        stored = await runner.store.read("rollouts", "till")
+        for name, revision in (("desk", 5), ("till", stored.revision)):
+            order = RolloutOrder(name, "v2", 15.0, "", "", revision, 5)
+            runner.cluster_view.rollouts[name] = order
+        await runner.perform(runner.report_rollouts)
+        found = await runner.store.read("rollouts", "till")
+        assert found.report == {"target": "v2", "state": "running"}
+
+
 @run_in_real_time
 async def test_window_is_reported_once_it_has_settled():
     async with open_environment() as environment:
