Skip an empty line before a request

A caller that sent an empty line after a body got an answer of 400 for which there was no request, and its kept connection was closed. It could take the 400 for the answer to its next request, which was not read.

Cause: the line was taken for the start of a request. RFC 9112, 2.2 asks servers to skip at least one, since some callers send it after a body.

Change: one empty line is skipped, and the connection stays idle. More than one is refused with 400 as before, so that they hold no connection.

--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -22,6 +22,7 @@
 from tanagertrail.gateway.timed_reads import has_unread_bytes, receive_before
 
 Headers = list[tuple[bytes, bytes]]
+EMPTY_LINE = b"\r\n"
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one; servers send one or two
 
@@ -161,25 +162,45 @@
 
     async def wait_for_first_byte(self) -> bool:
         """Wait for the first byte of a request; false if the caller closed or stayed idle."""
-        if self.has_partial_request:
-            return True
-        try:
-            data = await self.idle_wait.receive()
-        except TimeoutError:
-            return False
-        if data:
+        is_line_skipped = False
+        while True:
+            is_line_skipped = is_line_skipped or self.skip_empty_line()
+            if self.parser.trailing_data[0]:
+                return True
+            try:
+                data = await self.idle_wait.receive()
+            except TimeoutError:
+                return False
+            if not data:
+                return False
             self.parser.receive_data(data)
-        return bool(data)
+
+    def skip_empty_line(self) -> bool:
+        """Skip an empty line before a request, and return whether there was one.
+
+        Some callers send one after a body.
+        """
+        arrived = self.parser.trailing_data[0]
+        if not arrived.startswith(EMPTY_LINE):
+            return False
+        self.restart_parser(arrived[len(EMPTY_LINE) :])
+        return True
+
+    def restart_parser(self, arrived: bytes) -> None:
+        """Parse from the start of a request, with the limits in force.
+
+        :param arrived: bytes of it that have arrived
+        """
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+        if arrived:
+            self.parser.receive_data(arrived)
 
     def renew_limits(self) -> None:
         """Apply the limits in force to the request that has begun to arrive."""
         former, self.limits = self.limits, self.get_limits()
         if self.limits.header_bytes == former.header_bytes:
             return
-        arrived = self.parser.trailing_data[0]
-        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
-        if arrived:
-            self.parser.receive_data(arrived)
+        self.restart_parser(self.parser.trailing_data[0])
 
     async def next_event(self, timeout: float) -> object:
         """Read the next event of the parser.
