--- a/tanagertrail/gateway/channel.py
+++ b/tanagertrail/gateway/channel.py
@@ -185,6 +185,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection immediately, so that its peer does not see an end in order."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
     def discard(self) -> None:
         """Close the connection immediately, and keep what is on its way from arriving later.
 
@@ -192,10 +200,10 @@
         """
         if self.transport is None or self.transport.is_closing():
             return
-        sock = self.transport.get_extra_info("socket")
-        if count_unacknowledged_bytes(sock):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.transport.abort()
+        if count_unacknowledged_bytes(self.transport.get_extra_info("socket")):
+            self.reset()
+        else:
+            self.transport.abort()
 
 
 def count_unacknowledged_bytes(sock: socket.socket) -> int:
