Accept the last connections before listening ends

Cause: asyncio accepts a connection in one turn of the event loop and makes its transport in the next. If the server was closed in between, the transport could not be made (Server._attach asserts that it listens) and the connection was dropped without a close; connections that still waited in the kernel's queue were reset.

Change: the event loop's reader is removed first, the connections that it has accepted get their transports, those in the queue are accepted, and listening ends in the same call.

--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -3,9 +3,10 @@
 __all__ = ["HttpServer"]
 
 import asyncio
+import socket
 import traceback
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from tanagertrail.errors import IncompleteResponseError
 from tanagertrail.gateway.caller_close import (
@@ -29,7 +30,7 @@
 from tanagertrail.platform.header_fields import decode_caller_fields
 
 BACKLOG = 1024
-ACCEPT_TURNS = 2  # of the event loop, in which connections that are waiting are accepted
+ACCEPT_TURNS = 3  # of the event loop, in which it makes transports of accepted connections
 LAST_ARRIVALS_SECONDS = 0.1  # for the first request on a connection that was accepted last
 LAST_READ_SECONDS = 0.05  # to read what has arrived, also at the end of the grace period
 DEFAULT_LIMITS = Limits(16_384, 4_194_304, 3.0, 15.0)
@@ -232,9 +233,7 @@
         """
         loop = asyncio.get_running_loop()
         self.stopping = True
-        for _ in range(ACCEPT_TURNS):
-            await asyncio.sleep(0)
-        self.stop_listening()
+        await self.accept_last_connections()
         await self.wait_for_connections(min(deadline, loop.time() + LAST_ARRIVALS_SECONDS))
         self.ending = True
         for stream in self.streams:
@@ -255,6 +254,39 @@
         if self.server is not None:
             self.server.close()
 
+    async def accept_last_connections(self) -> None:
+        """Stop listening, and accept the connections that this would reset.
+
+        These wait in the kernel, or the event loop has accepted them and made no transport yet.
+        """
+        loop = asyncio.get_running_loop()
+        listeners = self.server.sockets if self.server is not None else ()
+        for listener in listeners:
+            loop.remove_reader(listener.fileno())
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        connecting = []
+        for listener in listeners:
+            with listener.dup() as duplicate:
+                for connection in self.accept_each(duplicate):
+                    work = loop.connect_accepted_socket(lambda: Channel(self.accept), connection)
+                    connecting.append(loop.create_task(work))
+        self.stop_listening()
+        await asyncio.gather(*connecting)
+
+    def accept_each(self, listener: socket.socket) -> Iterator[socket.socket]:
+        """Accept connections until none waits."""
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log.write("accept_failed", error=repr(error)[:120])
+                return
+            connection.setblocking(False)
+            yield connection
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self.stop_listening()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,13 +1,16 @@
 """Tests that a planned stop answers what has arrived."""
 
 import asyncio
+import socket
 import time
 
+from nose2.tools import params
+
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.gateway.http_server import LAST_READ_SECONDS
-from tanagertrail.standins.ports import HOST
-from tests.caller_utils import REQUEST, turn_loop, with_callers
+from tanagertrail.standins.ports import HOST, find_port
+from tests.caller_utils import REQUEST, CallerWorld, turn_loop, with_callers
 from tests.gateway_utils import open_world, run_in_real_time
 
 LATE_SECONDS = 0.05
@@ -140,6 +143,23 @@
     assert transports[0].half_closed
 
 
+@params(0, 1, 2, 3)
+@run_in_real_time
+async def test_connection_opened_as_listening_ends_is_not_reset(turns):
+    world = CallerWorld()
+    port = find_port()
+    await world.server.start(HOST, port)
+    loop = asyncio.get_running_loop()
+    finish = loop.create_task(world.server.finish(loop.time() + 2))
+    await turn_loop(turns)
+    caller = socket.create_connection((HOST, port), timeout=1.0)
+    caller.sendall(REQUEST % 1)
+    await finish
+    assert caller.recv(1000).startswith(b"HTTP/1.1 200 ")
+    caller.close()
+    world.close()
+
+
 @with_callers
 async def test_request_read_by_half_at_the_end_is_refused_as_not_run(world):
     transport = world.connect()
