Send an upstream nothing once it states that it leaves or wants to wait

Callers saw: requests kept going to upstreams that had said in their answers that they leave, or that had refused with Retry-After; while all upstreams asked for a wait, callers' requests went on to them.

Cause: neither Server-Leaving nor Retry-After of upstreams' answers was decoded.

Leaving holds for all daemons, whatever the store lists, and travels in their states (new last field `leaving`); such an upstream counts as a draining one for requests, crashes, refusals and fleet duties.

Not covered: a connection that is being opened when the statement arrives still carries its request; within a wait, that is bounded by the time for opening a connection.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -44,6 +44,7 @@
 LostRows = tuple[tuple[str, tuple[str, ...], int, int], ...]
 LossRows = tuple[tuple[int, str, str, str, str, LostRows, int], ...]
 LimitRows = tuple[tuple[str, float, float, float, float], ...]
+LeavingRows = tuple[tuple[str, float, float], ...]
 
 
 def pack_rows(rows: Iterable[tuple]) -> bytes:
@@ -148,6 +149,8 @@
     :ivar completed: (service, requests that completed since the start) pairs
     :ivar reaches_upstreams: whether the daemon reaches the upstreams, as far as it knows
     :ivar carrier: address for requests that it carries for other daemons, empty if it carries none
+    :ivar leaving: (upstream, start, seconds since it was first heard) rows of upstreams that state
+        that they leave
     """
 
     daemon: str
@@ -174,6 +177,7 @@
     completed: CountRows = ()
     reaches_upstreams: bool = True
     carrier: str = ""
+    leaving: LeavingRows = ()
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/gateway/crash_detector.py
+++ b/tanagertrail/gateway/crash_detector.py
@@ -11,6 +11,7 @@
 from tanagertrail.gateway.eventlog import EventLog
 
 if TYPE_CHECKING:
+    from tanagertrail.gateway.model import Upstream
     from tanagertrail.gateway.upstream_table import UpstreamEntry
 
 # Time after a failed attempt within which a crash is attributed to it. A registration expires three
@@ -49,6 +50,7 @@
 
     :ivar on_crash: called with a crashed upstream and the attempts that it left unanswered
     :ivar reaches_upstreams: waits until it is known, and returns, whether any upstream is reached
+    :ivar states_leaving: returns whether an upstream has stated that it leaves
     :ivar refusal_tasks: judgements of refused connections under way
     """
 
@@ -58,6 +60,7 @@
             lambda entry, attempts: None
         )
         self.reaches_upstreams: Callable[[], Awaitable[bool]] = assume_reached
+        self.states_leaving: Callable[[Upstream], bool] = lambda record: False
         self.refusal_tasks: set[asyncio.Task] = set()
 
     def now(self) -> float:
@@ -141,13 +144,14 @@
         self.report_crash(entry, reason)
 
     def report_crash(self, entry: "UpstreamEntry", reason: str) -> None:
-        """Report the unanswered requests of a crashed upstream, unless it was draining."""
+        """Report the unanswered requests of a crashed upstream, unless it was leaving."""
         cutoff = self.now() - CRASH_EVIDENCE_SECONDS
         attempts = [item for item in entry.unanswered_attempts if item.failed_at >= cutoff]
         fingerprints = sorted({attempt.fingerprint for attempt in attempts})
         parts = Counter(key for attempt in attempts for key in attempt.part_keys)
         entry.unanswered_attempts = []
-        if not fingerprints or entry.record.draining:
+        is_leaving = entry.record.draining or self.states_leaving(entry.record)
+        if not fingerprints or is_leaving:
             return
         self.log.write(
             "upstream_ended",
--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -336,17 +336,21 @@
             sum(
                 self.estimate_capacity(entry)
                 for entry in self.cluster_view.upstreams.iter_service(service)
-                if self.is_on_trial(entry) and not entry.record.draining and not entry.gone
+                if self.is_on_trial(entry) and self.is_staying(entry)
             )
         )
 
+    def is_staying(self, entry: UpstreamEntry) -> bool:
+        """Return whether an upstream is neither leaving nor gone."""
+        return not (self.cluster_view.upstreams.is_leaving(entry) or entry.gone)
+
     def count_by_domain(self, service: str, reclaimable: bool) -> dict[str, int]:
         """Count the remaining upstreams that are reclaimable or not, by failure domain."""
         present = self.count_upstreams(service)
         return {domain: n for (domain, kind), n in present.items() if kind == reclaimable}
 
     def count_upstreams(self, service: str, on_trial: bool = False) -> dict[tuple[str, bool], int]:
-        """Count the upstreams that are neither draining nor gone.
+        """Count the upstreams that are neither leaving nor gone.
 
         Keys are pairs of the failure domain and whether the upstream is reclaimable.
 
@@ -356,7 +360,7 @@
         for entry in self.cluster_view.upstreams.iter_service(service):
             if self.is_on_trial(entry) is not on_trial:
                 continue
-            if not entry.record.draining and not entry.gone:
+            if self.is_staying(entry):
                 key = (entry.record.failure_domain, entry.record.reclaimable)
                 counts[key] = counts.get(key, 0) + 1
         return counts
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -40,6 +40,7 @@
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
     yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
+    yield GaugeRow("statements_refused", node.statements.refused_count, {})
     for reason, count in list(node.http_server.closes.items()):
         yield GaugeRow("caller_connections_closed", count, {"reason": reason})
     yield GaugeRow("tasks_failing", len(node.supervisor.failing), {})
@@ -61,6 +62,8 @@
         yield GaugeRow("upstream_running", entry.running, labels)
         yield GaugeRow("upstream_faults", entry.failure_rate, labels)
         yield GaugeRow("upstream_sent", entry.sent_count, labels)
+        yield GaugeRow("upstream_leaving", float(node.statements.is_leaving(entry.record)), labels)
+        yield GaugeRow("upstream_wait_s", node.statements.count_wait_left(entry), labels)
         rate = node.rate_limits.get_rate(entry)
         if rate is not None:
             yield GaugeRow("upstream_limit", rate, labels)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -40,6 +40,7 @@
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_sender import UpstreamSender
+from tanagertrail.gateway.upstream_statements import StatementTable
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import CloudClient
 from tanagertrail.platform.pages import DirectoryPage, ReadyPage
@@ -91,6 +92,9 @@
             self.members, lambda: self.ready and self.links.reaches_upstreams
         )
         self.rate_limits = RateLimitTable(self.shared_rates, self.log, read_boot_time)
+        self.statements = StatementTable(self.cluster_view.upstreams, self.log, read_boot_time)
+        self.cluster_view.upstreams.states_leaving = self.statements.is_leaving
+        self.crash_detector.states_leaving = self.statements.is_leaving
         self.dispatcher = Dispatcher(
             self.cluster_view,
             self.members,
@@ -100,6 +104,7 @@
                 self.crash_detector,
                 self.suspects,
                 self.rate_limits,
+                self.statements,
                 self.links,
                 self.tuning.answers.most_bytes,
                 self.log,
@@ -189,6 +194,7 @@
         )
         self.suspects.on_loss = self.peer_client.exchange_with_all
         self.rate_limits.on_change = self.peer_client.exchange_with_all
+        self.statements.on_change = self.peer_client.exchange_with_all
         self.suspects.on_quarantine = self.quarantine.start_storing
         self.follower.quarantine_handler.on_lost = self.quarantine.start_storing
         self.suspects.on_refuted = self.quarantine.start_removing
@@ -288,6 +294,7 @@
             self.suspects.forget_daemons_except(alive)
             self.shared_rates.refresh_fleet()
             self.rate_limits.forget_ended(self.cluster_view.upstreams.entries)
+            self.statements.forget_ended()
             self.shared_rates.forget_except(self.rate_limits.list_keys())
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
@@ -379,6 +386,7 @@
             suspected_parts=self.suspects.encode_suspected(),
             completed=tuple(self.suspects.completed.items()),
             reaches_upstreams=self.links.reaches_upstreams,
+            leaving=self.statements.encode(),
         )
 
     def apply_state(self, state: DaemonState) -> None:
@@ -394,6 +402,7 @@
         self.suspects.merge_parts(state, as_of)
         encoded_at = read_boot_time() - state.age_ms / 1000
         self.rate_limits.merge(state.daemon, state.limits, encoded_at)
+        self.statements.merge(state.daemon, state.leaving, encoded_at)
         self.cluster_view.limits_known |= state.serving
         if self.state_sync.topology.is_hub:
             usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -11,6 +11,7 @@
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.trials import RolloutTrials
+from tanagertrail.gateway.upstream_statements import StatementTable
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.policy.canary import VersionUse
 from tanagertrail.policy.choice import PrefixIndex
@@ -40,6 +41,7 @@
         members: MemberTable,
         trials: RolloutTrials,
         rate_limits: RateLimitTable,
+        statements: StatementTable,
         rng: random.Random,
         placement: str,
     ) -> None:
@@ -47,6 +49,7 @@
         self.members = members
         self.trials = trials
         self.rate_limits = rate_limits
+        self.statements = statements
         self.rng = rng
         self.prefix_index = PrefixIndex(PREFIX_TTL_SECONDS)
         self.choose_candidate = PLACEMENTS.get(placement)
@@ -127,6 +130,8 @@
             return False
         if now < entry.cold_until and not self.allows_cold_request(entry, now):
             return False
+        if self.statements.count_wait_left(entry):
+            return False
         return self.rate_limits.allows_request(entry)
 
     def is_in_use(self, entry: UpstreamEntry, now: float) -> bool:
@@ -134,6 +139,8 @@
         record = entry.record
         if not entry.accepts_work(now) or record.failure_domain in self.cluster_view.evacuated:
             return False
+        if self.cluster_view.upstreams.is_leaving(entry):
+            return False
         use = self.trials.get_version_use(record.service, record.version)
         return use is not VersionUse.FORBIDDEN
 
@@ -218,6 +225,9 @@
 
         :param reason: why the last attempt failed, empty without an attempt
         """
+        waits = self.list_waits(service)
+        if waits:
+            return self.build_wait_refusal(service, reason, waits)
         rates = self.list_named_rates(service)
         if not rates:
             retry_after = self.estimate_retry_after(service)
@@ -233,6 +243,31 @@
         reason = reason or "the rates that upstreams named are used up"
         return Refusal(503, reason, retry_after, log_fields)
 
+    def build_wait_refusal(self, service: str, reason: str, waits: dict[str, float]) -> Refusal:
+        """Build the refusal of a request while all upstreams want none; callers return apart.
+
+        :param waits: seconds for which each upstream wants no request
+        """
+        entries = self.cluster_view.upstreams.entries
+        now = self.now()
+        slots = sum(entries[name].record.slots for name in waits)
+        rate = slots / self.members.count_alive(now)  # a request holds its slot for about a second
+        wait = min(waits.values())
+        schedule = self.return_schedules.setdefault(service, ReturnSchedule())
+        retry_after = schedule.plan_return_after(wait, rate, now, self.rng.random())
+        log_fields = {"waiting_upstreams": len(waits), "wait_s": round(wait, 3)}
+        return Refusal(503, reason or "all upstreams ask for a wait", retry_after, log_fields)
+
+    def list_waits(self, service: str) -> dict[str, float]:
+        """Return the waits of the upstreams in use; none unless all ask for one."""
+        now = self.now()
+        waits = {
+            entry.record.id: self.statements.count_wait_left(entry)
+            for entry in self.cluster_view.upstreams.iter_service(service)
+            if self.is_in_use(entry, now)
+        }
+        return waits if all(waits.values()) else {}
+
     def list_named_rates(self, service: str) -> list[float]:
         """Return the rates that the upstreams in use name; none unless all name one."""
         now = self.now()
@@ -257,9 +292,10 @@
         )
 
     def has_no_lasting_upstream(self, service: str) -> bool:
-        """Return whether all upstreams of a configured service are draining or gone."""
-        entries = self.cluster_view.upstreams.iter_service(service)
-        staying = any(not (entry.gone or entry.record.draining) for entry in entries)
+        """Return whether all upstreams of a configured service are leaving or gone."""
+        upstreams = self.cluster_view.upstreams
+        entries = upstreams.iter_service(service)
+        staying = any(not (entry.gone or upstreams.is_leaving(entry)) for entry in entries)
         return service in self.cluster_view.config.services and not staying
 
     def has_alternative(self, exchange: Exchange, entry: UpstreamEntry, must_be_idle: bool) -> bool:
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -15,6 +15,7 @@
 from tanagertrail.gateway.silence_watch import SilenceWatch
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
+from tanagertrail.gateway.upstream_statements import StatementTable
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.outcomes import Step
@@ -49,6 +50,7 @@
         crash_detector: CrashDetector,
         suspects: SuspectTracker,
         rate_limits: RateLimitTable,
+        statements: StatementTable,
         links: UpstreamLinks,
         most_bytes: int,
         log: EventLog,
@@ -58,6 +60,7 @@
         self.crash_detector = crash_detector
         self.suspects = suspects
         self.rate_limits = rate_limits
+        self.statements = statements
         self.links = links
         self.most_bytes = most_bytes
         self.answers = AnswerReader(log, most_bytes)
@@ -140,6 +143,7 @@
                 self.apply_upstream_fields(entry, fields)
                 if claim is not Claim.MISDIRECTED:
                     self.rate_limits.note_answer(entry, fields, sent_at)
+                    self.statements.note_answer(entry, head.status, fields)
                 if exchange.customer is not None and claim is Claim.RESULT:
                     self.usage.note_started(exchange.customer.name)
                 step = Step.STREAM
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -105,6 +105,7 @@
     """All registered upstreams.
 
     :ivar on_registration_ended: called with an upstream whose registration ended, and the reason
+    :ivar states_leaving: returns whether an upstream has stated that it leaves
     :ivar entries: upstreams by id
     :ivar in_flight_by_daemon: requests by upstream id, by the daemon that reported them or
         :data:`OTHER_DAEMONS`
@@ -114,6 +115,7 @@
         self.on_registration_ended: Callable[[UpstreamEntry, str], None] = lambda entry, reason: (
             None
         )
+        self.states_leaving: Callable[[Upstream], bool] = lambda record: False
         self.entries: dict[str, UpstreamEntry] = {}
         self.in_flight_by_daemon: dict[str, dict[str, int]] = {}
 
@@ -146,6 +148,10 @@
             self.on_registration_ended(entry, "it is no longer registered")
         return entry
 
+    def is_leaving(self, entry: UpstreamEntry) -> bool:
+        """Return whether an upstream leaves, by its registration or its own statement."""
+        return entry.record.draining or self.states_leaving(entry.record)
+
     def iter_service(self, service: str) -> Iterator[UpstreamEntry]:
         """Yield the upstreams of a service."""
         return (entry for entry in self.entries.values() if entry.record.service == service)
--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -27,6 +27,8 @@
     :ivar sent: requests that this daemon sent there
     :ivar named_rate: requests per second that it accepts from all daemons, None for no limit
     :ivar own_rate: this daemon's part of that rate
+    :ivar is_leaving: whether it has stated that it leaves
+    :ivar wait: seconds for which it wants no request from this daemon
     """
 
     upstream: str
@@ -37,6 +39,8 @@
     sent: float = 0.0
     named_rate: float | None = None
     own_rate: float = 0.0
+    is_leaving: bool = False
+    wait: float = 0.0
 
 
 class BeliefReport(NamedTuple):
@@ -104,6 +108,8 @@
             found.get("upstream_sent", 0.0),
             found.get("upstream_limit"),
             found.get("upstream_limit_own", 0.0),
+            bool(found.get("upstream_leaving", 0.0)),
+            found.get("upstream_wait_s", 0.0),
         )
         for (upstream, service), found in sorted(upstreams.items())
     )
@@ -160,6 +166,10 @@
             f"upstream {row.upstream} of {row.service}: {row.in_flight:.0f} here, "
             f"{row.running:.0f} in all, {row.faults:.0%} failed, {row.sent:.0f} sent from here"
         )
+        if row.is_leaving:
+            yield f"upstream {row.upstream} has stated that it leaves"
+        if row.wait:
+            yield f"upstream {row.upstream} wants no request from here for {row.wait:.2f} s"
         if row.named_rate is not None:
             yield (
                 f"upstream {row.upstream} accepts {row.named_rate:g} requests a second from all "
--- a/tanagertrail/operators/explain.py
+++ b/tanagertrail/operators/explain.py
@@ -32,6 +32,8 @@
         "limit_learned",
         "limit_changed",
         "limit_ended",
+        "upstream_stated",
+        "statement_refused",
     }
 )
 SHOWN_FIRST = ("t", "daemon", "event")
--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from tanagertrail.gateway.model import PromptPart, PromptShape
+from tanagertrail.platform.statement_fields import StatedFields, decode_stated_fields
 
 Headers = Iterable[tuple[bytes, bytes]]
 
@@ -137,6 +138,7 @@
     :ivar cold_for: seconds for which the upstream stays cold, None if not stated
     :ivar rate_limit: request rate that the upstream names, None if it names none
     :ivar upstream: id of the upstream that responds, empty if not stated
+    :ivar stated: what the upstream states that it wants
     """
 
     request_ids: frozenset[str]
@@ -148,6 +150,7 @@
     cold_for: float | None
     rate_limit: NamedRate | None = None
     upstream: str = ""
+    stated: StatedFields = StatedFields()
 
 
 def decode_text(value: bytes) -> str:
@@ -275,6 +278,7 @@
         None if cold_ms is None else cold_ms / 1000,
         decode_rate_limit(headers),
         values.get(UPSTREAM_ID, ""),
+        decode_stated_fields(headers),
     )
 
 
--- a/tanagertrail/policy/retry_after.py
+++ b/tanagertrail/policy/retry_after.py
@@ -52,8 +52,22 @@
         :param rate: requests per second that this daemon's callers may send
         :param jitter: number in [0, 1) that differs between callers
         """
+        return max(self.take_turn(rate, now, jitter), BASE_RETRY_AFTER_SECONDS)
+
+    def plan_return_after(self, wait: float, rate: float, now: float, jitter: float) -> float:
+        """Return the seconds after which the next caller may return if none is served for a while.
+
+        :param wait: seconds for which no caller is served
+        :param rate: requests per second that this daemon's callers may send afterwards
+        :param jitter: number in [0, 1) that differs between callers
+        """
+        seconds = wait + self.take_turn(rate, now + wait, jitter)
+        return max(seconds, BASE_RETRY_AFTER_SECONDS)
+
+    def take_turn(self, rate: float, now: float, jitter: float) -> float:
+        """Take the next place in the order and return the seconds until it."""
         interval = min(1.0 / rate, MAX_RETURN_SECONDS) if rate > 0 else MAX_RETURN_SECONDS
         self.next_at = max(self.next_at, now) + interval
         latest = now + MAX_RETURN_SECONDS * (1.0 + RETRY_AFTER_JITTER * jitter)
         self.next_at = min(self.next_at, latest)
-        return max(self.next_at - now, BASE_RETRY_AFTER_SECONDS)
+        return self.next_at - now
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -32,6 +32,7 @@
 async def refuse(upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream) -> None:
     """Reject the request as one that has not run."""
     fields = [*upstream.sign(request)[:1], (header_fields.NOT_RUN, b"1"), *upstream.name_rate()]
+    fields += [*upstream.state_leaving(), *upstream.ask_for_wait()]
     stream.send_response(503, fields, b"full")
 
 
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -45,6 +45,8 @@
     :ivar thawed: cleared while the process is stopped, so that nothing is answered
     :ivar released: set to end the requests that the fault "hold" keeps running
     :ivar named_rate: value of the rate limit that it names in its answers, None for none
+    :ivar leaving: value in which it states that it leaves, None for none
+    :ivar wait: value of the wait that it asks for when it refuses, None for none
     """
 
     def __init__(self, upstream_id: str, work: float = 0.002) -> None:
@@ -67,6 +69,8 @@
         self.ended = False
         self.endless_bytes = 0
         self.named_rate: str | None = None
+        self.leaving: str | None = None
+        self.wait: str | None = None
         self.pause = 1.2
         self.thawed = asyncio.Event()
         self.thawed.set()
@@ -154,7 +158,7 @@
             (header_fields.SERVER_STAMP, f"{self.id}.{request_id.decode()}".encode()),
             (header_fields.SERVER_LOAD, b"1,0,8"),
         ]
-        return signature + self.name_rate()
+        return signature + self.name_rate() + self.state_leaving()
 
     def name_rate(self) -> Headers:
         """Return the header in which an upstream in need names a rate limit."""
@@ -162,6 +166,14 @@
             return []
         return [(header_fields.RATE_LIMIT_FIELDS[1], self.named_rate.encode())]
 
+    def state_leaving(self) -> Headers:
+        """Return the header in which an upstream states that it leaves."""
+        return [] if self.leaving is None else [(b"server-leaving", self.leaving.encode())]
+
+    def ask_for_wait(self) -> Headers:
+        """Return the header in which a refusing upstream asks for a wait."""
+        return [] if self.wait is None else [(b"retry-after", self.wait.encode())]
+
     async def run(self, request: CallerRequest, stream: CallerStream) -> None:
         """Run a request to its end."""
         self.begin(request)
--- a/tests/fuzz_decoding.py
+++ b/tests/fuzz_decoding.py
@@ -332,6 +332,7 @@
             limits=(("up", 1.0, 2.0, 0.0, 0.0),),
             cleared_parts=(("p", 1),),
             completed=(("desk", 5),),
+            leaving=(("up", 1.0, 0.5),),
         )
         updates = node.state_sync.build_updates({})
         for change in changes:
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -24,6 +24,8 @@
 tanagertrail_state{name="upstream_running",service="desk",upstream="up-a"} 5.0
 tanagertrail_state{name="upstream_faults",service="desk",upstream="up-a"} 0.5
 tanagertrail_state{name="upstream_sent",service="desk",upstream="up-a"} 90.0
+tanagertrail_state{name="upstream_leaving",service="desk",upstream="up-a"} 1.0
+tanagertrail_state{name="upstream_wait_s",service="desk",upstream="up-a"} 1.5
 tanagertrail_state{name="upstream_limit",service="desk",upstream="up-a"} 1.6
 tanagertrail_state{name="upstream_limit_own",service="desk",upstream="up-a"} 0.304
 tanagertrail_requests_total{outcome="answered",route="r"} 9.0
@@ -37,6 +39,8 @@
     lines = list(format_report(report))
     assert "configuration 7, known to be the newest 0.25 s ago" in lines
     assert "holds the duties with number 2" in lines
+    assert "upstream up-a has stated that it leaves" in lines
+    assert "upstream up-a wants no request from here for 1.50 s" in lines
     assert "failure domains that get no work: north" in lines
     assert "4 requests suspected to end upstreams, 1 quarantined" in lines
     assert "upstream up-a of desk: 1 here, 5 in all, 50% failed, 90 sent from here" in lines
