Cut daemons off from all upstreams in the soak

Callers of daemons that reached no upstream were served far worse than others, and no run of the soak could show it: its proxies before the upstreams were shared by all daemons, so a fault hurt an upstream for all of them alike.

Each daemon now has a proxy of its own before each upstream. The daemons are told the same addresses as before (they pass them on to each other); soak/redirected runs the gateway with other ports to connect to, so that probes and requests alike meet connections that the kernel refuses or leaves unanswered. A proxy that tells daemons apart at accept could not do this: the kernel has completed the handshake by then, and a probe that only opens a connection succeeds.

Five kinds cut one daemon, some, a failure domain or most: links hang, are reset, refuse new connections, work one way, come and go. Callers keep calling the daemons that the directory leaves out.

The check "served while cut" compares calls without a quota from the stability bound after a cut began, calm apart from cuts: broken if the daemons cut off serve less than two thirds of the others' share and more than 10 + 1 in 50 of the calls there fail.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -20,6 +20,7 @@
 ADDRESS_SECONDS = 1.0
 MAX_ADDRESSES_BYTES = 65_536
 CALLS_ON_ONE_CONNECTION = 12
+CALL_SECONDS = 0.06  # between calls to a daemon that is cut off
 PAUSE_SECONDS = (0.01, 0.12)
 RESEND_SECONDS = (0.05, 0.4)
 FIRST_PART = "soak"  # that the prompts of all streams share
@@ -88,6 +89,28 @@
             except (OSError, TimeoutError, TanagertrailError, ValueError, IndexError):
                 await asyncio.sleep(rng.uniform(0.05, 0.2))
 
+    async def keep_calling(self, rng: random.Random, front: int, seconds: float) -> None:
+        """Send requests to one daemon at an even pace, whether or not earlier ones are answered."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < until:
+                group.create_task(self.call_once(random.Random(rng.random()), front))
+                await asyncio.sleep(CALL_SECONDS)
+
+    async def call_once(self, rng: random.Random, front: int) -> None:
+        """Send one request on a connection of its own."""
+        try:
+            stream = UpstreamStream(await open_channel(HOST, self.links[front], CONNECT_SECONDS))
+        except (OSError, TimeoutError):
+            return
+        try:
+            self.calls.append(await self.call(rng, stream, front))
+        except (OSError, TanagertrailError):
+            pass  # the connection broke before the request was written
+        finally:
+            stream.abort()
+
     async def ask_directory(self, rng: random.Random) -> list[int]:
         """Return the ports of the fronts that a daemon names."""
         port = rng.choice(self.directories)
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -1,6 +1,6 @@
 """The promises that a run must keep, from what callers, upstreams and the cloud API saw."""
 
-__all__ = ["CHECKS", "Arrival", "Evidence", "Need", "Removal", "RunSeen", "find_broken"]
+__all__ = ["CHECKS", "Arrival", "CutSeen", "Evidence", "Need", "Removal", "RunSeen", "find_broken"]
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
@@ -81,6 +81,17 @@
     until: float
 
 
+class CutSeen(NamedTuple):
+    """A span in which daemons were cut off from all upstreams.
+
+    :ivar ports: ports of their fronts
+    """
+
+    ports: frozenset[int]
+    since: float
+    until: float
+
+
 class Evidence(NamedTuple):
     """All that a run has shown.
 
@@ -105,6 +116,7 @@
     needs: list[Need] = []
     pauses: list[tuple[int, float, float]] = []
     part_crashes: list[tuple[str, float]] = []
+    cuts: list[CutSeen] = []
 
     def was_restarted_or_paused(self, port: int, since: float, until: float) -> bool:
         """Say whether a daemon was started or paused in a span."""
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -10,6 +10,7 @@
 from tanagertrail.soak.plan import Fault, register_fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
+from tanagertrail.soak.upstream_link import UpstreamLink
 from tanagertrail.soak.world import DOWN_SECONDS, SoakUpstream, SoakWorld
 from tanagertrail.standins.documents import (
     BOUNDS,
@@ -49,7 +50,7 @@
     return links[fault.target % len(links)]
 
 
-async def hold(link: LoopbackProxy, state: LinkState, seconds: float) -> None:
+async def hold(link: LoopbackProxy | UpstreamLink, state: LinkState, seconds: float) -> None:
     """Keep a link in a state for some time."""
     link.set_state(state)
     await asyncio.sleep(seconds)
--- a/tanagertrail/soak/processes.py
+++ b/tanagertrail/soak/processes.py
@@ -3,20 +3,23 @@
 __all__ = ["DaemonProcess"]
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
 
+from tanagertrail.soak.redirected import PORTS_VARIABLE, encode_ports
 from tanagertrail.standins.documents import DaemonPorts
 
 RESTART_SECONDS = 0.3
-MODULE = "tanagertrail.gateway.program"
+MODULE = "tanagertrail.soak.redirected"
 
 
 class DaemonProcess:
     """One daemon, its settings file and its log.
 
     :ivar starts: event-loop time in seconds of each start
+    :ivar redirected: port that it connects to, by the port that it was told
     :ivar frozen: whether the process is stopped by a signal
     """
 
@@ -29,6 +32,7 @@
         self.log = open(self.log_path, "ab")  # noqa: SIM115  closed with the world
         self.process: asyncio.subprocess.Process | None = None
         self.starts: list[float] = []
+        self.redirected: dict[int, int] = {}
         self.frozen = False
         self.starting = asyncio.Lock()
 
@@ -36,7 +40,10 @@
         """Start the process."""
         command = [sys.executable, "-m", MODULE, "--node-file", str(self.settings_path)]
         self.process = await asyncio.create_subprocess_exec(
-            *command, stdout=self.log, stderr=self.log
+            *command,
+            stdout=self.log,
+            stderr=self.log,
+            env=os.environ | {PORTS_VARIABLE: encode_ports(self.redirected)},
         )
         self.frozen = False
         self.starts.append(asyncio.get_running_loop().time())
--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -12,6 +12,8 @@
 
 import fire
 
+from tanagertrail.soak import cut_checks as _cut_checks  # noqa: F401  fills the registry of checks
+from tanagertrail.soak import cut_faults as _cut_faults  # noqa: F401
 from tanagertrail.soak import faults as _faults  # noqa: F401  fills the registry of faults
 from tanagertrail.soak import loss_checks as _loss_checks  # noqa: F401  and that of checks
 from tanagertrail.soak import upstream_faults as _upstream_faults  # noqa: F401
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -12,10 +12,11 @@
 from tanagertrail.platform import header_fields
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, UPSTREAMS
 from tanagertrail.soak.callers import CallerCrowd
-from tanagertrail.soak.checks import Arrival, Evidence, Need, Removal, RunSeen
+from tanagertrail.soak.checks import Arrival, CutSeen, Evidence, Need, Removal, RunSeen
 from tanagertrail.soak.plan import Fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
+from tanagertrail.soak.upstream_link import UpstreamLink
 from tanagertrail.standins.cloud import StandInCloud
 from tanagertrail.standins.documents import (
     CUSTOMERS,
@@ -106,7 +107,7 @@
 
     :ivar store_links: proxy between each daemon and the store
     :ivar caller_links: proxy between callers and each daemon
-    :ivar upstream_links: proxy between the daemons and each upstream
+    :ivar upstream_links: proxies between the daemons and each upstream
     :ivar entries: last registration of each upstream
     :ivar emptied: failure domains that are to get no work
     """
@@ -127,7 +128,8 @@
         self.daemons: list[DaemonProcess] = []
         self.store_links: list[LoopbackProxy] = []
         self.caller_links: list[LoopbackProxy] = []
-        self.upstream_links: list[LoopbackProxy] = []
+        self.upstream_links: list[UpstreamLink] = []
+        self.cuts: list[CutSeen] = []
         self.entries: dict[str, dict[str, Any]] = {}
         self.emptied: set[str] = set()
         self.upstream_count = upstreams
@@ -159,11 +161,11 @@
 
     async def add_upstream(self, name: str, domain: str) -> None:
         """Start an upstream behind a proxy and register it."""
-        port, link_port = find_port(), find_port()
+        port = find_port()
         upstream = SoakUpstream(name, domain, self.runs)
         await upstream.start(HOST, port)
         self.upstreams.append(upstream)
-        link = LoopbackProxy(HOST, link_port, port)
+        link = UpstreamLink(self.daemon_count, port)
         await link.start()
         self.upstream_links.append(link)
         number = len(self.upstreams) - 1
@@ -232,7 +234,9 @@
             name = f"entry-{number + 1}"
             domain = DOMAINS[number % len(DOMAINS)]
             settings = build_node_file(name, domain, own, store_link, cloud_port, seeds)
-            self.daemons.append(DaemonProcess(name, own, settings, self.folder))
+            daemon = DaemonProcess(name, own, settings, self.folder)
+            daemon.redirected = {link.port: link.links[number].port for link in self.upstream_links}
+            self.daemons.append(daemon)
 
     def build_crowd(self) -> None:
         """Build the callers."""
@@ -281,6 +285,13 @@
         """Note that something that was removed is back."""
         self.removals[place] = self.removals[place]._replace(until=self.now())
 
+    def note_cut(self, numbers: list[int], since: float) -> None:
+        """Note that daemons were cut off until now."""
+        if not numbers:
+            return
+        ports = frozenset(self.daemons[number].ports.front for number in numbers)
+        self.cuts.append(CutSeen(ports, since, self.now()))
+
     def collect(self, plan: list[Fault]) -> Evidence:
         """Return all that the run has shown."""
         usage = [
@@ -303,6 +314,7 @@
             [need for upstream in self.upstreams for need in upstream.needs],
             self.pauses,
             [item for upstream in self.upstreams for item in upstream.part_crashes],
+            self.cuts,
         )
 
     async def close(self) -> None:
@@ -313,9 +325,11 @@
             daemon.resume()
             await daemon.kill()
             daemon.log.close()
-        for link in (*self.store_links, *self.caller_links, *self.upstream_links):
+        for link in (*self.store_links, *self.caller_links):
             link.set_state(LinkState.PASS)
             link.close()
+        for upstream_link in self.upstream_links:
+            upstream_link.close()
         for upstream in self.upstreams:
             upstream.close()
         self.store.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
     CHECKS,
     PART_REFUSAL,
     Arrival,
+    CutSeen,
     Evidence,
     Need,
     Removal,
@@ -22,6 +23,7 @@
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.program import run_seed
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
+from tanagertrail.soak.upstream_link import HANGING, Cut, UpstreamLink
 from tanagertrail.soak.world import SoakWorld
 from tanagertrail.standins.documents import CUSTOMERS, DaemonPorts
 from tanagertrail.standins.ports import HOST, find_port
@@ -120,6 +122,8 @@
         needs=[Need("up-1", 1.4, 1.0, 20.0)],
     )
     dead = build_evidence([build_call(n, status=503, sent_at=20.0) for n in range(30)], [])
+    unserved = [build_call(n, status=503 if n % 2 else 200, port=n % 2) for n in range(60)]
+    cut_off = build_evidence(unserved, [], cuts=[CutSeen(frozenset({1}), 5.0, 12.0)])
     found = {
         "at most once": once,
         "true refusals": refused,
@@ -138,6 +142,7 @@
         "one count for a window": usage,
         "rates that upstreams name": named,
         "recovery": dead,
+        "served while cut": cut_off,
     }
     assert set(found) == set(CHECKS)
     for name, evidence in found.items():
@@ -245,10 +250,57 @@
     server.close()
 
 
-def test_short_run_of_a_fixed_seed_keeps_all_promises():
-    result = asyncio.run(run_seed(11, seconds=8.0, daemons=3, upstreams=4, callers=6))
-    assert result.broken == []
-    assert result.served > 100
+def test_short_runs_of_fixed_seeds_keep_all_promises():
+    async def run():
+        cut = run_seed(7, 5.0, 3, 4, 12, ["upstreams cut, hang"])
+        return await asyncio.gather(run_seed(11, 8.0, 3, 4, 6), cut)
+
+    for result in asyncio.run(run()):
+        assert result.broken == [], result.seed
+        assert result.served > 100
+
+
+def test_cut_that_hangs_refuses_or_resets_strikes_one_daemon_and_ends():
+    async def reach(port):
+        try:
+            async with asyncio.timeout(0.2):
+                reader, writer = await asyncio.open_connection(HOST, port)
+                writer.transport.abort()
+        except TimeoutError:
+            return "hangs"
+        except ConnectionRefusedError:
+            return "refused"
+        return "reached"
+
+    async def run():
+        server = await asyncio.start_server(lambda reader, writer: None, HOST, find_port())
+        link = UpstreamLink(2, server.sockets[0].getsockname()[1])
+        await link.start()
+        for cut in Cut:
+            link.cut(1, cut)
+            assert await reach(link.links[0].port) == "reached", cut
+            expected = "hangs" if cut in HANGING else "refused"
+            assert await reach(link.links[1].port) == expected, cut
+            await link.heal(1)
+            assert await reach(link.links[1].port) == "reached", cut
+        link.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_callers_with_a_quota_or_of_a_stopping_daemon_are_not_held_against_a_cut():
+    calls = [build_call(n, status=503 if n % 2 else 200, port=n % 2) for n in range(60)]
+    cuts = [CutSeen(frozenset({1}), 5.0, 12.0)]
+    assert name_broken(build_evidence(calls, [], cuts=cuts)) == {"served while cut"}
+    limited = [call._replace(customer=NARROW) for call in calls]
+    assert name_broken(build_evidence(limited, [], cuts=cuts)) == set()
+    assert name_broken(build_evidence(calls, [], cuts=cuts, terms=[(1, 9.0)])) == set()
+    killed = [Fault(6.0, "kill", 0, 2.0)]
+    assert name_broken(build_evidence(calls, [], cuts=cuts, plan=killed)) == set()
+    cut_too = [Fault(6.0, "upstreams cut, hang", 0, 2.0)]
+    broken = name_broken(build_evidence(calls, [], cuts=cuts, plan=cut_too))
+    assert broken == {"served while cut"}
 
 
 @run_in_real_time
