Blame no request and no version for the fall of a brittle upstream

An upstream that says it is brittle (Server-Brittle = N) falls over after more than N rejections in a second. Each fall counted as a crash under the requests that it left unanswered, which are then isolated and quarantined, and as a failure of the version on trial.

Cause: the field was not decoded, and the crash detector and the trials took every end under a request for the request's or the version's doing.

Change: decode the field in both spellings. The newest answer of an incarnation decides whether it is brittle; a malformed value changes nothing and is logged. The crash detector reports no crash of a brittle upstream. An attempt that broke is judged for the version after the probe that tells a fall from a closed connection, so that broken connections of a brittle upstream that goes on still count against its version.

Conclusion: a daemon that has heard the statement blames nobody. A daemon that has not heard it from the upstream itself still does, since daemons do not tell one another yet. What reaches brittle upstreams is not limited by this commit.

--- a/tanagertrail/gateway/crash_detector.py
+++ b/tanagertrail/gateway/crash_detector.py
@@ -45,7 +45,8 @@
     refused connection, another upstream at its address, a restart under the same id or the end of
     its registration shows that it has crashed.
 
-    While this daemon reaches no upstream at all, nothing that fails is held against one.
+    While this daemon reaches no upstream at all, nothing that fails is held against one. Nor is the
+    end of a brittle upstream held against requests, since rejections alone end it.
 
     :ivar on_crash: called with a crashed upstream and the attempts that it left unanswered
     :ivar reaches_upstreams: waits until it is known, and returns, whether any upstream is reached
@@ -141,7 +142,7 @@
         self.report_crash(entry, reason)
 
     def report_crash(self, entry: "UpstreamEntry", reason: str) -> None:
-        """Report the unanswered requests of a crashed upstream, unless it was draining."""
+        """Report the unanswered requests of a crash that they may have caused."""
         cutoff = self.now() - CRASH_EVIDENCE_SECONDS
         attempts = [item for item in entry.unanswered_attempts if item.failed_at >= cutoff]
         fingerprints = sorted({attempt.fingerprint for attempt in attempts})
@@ -149,6 +150,16 @@
         entry.unanswered_attempts = []
         if not fingerprints or entry.record.draining:
             return
+        if entry.rejection_limit is not None:
+            self.log.write(
+                "brittle_upstream_ended",
+                upstream=entry.record.id,
+                born=entry.record.born,
+                reason=reason,
+                unanswered=len(fingerprints),
+                rejection_limit=entry.rejection_limit,
+            )
+            return
         self.log.write(
             "upstream_ended",
             upstream=entry.record.id,
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -154,12 +154,14 @@
             )
         finally:
             entry.isolated_requests -= int(isolated)
-        if self.links.reaches_upstreams:
-            self.trials.note_result(exchange, entry.record.version, attempt)
         if self.metrics is not None:
             self.metrics.attempts[exchange.service, attempt.result.value] += 1
-        if attempt.result is AttemptResult.BROKEN:
-            await self.sender.crash_detector.probe(entry)
+        try:
+            if attempt.result is AttemptResult.BROKEN:
+                await self.sender.crash_detector.probe(entry)
+        finally:
+            if self.links.reaches_upstreams and not entry.has_fallen_brittle:
+                self.trials.note_result(exchange, entry.record.version, attempt)
         return attempt
 
     def may_resend(self, exchange: Exchange) -> bool:
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -6,6 +6,7 @@
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
 from tanagertrail.gateway.answer_reader import AnswerReader, UnprovenAnswerError, may_reuse
+from tanagertrail.gateway.brittle_statements import note_brittle
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
@@ -140,6 +141,7 @@
                 self.apply_upstream_fields(entry, fields)
                 if claim is not Claim.MISDIRECTED:
                     self.rate_limits.note_answer(entry, fields, sent_at)
+                    note_brittle(entry, fields, self.answers.log)
                 if exchange.customer is not None and claim is Claim.RESULT:
                     self.usage.note_started(exchange.customer.name)
                 step = Step.STREAM
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -39,6 +39,8 @@
     :ivar crashed_at: event-loop time in seconds at which it was found to have crashed, else None
     :ivar probe_task: task that checks whether it still accepts connections
     :ivar isolated_requests: requests of this daemon there that must run isolated
+    :ivar rejection_limit: rejections in a second that it survives by its newest answer, None if
+        that does not say that it is brittle
     :ivar names_refused_requests: whether all its refusals so far named their request
     """
 
@@ -60,6 +62,7 @@
         self.crashed_at: float | None = None
         self.probe_task: asyncio.Task | None = None
         self.isolated_requests = 0
+        self.rejection_limit: int | None = None
         self.names_refused_requests = True
         self.cold_limiter: ColdRateLimiter | None = None
 
@@ -68,6 +71,11 @@
         """The number of requests of all daemons that it is running, as far as known."""
         return self.in_flight + self.in_flight_elsewhere
 
+    @property
+    def has_fallen_brittle(self) -> bool:
+        """Whether it has ended while it was brittle."""
+        return self.rejection_limit is not None and self.crashed_at is not None
+
     def accepts_work(self, now: float) -> bool:
         """Return whether it may get new requests."""
         return not (self.gone or self.record.draining or now < self.backoff_until)
--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -39,6 +39,7 @@
 COLD_MS = b"tanagertrail-cold-ms"
 # The users' pages spell this field both ways.
 RATE_LIMIT_FIELDS = (b"tanagertrail-server-limit", b"server-limit")
+BRITTLE_FIELDS = (b"tanagertrail-server-brittle", b"server-brittle")
 
 MAX_SHARED_PARTS = 32  # of one request, since callers choose how many they state
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
@@ -123,6 +124,17 @@
     value: str
 
 
+class RejectionLimit(NamedTuple):
+    """Rejections in a second that a brittle upstream says it survives.
+
+    :ivar count: requests that it may turn away in a second, None if malformed
+    :ivar value: the field's value, shortened for the log
+    """
+
+    count: int | None
+    value: str
+
+
 class UpstreamFields(NamedTuple):
     """Fields of an upstream's response.
 
@@ -137,6 +149,7 @@
     :ivar cold_for: seconds for which the upstream stays cold, None if not stated
     :ivar rate_limit: request rate that the upstream names, None if it names none
     :ivar upstream: id of the upstream that responds, empty if not stated
+    :ivar rejection_limit: what a brittle upstream says it survives, None if it is not brittle
     """
 
     request_ids: frozenset[str]
@@ -148,6 +161,7 @@
     cold_for: float | None
     rate_limit: NamedRate | None = None
     upstream: str = ""
+    rejection_limit: RejectionLimit | None = None
 
 
 def decode_text(value: bytes) -> str:
@@ -275,9 +289,20 @@
         None if cold_ms is None else cold_ms / 1000,
         decode_rate_limit(headers),
         values.get(UPSTREAM_ID, ""),
+        decode_rejection_limit(headers),
     )
 
 
+def decode_rejection_limit(headers: Headers) -> RejectionLimit | None:
+    """Decode the rejections that a brittle upstream survives; several fields must agree."""
+    stated = [decode_text(value) for name, value in headers if name in BRITTLE_FIELDS]
+    if not stated:
+        return None
+    counts = {parse_non_negative_int(value) for value in stated}
+    count = counts.pop() if len(counts) == 1 else None
+    return RejectionLimit(count, ",".join(stated)[:MAX_LOGGED_VALUE_LENGTH])
+
+
 def decode_rate_limit(headers: Headers) -> NamedRate | None:
     """Decode the request rate that an upstream names, None if it names none.
 
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -32,7 +32,7 @@
 async def refuse(upstream: "StandInUpstream", request: CallerRequest, stream: CallerStream) -> None:
     """Reject the request as one that has not run."""
     fields = [*upstream.sign(request)[:1], (header_fields.NOT_RUN, b"1"), *upstream.name_rate()]
-    stream.send_response(503, fields, b"full")
+    stream.send_response(503, fields + upstream.state_brittle(), b"full")
 
 
 @FAULTS.register("hold")
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -44,6 +44,7 @@
     :ivar pause: seconds of silence of the faults that go on afterwards
     :ivar thawed: cleared while the process is stopped, so that nothing is answered
     :ivar released: set to end the requests that the fault "hold" keeps running
+    :ivar brittle: value of the field that says it is brittle, None while it is not
     :ivar named_rate: value of the rate limit that it names in its answers, None for none
     """
 
@@ -67,6 +68,7 @@
         self.ended = False
         self.endless_bytes = 0
         self.named_rate: str | None = None
+        self.brittle: str | None = None
         self.pause = 1.2
         self.thawed = asyncio.Event()
         self.thawed.set()
@@ -154,7 +156,7 @@
             (header_fields.SERVER_STAMP, f"{self.id}.{request_id.decode()}".encode()),
             (header_fields.SERVER_LOAD, b"1,0,8"),
         ]
-        return signature + self.name_rate()
+        return signature + self.name_rate() + self.state_brittle()
 
     def name_rate(self) -> Headers:
         """Return the header in which an upstream in need names a rate limit."""
@@ -162,6 +164,12 @@
             return []
         return [(header_fields.RATE_LIMIT_FIELDS[1], self.named_rate.encode())]
 
+    def state_brittle(self) -> Headers:
+        """Build the header in which a brittle upstream says so."""
+        if self.brittle is None:
+            return []
+        return [(header_fields.BRITTLE_FIELDS[1], self.brittle.encode())]
+
     async def run(self, request: CallerRequest, stream: CallerStream) -> None:
         """Run a request to its end."""
         self.begin(request)
