--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -151,6 +151,8 @@
     :ivar carrier: address for requests that it carries for other daemons, empty if it carries none
     :ivar leaving: (upstream, start, seconds since it was first heard) rows of upstreams that state
         that they leave
+    :ivar brittle: rows like those of ``limits``, of the rejections in a second that upstreams say
+        they survive
     """
 
     daemon: str
@@ -178,6 +180,7 @@
     reaches_upstreams: bool = True
     carrier: str = ""
     leaving: LeavingRows = ()
+    brittle: LimitRows = ()
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -39,6 +39,8 @@
     yield GaugeRow("prompt_parts_quarantined", len(attributor.quarantined), {})
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
     yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
+    yield GaugeRow("brittle_upstreams", node.brittle.count_in_force(), {})
+    yield GaugeRow("brittle_rejections", node.brittle.rejected_count, {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
     yield GaugeRow("statements_refused", node.statements.refused_count, {})
     for reason, count in list(node.http_server.closes.items()):
@@ -64,6 +66,9 @@
         yield GaugeRow("upstream_sent", entry.sent_count, labels)
         yield GaugeRow("upstream_leaving", float(node.statements.is_leaving(entry.record)), labels)
         yield GaugeRow("upstream_wait_s", node.statements.count_wait_left(entry), labels)
+        room = node.brittle.rooms.get((entry.record.id, entry.record.born))
+        if room is not None:
+            yield GaugeRow("brittle_upstream_part", room.part, labels)
         rate = node.rate_limits.get_rate(entry)
         if rate is not None:
             yield GaugeRow("upstream_limit", rate, labels)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -6,6 +6,7 @@
 import random
 
 from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
+from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.carry_server import CarryServer
 from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
 from tanagertrail.gateway.cluster_view import ClusterView
@@ -95,6 +96,9 @@
         self.statements = StatementTable(self.cluster_view.upstreams, self.log, read_boot_time)
         self.cluster_view.upstreams.states_leaving = self.statements.is_leaving
         self.crash_detector.states_leaving = self.statements.is_leaving
+        self.brittle = BrittleUpstreams(
+            self.cluster_view.upstreams, self.shared_rates, self.log, read_boot_time
+        )
         self.dispatcher = Dispatcher(
             self.cluster_view,
             self.members,
@@ -105,6 +109,7 @@
                 self.suspects,
                 self.rate_limits,
                 self.statements,
+                self.brittle,
                 self.links,
                 self.tuning.answers.most_bytes,
                 self.log,
@@ -195,6 +200,7 @@
         self.suspects.on_loss = self.peer_client.exchange_with_all
         self.rate_limits.on_change = self.peer_client.exchange_with_all
         self.statements.on_change = self.peer_client.exchange_with_all
+        self.brittle.on_change = self.peer_client.exchange_with_all
         self.suspects.on_quarantine = self.quarantine.start_storing
         self.follower.quarantine_handler.on_lost = self.quarantine.start_storing
         self.suspects.on_refuted = self.quarantine.start_removing
@@ -295,6 +301,8 @@
             self.shared_rates.refresh_fleet()
             self.rate_limits.forget_ended(self.cluster_view.upstreams.entries)
             self.statements.forget_ended()
+            self.brittle.forget_ended(self.cluster_view.upstreams.entries)
+            self.brittle.forget_rooms()
             self.shared_rates.forget_except(self.rate_limits.list_keys())
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
@@ -392,6 +400,7 @@
             completed=tuple(self.suspects.completed.items()),
             reaches_upstreams=self.links.reaches_upstreams,
             leaving=self.statements.encode(),
+            brittle=self.brittle.encode(),
         )
 
     def apply_state(self, state: DaemonState) -> None:
@@ -408,6 +417,7 @@
         encoded_at = read_boot_time() - state.age_ms / 1000
         self.rate_limits.merge(state.daemon, state.limits, encoded_at)
         self.statements.merge(state.daemon, state.leaving, encoded_at)
+        self.brittle.merge(state.daemon, state.brittle, encoded_at)
         self.cluster_view.limits_known |= state.serving
         if self.state_sync.topology.is_hub:
             usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
