--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -101,6 +102,9 @@
     return build_stream_head(*headers) + build_chunk(build_events(first, last)) + build_chunk(b"")
 
 
+UNUSED_SOCKET = socket.socket()  # has sent nothing
+
+
 class MemoryTransport(asyncio.Transport):
     """A transport that hands what is written to a function.
 
@@ -122,6 +126,9 @@
     def is_closing(self) -> bool:
         return self.closed
 
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return UNUSED_SOCKET if name == "socket" else default
+
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         pass
 
