Reserve the daemons that a fault of the soak cuts off

Faults now reserve their daemons until they end, and at least one daemon is left.

The test draws four overlapping faults for 50 seeds: no daemon twice, never all.

--- a/tanagertrail/soak/cut_faults.py
+++ b/tanagertrail/soak/cut_faults.py
@@ -16,7 +16,10 @@
 
 
 def pick_daemons(world: SoakWorld, rng: random.Random) -> list[int]:
-    """Return the numbers of one daemon, some, a whole failure domain or most; one stays."""
+    """Reserve one daemon, some, a whole failure domain or most, so that one is left.
+
+    :returns: their numbers
+    """
     numbers = range(len(world.daemons))
     domain = rng.randrange(len(DOMAINS))
     extents = (
@@ -25,9 +28,10 @@
         [number for number in numbers if number % len(DOMAINS) == domain],
         rng.sample(numbers, len(numbers) - 1),
     )
-    taken = {number for link in world.upstream_links for number in link.cuts}
-    picked = [number for number in rng.choice(extents) if number not in taken]
-    return picked[: len(numbers) - 1 - len(taken)]
+    picked = [number for number in rng.choice(extents) if number not in world.cut_off]
+    picked = picked[: len(numbers) - 1 - len(world.cut_off)]
+    world.cut_off.update(picked)
+    return picked
 
 
 def cut(world: SoakWorld, numbers: list[int], how: Cut) -> None:
@@ -67,6 +71,7 @@
         await asyncio.sleep(fault.seconds)
         world.note_cut(numbers, since)
         await heal(world, numbers)
+        world.cut_off.difference_update(numbers)
         await calling
 
     return inject
@@ -91,4 +96,5 @@
         world.note_cut(numbers, now)
         await heal(world, numbers)
         await asyncio.sleep(rng.uniform(*FLAP_SECONDS))
+    world.cut_off.difference_update(numbers)
     await calling
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -108,6 +108,7 @@
     :ivar store_links: proxy between each daemon and the store
     :ivar caller_links: proxy between callers and each daemon
     :ivar upstream_links: proxies between the daemons and each upstream
+    :ivar cut_off: numbers of the daemons that a fault cuts off
     :ivar entries: last registration of each upstream
     :ivar emptied: failure domains that are to get no work
     """
@@ -130,6 +131,7 @@
         self.caller_links: list[LoopbackProxy] = []
         self.upstream_links: list[UpstreamLink] = []
         self.cuts: list[CutSeen] = []
+        self.cut_off: set[int] = set()
         self.entries: dict[str, dict[str, Any]] = {}
         self.emptied: set[str] = set()
         self.upstream_count = upstreams
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The fault soak: its plans, its proxy, its checks, and a short run."""
 
 import asyncio
+import random
 import tempfile
 from pathlib import Path
 from types import SimpleNamespace
@@ -19,6 +20,7 @@
     build_events,
     find_broken,
 )
+from tanagertrail.soak.cut_faults import pick_daemons
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.program import run_seed
@@ -289,6 +291,15 @@
     asyncio.run(run())
 
 
+def test_faults_that_overlap_never_cut_off_one_daemon_twice_or_all():
+    """Seeds 903 and 906: another fault took up a daemon whose links were back for a moment."""
+    for seed in range(50):
+        world = SimpleNamespace(daemons=range(4), cut_off=set())
+        rng = random.Random(seed)
+        picked = [number for _ in range(4) for number in pick_daemons(world, rng)]
+        assert len(picked) == len(set(picked)) < 4
+
+
 def test_callers_with_a_quota_or_of_a_stopping_daemon_are_not_held_against_a_cut():
     calls = [build_call(n, status=503 if n % 2 else 200, port=n % 2) for n in range(60)]
     cuts = [CutSeen(frozenset({1}), 5.0, 12.0)]
