Divide the slots of brittle upstreams among the daemons

Daemons send an upstream up to twice its slots, as far as they know of each other's requests. Once the queue of a brittle upstream shrinks, the excess is rejected and it falls over; after its return all daemons send at once and it falls again.

Cause: nothing limited what all daemons together have at an upstream to the slots that it runs at once, which it keeps while its queue shrinks.

Change: policy/brittle divides the slots of each brittle upstream evenly among the live daemons, the remainder by rendezvous hashing. A part shrinks at once, grows only when all daemons know the fleet, and shrinks with the daemons out of touch. Within it, a rejection halves the requests allowed in flight and stops sending for 1 s, doubling to 8 s; rejections under way count once. After the statement ends, the limit grows to the usual in 4 s. Statements are told between daemons in a last field of DaemonState. Their table is the one of the rate limits, moved to gateway/statement_table. An upstream that has not answered since another of its service stated the field counts as brittle, so that one that returns gets no burst. Callers without room get 503 with a Retry-After spread by the rate of the parts.

Not done: rejections are not told to other daemons, each pauses for itself; the room that one daemon leaves unused is not lent to another.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -148,6 +148,8 @@
     :ivar completed: (service, requests that completed since the start) pairs
     :ivar reaches_upstreams: whether the daemon reaches the upstreams, as far as it knows
     :ivar carrier: address for requests that it carries for other daemons, empty if it carries none
+    :ivar brittle: rows like those of ``limits``, of the rejections in a second that upstreams say
+        they survive
     """
 
     daemon: str
@@ -174,6 +176,7 @@
     completed: CountRows = ()
     reaches_upstreams: bool = True
     carrier: str = ""
+    brittle: LimitRows = ()
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -61,7 +61,13 @@
         self.admission = Admission(cluster_view, members, quota, suspects, rng)
         self.trials = RolloutTrials(cluster_view)
         self.selector = UpstreamSelector(
-            cluster_view, members, self.trials, sender.rate_limits, rng, placement
+            cluster_view,
+            members,
+            self.trials,
+            sender.rate_limits,
+            sender.brittle,
+            rng,
+            placement,
         )
         self.silences = SilenceMonitor(log, self.may_resend, self.claim_resend)
         self.silences.is_cut_off = lambda: self.links.is_cut
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -39,6 +39,8 @@
     yield GaugeRow("prompt_parts_quarantined", len(attributor.quarantined), {})
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
     yield GaugeRow("upstream_crashes_known", len(attributor.crashes), {})
+    yield GaugeRow("brittle_upstreams", node.brittle.count_in_force(), {})
+    yield GaugeRow("brittle_rejections", node.brittle.rejected_count, {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
     for reason, count in list(node.http_server.closes.items()):
         yield GaugeRow("caller_connections_closed", count, {"reason": reason})
@@ -61,6 +63,9 @@
         yield GaugeRow("upstream_running", entry.running, labels)
         yield GaugeRow("upstream_faults", entry.failure_rate, labels)
         yield GaugeRow("upstream_sent", entry.sent_count, labels)
+        room = node.brittle.rooms.get((entry.record.id, entry.record.born))
+        if room is not None:
+            yield GaugeRow("brittle_upstream_part", room.part, labels)
         rate = node.rate_limits.get_rate(entry)
         if rate is not None:
             yield GaugeRow("upstream_limit", rate, labels)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -6,6 +6,7 @@
 import random
 
 from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
+from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.carry_server import CarryServer
 from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
 from tanagertrail.gateway.cluster_view import ClusterView
@@ -91,6 +92,9 @@
             self.members, lambda: self.ready and self.links.reaches_upstreams
         )
         self.rate_limits = RateLimitTable(self.shared_rates, self.log, read_boot_time)
+        self.brittle = BrittleUpstreams(
+            self.cluster_view.upstreams, self.shared_rates, self.log, read_boot_time
+        )
         self.dispatcher = Dispatcher(
             self.cluster_view,
             self.members,
@@ -100,6 +104,7 @@
                 self.crash_detector,
                 self.suspects,
                 self.rate_limits,
+                self.brittle,
                 self.links,
                 self.tuning.answers.most_bytes,
                 self.log,
@@ -189,6 +194,7 @@
         )
         self.suspects.on_loss = self.peer_client.exchange_with_all
         self.rate_limits.on_change = self.peer_client.exchange_with_all
+        self.brittle.on_change = self.peer_client.exchange_with_all
         self.suspects.on_quarantine = self.quarantine.start_storing
         self.follower.quarantine_handler.on_lost = self.quarantine.start_storing
         self.suspects.on_refuted = self.quarantine.start_removing
@@ -288,6 +294,8 @@
             self.suspects.forget_daemons_except(alive)
             self.shared_rates.refresh_fleet()
             self.rate_limits.forget_ended(self.cluster_view.upstreams.entries)
+            self.brittle.forget_ended(self.cluster_view.upstreams.entries)
+            self.brittle.forget_rooms()
             self.shared_rates.forget_except(self.rate_limits.list_keys())
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
@@ -379,6 +387,7 @@
             suspected_parts=self.suspects.encode_suspected(),
             completed=tuple(self.suspects.completed.items()),
             reaches_upstreams=self.links.reaches_upstreams,
+            brittle=self.brittle.encode(),
         )
 
     def apply_state(self, state: DaemonState) -> None:
@@ -394,6 +403,7 @@
         self.suspects.merge_parts(state, as_of)
         encoded_at = read_boot_time() - state.age_ms / 1000
         self.rate_limits.merge(state.daemon, state.limits, encoded_at)
+        self.brittle.merge(state.daemon, state.brittle, encoded_at)
         self.cluster_view.limits_known |= state.serving
         if self.state_sync.topology.is_hub:
             usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
--- a/tanagertrail/gateway/state_sync.py
+++ b/tanagertrail/gateway/state_sync.py
@@ -197,14 +197,17 @@
     def pack_relayed_states(self, excluded: str) -> bytes:
         """Return the packed states that this hub received directly, for another hub.
 
-        States relayed by other hubs are left out, so that no state circulates between hubs. Limits
-        are left out too, because this daemon's own state holds those of all that it knows of.
+        States relayed by other hubs are left out, so that no state circulates between hubs.
+        What upstreams state is left out too, because this daemon's own state holds all that it
+        knows of that.
 
         :param excluded: daemon that gets the states and so does not need its own
         """
         now = self.now()
         return pack_rows(
-            known.state._replace(age_ms=int((now - known.reported_at) * 1000), limits=())
+            known.state._replace(
+                age_ms=int((now - known.reported_at) * 1000), limits=(), brittle=()
+            )
             for name, known in self.states.items()
             if known.direct
             and name != excluded
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -6,6 +6,7 @@
 import random
 
 from tanagertrail.gateway.admission import Refusal
+from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.exchange import Exchange
 from tanagertrail.gateway.members import MemberTable
@@ -40,6 +41,7 @@
         members: MemberTable,
         trials: RolloutTrials,
         rate_limits: RateLimitTable,
+        brittle: BrittleUpstreams,
         rng: random.Random,
         placement: str,
     ) -> None:
@@ -47,6 +49,7 @@
         self.members = members
         self.trials = trials
         self.rate_limits = rate_limits
+        self.brittle = brittle
         self.rng = rng
         self.prefix_index = PrefixIndex(PREFIX_TTL_SECONDS)
         self.choose_candidate = PLACEMENTS.get(placement)
@@ -127,7 +130,7 @@
             return False
         if now < entry.cold_until and not self.allows_cold_request(entry, now):
             return False
-        return self.rate_limits.allows_request(entry)
+        return self.rate_limits.allows_request(entry) and self.brittle.allows_request(entry)
 
     def is_in_use(self, entry: UpstreamEntry, now: float) -> bool:
         """Return whether an upstream gets requests at all, whatever its load and limits."""
@@ -218,6 +221,12 @@
 
         :param reason: why the last attempt failed, empty without an attempt
         """
+        brittle_rate = self.brittle.estimate_rate(self.list_in_use(service))
+        if brittle_rate is not None:
+            schedule = self.return_schedules.setdefault(service, ReturnSchedule())
+            retry_after = schedule.plan_return(brittle_rate, self.now(), self.rng.random())
+            reason = reason or "the brittle upstreams have no room"
+            return Refusal(503, reason, retry_after, {"brittle_rate": round(brittle_rate, 3)})
         rates = self.list_named_rates(service)
         if not rates:
             retry_after = self.estimate_retry_after(service)
@@ -233,14 +242,15 @@
         reason = reason or "the rates that upstreams named are used up"
         return Refusal(503, reason, retry_after, log_fields)
 
+    def list_in_use(self, service: str) -> list[UpstreamEntry]:
+        """List the upstreams of a service that get requests."""
+        now = self.now()
+        entries = self.cluster_view.upstreams.iter_service(service)
+        return [entry for entry in entries if self.is_in_use(entry, now)]
+
     def list_named_rates(self, service: str) -> list[float]:
         """Return the rates that the upstreams in use name; none unless all name one."""
-        now = self.now()
-        rates = [
-            self.rate_limits.get_rate(entry)
-            for entry in self.cluster_view.upstreams.iter_service(service)
-            if self.is_in_use(entry, now)
-        ]
+        rates = [self.rate_limits.get_rate(entry) for entry in self.list_in_use(service)]
         return [] if None in rates else rates
 
     def estimate_retry_after(self, service: str) -> float:
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -6,7 +6,7 @@
 
 from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
 from tanagertrail.gateway.answer_reader import AnswerReader, UnprovenAnswerError, may_reuse
-from tanagertrail.gateway.brittle_statements import note_brittle
+from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
@@ -50,6 +50,7 @@
         crash_detector: CrashDetector,
         suspects: SuspectTracker,
         rate_limits: RateLimitTable,
+        brittle: BrittleUpstreams,
         links: UpstreamLinks,
         most_bytes: int,
         log: EventLog,
@@ -59,6 +60,7 @@
         self.crash_detector = crash_detector
         self.suspects = suspects
         self.rate_limits = rate_limits
+        self.brittle = brittle
         self.links = links
         self.most_bytes = most_bytes
         self.answers = AnswerReader(log, most_bytes)
@@ -74,6 +76,7 @@
         entry.in_flight += 1
         entry.sent_count += 1
         stream = None
+        started_at = asyncio.get_running_loop().time()
         pending_attempt: UnansweredAttempt | None = None
         answered = False
         try:
@@ -99,6 +102,11 @@
             if stream is not None:
                 self.pools.release(entry.record.id, stream)
         self.note_result(entry, attempt)
+        served_for = asyncio.get_running_loop().time() - started_at
+        delivered = attempt.result is AttemptResult.DELIVERED
+        self.brittle.note_ended(
+            entry, attempt.result is AttemptResult.REFUSED, served_for if delivered else None
+        )
         if attempt.result in EXECUTED_RESULTS:
             self.suspects.note_answered(exchange.fingerprint)
         if attempt.completed:
@@ -141,7 +149,7 @@
                 self.apply_upstream_fields(entry, fields)
                 if claim is not Claim.MISDIRECTED:
                     self.rate_limits.note_answer(entry, fields, sent_at)
-                    note_brittle(entry, fields, self.answers.log)
+                    self.brittle.note_answer(entry, fields, sent_at)
                 if exchange.customer is not None and claim is Claim.RESULT:
                     self.usage.note_started(exchange.customer.name)
                 step = Step.STREAM
--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -108,7 +108,9 @@
     :ivar front_ports: ports on which the daemons accept requests
     """
 
-    def __init__(self, upstreams: int = 2) -> None:
+    def __init__(
+        self, upstreams: int = 2, upstream_type: type[StandInUpstream] = StandInUpstream
+    ) -> None:
         upstream_ids = [f"up-{letter}" for letter in string.ascii_lowercase[:upstreams]]
         names = ("front", "ready", "directory", "store", "cloud", *upstream_ids)
         self.ports = {name: find_port() for name in names}
@@ -116,7 +118,7 @@
         self.front_ports = [self.ports["front"]]
         self.store = StandInStore()
         self.cloud = StandInCloud()
-        self.upstreams = [StandInUpstream(name) for name in upstream_ids]
+        self.upstreams = [upstream_type(name) for name in upstream_ids]
         self.node: GatewayNode | None = None
         self.request_count = 0
 
@@ -224,8 +226,10 @@
     :ivar nodes: the daemons, the first one included once the others are started
     """
 
-    def __init__(self, upstreams: int = 2) -> None:
-        super().__init__(upstreams)
+    def __init__(
+        self, upstreams: int = 2, upstream_type: type[StandInUpstream] = StandInUpstream
+    ) -> None:
+        super().__init__(upstreams, upstream_type)
         self.nodes: list[GatewayNode] = []
 
     async def add_daemon(self, name: str) -> GatewayNode:
@@ -247,9 +251,11 @@
 
 
 @asynccontextmanager
-async def open_fleet(*names: str, upstreams: int = 2):
+async def open_fleet(
+    *names: str, upstreams: int = 2, upstream_type: type[StandInUpstream] = StandInUpstream
+):
     """Start a world with further daemons, yield it once they know each other, and stop it."""
-    fleet = Fleet(upstreams)
+    fleet = Fleet(upstreams, upstream_type)
     try:
         await fleet.start(build_config())
         fleet.nodes.append(fleet.node)
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -1,12 +1,20 @@
 """Upstreams that say that they fall over if they have to reject too many requests."""
 
+import asyncio
+import math
+from collections import Counter
 from types import SimpleNamespace
 
+from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.crash_detector import CrashDetector
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import decode_upstream_fields
-from tests.gateway_utils import open_world, run_in_real_time
+from tanagertrail.policy.brittle import BrittleRoom, plan_slots, widen_room
+from tanagertrail.policy.limit_statements import LimitStatement
+from tanagertrail.policy.shared_rate import FleetView
+from tanagertrail.standins.brittle import BrittleUpstream
+from tests.gateway_utils import open_fleet, open_world, run_in_real_time
 from tests.utils import with_virtual_time
 
 FIELDS = (b"server-brittle", b"tanagertrail-server-brittle")
@@ -98,3 +106,141 @@
             upstream.brittle = value
             assert (await world.fetch("/look/x")).status == 200
             assert entry.rejection_limit == expected
+
+
+async def press(fleet, front, statuses, until):
+    """Send requests through one daemon, and return when it says so after a refusal."""
+    while asyncio.get_running_loop().time() < until:
+        reply = await fleet.fetch("/look/x", front=front)
+        statuses[reply.status] += 1
+        if reply.status != 200:
+            await asyncio.sleep(float(reply.headers.get(b"retry-after", b"0.1")))
+
+
+def let_daemons_know_each_other(fleet):
+    """Let each daemon know that all others know the fleet."""
+    for node in fleet.nodes:
+        node.shared_rates.refreshed_at = float("-inf")
+        node.shared_rates.refresh_fleet()
+        node.shared_rates.held_rates.settled_at = 0.0
+
+
+@run_in_real_time
+async def test_callers_that_press_do_not_make_brittle_upstreams_fall():
+    async with open_fleet(
+        "entry-2", "entry-3", upstreams=4, upstream_type=BrittleUpstream
+    ) as fleet:
+        let_daemons_know_each_other(fleet)
+        loop = asyncio.get_running_loop()
+        statuses = Counter()
+        until = loop.time() + 3.2
+        async with asyncio.TaskGroup() as group:
+            for number in range(108):
+                group.create_task(press(fleet, number % 3, statuses, until))
+            await asyncio.sleep(0.6)
+            for upstream in fleet.upstreams:
+                upstream.become_brittle(3, stability=0.8)
+            await asyncio.sleep(0.8)
+            served_before = statuses[200]
+        assert sum(len(upstream.falls) for upstream in fleet.upstreams) <= 2
+        assert statuses[502] == 0
+        # Four upstreams run eight requests of 0.2 s at once, 288 in the 1.8 s that are left.
+        assert statuses[200] - served_before >= 200, statuses
+
+
+def plan_parts(daemons, slots, live_share=1.0):
+    """Plan the parts of all daemons."""
+    names = frozenset(f"d{number}" for number in range(daemons))
+    return [plan_slots("up-a 1.0", slots, FleetView(name, names, live_share)) for name in names]
+
+
+def test_parts_of_all_daemons_together_are_the_slots_of_an_upstream():
+    for daemons in (1, 3, 5, 75, 195, 380):
+        for slots in (1, 8, 48):
+            assert sum(plan_parts(daemons, slots)) == slots
+            assert sum(plan_parts(daemons, slots, 0.5)) == max(slots // 2, 1)
+
+
+def test_daemon_that_serves_nobody_has_no_room_at_a_brittle_upstream():
+    assert plan_slots("up-a 1.0", 8, FleetView("d9", frozenset({"d1"}), 1.0)) == 0
+
+
+def test_room_does_not_grow_before_the_other_daemons_know_the_fleet():
+    room = BrittleRoom()
+    room.apply_part(4, settled=False)
+    assert not room.allows_request(0, 0.0)
+    room.apply_part(4, settled=True)
+    assert room.allows_request(3, 0.0)
+    room.apply_part(2, settled=False)
+    assert not room.allows_request(2, 0.0)
+
+
+def test_rejection_by_a_brittle_upstream_is_not_followed_by_another_request_at_once():
+    room = BrittleRoom()
+    room.apply_part(8, settled=True)
+    pauses = []
+    now = 0.0
+    for _ in range(6):
+        room.note_rejected(6, now)
+        room.note_rejected(5, now)
+        assert not room.allows_request(0, now + 0.99)
+        pauses.append(room.paused_until - now)
+        now = room.paused_until
+    assert pauses == [1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
+    assert room.allows_request(0, now)
+    assert not room.allows_request(1, now)
+    for _ in range(60):
+        room.note_answered()
+    assert room.allows_request(7, now)
+    assert room.pause == 0.0
+
+
+def test_room_returns_to_the_usual_without_a_wave():
+    assert [widen_room(2, 16, seconds) for seconds in (0.0, 1.0, 2.0)] == [2.0, 5.5, 9.0]
+    assert widen_room(2, 16, 4.0) == math.inf
+    assert widen_room(0, 16, 0.0) == 1
+
+
+class Clock:
+    """A boot clock that the test advances."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+def build_brittle(*names):
+    """Build what one daemon knows of some upstreams."""
+    clock = Clock()
+    table = UpstreamTable()
+    for name in names:
+        table.put(build_record(name), 0.0)
+    log = SimpleNamespace(write=lambda event, **fields: None)
+    return BrittleUpstreams(table, SimpleNamespace(daemon_count=1), log, clock), clock
+
+
+def test_upstream_that_has_started_again_is_brittle_like_the_others_of_its_service():
+    brittle, clock = build_brittle("up-a", "up-b")
+    entries = brittle.upstreams.entries
+    brittle.apply("up-a", LimitStatement(1.0, 3.0, 1000.0, 1000.0), "test")
+    assert brittle.is_brittle(entries["up-a"])
+    assert brittle.is_brittle(entries["up-b"])
+    brittle.apply("up-b", LimitStatement(1.0, None, 1000.5, 1000.6), "test")
+    assert not brittle.is_brittle(entries["up-b"])
+    brittle.upstreams.put(build_record("up-b", born=2.0), 0.0)
+    assert brittle.is_brittle(entries["up-b"])
+    brittle.apply("up-a", LimitStatement(1.0, None, 1001.0, 1001.0), "test")
+    assert not brittle.is_brittle(entries["up-b"])
+
+
+def test_daemon_learns_from_another_that_an_upstream_is_brittle():
+    first, clock = build_brittle("up-a")
+    first.apply("up-a", LimitStatement(1.0, 3.0, 999.0, 999.1), "test")
+    second, _ = build_brittle("up-a")
+    second.merge("entry-1", first.encode(), clock.now)
+    assert second.upstreams.entries["up-a"].rejection_limit == 3
+    second.apply("up-a", LimitStatement(1.0, None, 999.5, 999.6), "test")
+    second.merge("entry-1", first.encode(), clock.now)
+    assert second.upstreams.entries["up-a"].rejection_limit is None
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -9,7 +9,8 @@
 
 from tanagertrail.gateway.eventlog import ROUTINE_LINES_PER_SECOND, EventLog
 from tanagertrail.gateway.model import Upstream
-from tanagertrail.gateway.rate_limits import MAX_SHARED_STATEMENTS, RateLimitTable
+from tanagertrail.gateway.rate_limits import RateLimitTable
+from tanagertrail.gateway.statement_table import MAX_SHARED_STATEMENTS
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import decode_rate_limit, decode_upstream_fields
 from tanagertrail.policy.limit_statements import LimitStatement, merge_statements
