Find brittle upstreams without a pass over their whole service

Cause: for a minute after upstreams were brittle, each look at one of them passed over all others of its service, for every request.

Change: keep the ids of the upstreams that say they are brittle now.

--- a/tanagertrail/gateway/brittle_upstreams.py
+++ b/tanagertrail/gateway/brittle_upstreams.py
@@ -3,6 +3,7 @@
 __all__ = ["BrittleUpstreams"]
 
 import asyncio
+from collections.abc import Collection
 
 from tanagertrail.gateway.clock import BootClock
 from tanagertrail.gateway.eventlog import EventLog
@@ -24,6 +25,7 @@
     All upstreams of a service are brittle at the same times. One that has not answered since
     another of its service said so, such as one that has just started, is taken to be brittle.
 
+    :ivar in_force: ids of the upstreams whose newest statement says that they are brittle
     :ivar rooms: this daemon's room by upstream id and start
     :ivar service_seconds: moving average of the time of a request, by service
     :ivar rejected_count: requests that brittle upstreams rejected
@@ -39,6 +41,7 @@
         super().__init__(log, boot_time)
         self.upstreams = upstreams
         self.shared_rates = shared_rates
+        self.in_force: set[str] = set()
         self.rooms: dict[tuple[str, float], BrittleRoom] = {}
         self.service_seconds: dict[str, float] = {}
         self.rejected_count = 0
@@ -54,12 +57,22 @@
     def apply(self, upstream: str, statement: LimitStatement, source: str, field: str = "") -> bool:
         """Apply a statement and return whether it changed what the upstream survives."""
         changed = super().apply(upstream, statement, source, field)
+        known = self.statements.get(upstream)
+        if known is not None and known.rate is not None:
+            self.in_force.add(upstream)
+        else:
+            self.in_force.discard(upstream)
         entry = self.upstreams.entries.get(upstream)
         if entry is not None:
             rate = self.get_rate(entry)
             entry.rejection_limit = None if rate is None else int(rate)
         return changed
 
+    def forget_ended(self, registered: Collection[str]) -> None:
+        """Drop old statements that have ended and those of upstreams that are gone."""
+        super().forget_ended(registered)
+        self.in_force.intersection_update(self.statements)
+
     def note_answer(self, entry: UpstreamEntry, fields: UpstreamFields, sent_at: float) -> None:
         """Apply what an upstream's answer says; a malformed value changes nothing.
 
@@ -76,7 +89,7 @@
 
     def is_brittle(self, entry: UpstreamEntry) -> bool:
         """Return whether an upstream is brittle by its newest answer or by those of others."""
-        if not self.statements:
+        if not self.in_force:
             return False
         own = self.statements.get(entry.record.id)
         if own is not None and own.born == entry.record.born:
@@ -86,16 +99,15 @@
         else:
             heard_at = float("-inf")
         return any(
-            statement.rate is not None and statement.heard_at > heard_at
-            for statement in map(
-                self.find_statement, self.upstreams.iter_service(entry.record.service)
-            )
-            if statement is not None
+            self.statements[name].heard_at > heard_at
+            for name in self.in_force
+            if self.is_in_service(name, entry.record.service)
         )
 
-    def find_statement(self, entry: UpstreamEntry) -> LimitStatement | None:
-        """Return the newest statement of a registered upstream."""
-        return self.statements.get(entry.record.id)
+    def is_in_service(self, upstream: str, service: str) -> bool:
+        """Return whether an upstream is registered for a service."""
+        entry = self.upstreams.entries.get(upstream)
+        return entry is not None and entry.record.service == service
 
     def allows_request(self, entry: UpstreamEntry) -> bool:
         """Return whether this daemon may send a request to an upstream now."""
