--- a/tanagertrail/gateway/answer_reader.py
+++ b/tanagertrail/gateway/answer_reader.py
@@ -7,7 +7,7 @@
 from tanagertrail.errors import UpstreamProtocolError
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange
-from tanagertrail.gateway.http1 import ResponseHead, UpstreamStream
+from tanagertrail.gateway.upstream_stream import ResponseHead, UpstreamStream
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import UpstreamFields, decode_upstream_fields
 from tanagertrail.policy.answers import (
--- a/tanagertrail/gateway/carry_client.py
+++ b/tanagertrail/gateway/carry_client.py
@@ -19,7 +19,6 @@
     strip_carry_fields,
 )
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
-from tanagertrail.gateway.http1 import ResponseHead, UpstreamStream
 from tanagertrail.gateway.members import Member, MemberTable
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
 from tanagertrail.gateway.suspects import SuspectTracker
@@ -28,6 +27,7 @@
     UNSAFE_REUSE_SECONDS,
     UpstreamSender,
 )
+from tanagertrail.gateway.upstream_stream import ResponseHead, UpstreamStream
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import build_carried_headers, build_response_headers
 from tanagertrail.policy.carrier_choice import CarrierCandidate, CarrierChooser
--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -26,11 +26,7 @@
 from tanagertrail.gateway.dispatch import DEADLINE_MARGIN_SECONDS, Dispatcher
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
-from tanagertrail.gateway.http1 import (
-    CallerRequest,
-    CallerStream,
-    Headers,
-)
+from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
 from tanagertrail.gateway.http_server import HttpServer
 from tanagertrail.gateway.model import Limits
 from tanagertrail.gateway.upstream_sender import CallerGoneError
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -7,9 +7,10 @@
 from typing import NamedTuple
 
 from tanagertrail.gateway.admission import Refusal
-from tanagertrail.gateway.http1 import CallerRequest, CallerStream, ResponseHead
+from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.sse import EventSplitter
+from tanagertrail.gateway.upstream_stream import ResponseHead
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
 
--- a/tanagertrail/gateway/pools.py
+++ b/tanagertrail/gateway/pools.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from tanagertrail.gateway.channel import open_channel
-from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 
 CONNECT_SECONDS = 0.4  # upstreams in other failure domains answer in milliseconds
 MAX_IDLE_SECONDS = 4.0  # shorter than the idle timeouts of upstreams that do not announce theirs
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -10,13 +10,13 @@
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
-from tanagertrail.gateway.http1 import ResponseHead, UpstreamStream
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.silence_watch import SilenceWatch
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_statements import StatementTable
+from tanagertrail.gateway.upstream_stream import ResponseHead, UpstreamStream
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.outcomes import Step
--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -10,7 +10,7 @@
 
 from tanagertrail.errors import TanagertrailError
 from tanagertrail.gateway.channel import open_channel
-from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.platform import header_fields
 from tanagertrail.standins.documents import CUSTOMERS, HOST_NAME, SoakCustomer
 from tanagertrail.standins.ports import HOST
--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -10,8 +10,8 @@
 
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.clock import read_boot_time
-from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.records import decode_configuration, decode_upstream
 from tanagertrail.platform.store import StoredObject
--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -9,11 +9,11 @@
 from typing import Any, NamedTuple
 
 from tanagertrail.gateway.channel import open_channel
-from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.gateway.mirror import BaseKindHandler
 from tanagertrail.gateway.model import GatewaySettings
 from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.gateway.pools import CONNECT_SECONDS
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.settings import decode_settings
 from tanagertrail.registry import Registry
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -7,7 +7,7 @@
 
 from tanagertrail.gateway.caller_close import CloseReason
 from tanagertrail.gateway.channel import open_channel
-from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.policy.keep_alive import STATED_MARGIN_SECONDS
 from tanagertrail.standins.ports import HOST, find_port
 from tests.caller_utils import IDLE_SECONDS, REQUEST, CallerWorld, turn_loop, with_callers
--- a/tests/test_dead_peers.py
+++ b/tests/test_dead_peers.py
@@ -5,7 +5,7 @@
 
 from tanagertrail.gateway import channel
 from tanagertrail.gateway.channel import Channel, open_channel, set_socket_options
-from tanagertrail.gateway.http1 import UpstreamStream
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.standins.blackhole import drop_incoming, pass_incoming
 from tanagertrail.standins.ports import HOST
 from tests.gateway_utils import run_in_real_time
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,8 +7,8 @@
 from nose2.tools import params
 
 from tanagertrail.gateway.channel import open_channel
-from tanagertrail.gateway.http1 import UpstreamStream
 from tanagertrail.gateway.http_server import LAST_READ_SECONDS
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.standins.ports import HOST, find_port
 from tests.caller_utils import REQUEST, CallerWorld, turn_loop, with_callers
 from tests.gateway_utils import open_world, run_in_real_time
