Leave an attempt alone whose deadline has just passed

What operators would see: a line defect after a stall, though nothing failed.

Cause: the review of a silence and the deadline of the attempt may come in one turn of the event loop; the review then moves a timer that has expired, which asyncio refuses.

Evidence: the new test failed before: RuntimeError: Cannot change state of expiring Timeout. It passes now, as do test_silence and test_silence_policy (30).

--- a/tanagertrail/gateway/silence_watch.py
+++ b/tanagertrail/gateway/silence_watch.py
@@ -147,6 +147,8 @@
 
         Time in which the daemon itself did not run is no silence of the upstream.
         """
+        if self.scope.expired():
+            return
         now = self.loop.time()
         if now - planned_at > MAX_LATENESS_SECONDS:
             self.progress_at = min(self.progress_at + now - planned_at, now)
