--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 
-from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.carry_server import CarryServer
 from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
@@ -27,6 +26,7 @@
 )
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.model import GatewaySettings, Limits
+from tanagertrail.gateway.node_state import NodeState
 from tanagertrail.gateway.page_server import PageServers
 from tanagertrail.gateway.peers import PeerClient, PeerServer
 from tanagertrail.gateway.planned_stop import PlannedStop
@@ -34,7 +34,7 @@
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineStore
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.shared_rates import SharedRates
-from tanagertrail.gateway.state_sync import StateSync, SyncDelegate
+from tanagertrail.gateway.state_sync import StateSync
 from tanagertrail.gateway.store_follower import StoreFollower
 from tanagertrail.gateway.store_watch import WatchRole
 from tanagertrail.gateway.supervision import Supervisor
@@ -48,7 +48,7 @@
 from tanagertrail.platform.store import StoreClient
 from tanagertrail.policy.canary import TrialCounts
 from tanagertrail.policy.link_state import select_fronts
-from tanagertrail.policy.token_quota import QuotaLimiter, QuotaUsage
+from tanagertrail.policy.token_quota import QuotaLimiter
 from tanagertrail.settings.gateway import GatewayTuning
 
 DIRECT_PROPAGATION_SECONDS = 1.0  # two exchange periods, if all daemons exchange directly
@@ -64,7 +64,7 @@
 STARTUP_SETTLE_SECONDS = 1.5  # until a new daemon knows if it is a hub, which collects usage
 
 
-class GatewayNode(SyncDelegate):
+class GatewayNode:
     """One gateway daemon with all its components and tasks."""
 
     def __init__(self, settings: GatewaySettings, tuning: GatewayTuning | None = None) -> None:
@@ -142,7 +142,8 @@
         self.follower.get_watch_role = self.get_watch_role
         self.follower.on_restored = self.handle_restored_store
         self.mirrors, self.watches = self.follower.mirrors, self.follower.watches
-        self.state_sync = StateSync(self, self.members, self.mirrors)
+        self.node_state = NodeState(self)
+        self.state_sync = StateSync(self.node_state, self.members, self.mirrors)
         self.peer_server = PeerServer(self.state_sync, self.log)
         self.peer_client = PeerClient(
             self.state_sync, self.members, self.log, self.rng, read_boot_time, self.list_seeds()
@@ -155,7 +156,6 @@
         self.page_servers = PageServers(self.log)
         self.supervisor = Supervisor(self.log)
         self.peer_server.on_defect = self.peer_client.on_defect = self.supervisor.report
-        self.state_counter = 0
         self.quarantine: QuarantineStore | None = None
         self.duty_runner: DutyRunner | None = None
         self.leader_seen_at = self.loop.time() - LEADER_MISSING_SECONDS
@@ -362,79 +362,6 @@
         topology = self.state_sync.topology
         return topology.is_hub and len(topology.hubs) <= len(self.members.states)
 
-    def on_store_update(self) -> None:
-        """Push the store update to other daemons."""
-        self.peer_client.schedule_push()
-
-    def describe_state(self) -> DaemonState:
-        """Return this daemon's current state."""
-        now = self.loop.time()
-        self.state_counter += 1
-        in_flight = tuple(
-            (entry.record.id, entry.in_flight)
-            for entry in self.cluster_view.upstreams.entries.values()
-            if entry.in_flight
-        )
-        quota_usage = self.quota.build_report(now)
-        quota = tuple((name, item.used, item.rate) for name, item in quota_usage.items())
-        # Callers state the counts, whose sums may exceed any integer that a message can hold.
-        prompt_tokens = tuple(
-            (service, float(tokens))
-            for service, tokens in self.dispatcher.prompt_tokens_sent.items()
-        )
-        return self.own.build_state(
-            self.state_counter,
-            serving=self.ready,
-            lease_fencing=self.leadership.fencing if self.leadership.renewed_recently else 0,
-            lease_renewal=self.leadership.encode_renewal(),
-            store_reachable=all(watch.is_store_reachable for watch in self.watches),
-            in_flight=in_flight,
-            quota=quota,
-            usage=self.usage.encode(),
-            trials=self.dispatcher.trials.encode(),
-            prompt_tokens=prompt_tokens,
-            upstream_losses=self.suspects.encode_losses(),
-            limits=self.rate_limits.encode(),
-            cleared_parts=self.suspects.encode_cleared(),
-            suspected_parts=self.suspects.encode_suspected(),
-            completed=tuple(self.suspects.completed.items()),
-            reaches_upstreams=self.links.reaches_upstreams,
-            leaving=self.statements.encode(),
-            brittle=self.brittle.encode(),
-        )
-
-    def apply_state(self, state: DaemonState) -> None:
-        """Apply another daemon's state; only a hub sums up the requests and quotas in it."""
-        now = self.loop.time()
-        self.leadership.note_fencing(state.lease_fencing)
-        if state.lease_fencing:
-            self.record_leader_seen(state.age_ms / 1000)
-            self.leadership.record_renewal(state.lease_fencing, state.lease_renewal, state.age_ms)
-        self.usage.merge(state.daemon, state.incarnation, state.usage)
-        as_of = now - state.age_ms / 1000
-        self.suspects.merge_losses(state.daemon, state.incarnation, state.upstream_losses, as_of)
-        self.suspects.merge_parts(state, as_of)
-        encoded_at = read_boot_time() - state.age_ms / 1000
-        self.rate_limits.merge(state.daemon, state.limits, encoded_at)
-        self.statements.merge(state.daemon, state.leaving, encoded_at)
-        self.brittle.merge(state.daemon, state.brittle, encoded_at)
-        self.cluster_view.limits_known |= state.serving
-        if self.state_sync.topology.is_hub:
-            usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
-            self.quota.note_report(state.daemon, state.incarnation, usage, now)
-            self.cluster_view.upstreams.record_in_flight(state.daemon, dict(state.in_flight))
-
-    def record_leader_seen(self, age: float) -> None:
-        """Record that the lease holder was alive some seconds ago."""
-        self.leader_seen_at = max(self.leader_seen_at, self.loop.time() - age)
-
-    def apply_fleet_summary(self, hub: str, incarnation: int, summary: FleetSummary) -> None:
-        """Apply the totals over all other daemons that a hub computed."""
-        self.quota.retain_daemons((hub,))
-        usage = {name: QuotaUsage(used, rate) for name, used, rate in summary.quota}
-        self.quota.note_report(hub, incarnation, usage, self.loop.time(), summary.daemon_count)
-        self.cluster_view.upstreams.replace_in_flight(dict(summary.in_flight))
-
     def apply_settings(self, settings: GatewaySettings, cause: str) -> None:
         """Apply reloaded settings; changed addresses take effect only after a restart."""
         changed = [
--- a/tanagertrail/gateway/upstream_links.py
+++ b/tanagertrail/gateway/upstream_links.py
@@ -49,7 +49,7 @@
     :ivar round_task: the round of probes under way, None without one
     :ivar round_ended_at: event-loop time in seconds of the last round's end
     :ivar rounds: rounds of probes so far
-    :ivar controlled: whether the last round without an upstream reached another daemon
+    :ivar daemon_reached: whether the last round without an upstream reached another daemon
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         self.heard_at = float("-inf")
         self.round_task: asyncio.Task | None = None
         self.round_ended_at = float("-inf")
-        self.controlled = False
+        self.daemon_reached = False
         self.rounds = 0
 
     def now(self) -> float:
@@ -86,7 +86,7 @@
     @property
     def is_cut(self) -> bool:
         """Return whether this daemon reaches no upstream although others do."""
-        if self.reaches_upstreams or not self.controlled:
+        if self.reaches_upstreams or not self.daemon_reached:
             return False
         return any(
             state.serving and state.reaches_upstreams
@@ -194,7 +194,7 @@
         if not reached and self.now() - started_at > MAX_ROUND_SECONDS:
             return
         if not reached:
-            self.controlled = await self.reaches_daemon()
+            self.daemon_reached = await self.reaches_daemon()
         self.judge.record_round(reached, len(addresses), self.now())
         if was_reaching == self.reaches_upstreams:
             return
@@ -204,7 +204,7 @@
             probed=[target.upstream for target in targets],
             reached=reached,
             errors=errors,
-            daemon_reached=self.controlled,
+            daemon_reached=self.daemon_reached,
             cut=self.is_cut,
         )
         self.on_change()
--- a/tests/fuzz_decoding.py
+++ b/tests/fuzz_decoding.py
@@ -193,7 +193,7 @@
     for mirror in node.mirrors.values():
         for item in mirror.objects.values():
             assert find_violation([item.content, item.report]) is None
-    state = node.describe_state()
+    state = node.node_state.describe_state()
     known = dict.fromkeys(node.mirrors, 0)
     updates = node.state_sync.build_updates(known)
     request = PeerRequest(pack_rows([state]), True, False, node.state_sync.list_revisions())
@@ -320,7 +320,7 @@
 
     async def exchange() -> None:
         node = build_node()
-        state = node.describe_state()._replace(
+        state = node.node_state.describe_state()._replace(
             daemon="other",
             in_flight=(("up", 1),),
             quota=(("guild", 1.0, 2.0),),
--- a/tests/test_prompt_token_sums.py
+++ b/tests/test_prompt_token_sums.py
@@ -16,5 +16,5 @@
     sums = world.node.dispatcher.prompt_tokens_sent
     for _ in range(REQUESTS - 1):
         sums["desk"] += 10**15 - 1  # as in each further request of the same kind
-    state = unpack_state(pack_rows([world.node.describe_state()]))
+    state = unpack_state(pack_rows([world.node.node_state.describe_state()]))
     assert dict(state.prompt_tokens)["desk"] == float(sums["desk"])
