--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -41,7 +41,7 @@
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_sender import UpstreamSender
-from tanagertrail.gateway.upstream_statements import StatementTable
+from tanagertrail.gateway.upstream_statements import UpstreamStatements
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import CloudClient
 from tanagertrail.platform.pages import DirectoryPage, ReadyPage
@@ -93,7 +93,7 @@
             self.members, lambda: self.ready and self.links.reaches_upstreams
         )
         self.rate_limits = RateLimitTable(self.shared_rates, self.log, read_boot_time)
-        self.statements = StatementTable(self.cluster_view.upstreams, self.log, read_boot_time)
+        self.statements = UpstreamStatements(self.cluster_view.upstreams, self.log, read_boot_time)
         self.cluster_view.upstreams.states_leaving = self.statements.is_leaving
         self.crash_detector.states_leaving = self.statements.is_leaving
         self.brittle = BrittleUpstreams(
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -12,7 +12,7 @@
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.trials import RolloutTrials
-from tanagertrail.gateway.upstream_statements import StatementTable
+from tanagertrail.gateway.upstream_statements import UpstreamStatements
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.policy.canary import VersionUse
 from tanagertrail.policy.choice import PrefixIndex
@@ -42,7 +42,7 @@
         members: MemberTable,
         trials: RolloutTrials,
         rate_limits: RateLimitTable,
-        statements: StatementTable,
+        statements: UpstreamStatements,
         brittle: BrittleUpstreams,
         rng: random.Random,
         placement: str,
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -15,7 +15,7 @@
 from tanagertrail.gateway.silence_watch import SilenceWatch
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
-from tanagertrail.gateway.upstream_statements import StatementTable
+from tanagertrail.gateway.upstream_statements import UpstreamStatements
 from tanagertrail.gateway.upstream_stream import ResponseHead, UpstreamStream
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
@@ -51,7 +51,7 @@
         crash_detector: CrashDetector,
         suspects: SuspectTracker,
         rate_limits: RateLimitTable,
-        statements: StatementTable,
+        statements: UpstreamStatements,
         brittle: BrittleUpstreams,
         links: UpstreamLinks,
         most_bytes: int,
--- a/tanagertrail/gateway/upstream_statements.py
+++ b/tanagertrail/gateway/upstream_statements.py
@@ -1,6 +1,6 @@
 """What upstreams state of themselves in their answers, as known to one daemon."""
 
-__all__ = ["StatementTable"]
+__all__ = ["UpstreamStatements"]
 
 from collections.abc import Callable, Iterable
 
@@ -23,7 +23,7 @@
 KEEP_GONE_SECONDS = 120.0  # for which a statement outlives the registration
 
 
-class StatementTable:
+class UpstreamStatements:
     """Statements of upstreams by upstream id.
 
     :ivar leaving: statements of upstreams that leave, which hold for all daemons
--- a/tests/test_upstream_statements.py
+++ b/tests/test_upstream_statements.py
@@ -4,7 +4,7 @@
 
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.model import Upstream
-from tanagertrail.gateway.upstream_statements import KEEP_GONE_SECONDS, StatementTable
+from tanagertrail.gateway.upstream_statements import KEEP_GONE_SECONDS, UpstreamStatements
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import UPSTREAM_ID, decode_upstream_fields
 from tanagertrail.platform.statement_fields import decode_stated_fields
@@ -156,7 +156,7 @@
     log = EventLog("a", clock)
     lines = []
     log.logger.info = lines.append
-    return StatementTable(UpstreamTable(), log, clock), lines
+    return UpstreamStatements(UpstreamTable(), log, clock), lines
 
 
 def build_upstream(born=1.0):
