Use own links again where no other daemon carries a request

What callers would see: for 1.5 s after upstreams could be reached again, a daemon without others, or one whose carriers are full, refused three in four requests, though its own links were back.

Cause: the share of requests that goes over other daemons on the way back had no other way if these refused.

Evidence: two new tests failed before (fewer than 12 of 12 served after the return); 40 of 40 of test_upstream_links and test_cut_daemons pass.

Change: a request that no daemon carries goes over own connections unless this daemon is still cut off.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -127,7 +127,10 @@
         It is None if no upstream may get the request.
         """
         if not self.links.uses_own_links():
-            return await self.have_carried(exchange)
+            attempt = await self.have_carried(exchange)
+            if attempt is not None or self.links.is_cut:
+                return attempt
+            exchange.refusal = None
         attempt = await self.attempt_directly(exchange)
         if attempt is not None:
             if attempt.result is AttemptResult.NOT_SENT:
--- a/tests/test_upstream_links.py
+++ b/tests/test_upstream_links.py
@@ -15,7 +15,7 @@
     pick_probe_targets,
     select_fronts,
 )
-from tests.gateway_utils import open_fleet, run_in_real_time
+from tests.gateway_utils import open_fleet, open_world, run_in_real_time
 
 CUT_KNOWN_SECONDS = 1.0
 DETECTION_SECONDS = 1.5
@@ -100,6 +100,29 @@
         assert fleet.node.links.reaches_upstreams
 
 
+async def count_served(fleet, node):
+    """Return how many of twelve requests are served right after a return."""
+    with CutLinks(node, "refuse"):
+        await fleet.fetch("/look/0")
+        await fleet.wait_until(lambda: not node.links.reaches_upstreams)
+    await fleet.wait_until(lambda: node.links.reaches_upstreams)
+    replies = [await fleet.fetch(f"/look/{number}") for number in range(12)]
+    return [reply.status for reply in replies].count(200)
+
+
+@run_in_real_time
+async def test_daemon_without_carriers_refuses_requests_after_its_links_are_back():
+    async with open_world() as world:
+        assert await count_served(world, world.node) == 12
+
+
+@run_in_real_time
+async def test_requests_are_refused_after_a_return_since_carriers_are_full():
+    async with open_fleet("entry-2", upstreams=3) as fleet:
+        fleet.nodes[1].carry_server.in_flight = 10_000
+        assert await count_served(fleet, fleet.node) == 12
+
+
 @run_in_real_time
 async def test_daemon_alone_with_ended_upstreams_does_not_believe_that_others_reach_them():
     async with open_fleet("entry-2") as fleet:
