Let the soak run daemons from other source trees

Cause: the soak starts its daemons from its own tree only, so that a fault seen on an earlier landing cannot be told from one of today, and daemons of two releases never meet. Change: each daemon process has a tree whose code it runs from its next start on. The script that redirects connections is always this tree's, since earlier trees have none.

--- a/tanagertrail/soak/processes.py
+++ b/tanagertrail/soak/processes.py
@@ -8,11 +8,12 @@
 import sys
 from pathlib import Path
 
+from tanagertrail.soak import redirected
 from tanagertrail.soak.redirected import PORTS_VARIABLE, encode_ports
 from tanagertrail.standins.documents import DaemonPorts
 
 RESTART_SECONDS = 0.3
-MODULE = "tanagertrail.soak.redirected"
+OWN_TREE = Path(redirected.__file__).parents[2]
 
 
 class DaemonProcess:
@@ -20,6 +21,7 @@
 
     :ivar starts: event-loop time in seconds of each start
     :ivar redirected: port that it connects to, by the port that it was told
+    :ivar tree: source tree whose code it runs from its next start on
     :ivar frozen: whether the process is stopped by a signal
     """
 
@@ -33,17 +35,21 @@
         self.process: asyncio.subprocess.Process | None = None
         self.starts: list[float] = []
         self.redirected: dict[int, int] = {}
+        self.tree = OWN_TREE
         self.frozen = False
         self.starting = asyncio.Lock()
 
     async def start(self) -> None:
         """Start the process."""
-        command = [sys.executable, "-m", MODULE, "--node-file", str(self.settings_path)]
+        # The script is this tree's, without its folder on the path; earlier trees have none.
+        command = [sys.executable, "-P", redirected.__file__, "--node-file"]
         self.process = await asyncio.create_subprocess_exec(
             *command,
+            str(self.settings_path),
             stdout=self.log,
             stderr=self.log,
-            env=os.environ | {PORTS_VARIABLE: encode_ports(self.redirected)},
+            env=os.environ
+            | {PORTS_VARIABLE: encode_ports(self.redirected), "PYTHONPATH": str(self.tree)},
         )
         self.frozen = False
         self.starts.append(asyncio.get_running_loop().time())
