Resume carried streams with answers that continue nothing (red)

The test: two daemons in memory, one of which carries the other's requests. The upstream breaks off after event 3, and the resumption is answered by a 200 without an event (length 0, no chunk, no media type) or a 204, carried from the first attempt on or from the cut on. Not mended yet: a carried attempt has a relay of its own. The fixture splits MemoryWorld.build_node off the constructor; no earlier test changes.

--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -242,30 +242,36 @@
 class MemoryWorld:
     """A daemon with upstreams and callers in memory.
 
-    :ivar defects: defects that the daemon logged
+    :ivar node: the daemon that reaches the upstreams
+    :ivar front: the daemon that callers connect to
+    :ivar defects: defects that the daemons logged
     """
 
     def __init__(self, upstreams: int = 1, **changes: Any) -> None:
-        self.node = GatewayNode(build_settings(PORTS))
         self.defects: list[dict[str, Any]] = []
-        write = self.node.log.write
-        self.node.log.write = lambda event, **fields: (
-            self.defects.append(fields) if event == "defect" else write(event, **fields)
-        )
         self.numbers = itertools.count(1)
         self.upstreams = {f"up-{letter}": MemoryUpstream(f"up-{letter}") for letter in "abc"}
         self.upstreams = dict(itertools.islice(self.upstreams.items(), upstreams))
-        self.node.pools.open = self.open
-        self.node.crash_detector.probe_connection = self.accept_probe
-        view = self.node.cluster_view
+        self.node = self.front = self.build_node("entry-1", **changes)
+
+    def build_node(self, name: str, **changes: Any) -> GatewayNode:
+        """Build a daemon that knows the configuration and the upstreams."""
+        node = GatewayNode(build_settings(PORTS, name))
+        write = node.log.write
+        node.log.write = lambda event, **fields: (
+            self.defects.append(fields) if event == "defect" else write(event, **fields)
+        )
+        node.pools.open = self.open
+        node.crash_detector.probe_connection = self.accept_probe
+        view = node.cluster_view
         view.apply_config(decode_configuration(build_config(**changes)))
         view.config_confirmed_at = read_boot_time()
         view.upstreams_known = view.evacuated_known = view.rollouts_known = True
         view.limits_known = True
-        for number, name in enumerate(self.upstreams):
-            entry = build_entry(1000 + number, "north")
-            item = StoredObject(name, 1, 1, entry, None)
-            view.upstreams.put(decode_upstream(item), asyncio.get_running_loop().time())
+        for number, upstream in enumerate(self.upstreams):
+            item = StoredObject(upstream, 1, 1, build_entry(1000 + number, "north"), None)
+            view.upstreams.put(decode_upstream(item), node.loop.time())
+        return node
 
     async def open(self, address: str, timeout: float = 0.0) -> UpstreamStream:
         """Open a connection to an upstream."""
@@ -301,7 +307,7 @@
         received: list[bytes] = []
         channel = Channel()
         channel.transport = MemoryTransport(channel, received.append)
-        self.node.http_server.accept(channel)
+        self.front.http_server.accept(channel)
         channel.data_received("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
         return await self.read(channel, received, method)
 
--- /dev/null
+++ b/tests/carried_answer_utils.py
@@ -0,0 +1,134 @@
+"""Fixtures for answers on both ways to a caller: from an upstream, and through another daemon."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from tanagertrail.gateway.channel import Channel
+from tanagertrail.gateway.exchange import Exchange, UpstreamAttempt
+from tanagertrail.gateway.upstream_stream import UpstreamStream
+from tanagertrail.policy.carrier_choice import CarrierCandidate
+from tanagertrail.registry import Registry
+from tests.answer_utils import UNUSED_SOCKET, MemoryTransport, MemoryWorld
+from tests.gateway_utils import HOST, SetLinks, set_links
+
+ORIGIN = "entry-2"
+WORLDS: Registry[Callable[..., MemoryWorld]] = Registry("way of an answer")
+WORLDS.register("own")(MemoryWorld)
+
+
+class LinkedTransport(MemoryTransport):
+    """One end of a connection between two daemons in memory.
+
+    :ivar peer: the other end
+    """
+
+    def __init__(self, channel: Channel) -> None:
+        super().__init__(channel, self.pass_on)
+        self.loop = asyncio.get_running_loop()
+        self.peer: LinkedTransport | None = None
+
+    def pass_on(self, data: bytes) -> None:
+        """Let the other end receive bytes."""
+        self.loop.call_soon(self.peer.arrive, data)
+
+    def arrive(self, data: bytes) -> None:
+        """Receive bytes unless this end is closed."""
+        if not self.closed:
+            self.channel.data_received(data)
+
+    def end_arrivals(self) -> None:
+        """Receive the end of what the other end sends."""
+        if not self.closed:
+            self.channel.eof_received()
+
+    def write_eof(self) -> None:
+        self.loop.call_soon(self.peer.end_arrivals)
+
+    def close(self) -> None:
+        if not self.closed:
+            super().close()
+            self.loop.call_soon(self.peer.end_arrivals)
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return {"peername": (HOST, 1), "socket": UNUSED_SOCKET}.get(name, default)
+
+
+def link_channels() -> tuple[Channel, Channel]:
+    """Connect two channels."""
+    channels = Channel(), Channel()
+    transports = [LinkedTransport(channel) for channel in channels]
+    for channel, transport, peer in zip(channels, transports, transports[::-1], strict=True):
+        channel.transport, transport.peer = transport, peer
+    return channels
+
+
+@WORLDS.register("carried")
+class CarriedWorld(MemoryWorld):
+    """A daemon that carries the requests of another one, to which callers connect.
+
+    :ivar hops: the carrier's ends of the connections between both
+    """
+
+    is_cut = True
+
+    def __init__(self, upstreams: int = 1, **changes: Any) -> None:
+        super().__init__(upstreams, **changes)
+        self.front = self.build_node(ORIGIN, **changes)
+        self.hops: list[Channel] = []
+        links = SetLinks()
+        links.is_cut = self.is_cut
+        set_links(self.front, links)
+        self.introduce()
+
+    def introduce(self) -> None:
+        """Let both daemons know each other."""
+        carrier = self.node.members.own._replace(carrier=f"{HOST}:1")
+        now = self.node.loop.time()
+        self.node.members.merge_member(self.front.members.own, now, True, False)
+        self.node.carry_server.is_ready = lambda: True
+        self.node.carry_server.list_hosts = lambda: {HOST}
+        self.front.members.merge_member(carrier, now, True)
+        self.front.members.is_alive = lambda daemon, now: True
+        client = self.front.dispatcher.carry_client
+        client.pools.open = self.open_hop
+        client.refresh_carriers = lambda now: None
+        client.carriers = {carrier.daemon: carrier}
+        client.candidates = [CarrierCandidate(carrier.daemon, True)]
+
+    async def open_hop(self, address: str, timeout: float = 0.0) -> UpstreamStream:
+        """Open a connection from the origin to the carrier."""
+        near, far = link_channels()
+        self.hops.append(far)
+        self.node.carry_server.accept(far)
+        return UpstreamStream(near)
+
+    def prefer(self, name: str) -> None:
+        """Make both daemons choose an upstream first."""
+        super().prefer(name)
+        for entry in self.front.cluster_view.upstreams.entries.values():
+            entry.in_flight_elsewhere = 0 if entry.record.id == name else 4
+
+    def close(self) -> None:
+        """Stop both daemons and end what upstreams still do."""
+        self.front.close()
+        super().close()
+
+
+@WORLDS.register("own, then carried")
+class CutWorld(CarriedWorld):
+    """A daemon that is cut off after its first attempt."""
+
+    is_cut = False
+
+    def __init__(self, upstreams: int = 1, **changes: Any) -> None:
+        super().__init__(upstreams, **changes)
+        self.attempt = self.front.dispatcher.attempt_directly
+        self.front.dispatcher.attempt_directly = self.attempt_once
+
+    async def attempt_once(self, exchange: Exchange) -> UpstreamAttempt | None:
+        """Make an attempt and lose the links to all upstreams."""
+        try:
+            return await self.attempt(exchange)
+        finally:
+            self.front.links.is_cut = True
