Relay carried answers as own ones

Cause: carried attempts had a relay of their own beside that of own ones, and later rules went into the own one only. Class: one decision in two places. Rules that stood in upstream_sender and were missing in carry_client: - a continuation has the status, media type and encoding of the stream that has begun; - some event continues it; - parts of one event may arrive for 2 s; - the deadline also ends the wait for a caller that does not read. Otherwise the same in both, now once: whole bodies up to most_bytes, errors of the splitter, an end within an event, a complete response within a stream (was BROKEN at the origin, now FAILED as for an own attempt). Change: answer_relay judges and relays; UpstreamTransport and CarrierTransport only send, attribute the head, limit the time and name the result. The carrier's one also brings the result field. No rule on what a caller gets is left in carry_client. Conclusion: mended for callers. The carrier itself still takes such a continuation for a success.

--- a/tanagertrail/gateway/carry_client.py
+++ b/tanagertrail/gateway/carry_client.py
@@ -5,20 +5,12 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
-from tanagertrail.errors import InvalidInputError, UpstreamProtocolError
 from tanagertrail.gateway.admission import Refusal
-from tanagertrail.gateway.carry_protocol import (
-    CarriedResult,
-    CarryOutcome,
-    decode_result,
-    encode_request,
-    shorten_request_id,
-    strip_carry_fields,
-)
-from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
+from tanagertrail.gateway.answer_relay import relay_attempt
+from tanagertrail.gateway.carrier_transport import HOP_MARGIN_SECONDS, CarrierTransport
+from tanagertrail.gateway.carry_protocol import CarriedResult, CarryOutcome
+from tanagertrail.gateway.exchange import Exchange, UpstreamAttempt
 from tanagertrail.gateway.members import Member, MemberTable
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
 from tanagertrail.gateway.suspects import SuspectTracker
@@ -27,21 +19,12 @@
     UNSAFE_REUSE_SECONDS,
     UpstreamSender,
 )
-from tanagertrail.gateway.upstream_stream import ResponseHead, UpstreamStream
-from tanagertrail.outcomes import Step
-from tanagertrail.platform.header_fields import build_carried_headers, build_response_headers
+from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.policy.carrier_choice import CarrierCandidate, CarrierChooser
 from tanagertrail.policy.retry_after import estimate_retry_after
 
 MAX_CARRIERS = 3  # that one attempt asks
-HOP_MARGIN_SECONDS = 0.02  # of the time left, for the way of the answer from the carrier
-ALIVE_CHECK_SECONDS = 0.5
 REFRESH_SECONDS = 0.1  # a look at all members of a large fleet costs as much as a request
-RESULTS_WITH_HEAD = frozenset(
-    {AttemptResult.DELIVERED, AttemptResult.FAILED, AttemptResult.REFUSED}
-)
-
-T = TypeVar("T")
 
 
 class CarryClient:
@@ -160,7 +143,8 @@
         stream = None
         try:
             stream = await self.connect(exchange, carrier)
-            return await self.send_and_receive(exchange, carrier, stream)
+            transport = CarrierTransport(exchange, stream, carrier, self.members)
+            attempt = await relay_attempt(transport, self.sender.most_bytes)
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             if stream is not None:
                 raise
@@ -172,6 +156,12 @@
             self.chooser.note_ended(carrier.daemon)
             if stream is not None:
                 self.pools.release(carrier.carrier, stream)
+        if transport.refusal is not None:
+            return transport.refusal
+        if attempt.result in EXECUTED_RESULTS:
+            self.suspects.note_answered(exchange.fingerprint)
+        exchange.upstream = attempt.upstream or exchange.upstream
+        return attempt._replace(carrier=carrier.daemon)
 
     async def connect(self, exchange: Exchange, carrier: Member) -> UpstreamStream:
         """Return a pooled connection to a carrier, or open one.
@@ -187,153 +177,6 @@
         timeout = min(CONNECT_SECONDS, max(exchange.time_left, 0.01))
         return await self.pools.open(carrier.carrier, timeout)
 
-    async def send_and_receive(
-        self, exchange: Exchange, carrier: Member, stream: UpstreamStream
-    ) -> UpstreamAttempt | CarriedResult:
-        """Send the request to a carrier and handle the answer."""
-        step, upstream = Step.HEAD, ""
-        is_reused = stream.sent_requests > 0
-        try:
-            self.send(exchange, stream)
-            head = await self.read_while_alive(exchange, carrier, stream.read_head)
-            result = decode_result(head.headers)
-            head = ResponseHead(head.status, strip_carry_fields(head.headers))
-            if not is_answer_to(exchange, result, is_reused):
-                raise UpstreamProtocolError("the carrier answered another request")
-            step, upstream = Step.STREAM, result.upstream
-            if is_stream_of_events(exchange, head, result):
-                await self.relay_events(exchange, carrier, stream, head)
-                attempt = UpstreamAttempt(result.outcome, Step.END, upstream)
-            else:
-                body = await self.read_body(exchange, carrier, stream, head)
-                if isinstance(result.outcome, CarryOutcome):
-                    return result
-                attempt = self.handle_complete_response(exchange, head, result, body)
-        except TimeoutError:
-            stream.abort()
-            attempt = UpstreamAttempt(
-                AttemptResult.TIMED_OUT, step, upstream, "no answer from the carrier in time"
-            )
-        except (OSError, UpstreamProtocolError, InvalidInputError) as error:
-            stream.abort()
-            reason = f"the carrier broke off: {error!r}"[:100]
-            attempt = UpstreamAttempt(AttemptResult.BROKEN, step, upstream, reason)
-        except BaseException:
-            stream.abort()
-            raise
-        if attempt.result in EXECUTED_RESULTS:
-            self.suspects.note_answered(exchange.fingerprint)
-        exchange.upstream = attempt.upstream or exchange.upstream
-        return attempt._replace(carrier=carrier.daemon)
-
-    def send(self, exchange: Exchange, stream: UpstreamStream) -> None:
-        """Write the request with the fields for the carrier."""
-        request = exchange.request
-        has_body = bool(request.body) or request.method not in (b"GET", b"HEAD")
-        headers = build_carried_headers(
-            strip_carry_fields(request.headers),
-            seconds_left=exchange.time_left - HOP_MARGIN_SECONDS,
-            last_event_id=exchange.splitter.last_id if exchange.route.streamed else None,
-            body_length=len(request.body) if has_body else None,
-        )
-        headers.append(encode_request(exchange, self.members.own.daemon))
-        stream.send_request(request.method, request.target, headers, request.body)
-
-    async def read_while_alive(
-        self, exchange: Exchange, carrier: Member, read: Callable[[], Awaitable[T]]
-    ) -> T:
-        """Read from a carrier until the deadline.
-
-        A request that may be repeated does not wait for a carrier that is no longer alive.
-
-        :raises TimeoutError: if the deadline passes
-        :raises ConnectionError: if the connection breaks or the carrier is no longer alive
-        """
-        while True:
-            try:
-                async with asyncio.timeout(max(min(exchange.time_left, ALIVE_CHECK_SECONDS), 0.0)):
-                    return await read()
-            except TimeoutError:
-                if exchange.time_left <= 0:
-                    raise
-            is_alive = self.members.is_alive(carrier.daemon, self.now())
-            if exchange.route.idempotent and not is_alive:
-                raise ConnectionResetError("the carrier is no longer alive")
-
-    async def read_body(
-        self, exchange: Exchange, carrier: Member, stream: UpstreamStream, head: ResponseHead
-    ) -> bytes:
-        """Read the body of a carrier's answer.
-
-        :raises UpstreamProtocolError: if it is cut short, too long or has no length
-        """
-        if not head.is_framed:
-            raise UpstreamProtocolError("the carrier's answer has no length")
-        parts: list[bytes] = []
-        body_length = 0
-        read = stream.read_body_chunk
-        while (chunk := await self.read_while_alive(exchange, carrier, read)) is not None:
-            body_length += len(chunk)
-            if body_length > self.sender.most_bytes:
-                raise UpstreamProtocolError("the carrier's answer is too long")
-            parts.append(chunk)
-        return b"".join(parts)
-
-    def handle_complete_response(
-        self, exchange: Exchange, head: ResponseHead, result: CarriedResult, body: bytes
-    ) -> UpstreamAttempt:
-        """Relay a complete response if it is a success, else return what the carrier says."""
-        if result.outcome is AttemptResult.DELIVERED:
-            if exchange.stream.response_started:
-                raise UpstreamProtocolError(f"status {head.status} within a stream")
-            exchange.first_byte_at = self.now()
-            exchange.stream.send_response(head.status, build_response_headers(head.headers), body)
-        if result.outcome not in RESULTS_WITH_HEAD:
-            return UpstreamAttempt(result.outcome, result.step, result.upstream, result.reason)
-        return UpstreamAttempt(
-            result.outcome, result.step, result.upstream, result.reason, head, body
-        )
-
-    async def relay_events(
-        self, exchange: Exchange, carrier: Member, stream: UpstreamStream, head: ResponseHead
-    ) -> None:
-        """Relay the events of a carried stream as they arrive; its carrier bounds the silence.
-
-        :raises UpstreamProtocolError: if the stream is cut short or contains malformed events
-        :raises CallerGoneError: if the caller has closed its connection
-        """
-        splitter = exchange.splitter
-        splitter.discard_partial_event()
-        read = stream.read_body_chunk
-        while (chunk := await self.read_while_alive(exchange, carrier, read)) is not None:
-            events = splitter.feed(chunk)
-            if events:
-                await self.sender.forward_events(exchange, head, events)
-            if splitter.error:
-                raise UpstreamProtocolError(splitter.error)
-        if splitter.buffer or not head.is_framed:
-            raise UpstreamProtocolError("the stream has no end")
-        if not exchange.stream.response_started:
-            await self.sender.forward_events(exchange, head, b"")
-        exchange.stream.finish_response()
-
     def close(self) -> None:
         """Close all idle connections."""
         self.pools.close()
-
-
-def is_answer_to(exchange: Exchange, result: CarriedResult, is_reused: bool) -> bool:
-    """Return whether a carrier's answer belongs to a request.
-
-    A carrier that has not read the request does not know its id. On a connection that served
-    others before, such an answer may be to one of them.
-    """
-    if result.outcome is CarryOutcome.NOT_CARRIED and not result.request_id:
-        return not is_reused
-    return result.request_id == shorten_request_id(exchange.fields.request_id)
-
-
-def is_stream_of_events(exchange: Exchange, head: ResponseHead, result: CarriedResult) -> bool:
-    """Return whether a carrier relays the events of a stream."""
-    is_success = result.outcome is AttemptResult.DELIVERED and 200 <= head.status < 300
-    return exchange.route.streamed and is_success
--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -7,6 +7,7 @@
 
 from tanagertrail.errors import InvalidInputError
 from tanagertrail.gateway.admission import Refusal
+from tanagertrail.gateway.answer_relay import CallerGoneError
 from tanagertrail.gateway.caller_close import linger
 from tanagertrail.gateway.carried_exchange import (
     build_cut_result,
@@ -29,7 +30,6 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
 from tanagertrail.gateway.http_server import HttpServer
 from tanagertrail.gateway.model import Limits
-from tanagertrail.gateway.upstream_sender import CallerGoneError
 from tanagertrail.platform.header_fields import build_response_headers, decode_caller_fields
 from tanagertrail.policy.carrier_choice import compute_carry_room, compute_connection_limit
 
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from tanagertrail.gateway.admission import Admission, Refusal
+from tanagertrail.gateway.answer_relay import CallerGoneError
 from tanagertrail.gateway.carry_client import CarryClient
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
@@ -19,7 +20,7 @@
 from tanagertrail.gateway.trials import RolloutTrials
 from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_selector import UpstreamSelector
-from tanagertrail.gateway.upstream_sender import CallerGoneError, UpstreamSender
+from tanagertrail.gateway.upstream_sender import UpstreamSender
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import build_response_headers, decode_caller_fields
 from tanagertrail.policy.poison import Verdict
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -1,11 +1,12 @@
 """One attempt to send a request to an upstream and relay the response."""
 
-__all__ = ["CallerGoneError", "UpstreamSender"]
+__all__ = ["UpstreamSender"]
 
 import asyncio
+from contextlib import AbstractAsyncContextManager, AbstractContextManager
 
-from tanagertrail.errors import TanagertrailError, UpstreamProtocolError
-from tanagertrail.gateway.answer_reader import AnswerReader, UnprovenAnswerError, may_reuse
+from tanagertrail.gateway.answer_reader import AnswerReader, may_reuse
+from tanagertrail.gateway.answer_relay import BaseAnswerTransport, relay_attempt
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
@@ -20,23 +21,14 @@
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.outcomes import Step
-from tanagertrail.platform.header_fields import (
-    UpstreamFields,
-    build_response_headers,
-    build_upstream_headers,
-)
+from tanagertrail.platform.header_fields import UpstreamFields, build_upstream_headers
 from tanagertrail.policy.answers import Claim, Judgement
-from tanagertrail.policy.silence import PartialEvent
 
 UNSAFE_REUSE_SECONDS = 0.5  # idle connections older than this get only repeatable requests
 EXECUTED_RESULTS = frozenset({AttemptResult.DELIVERED, AttemptResult.FAILED})
 ANSWERED_RESULTS = EXECUTED_RESULTS | {AttemptResult.REFUSED}
 
 
-class CallerGoneError(TanagertrailError):
-    """The caller closed its connection, or did not read, while the response was being sent."""
-
-
 class UpstreamSender:
     """Send requests to upstreams and relay their responses.
 
@@ -87,7 +79,8 @@
             pending_attempt = self.crash_detector.start_attempt(
                 exchange.fingerprint, exchange.part_keys
             )
-            attempt = await self.send_and_receive(exchange, entry, stream, watch)
+            transport = UpstreamTransport(exchange, stream, entry, watch, self)
+            attempt = await relay_attempt(transport, self.most_bytes)
             answered = attempt.result in ANSWERED_RESULTS
             pending_attempt.broken = attempt.result is AttemptResult.BROKEN
         except (OSError, TimeoutError) as error:
@@ -132,196 +125,139 @@
         with self.links.watch_connect(entry):
             return await self.pools.open(entry.record.address, timeout)
 
-    async def send_and_receive(
+    def note_answer(
         self,
-        exchange: Exchange,
         entry: UpstreamEntry,
+        head: ResponseHead,
+        fields: UpstreamFields,
+        claim: Claim,
+        sent_at: float,
+    ) -> None:
+        """Apply what the head of an answer says of the upstream's state.
+
+        :param sent_at: boot time in seconds at which the request was sent
+        """
+        self.links.note_reached(entry)
+        if fields.cold_for:
+            now = asyncio.get_running_loop().time()
+            entry.cold_until = max(entry.cold_until, now + fields.cold_for)
+        if claim is not Claim.MISDIRECTED:
+            self.rate_limits.note_answer(entry, fields, sent_at)
+            self.statements.note_answer(entry, head.status, fields)
+            self.brittle.note_answer(entry, fields, sent_at)
+
+    def note_result(self, entry: UpstreamEntry, attempt: UpstreamAttempt) -> None:
+        """Update the upstream's health from the result of an attempt."""
+        now = asyncio.get_running_loop().time()
+        if attempt.result in (AttemptResult.NOT_SENT, AttemptResult.BROKEN):
+            entry.note_connection_failure(now)
+        elif attempt.result is AttemptResult.MISDIRECTED:
+            entry.gone = True
+            self.crash_detector.note_crashed(entry, "another upstream has its address")
+        elif attempt.result is AttemptResult.TIMED_OUT:
+            entry.note_response(True)
+        elif attempt.result not in (AttemptResult.REFUSED, AttemptResult.DOUBTFUL):
+            entry.note_response(attempt.result is AttemptResult.FAILED)
+
+
+class UpstreamTransport(BaseAnswerTransport):
+    """A connection to an upstream.
+
+    :ivar watch: decides how long a silence may last
+    :ivar sent_at: boot time in seconds at which the request is sent
+    :ivar claim: what the answer is to the request
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
         stream: UpstreamStream,
+        entry: UpstreamEntry,
         watch: SilenceWatch,
-    ) -> UpstreamAttempt:
-        """Send the request and handle the response."""
-        step = Step.HEAD
-        sent_at = self.rate_limits.boot_time()
-        try:
-            self.send(exchange, entry, stream)
-            async with watch.limit(stream.channel):
-                head, fields, claim = await self.answers.read_head(exchange, entry, stream)
-                watch.note_head()
-                self.links.note_reached(entry)
-                stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
-                self.apply_upstream_fields(entry, fields)
-                if claim is not Claim.MISDIRECTED:
-                    self.rate_limits.note_answer(entry, fields, sent_at)
-                    self.statements.note_answer(entry, head.status, fields)
-                    self.brittle.note_answer(entry, fields, sent_at)
-                if exchange.customer is not None and claim is Claim.RESULT:
-                    self.usage.note_started(exchange.customer.name)
-                step = Step.STREAM
-                if claim is Claim.RESULT and exchange.route.streamed and 200 <= head.status < 300:
-                    return await self.relay_events(exchange, entry, stream, head, watch)
-                body = await stream.read_remaining_body(self.most_bytes)
-            if claim is Claim.RESULT:
-                return self.handle_result(exchange, entry, head, body)
-            return self.handle_refusal(exchange, entry, stream, claim, head, body)
-        except TimeoutError as error:
-            stream.abort()
-            if watch.is_suspended:
-                raise CallerGoneError("the caller did not read the response in time") from error
-            return UpstreamAttempt(watch.result, step, entry.record.id, watch.reason)
-        except UnprovenAnswerError as error:
-            stream.abort()
-            return UpstreamAttempt(error.result, step, entry.record.id, str(error))
-        except (OSError, UpstreamProtocolError) as error:
-            stream.abort()
-            return UpstreamAttempt(AttemptResult.BROKEN, step, entry.record.id, repr(error)[:100])
-        except asyncio.CancelledError:
-            stream.abort()
-            raise
+        sender: UpstreamSender,
+    ) -> None:
+        super().__init__(exchange, stream)
+        self.entry = entry
+        self.watch = watch
+        self.sender = sender
+        self.sent_at = sender.rate_limits.boot_time()
+        self.claim = Claim.UNPROVEN
+
+    @property
+    def upstream(self) -> str:
+        """The id of the upstream."""
+        return self.entry.record.id
+
+    @property
+    def timeout_result(self) -> AttemptResult:
+        """How the attempt ends if it is interrupted."""
+        return self.watch.result
+
+    @property
+    def timeout_reason(self) -> str:
+        """Why the attempt is interrupted."""
+        return self.watch.reason
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether the attempt waits for its caller."""
+        return self.watch.is_suspended
 
-    def send(self, exchange: Exchange, entry: UpstreamEntry, stream: UpstreamStream) -> None:
+    def send(self) -> None:
         """Write the request with the headers for the upstream."""
-        request = exchange.request
+        exchange, request = self.exchange, self.exchange.request
         has_body = bool(request.body) or request.method not in (b"GET", b"HEAD")
         headers = build_upstream_headers(
             request.headers,
-            upstream=entry.record.id,
+            upstream=self.upstream,
             customer=exchange.customer.name if exchange.customer else None,
             seconds_left=exchange.time_left,
             priority=min(exchange.priority, 9) if exchange.route.sticky else None,
             last_event_id=exchange.splitter.last_id if exchange.route.streamed else None,
             body_length=len(request.body) if has_body else None,
         )
-        stream.send_request(request.method, request.target, headers, request.body)
+        self.stream.send_request(request.method, request.target, headers, request.body)
 
-    def apply_upstream_fields(self, entry: UpstreamEntry, fields: UpstreamFields) -> None:
-        """Apply what the response's headers say of the upstream's state."""
-        now = asyncio.get_running_loop().time()
-        if fields.cold_for:
-            entry.cold_until = max(entry.cold_until, now + fields.cold_for)
-
-    def handle_refusal(
-        self,
-        exchange: Exchange,
-        entry: UpstreamEntry,
-        stream: UpstreamStream,
-        claim: Claim,
-        head: ResponseHead,
-        body: bytes,
-    ) -> UpstreamAttempt:
-        """Classify a complete refusal.
+    def limit(self) -> AbstractAsyncContextManager[None]:
+        """Limit the answer to the request's deadline and to what silence is allowed."""
+        return self.watch.limit(self.stream.channel)
 
-        :raises UnprovenAnswerError: if another answer may follow it
-        """
-        name = entry.record.id
-        if stream.has_unread_bytes:
-            reason = "bytes follow a refusal"
-            self.answers.reject(exchange, entry, Judgement(Claim.DOUBTFUL_REFUSAL, reason))
-        if claim is Claim.MISDIRECTED:
-            return UpstreamAttempt(
-                AttemptResult.MISDIRECTED, Step.HEAD, name, "another upstream answered"
-            )
-        return UpstreamAttempt(
-            AttemptResult.REFUSED, Step.HEAD, name, f"status {head.status}", head, body
+    async def read_head(self) -> tuple[ResponseHead, bool]:
+        """Read the head of the answer, and whether it is the result of running the request."""
+        head, fields, self.claim = await self.sender.answers.read_head(
+            self.exchange, self.entry, self.stream
         )
+        self.watch.note_head()
+        self.stream.keep_for = 0.0 if fields.closes_connection else fields.keep_for
+        self.sender.note_answer(self.entry, head, fields, self.claim, self.sent_at)
+        customer = self.exchange.customer
+        if customer is not None and self.claim is Claim.RESULT:
+            self.sender.usage.note_started(customer.name)
+        return head, self.claim is Claim.RESULT
 
-    def handle_result(
-        self, exchange: Exchange, entry: UpstreamEntry, head: ResponseHead, body: bytes
-    ) -> UpstreamAttempt:
-        """Relay a complete response if it is a success, else classify it.
+    async def read_chunk(self) -> bytes | None:
+        """Read the next chunk of the body, None at its end."""
+        return await self.stream.read_body_chunk()
 
-        Within a stream that has begun, any complete response is a failure.
-        """
-        name = entry.record.id
-        if head.status >= 500 or exchange.begun_head is not None:
-            return UpstreamAttempt(
-                AttemptResult.FAILED, Step.END, name, f"status {head.status}", head, body
-            )
-        exchange.first_byte_at = asyncio.get_running_loop().time()
-        exchange.stream.send_response(head.status, build_response_headers(head.headers), body)
-        return UpstreamAttempt(
-            AttemptResult.DELIVERED,
-            Step.END,
-            name,
-            f"status {head.status}",
-            completed=head.status < 300 and head.is_framed,
-        )
+    def note_events(self) -> None:
+        """Record that the upstream is reached."""
+        self.sender.links.note_reached(self.entry)
 
-    async def relay_events(
-        self,
-        exchange: Exchange,
-        entry: UpstreamEntry,
-        stream: UpstreamStream,
-        head: ResponseHead,
-        watch: SilenceWatch,
-    ) -> UpstreamAttempt:
-        """Relay the events of a streamed response as they arrive.
+    def suspended(self) -> AbstractContextManager[None]:
+        """Count no silence while the caller takes what has arrived."""
+        return self.watch.suspended()
+
+    def classify(self, head: ResponseHead, body: bytes) -> UpstreamAttempt:
+        """Classify a complete refusal.
 
-        :raises UpstreamProtocolError: if the stream contains malformed or endless events, or does
-            not continue the one that has begun
+        :raises UnprovenAnswerError: if another answer may follow it
         """
-        name = entry.record.id
-        begun = exchange.begun_head
-        if begun is not None and head.representation != begun.representation:
-            raise UpstreamProtocolError(f"{head.representation} cannot continue the stream")
-        splitter = exchange.splitter
-        splitter.discard_partial_event()
-        events_before = splitter.events
-        partial_event = PartialEvent()
-        while (chunk := await stream.read_body_chunk()) is not None:
-            events = splitter.feed(chunk)
-            if events:
-                self.links.note_reached(entry)
-                partial_event.clear()
-                with watch.suspended():
-                    await self.forward_events(exchange, head, events)
-            elif partial_event.add_part(asyncio.get_running_loop().time()):
-                raise UpstreamProtocolError("an event takes too long to arrive")
-            if splitter.error:
-                raise UpstreamProtocolError(splitter.error)
-        if splitter.buffer:
+        if self.stream.has_unread_bytes:
+            judgement = Judgement(Claim.DOUBTFUL_REFUSAL, "bytes follow a refusal")
+            self.sender.answers.reject(self.exchange, self.entry, judgement)
+        if self.claim is Claim.MISDIRECTED:
             return UpstreamAttempt(
-                AttemptResult.BROKEN, Step.STREAM, name, "the stream ended within an event"
+                AttemptResult.MISDIRECTED, Step.HEAD, self.upstream, "another upstream answered"
             )
-        if begun is not None and splitter.events == events_before:
-            raise UpstreamProtocolError("no event continues the stream")
-        if exchange.begun_head is None:
-            with watch.suspended():
-                await self.forward_events(exchange, head, b"")
-        exchange.stream.finish_response()
-        return UpstreamAttempt(
-            AttemptResult.DELIVERED,
-            Step.END,
-            name,
-            f"{splitter.events} events",
-            completed=head.is_framed,
-        )
-
-    async def forward_events(self, exchange: Exchange, head: ResponseHead, data: bytes) -> None:
-        """Send events to the caller, preceded by the head of the response the first time.
-
-        :raises CallerGoneError: if the caller has closed its connection
-        """
-        if exchange.begun_head is not None:
-            exchange.stream.send_chunk(data)
-        else:
-            exchange.begun_head = head
-            exchange.first_byte_at = asyncio.get_running_loop().time()
-            headers = build_response_headers(head.headers)
-            exchange.stream.start_chunked_response(head.status, headers, data)
-        try:
-            await exchange.stream.channel.drain()
-        except ConnectionError as error:
-            raise CallerGoneError(str(error)) from error
-
-    def note_result(self, entry: UpstreamEntry, attempt: UpstreamAttempt) -> None:
-        """Update the upstream's health from the result of an attempt."""
-        now = asyncio.get_running_loop().time()
-        if attempt.result in (AttemptResult.NOT_SENT, AttemptResult.BROKEN):
-            entry.note_connection_failure(now)
-        elif attempt.result is AttemptResult.MISDIRECTED:
-            entry.gone = True
-            self.crash_detector.note_crashed(entry, "another upstream has its address")
-        elif attempt.result is AttemptResult.TIMED_OUT:
-            entry.note_response(True)
-        elif attempt.result not in (AttemptResult.REFUSED, AttemptResult.DOUBTFUL):
-            entry.note_response(attempt.result is AttemptResult.FAILED)
+        reason = f"status {head.status}"
+        return UpstreamAttempt(AttemptResult.REFUSED, Step.HEAD, self.upstream, reason, head, body)
--- a/tanagertrail/gateway/upstream_stream.py
+++ b/tanagertrail/gateway/upstream_stream.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 connections to upstreams, parsed by h11."""
 
-__all__ = ["ResponseHead", "UpstreamStream"]
+__all__ = ["ResponseHead", "UpstreamStream", "read_body"]
 
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import h11
@@ -103,14 +104,7 @@
         :param max_bytes: largest length
         :raises UpstreamProtocolError: if it is longer, cut short or malformed
         """
-        chunks = []
-        body_length = 0
-        while (chunk := await self.read_body_chunk()) is not None:
-            body_length += len(chunk)
-            if body_length > max_bytes:
-                raise UpstreamProtocolError(f"the answer is longer than {max_bytes} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return await read_body(self.read_body_chunk, max_bytes)
 
     async def next_event(self) -> object:
         """Return the next event of the parser."""
@@ -168,3 +162,19 @@
     def abort(self) -> None:
         """Close the connection immediately, which cancels the request at the upstream."""
         self.channel.discard()
+
+
+async def read_body(read_chunk: Callable[[], Awaitable[bytes | None]], max_bytes: int) -> bytes:
+    """Read the chunks of a body until there is none.
+
+    :param max_bytes: largest length
+    :raises UpstreamProtocolError: if it is longer, cut short or malformed
+    """
+    chunks: list[bytes] = []
+    body_length = 0
+    while (chunk := await read_chunk()) is not None:
+        body_length += len(chunk)
+        if body_length > max_bytes:
+            raise UpstreamProtocolError(f"the answer is longer than {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -291,6 +291,13 @@
 
         :param changes: further headers, and ``method``; ``request_id=None`` leaves the id out
         """
+        channel, received = self.send(path, body, **changes)
+        return await self.read(channel, received, changes.get("method", "POST" if body else "GET"))
+
+    def send(
+        self, path: str, body: bytes = b"", **changes: str | None
+    ) -> tuple[Channel, list[bytes]]:
+        """Send a request on a new connection, and return it with what will be received."""
         request_id = changes.pop("request_id", f"r{next(self.numbers)}")
         method = changes.pop("method", "POST" if body else "GET")
         headers = {
@@ -309,7 +316,7 @@
         channel.transport = MemoryTransport(channel, received.append)
         self.front.http_server.accept(channel)
         channel.data_received("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
-        return await self.read(channel, received, method)
+        return channel, received
 
     async def read(self, channel: Channel, received: list[bytes], method: str) -> Reply:
         """Read an answer until it is whole or the daemon ends the connection."""
--- a/tests/test_carried_streams.py
+++ b/tests/test_carried_streams.py
@@ -1,12 +1,24 @@
-"""Streams that broke off and are resumed through another daemon: what they may go on with."""
+"""Streams and answers that come through another daemon: what a caller may get of them."""
 
+import asyncio
 import itertools
 
 from nose2.tools import params
 
-from tests.answer_utils import build_answer, build_stream
-from tests.carried_answer_utils import WORLDS
-from tests.test_broken_streams import EVENT_TYPE, assert_honest, break_stream
+from tanagertrail.gateway.carry_protocol import CarriedResult, build_result_headers
+from tanagertrail.gateway.exchange import AttemptResult
+from tanagertrail.policy.silence import MAX_EVENT_SECONDS
+from tests.answer_utils import (
+    DEADLINE_SECONDS,
+    OWN_ID,
+    build_answer,
+    build_chunk,
+    build_stream,
+    build_stream_head,
+)
+from tests.carried_answer_utils import WORLDS, CarriedWorld
+from tests.gateway_utils import build_route
+from tests.test_broken_streams import EVENT_TYPE, TEXT_TYPE, assert_honest, break_stream
 from tests.utils import with_virtual_time
 
 CARRIED_WAYS = ("carried", "own, then carried")
@@ -39,3 +51,59 @@
     world, reply = await resume_stream(way, build_stream(4, 6))
     assert_honest(world, reply)
     assert reply.whole
+
+
+@params(*CARRIED_WAYS)
+@with_virtual_time
+async def test_answer_of_another_kind_is_joined_to_a_carried_stream(way):
+    """Two of two continuations as plain text or compressed were joined to the events before."""
+    for head in ((TEXT_TYPE,), (EVENT_TYPE, b"content-encoding: gzip")):
+        world, reply = await resume_stream(way, build_stream(4, 6, *head))
+        assert_honest(world, reply)
+        assert not reply.whole
+
+
+@params(*WORLDS)
+@with_virtual_time
+async def test_stream_is_kept_past_its_deadline_for_a_caller_that_does_not_read(way):
+    world = WORLDS.get(way)()
+    world.upstreams["up-a"].add(build_stream(1, 6))
+    channel, _ = world.send("/talk/a/events", b"p")
+    channel.pause_writing()
+    await asyncio.sleep(DEADLINE_SECONDS + 0.5)
+    assert channel.transport.closed
+    assert not world.front.dispatcher.in_flight
+    assert not world.defects
+
+
+def replace_carrier(world, *data, delay=0.0):
+    """Have the carrier send bytes instead of carrying requests; return those that reach it."""
+    requests = []
+
+    async def answer(request, stream):
+        requests.append(request)
+        request_id = dict(request.headers)[b"tanagertrail-request-id"]
+        for part in data:
+            stream.channel.write(part.replace(OWN_ID, request_id))
+            await asyncio.sleep(delay)
+
+    world.node.carry_server.handler = answer
+    return requests
+
+
+def build_mark(outcome):
+    """Build the field of a carrier's answer to the request."""
+    ((name, value),) = build_result_headers([], CarriedResult(OWN_ID.decode(), outcome))
+    return name + b": " + value
+
+
+@with_virtual_time
+async def test_carrier_that_never_ends_an_event_holds_a_stream():
+    world = CarriedWorld(routes=[build_route("talk", "stream", attempts=1, timeout_ms=9000)])
+    head = build_stream_head(EVENT_TYPE, build_mark(AttemptResult.DELIVERED))
+    drip = [build_chunk(b"x")] * 100
+    replace_carrier(world, head, build_chunk(b"id: 1\ndata: "), *drip, delay=0.1)
+    started = world.node.loop.time()
+    reply = await world.fetch("/talk/a/events", b"p", tanagertrail_deadline_ms="9000")
+    assert reply.status == 502
+    assert world.node.loop.time() - started < MAX_EVENT_SECONDS + 0.5
