Hold a wrong continuation against its upstream at the carrier

What callers saw: nothing by itself; an upstream that answered resumptions with an error page, nothing or another kind of answer stayed in use at the carrier as a sound one, and its version on trial too. Cause: the carrier's exchange began as a new stream, so that 404, an empty success and text were successes there; only the origin knew that events had been sent. The origin's continues reached the trials alone. Change: the carrier's judgement takes continues, and the origin states status, media type and encoding of the stream that it resumes (carry-begun). The field is an option of the connection, which the last release drops as such; carriers that don't get it judge by continues alone. The origin judges as before. Conclusion: mended.

--- a/tanagertrail/gateway/answer_relay.py
+++ b/tanagertrail/gateway/answer_relay.py
@@ -125,7 +125,7 @@
     """
     exchange, name = transport.exchange, transport.upstream
     reason = f"status {head.status}"
-    if head.status >= 500 or exchange.begun_head is not None:
+    if head.status >= 500 or exchange.is_continuation:
         return UpstreamAttempt(AttemptResult.FAILED, Step.END, name, reason, head, body)
     exchange.first_byte_at = asyncio.get_running_loop().time()
     exchange.stream.send_response(head.status, build_response_headers(head.headers), body)
@@ -140,8 +140,8 @@
         one, or does not continue the one that has begun
     """
     exchange = transport.exchange
-    begun = exchange.begun_head
-    if begun is not None and head.representation != begun.representation:
+    continues = exchange.is_continuation
+    if exchange.begun is not None and head.representation != exchange.begun:
         raise UpstreamProtocolError(f"{head.representation} cannot continue the stream")
     splitter = exchange.splitter
     splitter.discard_partial_event()
@@ -161,9 +161,9 @@
     if splitter.buffer:
         reason = "the stream ended within an event"
         return UpstreamAttempt(AttemptResult.BROKEN, Step.STREAM, transport.upstream, reason)
-    if begun is not None and splitter.events == events_before:
+    if continues and splitter.events == events_before:
         raise UpstreamProtocolError("no event continues the stream")
-    if exchange.begun_head is None:
+    if not exchange.stream.response_started:
         with transport.suspended():
             await forward_events(exchange, head, b"")
     exchange.stream.finish_response()
@@ -178,10 +178,10 @@
 
     :raises CallerGoneError: if the caller has closed its connection
     """
-    if exchange.begun_head is not None:
+    if exchange.stream.response_started:
         exchange.stream.send_chunk(data)
     else:
-        exchange.begun_head = head
+        exchange.begun = head.representation
         exchange.first_byte_at = asyncio.get_running_loop().time()
         headers = build_response_headers(head.headers)
         exchange.stream.start_chunked_response(head.status, headers, data)
--- a/tanagertrail/gateway/carried_exchange.py
+++ b/tanagertrail/gateway/carried_exchange.py
@@ -14,6 +14,7 @@
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.exchange import AttemptResult, Exchange
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
+from tanagertrail.gateway.upstream_stream import Representation
 from tanagertrail.platform.header_fields import decode_caller_fields
 
 
@@ -59,9 +60,15 @@
 
 
 def build_exchange(
-    request: CallerRequest, stream: CallerStream, carried: CarriedRequest
+    request: CallerRequest,
+    stream: CallerStream,
+    carried: CarriedRequest,
+    begun: Representation | None,
 ) -> Exchange:
-    """Return a carried request in progress, with the attempts that were made before."""
+    """Return a carried request in progress, with the attempts that were made before.
+
+    :param begun: representation of the stream that it continues, None if unknown
+    """
     headers = strip_carry_fields(request.headers)
     request = request._replace(headers=headers)
     fields = decode_caller_fields(headers)
@@ -79,6 +86,7 @@
     carried_stream.exchange = exchange
     exchange.service = carried.service
     exchange.continues = carried.continues
+    exchange.begun = begun
     exchange.attempts = carried.build_attempts()
     return exchange
 
--- a/tanagertrail/gateway/carrier_transport.py
+++ b/tanagertrail/gateway/carrier_transport.py
@@ -12,8 +12,8 @@
 from tanagertrail.gateway.carry_protocol import (
     CarriedResult,
     CarryOutcome,
+    build_request_headers,
     decode_result,
-    encode_request,
     shorten_request_id,
     strip_carry_fields,
 )
@@ -68,7 +68,7 @@
             last_event_id=exchange.splitter.last_id if exchange.route.streamed else None,
             body_length=len(request.body) if has_body else None,
         )
-        headers.append(encode_request(exchange, self.members.own.daemon))
+        headers += build_request_headers(exchange, self.members.own.daemon)
         self.stream.send_request(request.method, request.target, headers, request.body)
 
     def limit(self) -> AbstractAsyncContextManager[None]:
--- a/tanagertrail/gateway/carry_protocol.py
+++ b/tanagertrail/gateway/carry_protocol.py
@@ -5,10 +5,11 @@
     "CarriedRequest",
     "CarriedResult",
     "CarryOutcome",
+    "build_request_headers",
     "build_result_headers",
+    "decode_begun",
     "decode_request",
     "decode_result",
-    "encode_request",
     "shorten_request_id",
     "strip_carry_fields",
 ]
@@ -22,12 +23,14 @@
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
 from tanagertrail.gateway.http1 import Headers
 from tanagertrail.gateway.model import Customer, Route, RouteKind
+from tanagertrail.gateway.upstream_stream import Representation
 from tanagertrail.outcomes import Step
 
 CARRY_VERSION = 1
 REQUEST_FIELD = b"carry-request"
 RESULT_FIELD = b"carry-result"
-CARRY_FIELDS = frozenset({REQUEST_FIELD, RESULT_FIELD})
+BEGUN_FIELD = b"carry-begun"
+CARRY_FIELDS = frozenset({REQUEST_FIELD, RESULT_FIELD, BEGUN_FIELD})
 MAX_FIELD_BYTES = 8192
 MAX_NAME_LENGTH = 512
 MAX_REASON_LENGTH = 200
@@ -136,10 +139,23 @@
 
 REQUEST_ADAPTER = TypeAdapter(CarriedRequest)
 RESULT_ADAPTER = TypeAdapter(CarriedResult)
+BEGUN_ADAPTER = TypeAdapter(Representation)
 
 
-def encode_request(exchange: Exchange, origin: str) -> tuple[bytes, bytes]:
-    """Return the field that describes a request to its carrier."""
+def build_request_headers(exchange: Exchange, origin: str) -> Headers:
+    """Build the fields that describe a request to its carrier.
+
+    A carrier of an earlier release drops the second one, since it is an option of the connection.
+    """
+    fields = [(REQUEST_FIELD, encode_request(exchange, origin))]
+    if exchange.begun is not None:
+        value = BEGUN_ADAPTER.dump_json(exchange.begun, ensure_ascii=True)
+        fields += [(BEGUN_FIELD, value), (b"connection", BEGUN_FIELD)]
+    return fields
+
+
+def encode_request(exchange: Exchange, origin: str) -> bytes:
+    """Encode what the origin decided about a request."""
     route = exchange.route
     earlier = [
         EarlierAttempt(attempt.upstream, attempt.result)
@@ -162,7 +178,7 @@
         exchange.stream.response_started,
         tuple(earlier),
     )
-    return REQUEST_FIELD, REQUEST_ADAPTER.dump_json(carried, ensure_ascii=True)
+    return REQUEST_ADAPTER.dump_json(carried, ensure_ascii=True)
 
 
 def decode_request(headers: Headers) -> CarriedRequest:
@@ -173,6 +189,16 @@
     return decode_field(headers, REQUEST_FIELD, REQUEST_ADAPTER)
 
 
+def decode_begun(headers: Headers) -> Representation | None:
+    """Decode the representation of the stream that a request continues, None if not stated.
+
+    :raises InvalidInputError: if it is malformed
+    """
+    if all(name != BEGUN_FIELD for name, _ in headers):
+        return None
+    return decode_field(headers, BEGUN_FIELD, BEGUN_ADAPTER)
+
+
 def build_result_headers(headers: Headers, result: CarriedResult) -> Headers:
     """Return the fields of a carrier's answer.
 
--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -20,6 +20,7 @@
     CarriedResult,
     CarryOutcome,
     build_result_headers,
+    decode_begun,
     decode_request,
     shorten_request_id,
 )
@@ -113,6 +114,7 @@
         request_id = shorten_request_id(fields.request_id)
         try:
             carried = decode_request(request.headers)
+            begun = decode_begun(request.headers)
         except InvalidInputError as error:
             result = CarriedResult(request_id, CarryOutcome.NOT_CARRIED, reason=str(error))
             self.refuse_carried(stream, result, "")
@@ -121,7 +123,7 @@
         if result is not None:
             self.refuse_carried(stream, result, carried.origin)
             return
-        exchange = build_exchange(request, stream, carried)
+        exchange = build_exchange(request, stream, carried, begun)
         self.in_flight += 1
         outcome = "origin gone"
         try:
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -10,7 +10,7 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.model import Customer, Route
 from tanagertrail.gateway.sse import EventSplitter
-from tanagertrail.gateway.upstream_stream import ResponseHead
+from tanagertrail.gateway.upstream_stream import Representation, ResponseHead
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
 
@@ -75,10 +75,11 @@
     :ivar part_keys: hashes of the prompt's parts that other requests may have too
     :ivar sent_at: event-loop time in seconds at which the last attempt began
     :ivar splitter: parser of a streamed response, kept over the attempts so that it can resume
-    :ivar begun_head: head of the streamed response that the caller is being sent, None before
+    :ivar begun: representation of the stream that the caller is being sent, None before or if the
+        origin does not state it
     :ivar resend_claimed: whether the retry budget has a place for the next attempt
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
-    :ivar continues: whether this continues a stream whose events another upstream has begun
+    :ivar continues: whether the origin has sent its caller events of this stream
     :ivar carrier: daemon that was last asked to carry the request, empty if none was
     :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
     """
@@ -108,7 +109,7 @@
         self.fingerprint = fingerprint
         self.part_keys = part_keys
         self.splitter = EventSplitter(fields.last_event_id)
-        self.begun_head: ResponseHead | None = None
+        self.begun: Representation | None = None
         self.resend_claimed = False
         self.first_byte_at: float | None = None
         self.continues = False
@@ -123,6 +124,11 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def is_continuation(self) -> bool:
+        """Whether the caller has events of this stream, or is being sent them."""
+        return self.continues or self.begun is not None
+
     @property
     def time_left(self) -> float:
         """Seconds until the deadline, negative after it."""
--- a/tanagertrail/gateway/upstream_stream.py
+++ b/tanagertrail/gateway/upstream_stream.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 connections to upstreams, parsed by h11."""
 
-__all__ = ["ResponseHead", "UpstreamStream", "read_body"]
+__all__ = ["Representation", "ResponseHead", "UpstreamStream", "read_body"]
 
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -15,6 +15,14 @@
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one; servers send one or two
 
 
+class Representation(NamedTuple):
+    """What all parts of one response share."""
+
+    status: int
+    media_type: str
+    encoding: str
+
+
 class ResponseHead(NamedTuple):
     """Status and headers of an upstream's response.
 
@@ -32,11 +40,11 @@
         return b"content-length" in names or b"transfer-encoding" in names
 
     @property
-    def representation(self) -> tuple[int, bytes, bytes]:
-        """Status, media type and encoding, which all parts of one response share."""
-        fields = dict(self.headers)
-        media_type = fields.get(b"content-type", b"").partition(b";")[0].strip().lower()
-        return self.status, media_type, fields.get(b"content-encoding", b"").strip().lower()
+    def representation(self) -> Representation:
+        """Status, media type and encoding."""
+        fields = {name: value.decode("latin-1").lower() for name, value in self.headers}
+        media_type = fields.get(b"content-type", "").partition(";")[0].strip()
+        return Representation(self.status, media_type, fields.get(b"content-encoding", "").strip())
 
 
 class UpstreamStream:
--- a/tests/test_carried_streams.py
+++ b/tests/test_carried_streams.py
@@ -63,6 +63,21 @@
         assert not reply.whole
 
 
+@params(*WORLDS)
+@with_virtual_time
+async def test_upstream_that_fails_to_resume_a_stream_counts_as_sound(way):
+    answers = (
+        build_answer(b"gone", 404),
+        build_answer(b"", headers=[EVENT_TYPE]),
+        build_stream(4, 6, TEXT_TYPE),
+    )
+    for data in answers:
+        world, reply = await resume_stream(way, data)
+        assert not reply.whole
+        reaching = world.node if way != "own" else world.front
+        assert reaching.cluster_view.upstreams.entries["up-b"].failure_rate > 0.0
+
+
 @params(*WORLDS)
 @with_virtual_time
 async def test_stream_is_kept_past_its_deadline_for_a_caller_that_does_not_read(way):
--- a/tests/test_carry_protocol.py
+++ b/tests/test_carry_protocol.py
@@ -7,6 +7,8 @@
 
 from tanagertrail.errors import InvalidInputError
 from tanagertrail.gateway.carry_protocol import (
+    BEGUN_ADAPTER,
+    BEGUN_FIELD,
     MAX_EARLIER_ATTEMPTS,
     MAX_FIELD_BYTES,
     MAX_REASON_LENGTH,
@@ -18,12 +20,16 @@
     CarryOutcome,
     EarlierAttempt,
     build_result_headers,
+    decode_begun,
     decode_request,
     decode_result,
+    strip_carry_fields,
 )
 from tanagertrail.gateway.exchange import AttemptResult
 from tanagertrail.gateway.model import RouteKind
+from tanagertrail.gateway.upstream_stream import Representation, ResponseHead
 from tanagertrail.outcomes import Step
+from tanagertrail.platform.header_fields import build_carried_headers
 from tests.utils import raises
 
 texts = st.text(max_size=60)
@@ -77,6 +83,27 @@
     assert decode_result([(name, value)]) == result
 
 
+@given(st.integers(100, 599), st.binary(max_size=60), st.binary(max_size=60))
+def test_representation_of_a_begun_stream_is_decoded_as_it_was_encoded(status, kind, encoding):
+    headers = [(b"content-type", kind), (b"content-encoding", encoding)]
+    begun = ResponseHead(status, headers).representation
+    value = BEGUN_ADAPTER.dump_json(begun, ensure_ascii=True)
+    assert decode_begun([(BEGUN_FIELD, value)]) == begun
+
+
+def test_stream_that_has_not_begun_has_no_representation():
+    assert decode_begun([(REQUEST_FIELD, b"[]")]) is None
+
+
+def test_carrier_of_an_earlier_release_passes_a_field_of_the_hop_to_an_upstream():
+    value = BEGUN_ADAPTER.dump_json(Representation(200, "text/event-stream", ""))
+    received = [(b"host", b"desk.example"), (BEGUN_FIELD, value), (b"connection", BEGUN_FIELD)]
+    limits = {"seconds_left": 1.0, "last_event_id": "3", "body_length": None}
+    passed = dict(build_carried_headers(received, **limits))
+    assert passed.keys() == {b"host", b"tanagertrail-deadline-ms", b"last-event-id"}
+    assert strip_carry_fields(received[1:2]) == []
+
+
 def test_long_reason_of_a_failure_is_shortened():
     result = CarriedResult("r1", AttemptResult.BROKEN, reason="x" * 5000)
     decoded = decode_result(build_result_headers([], result))
@@ -85,7 +112,8 @@
 
 @given(st.binary(max_size=200) | junk.map(json.dumps).map(str.encode))
 def test_malformed_field_is_refused_and_raises_nothing_else(value):
-    for decode, name in ((decode_request, REQUEST_FIELD), (decode_result, RESULT_FIELD)):
+    fields = (REQUEST_FIELD, decode_request), (RESULT_FIELD, decode_result)
+    for name, decode in (*fields, (BEGUN_FIELD, decode_begun)):
         try:
             decode([(name, value)])
         except InvalidInputError:
