Doubt a carrier's refusal that bytes follow

Rule that own attempts had and carried ones lacked: a refusal with bytes behind it may belong to another request, since a second answer follows on the same connection. No carrier was seen to send one. Change: CarrierTransport.classify ends such an attempt as broken, so that nothing is promised. Evidence: test_refusal_of_a_carrier_is_believed_although_bytes_follow_it failed (503 instead of 502), passes now.

--- a/tanagertrail/gateway/carrier_transport.py
+++ b/tanagertrail/gateway/carrier_transport.py
@@ -123,8 +123,13 @@
         self.is_suspended = False
 
     def classify(self, head: ResponseHead, body: bytes) -> UpstreamAttempt:
-        """Return what the carrier says of an attempt without a success."""
+        """Return what the carrier says of an attempt without a success.
+
+        :raises UpstreamProtocolError: if another answer may follow it
+        """
         result = self.result
+        if self.stream.has_unread_bytes:
+            raise UpstreamProtocolError("bytes follow the carrier's answer")
         if isinstance(result.outcome, CarryOutcome):
             self.refusal = result
             return UpstreamAttempt(AttemptResult.NOT_SENT, result.step, "", result.reason)
--- a/tests/test_carried_streams.py
+++ b/tests/test_carried_streams.py
@@ -5,7 +5,7 @@
 
 from nose2.tools import params
 
-from tanagertrail.gateway.carry_protocol import CarriedResult, build_result_headers
+from tanagertrail.gateway.carry_protocol import CarriedResult, CarryOutcome, build_result_headers
 from tanagertrail.gateway.exchange import AttemptResult
 from tanagertrail.policy.silence import MAX_EVENT_SECONDS
 from tests.answer_utils import (
@@ -122,3 +122,14 @@
     reply = await world.fetch("/talk/a/events", b"p", tanagertrail_deadline_ms="9000")
     assert reply.status == 502
     assert world.node.loop.time() - started < MAX_EVENT_SECONDS + 0.5
+
+
+@with_virtual_time
+async def test_refusal_of_a_carrier_is_believed_although_bytes_follow_it():
+    world = CarriedWorld()
+    refusal = build_answer(b"full", 503, headers=[build_mark(CarryOutcome.NOT_CARRIED)])
+    other = build_answer(headers=[build_mark(AttemptResult.DELIVERED)])
+    requests = replace_carrier(world, refusal + other)
+    reply = await world.fetch("/book/1", b"order")
+    assert len(requests) == 1
+    assert reply.status == 502
