Give requests without an id a connection of their own to a carrier

Rule that own attempts had (may_reuse) and carried ones lacked: on a connection that served others, the answer to a request without an id cannot be told from a late one to another such request. Change: CarryClient.connect takes no pooled connection for them. Evidence: test_requests_without_an_id_share_a_connection_to_a_carrier failed (1 connection for 2 requests), passes now.

--- a/tanagertrail/gateway/carry_client.py
+++ b/tanagertrail/gateway/carry_client.py
@@ -169,7 +169,8 @@
         :raises OSError: if it cannot be opened
         :raises TimeoutError: if that takes too long
         """
-        pooled = self.pools.acquire(carrier.carrier)
+        has_id = bool(exchange.fields.request_id)  # without one no answer is attributable
+        pooled = self.pools.acquire(carrier.carrier) if has_id else None
         if pooled is not None:
             if exchange.route.idempotent or self.now() - pooled.idle_since < UNSAFE_REUSE_SECONDS:
                 return pooled
--- a/tests/test_carried_streams.py
+++ b/tests/test_carried_streams.py
@@ -133,3 +133,12 @@
     reply = await world.fetch("/book/1", b"order")
     assert len(requests) == 1
     assert reply.status == 502
+
+
+@with_virtual_time
+async def test_requests_without_an_id_share_a_connection_to_a_carrier():
+    world = CarriedWorld()
+    for _ in range(2):
+        world.upstreams["up-a"].add(build_answer(request_id=None))
+        assert (await world.fetch("/look/1", request_id=None)).status == 200
+    assert len(world.hops) == 2
