Charge the resend of a silent carried attempt once

What callers saw: nothing by itself; the retry budget was used up twice as fast while daemons were cut off, and a safe request whose carrier had given up a silent upstream for another attempt could fail when the origin's own budget had no place left. Cause: the carrier claims a place in its budget before it gives the attempt up, and the origin, which doesn't know of it, charged its own. Evidence: test_resend_after_a_silence_is_charged_twice failed for the carried way (2 places for one resend; own and cut after the first attempt 1), and test_carrier_gives_up_a_silent_attempt_that_its_origin_ may_not_repeat failed (not 200, though another upstream was idle); both pass now. Open: once the stream has begun, the carrier breaks the connection off and can say nothing, so that such a resend is still charged at both.

--- a/tanagertrail/gateway/carrier_transport.py
+++ b/tanagertrail/gateway/carrier_transport.py
@@ -14,6 +14,7 @@
     CarryOutcome,
     build_request_headers,
     decode_result,
+    is_resend_claimed,
     shorten_request_id,
     strip_carry_fields,
 )
@@ -90,6 +91,7 @@
         if not head.is_framed:
             raise UpstreamProtocolError("the carrier's answer has no length")
         self.result = result
+        self.exchange.resend_claimed = is_resend_claimed(head.headers)
         head = ResponseHead(head.status, strip_carry_fields(head.headers))
         return head, result.outcome is AttemptResult.DELIVERED
 
--- a/tanagertrail/gateway/carry_protocol.py
+++ b/tanagertrail/gateway/carry_protocol.py
@@ -10,6 +10,8 @@
     "decode_begun",
     "decode_request",
     "decode_result",
+    "is_resend_claimed",
+    "mark_resend",
     "shorten_request_id",
     "strip_carry_fields",
 ]
@@ -30,7 +32,8 @@
 REQUEST_FIELD = b"carry-request"
 RESULT_FIELD = b"carry-result"
 BEGUN_FIELD = b"carry-begun"
-CARRY_FIELDS = frozenset({REQUEST_FIELD, RESULT_FIELD, BEGUN_FIELD})
+RESEND_FIELD = b"carry-resend"
+CARRY_FIELDS = frozenset({REQUEST_FIELD, RESULT_FIELD, BEGUN_FIELD, RESEND_FIELD})
 MAX_FIELD_BYTES = 8192
 MAX_NAME_LENGTH = 512
 MAX_REASON_LENGTH = 200
@@ -217,6 +220,16 @@
     return decode_field(headers, RESULT_FIELD, RESULT_ADAPTER)
 
 
+def mark_resend(headers: Headers, claimed: bool) -> Headers:
+    """Add to a carrier's answer whether its retry budget was charged for another attempt."""
+    return [*headers, (RESEND_FIELD, b"1")] if claimed else headers
+
+
+def is_resend_claimed(headers: Headers) -> bool:
+    """Return whether a carrier's retry budget was charged for another attempt."""
+    return any(name == RESEND_FIELD for name, _ in headers)
+
+
 def decode_field(headers: Headers, name: bytes, adapter: TypeAdapter):
     """Decode the only field of a name.
 
--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -22,6 +22,7 @@
     build_result_headers,
     decode_begun,
     decode_request,
+    mark_resend,
     shorten_request_id,
 )
 from tanagertrail.gateway.channel import Channel
@@ -227,7 +228,8 @@
         status, headers = STATUSES.get(attempt.result, 503), TEXT_HEADERS
         if attempt.head is not None:
             status, headers = attempt.head.status, build_response_headers(attempt.head.headers)
-        stream.send_response(status, build_result_headers(headers, result), attempt.body)
+        headers = mark_resend(build_result_headers(headers, result), exchange.resend_claimed)
+        stream.send_response(status, headers, attempt.body)
 
     def refuse_carried(self, stream: CallerStream, result: CarriedResult, origin: str) -> None:
         """Refuse a request of another daemon, which did not run."""
--- a/tests/test_carried_streams.py
+++ b/tests/test_carried_streams.py
@@ -11,6 +11,8 @@
 from tests.answer_utils import (
     DEADLINE_SECONDS,
     OWN_ID,
+    Script,
+    Step,
     build_answer,
     build_chunk,
     build_stream,
@@ -142,3 +144,28 @@
         world.upstreams["up-a"].add(build_answer(request_id=None))
         assert (await world.fetch("/look/1", request_id=None)).status == 200
     assert len(world.hops) == 2
+
+
+@params(*WORLDS)
+@with_virtual_time
+async def test_resend_after_a_silence_is_charged_twice(way):
+    world = WORLDS.get(way)(2)
+    world.prefer("up-a")
+    world.upstreams["up-a"].scripts.append(Script((Step(b"", 3600.0),)))
+    world.node.loop.call_later(0.1, world.prefer, "up-b")
+    reply = await world.fetch("/look/1")
+    assert reply.status == 200
+    assert len(world.runs) == 2
+    daemons = {id(node): node for node in (world.node, world.front)}.values()
+    budgets = [node.dispatcher.get_retry_budget("desk") for node in daemons]
+    assert sum(len(budget.retries) for budget in budgets) == 1
+
+
+@with_virtual_time
+async def test_carrier_gives_up_a_silent_attempt_that_its_origin_may_not_repeat():
+    world = CarriedWorld(2)
+    world.prefer("up-a")
+    world.upstreams["up-a"].scripts.append(Script((Step(b"", 3600.0),)))
+    world.node.loop.call_later(0.1, world.prefer, "up-b")
+    world.front.dispatcher.get_retry_budget("desk").extra = 0.0
+    assert (await world.fetch("/look/1")).status == 200
