--- a/tanagertrail/gateway/carry_protocol.py
+++ b/tanagertrail/gateway/carry_protocol.py
@@ -5,10 +5,13 @@
     "CarriedRequest",
     "CarriedResult",
     "CarryOutcome",
+    "build_request_headers",
     "build_result_headers",
+    "decode_begun",
     "decode_request",
     "decode_result",
-    "encode_request",
+    "is_resend_claimed",
+    "mark_resend",
     "shorten_request_id",
     "strip_carry_fields",
 ]
@@ -22,12 +25,15 @@
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
 from tanagertrail.gateway.http1 import Headers
 from tanagertrail.gateway.model import Customer, Route, RouteKind
+from tanagertrail.gateway.upstream_stream import Representation
 from tanagertrail.outcomes import Step
 
 CARRY_VERSION = 1
 REQUEST_FIELD = b"carry-request"
 RESULT_FIELD = b"carry-result"
-CARRY_FIELDS = frozenset({REQUEST_FIELD, RESULT_FIELD})
+BEGUN_FIELD = b"carry-begun"
+RESEND_FIELD = b"carry-resend"
+CARRY_FIELDS = frozenset({REQUEST_FIELD, RESULT_FIELD, BEGUN_FIELD, RESEND_FIELD})
 MAX_FIELD_BYTES = 8192
 MAX_NAME_LENGTH = 512
 MAX_REASON_LENGTH = 200
@@ -136,10 +142,23 @@
 
 REQUEST_ADAPTER = TypeAdapter(CarriedRequest)
 RESULT_ADAPTER = TypeAdapter(CarriedResult)
+BEGUN_ADAPTER = TypeAdapter(Representation)
 
 
-def encode_request(exchange: Exchange, origin: str) -> tuple[bytes, bytes]:
-    """Return the field that describes a request to its carrier."""
+def build_request_headers(exchange: Exchange, origin: str) -> Headers:
+    """Build the fields that describe a request to its carrier.
+
+    A carrier of an earlier release drops the second one, since it is an option of the connection.
+    """
+    fields = [(REQUEST_FIELD, encode_request(exchange, origin))]
+    if exchange.begun is not None:
+        value = BEGUN_ADAPTER.dump_json(exchange.begun, ensure_ascii=True)
+        fields += [(BEGUN_FIELD, value), (b"connection", BEGUN_FIELD)]
+    return fields
+
+
+def encode_request(exchange: Exchange, origin: str) -> bytes:
+    """Encode what the origin decided about a request."""
     route = exchange.route
     earlier = [
         EarlierAttempt(attempt.upstream, attempt.result)
@@ -162,7 +181,7 @@
         exchange.stream.response_started,
         tuple(earlier),
     )
-    return REQUEST_FIELD, REQUEST_ADAPTER.dump_json(carried, ensure_ascii=True)
+    return REQUEST_ADAPTER.dump_json(carried, ensure_ascii=True)
 
 
 def decode_request(headers: Headers) -> CarriedRequest:
@@ -173,6 +192,16 @@
     return decode_field(headers, REQUEST_FIELD, REQUEST_ADAPTER)
 
 
+def decode_begun(headers: Headers) -> Representation | None:
+    """Decode the representation of the stream that a request continues, None if not stated.
+
+    :raises InvalidInputError: if it is malformed
+    """
+    if all(name != BEGUN_FIELD for name, _ in headers):
+        return None
+    return decode_field(headers, BEGUN_FIELD, BEGUN_ADAPTER)
+
+
 def build_result_headers(headers: Headers, result: CarriedResult) -> Headers:
     """Return the fields of a carrier's answer.
 
@@ -191,6 +220,16 @@
     return decode_field(headers, RESULT_FIELD, RESULT_ADAPTER)
 
 
+def mark_resend(headers: Headers, claimed: bool) -> Headers:
+    """Add to a carrier's answer whether its retry budget was charged for another attempt."""
+    return [*headers, (RESEND_FIELD, b"1")] if claimed else headers
+
+
+def is_resend_claimed(headers: Headers) -> bool:
+    """Return whether a carrier's retry budget was charged for another attempt."""
+    return any(name == RESEND_FIELD for name, _ in headers)
+
+
 def decode_field(headers: Headers, name: bytes, adapter: TypeAdapter):
     """Decode the only field of a name.
 
--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -242,30 +242,36 @@
 class MemoryWorld:
     """A daemon with upstreams and callers in memory.
 
-    :ivar defects: defects that the daemon logged
+    :ivar node: the daemon that reaches the upstreams
+    :ivar front: the daemon that callers connect to
+    :ivar defects: defects that the daemons logged
     """
 
     def __init__(self, upstreams: int = 1, **changes: Any) -> None:
-        self.node = GatewayNode(build_settings(PORTS))
         self.defects: list[dict[str, Any]] = []
-        write = self.node.log.write
-        self.node.log.write = lambda event, **fields: (
-            self.defects.append(fields) if event == "defect" else write(event, **fields)
-        )
         self.numbers = itertools.count(1)
         self.upstreams = {f"up-{letter}": MemoryUpstream(f"up-{letter}") for letter in "abc"}
         self.upstreams = dict(itertools.islice(self.upstreams.items(), upstreams))
-        self.node.pools.open = self.open
-        self.node.crash_detector.probe_connection = self.accept_probe
-        view = self.node.cluster_view
+        self.node = self.front = self.build_node("entry-1", **changes)
+
+    def build_node(self, name: str, **changes: Any) -> GatewayNode:
+        """Build a daemon that knows the configuration and the upstreams."""
+        node = GatewayNode(build_settings(PORTS, name))
+        write = node.log.write
+        node.log.write = lambda event, **fields: (
+            self.defects.append(fields) if event == "defect" else write(event, **fields)
+        )
+        node.pools.open = self.open
+        node.crash_detector.probe_connection = self.accept_probe
+        view = node.cluster_view
         view.apply_config(decode_configuration(build_config(**changes)))
         view.config_confirmed_at = read_boot_time()
         view.upstreams_known = view.evacuated_known = view.rollouts_known = True
         view.limits_known = True
-        for number, name in enumerate(self.upstreams):
-            entry = build_entry(1000 + number, "north")
-            item = StoredObject(name, 1, 1, entry, None)
-            view.upstreams.put(decode_upstream(item), asyncio.get_running_loop().time())
+        for number, upstream in enumerate(self.upstreams):
+            item = StoredObject(upstream, 1, 1, build_entry(1000 + number, "north"), None)
+            view.upstreams.put(decode_upstream(item), node.loop.time())
+        return node
 
     async def open(self, address: str, timeout: float = 0.0) -> UpstreamStream:
         """Open a connection to an upstream."""
@@ -285,6 +291,13 @@
 
         :param changes: further headers, and ``method``; ``request_id=None`` leaves the id out
         """
+        channel, received = self.send(path, body, **changes)
+        return await self.read(channel, received, changes.get("method", "POST" if body else "GET"))
+
+    def send(
+        self, path: str, body: bytes = b"", **changes: str | None
+    ) -> tuple[Channel, list[bytes]]:
+        """Send a request on a new connection, and return it with what will be received."""
         request_id = changes.pop("request_id", f"r{next(self.numbers)}")
         method = changes.pop("method", "POST" if body else "GET")
         headers = {
@@ -301,9 +314,9 @@
         received: list[bytes] = []
         channel = Channel()
         channel.transport = MemoryTransport(channel, received.append)
-        self.node.http_server.accept(channel)
+        self.front.http_server.accept(channel)
         channel.data_received("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
-        return await self.read(channel, received, method)
+        return channel, received
 
     async def read(self, channel: Channel, received: list[bytes], method: str) -> Reply:
         """Read an answer until it is whole or the daemon ends the connection."""
