Log what a planned stop does with each request, and count them

The log of a stop named neither when a cut request had come nor how long it was expected to last, called it 'caller gone', and counted only cut connections.

PlannedStop gets the gate that keeps them, so test_cut_daemons passes it too; what that test checks is unchanged.

--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -128,6 +128,9 @@
             outcome = await self.carry(exchange, stream, carried)
         except CallerGoneError:
             stream.channel.abort()
+        except asyncio.CancelledError:
+            outcome = self.dispatcher.stop_gate.name_cancelled(exchange, outcome)
+            raise
         finally:
             self.in_flight -= 1
             self.log_carried(exchange, carried, outcome, started_at)
@@ -246,6 +249,7 @@
         self, exchange: Exchange, carried: CarriedRequest, outcome: str, started_at: float
     ) -> None:
         """Log a carried request with the attempts that this daemon made."""
+        self.dispatcher.stop_gate.note_ended(exchange, outcome, self.dispatcher.now() - started_at)
         own_attempts = exchange.attempts[len(carried.earlier) :]
         fields = {
             "request": exchange.fields.request_id,
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.silence_watch import SilenceMonitor, SilenceWatch
+from tanagertrail.gateway.stop_gate import StopGate
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.trials import RolloutTrials
 from tanagertrail.gateway.upstream_links import UpstreamLinks
@@ -36,6 +37,7 @@
     :ivar links: whether this daemon reaches the upstreams itself
     :ivar in_flight: requests of callers in progress
     :ivar prompt_tokens_sent: prompt tokens of the requests so far, by service
+    :ivar stop_gate: lengths of requests, and what a planned stop does with them
     :ivar metrics: None if metrics are not exported
     """
 
@@ -60,6 +62,7 @@
         self.carry_client = CarryClient(members, sender, suspects, rng)
         self.admission = Admission(cluster_view, members, quota, suspects, rng)
         self.trials = RolloutTrials(cluster_view)
+        self.stop_gate = StopGate(log)
         self.selector = UpstreamSelector(
             cluster_view,
             members,
@@ -102,11 +105,12 @@
         self.suspects.note_started(fingerprint)
         try:
             await self.try_upstreams(exchange)
-        except (CallerGoneError, asyncio.CancelledError) as error:
+        except CallerGoneError:
             self.log_outcome(exchange, "caller gone")
-            if isinstance(error, asyncio.CancelledError):
-                raise
             stream.break_off()
+        except asyncio.CancelledError:
+            self.log_outcome(exchange, self.stop_gate.name_cancelled(exchange, "caller gone"))
+            raise
         finally:
             self.suspects.note_finished(fingerprint)
 
@@ -146,6 +150,7 @@
         if isinstance(ended, Refusal):
             exchange.refusal = ended
             return None
+        self.stop_gate.note_carried(exchange, ended)
         return ended
 
     async def attempt_directly(self, exchange: Exchange) -> UpstreamAttempt | None:
@@ -315,6 +320,7 @@
         """
         now = self.now()
         first = exchange.first_byte_at
+        self.stop_gate.note_ended(exchange, outcome, now - exchange.arrived_at)
         self.measure_outcome(exchange, outcome, now)
         fields = {
             "request": exchange.fields.request_id,
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -380,9 +380,9 @@
         self.log.write("leaving", in_flight=self.dispatcher.in_flight)
         self.peer_client.exchange_with_all()
         servers = (self.http_server, self.carry_server)
-        stop = PlannedStop(servers, self.leadership, self.supervisor, self.log)
-        cut = await stop.run(self.settings.bounds.grace)
-        self.log.write("stopped", in_flight=cut)
+        gate = self.dispatcher.stop_gate
+        stop = PlannedStop(servers, self.leadership, self.supervisor, self.log, gate)
+        await stop.run(self.settings.bounds.grace)
         self.close()
 
     def close(self) -> None:
--- a/tanagertrail/gateway/planned_stop.py
+++ b/tanagertrail/gateway/planned_stop.py
@@ -8,10 +8,11 @@
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.http_server import HttpServer
 from tanagertrail.gateway.leadership import Leadership
+from tanagertrail.gateway.stop_gate import StopGate
 from tanagertrail.gateway.supervision import Supervisor
+from tanagertrail.policy.stop_admission import StopSchedule
 
 MIN_DRAIN_SECONDS = 3.5  # callers use a directory answer for three times its lifetime
-STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
 LAST_CALL_SECONDS = 0.3  # of the grace period, left for requests that come at its end
 MIN_RELEASE_SECONDS = 0.2  # for the store to answer, also at the end of the grace period
 DRAIN_CHECK_SECONDS = 0.05
@@ -21,6 +22,7 @@
     """Serve what still arrives, release the lease, and close all connections.
 
     :ivar servers: servers whose requests are to be answered
+    :ivar gate: told of the times of the stop, by which it judges requests
     """
 
     def __init__(
@@ -29,11 +31,13 @@
         leadership: Leadership,
         supervisor: Supervisor,
         log: EventLog,
+        gate: StopGate,
     ) -> None:
         self.servers = servers
         self.leadership = leadership
         self.supervisor = supervisor
         self.log = log
+        self.gate = gate
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -42,18 +46,25 @@
     async def run(self, grace: float) -> int:
         """Stop the servers and return the number of requests that were cut.
 
+        Settings that are reloaded meanwhile change no time of it, since whoever sent the signal
+        counts from there.
+
         :param grace: seconds until the process is ended from outside
         """
         for server in self.servers:
             server.stopping = True
         started = self.now()
-        latest = started + grace - STOP_MARGIN_SECONDS
+        schedule = StopSchedule(started, grace)
+        self.gate.begin(schedule)
+        latest = schedule.cuts_at
         last_call = latest - LAST_CALL_SECONDS
         await self.wait_until_drained(min(started + MIN_DRAIN_SECONDS, last_call), last_call)
         await self.release_lease(max(last_call, self.now() + MIN_RELEASE_SECONDS))
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, last_call)
-        return sum(await asyncio.gather(*(server.finish(latest) for server in self.servers)))
+        cut = sum(await asyncio.gather(*(server.finish(latest) for server in self.servers)))
+        self.gate.report(cut)
+        return cut
 
     async def release_lease(self, latest: float) -> None:
         """Release the lease, or leave it to expire at ``latest``, an event-loop time in seconds."""
--- /dev/null
+++ b/tanagertrail/gateway/stop_gate.py
@@ -0,0 +1,135 @@
+"""Admission, log and counts of the requests that a stopping daemon has."""
+
+__all__ = ["StopGate"]
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
+from tanagertrail.gateway.model import Route
+from tanagertrail.platform.header_fields import CallerFields
+from tanagertrail.policy.durations import DurationTable
+from tanagertrail.policy.stop_admission import (
+    RequestOutlook,
+    StopDecision,
+    StopSchedule,
+    decide,
+)
+
+CUT_OUTCOME = "cut by the stop"
+# Requests that time out last at least as long, and would be cut in a stop.
+MEASURED_OUTCOMES = frozenset({"answered", "timed out", AttemptResult.DELIVERED})
+
+
+class StopGate:
+    """What a daemon that stops does with requests.
+
+    :ivar durations: what requests have lasted, own ones and those of other daemons
+    :ivar schedule: the times of the stop, None before it
+    :ivar outcomes: requests that have ended since the stop began, by outcome
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        self.log = log
+        self.durations = DurationTable()
+        self.schedule: StopSchedule | None = None
+        self.outcomes: Counter[str] = Counter()
+
+    def now(self) -> float:
+        """Return the event-loop time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def begin(self, schedule: StopSchedule) -> None:
+        """Begin the stop."""
+        self.schedule = schedule
+
+    def decide(self, exchange: Exchange) -> StopDecision:
+        """Decide on the next attempt at a request."""
+        return self.decide_on(
+            exchange.route, exchange.fields, exchange.arrived_at, exchange.time_left
+        )
+
+    def decide_on(
+        self, route: Route, fields: CallerFields, arrived_at: float, time_left: float
+    ) -> StopDecision:
+        """Decide on a request.
+
+        :param arrived_at: event-loop time in seconds
+        :param time_left: seconds until it has to be answered
+        """
+        estimate = self.durations.estimate(route.name, read_answer_size(fields))
+        outlook = RequestOutlook(arrived_at, time_left, estimate)
+        return decide(self.schedule, outlook, self.now())
+
+    def note_ended(self, exchange: Exchange, outcome: str, seconds: float) -> None:
+        """Record how a request ended, and what it lasted if that says what others will last.
+
+        :param seconds: time since it arrived
+        """
+        if outcome in MEASURED_OUTCOMES:
+            size = read_answer_size(exchange.fields)
+            self.durations.add(exchange.route.name, size, seconds)
+        if self.schedule is not None:
+            self.outcomes[outcome] += 1
+
+    def name_cancelled(self, exchange: Exchange, outcome: str) -> str:
+        """Name what became of a cancelled request, and log it if the stop cut it.
+
+        :param outcome: the outcome if the caller has gone
+        """
+        if self.schedule is None or exchange.stream.channel.peer_closed:
+            return outcome
+        self.log.write(
+            "stop_cut",
+            request=exchange.fields.request_id,
+            route=exchange.route.name,
+            begun=exchange.stream.response_started,
+            arrived_s=round(exchange.arrived_at - self.schedule.started_at, 3),
+            tries=len(exchange.attempts),
+            last_upstream=exchange.upstream,
+            **self.describe(self.decide(exchange)),
+        )
+        return CUT_OUTCOME
+
+    def note_carried(self, exchange: Exchange, attempt: UpstreamAttempt) -> None:
+        """Log a request that another daemon carried while this one stops."""
+        if self.schedule is None:
+            return
+        self.log.write_routine(
+            "stop_carried",
+            request=exchange.fields.request_id,
+            route=exchange.route.name,
+            carrier=attempt.carrier,
+            result=attempt.result,
+            **self.describe(self.decide(exchange)),
+        )
+
+    def describe(self, decision: StopDecision) -> dict[str, Any]:
+        """Return the log fields of a decision: times in seconds, and what they rest on."""
+        return {
+            "since_s": round(self.now() - self.schedule.started_at, 3),
+            "left_s": round(self.schedule.answers_end_at - self.now(), 3),
+            "expected_s": round(decision.seconds, 3),
+            "basis": decision.basis,
+        }
+
+    def report(self, cut: int) -> None:
+        """Log the counts of the stop.
+
+        :param cut: callers' connections that were cut
+        """
+        self.log.write(
+            "stopped",
+            in_flight=cut,
+            seconds=round(self.now() - self.schedule.started_at, 3),
+            outcomes=dict(self.outcomes),
+        )
+
+
+def read_answer_size(fields: CallerFields) -> int:
+    """Return the stated size of an answer in tokens, 0 if none is stated."""
+    if fields.prompt is None:
+        return 0
+    return fields.prompt.expected_output_tokens or fields.prompt.max_output_tokens
--- /dev/null
+++ b/tanagertrail/policy/stop_admission.py
@@ -0,0 +1,103 @@
+"""Admission of requests by a daemon that stops: only those that end before it does."""
+
+__all__ = [
+    "Basis",
+    "RequestOutlook",
+    "StopDecision",
+    "StopSchedule",
+    "decide",
+]
+
+import enum
+from typing import NamedTuple
+
+from tanagertrail.policy.durations import LengthEstimate
+
+STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
+CLOSING_SECONDS = 0.2  # between the expected end of an answer and the cut
+EARLY_SECONDS = 3.0  # after its start, in which callers do not know of the stop yet
+MIN_SAMPLES = 20
+MIN_EARLY_SAMPLES = 3
+LENGTH_MARGIN = 1.5  # on a high quantile of many lengths, since the load may grow
+FEW_SAMPLES_MARGIN = 2.0
+RELAY_SECONDS = 0.05
+
+
+class StopSchedule(NamedTuple):
+    """The times of a planned stop.
+
+    :ivar started_at: event-loop time in seconds at which the daemon was told to stop
+    :ivar grace: seconds from then until the process is ended from outside
+    """
+
+    started_at: float
+    grace: float
+
+    @property
+    def cuts_at(self) -> float:
+        """Event-loop time in seconds at which requests in progress are cut."""
+        return self.started_at + self.grace - STOP_MARGIN_SECONDS
+
+    @property
+    def answers_end_at(self) -> float:
+        """Event-loop time in seconds by which an accepted request has to end."""
+        return self.cuts_at - CLOSING_SECONDS
+
+
+class Basis(enum.StrEnum):
+    """What the expected length of a request rests on."""
+
+    DEADLINE = "deadline"
+    LENGTHS = "lengths"
+    FEW_LENGTHS = "few lengths"
+    UNKNOWN = "unknown"
+
+
+class RequestOutlook(NamedTuple):
+    """What is known of the time that a request will take.
+
+    :ivar arrived_at: event-loop time in seconds
+    :ivar time_left: seconds until its deadline or its route's timeout, whichever is sooner
+    :ivar estimate: what requests of its kind have lasted, None if that is unknown
+    """
+
+    arrived_at: float
+    time_left: float
+    estimate: LengthEstimate | None
+
+
+class StopDecision(NamedTuple):
+    """Whether a stopping daemon begins an attempt at a request.
+
+    :ivar seconds: longest time that the attempt is expected to take
+    """
+
+    accepted: bool
+    basis: Basis
+    seconds: float
+
+
+def decide(schedule: StopSchedule, outlook: RequestOutlook, now: float) -> StopDecision:
+    """Accept a request only if it is shown to end before the stop cuts it.
+
+    A caller who is refused at once loses nothing and goes to another daemon, one who is cut loses
+    the answer. Early in the stop much time is left, so that less evidence is enough.
+
+    :param now: event-loop time in seconds
+    """
+    left = schedule.answers_end_at - now
+    basis, expected = predict_length(schedule, outlook)
+    if outlook.time_left <= min(expected, left):
+        basis, expected = Basis.DEADLINE, outlook.time_left
+    return StopDecision(expected <= left, basis, min(expected, outlook.time_left))
+
+
+def predict_length(schedule: StopSchedule, outlook: RequestOutlook) -> tuple[Basis, float]:
+    """Return the longest time in seconds that a request is expected to take, and why."""
+    estimate = outlook.estimate
+    is_early = outlook.arrived_at <= schedule.started_at + EARLY_SECONDS
+    if estimate is not None and estimate.samples >= MIN_SAMPLES:
+        return Basis.LENGTHS, LENGTH_MARGIN * estimate.seconds + RELAY_SECONDS
+    if estimate is not None and is_early and estimate.samples >= MIN_EARLY_SAMPLES:
+        return Basis.FEW_LENGTHS, FEW_SAMPLES_MARGIN * estimate.seconds + RELAY_SECONDS
+    return Basis.UNKNOWN, float("inf")
--- a/tests/test_cut_daemons.py
+++ b/tests/test_cut_daemons.py
@@ -446,7 +446,8 @@
         assert (await fetch_timed(fleet, "/book/2", b"order")).status == 503
         now = carrier.loop.time()
         servers = (carrier.http_server, carrier.carry_server)
-        stop = PlannedStop(servers, carrier.leadership, carrier.supervisor, carrier.log)
+        gate = carrier.dispatcher.stop_gate
+        stop = PlannedStop(servers, carrier.leadership, carrier.supervisor, carrier.log, gate)
         draining = asyncio.create_task(stop.wait_until_drained(now, now + 3.0))
         await asyncio.sleep(0.1)
         assert not draining.done()
