Refuse at once what a stopping daemon can't show to finish

Cause: a stopping daemon accepted requests whatever they last, and passed them on.

Change: one pure decision (policy/stop_admission.py) before a request is charged or passed on, and again before each further attempt, carrier and resend. It is accepted if its deadline or its route's timeout ends before the cut, or if what such requests have lasted (0.99 quantile of the last 100 of its route and stated size; x 1.5 later than 3 s after SIGTERM) does. All else gets 503 with Retry-After 0.1 to 0.15 s and a close; it has not run. The lengths are those of answered and timed out requests, own and carried ones; one that is refused or cancelled tells nothing.

Why it works: nothing that is expected to last beyond the cut is passed on, so nothing is there to be cut; the refused caller has the other daemons.

Tests: test_first_request_on_a_connection_accepted_last_is_answered now sends three requests first, since a daemon that knows no length refuses; it still wants 200, and a second test wants 503 and no run without them.

--- a/tanagertrail/gateway/admission.py
+++ b/tanagertrail/gateway/admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from tanagertrail.gateway.cluster_view import ClusterView
@@ -32,6 +33,9 @@
     log_fields: dict[str, Any] = {}
 
 
+StopCheck = Callable[[Route, CallerFields], Refusal | None]
+
+
 class Admitted(NamedTuple):
     """An admitted request.
 
@@ -47,7 +51,10 @@
 
 
 class Admission:
-    """Check requests against the configuration, the quarantine and the quotas."""
+    """Check requests against the configuration, the quarantine and the quotas.
+
+    :ivar check_stop: returns the refusal of a request that does not end before a planned stop
+    """
 
     def __init__(
         self,
@@ -62,16 +69,17 @@
         self.quota = quota
         self.suspects = suspects
         self.rng = rng
+        self.check_stop: StopCheck = lambda route, fields: None
 
     def admit(self, request: CallerRequest, fields: CallerFields) -> Admitted | Refusal:
-        """Check route, key, quarantine and quota of a request."""
+        """Check route, key, quarantine, a planned stop and quota of a request."""
         resolved = self.resolve_route(request, fields)
         if isinstance(resolved, Refusal):
             return resolved
         route, customer = resolved
         fingerprint = fingerprint_request(request, customer)
         parts = compute_part_keys(fields)
-        refusal = self.check_quarantine(fingerprint, parts)
+        refusal = self.check_quarantine(fingerprint, parts) or self.check_stop(route, fields)
         if refusal is None and customer is not None:
             refusal = self.check_quota(customer, fields)
         return refusal or Admitted(route, customer, fingerprint, parts)
--- a/tanagertrail/gateway/carry_client.py
+++ b/tanagertrail/gateway/carry_client.py
@@ -51,6 +51,7 @@
     about an upstream.
 
     :ivar carriers: daemons that can carry requests, by name, as of ``refreshed_at``
+    :ivar may_begin: returns whether an attempt at a request may begin
     :ivar in_flight: requests that other daemons carry for this one
     :ivar results: carried attempts that have ended, by result
     """
@@ -71,6 +72,7 @@
         self.carriers: dict[str, Member] = {}
         self.candidates: list[CarrierCandidate] = []
         self.refreshed_at = float("-inf")
+        self.may_begin: Callable[[Exchange], bool] = lambda exchange: True
         self.in_flight = 0
         self.results: Counter[str] = Counter()
 
@@ -90,6 +92,8 @@
         )
         asked: list[str] = []
         while len(asked) < MAX_CARRIERS and exchange.time_left > HOP_MARGIN_SECONDS:
+            if not self.may_begin(exchange):
+                break
             carrier = self.choose_carrier(exchange, asked)
             if carrier is None:
                 break
--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -200,6 +200,8 @@
         for _ in range(MAX_UPSTREAMS):
             if exchange.time_left <= DEADLINE_MARGIN_SECONDS:
                 break
+            if not self.dispatcher.stop_gate.allows_attempt(exchange):
+                break
             latest = await self.dispatcher.attempt_directly(exchange)
             if latest is None:
                 if self.dispatcher.selector.has_unreachable(exchange.service):
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -62,7 +62,9 @@
         self.carry_client = CarryClient(members, sender, suspects, rng)
         self.admission = Admission(cluster_view, members, quota, suspects, rng)
         self.trials = RolloutTrials(cluster_view)
-        self.stop_gate = StopGate(log)
+        self.stop_gate = StopGate(log, rng)
+        self.admission.check_stop = self.stop_gate.check_arrival
+        self.carry_client.may_begin = self.stop_gate.allows_attempt
         self.selector = UpstreamSelector(
             cluster_view,
             members,
@@ -130,6 +132,9 @@
 
         It is None if no upstream may get the request.
         """
+        exchange.refusal = self.stop_gate.check_attempt(exchange)
+        if exchange.refusal is not None:
+            return None
         if not self.links.uses_own_links():
             attempt = await self.have_carried(exchange)
             if attempt is not None or self.links.is_cut:
@@ -185,6 +190,7 @@
             exchange.route.idempotent
             and exchange.sent_count + 1 < exchange.route.attempts
             and self.may_run_again(exchange)
+            and self.stop_gate.allows_attempt(exchange)
         )
 
     def claim_resend(self, exchange: Exchange, entry: UpstreamEntry, must_be_idle: bool) -> bool:
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -1,6 +1,6 @@
 """A caller's request in progress, and the results of the attempts at upstreams."""
 
-__all__ = ["Exchange", "UpstreamAttempt", "AttemptResult"]
+__all__ = ["AttemptResult", "Exchange", "UpstreamAttempt", "compute_timeout"]
 
 import asyncio
 import enum
@@ -15,6 +15,11 @@
 from tanagertrail.platform.header_fields import CallerFields
 
 
+def compute_timeout(route: Route, fields: CallerFields) -> float:
+    """Return the seconds within which a request must be answered."""
+    return route.timeout if fields.timeout is None else min(fields.timeout, route.timeout)
+
+
 class AttemptResult(enum.StrEnum):
     """How an attempt at one upstream ended.
 
@@ -100,8 +105,7 @@
         self.route = route
         self.customer = customer
         self.arrived_at = now
-        timeout = fields.timeout if fields.timeout is not None else route.timeout
-        self.deadline = now + min(timeout, route.timeout)
+        self.deadline = now + compute_timeout(route, fields)
         self.service = ""
         self.upstream = ""
         self.attempts: list[UpstreamAttempt] = []
--- a/tanagertrail/gateway/stop_gate.py
+++ b/tanagertrail/gateway/stop_gate.py
@@ -3,14 +3,22 @@
 __all__ = ["StopGate"]
 
 import asyncio
+import random
 from collections import Counter
 from typing import Any
 
+from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
+from tanagertrail.gateway.exchange import (
+    AttemptResult,
+    Exchange,
+    UpstreamAttempt,
+    compute_timeout,
+)
 from tanagertrail.gateway.model import Route
 from tanagertrail.platform.header_fields import CallerFields
 from tanagertrail.policy.durations import DurationTable
+from tanagertrail.policy.retry_after import plan_move
 from tanagertrail.policy.stop_admission import (
     RequestOutlook,
     StopDecision,
@@ -31,8 +39,9 @@
     :ivar outcomes: requests that have ended since the stop began, by outcome
     """
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, log: EventLog, rng: random.Random) -> None:
         self.log = log
+        self.rng = rng
         self.durations = DurationTable()
         self.schedule: StopSchedule | None = None
         self.outcomes: Counter[str] = Counter()
@@ -45,6 +54,44 @@
         """Begin the stop."""
         self.schedule = schedule
 
+    def check_arrival(self, route: Route, fields: CallerFields) -> Refusal | None:
+        """Return the refusal of a request that is not shown to end before the stop, else None."""
+        if self.schedule is None:
+            return None
+        decision = self.decide_on(route, fields, self.now(), compute_timeout(route, fields))
+        if decision.accepted:
+            return None
+        self.outcomes["refused by the stop"] += 1
+        return self.build_refusal(decision, {"route": route.name})
+
+    def check_attempt(self, exchange: Exchange) -> Refusal | None:
+        """Return a refusal if the next attempt is not shown to end before the stop, else None."""
+        if self.schedule is None:
+            return None
+        decision = self.decide(exchange)
+        if decision.accepted:
+            return None
+        self.log.write(
+            "stop_attempt_refused",
+            request=exchange.fields.request_id,
+            route=exchange.route.name,
+            begun=exchange.stream.response_started,
+            arrived_s=round(exchange.arrived_at - self.schedule.started_at, 3),
+            tries=len(exchange.attempts),
+            **self.describe(decision),
+        )
+        self.outcomes["attempt refused by the stop"] += 1
+        return self.build_refusal(decision, {"route": exchange.route.name})
+
+    def allows_attempt(self, exchange: Exchange) -> bool:
+        """Return whether another attempt may begin while one lasts."""
+        return self.schedule is None or self.decide(exchange).accepted
+
+    def build_refusal(self, decision: StopDecision, log_fields: dict[str, Any]) -> Refusal:
+        """Build the refusal of a request that has not run."""
+        fields = log_fields | self.describe(decision)
+        return Refusal(503, "the gateway is stopping", plan_move(self.rng.random()), fields)
+
     def decide(self, exchange: Exchange) -> StopDecision:
         """Decide on the next attempt at a request."""
         return self.decide_on(
--- a/tanagertrail/policy/retry_after.py
+++ b/tanagertrail/policy/retry_after.py
@@ -2,12 +2,15 @@
 
 __all__ = [
     "BASE_RETRY_AFTER_SECONDS",
+    "MOVE_RETRY_AFTER_SECONDS",
     "RETRY_AFTER_JITTER",
     "ReturnSchedule",
     "estimate_retry_after",
+    "plan_move",
 ]
 
 BASE_RETRY_AFTER_SECONDS = 0.3  # a slot is usually free again after the shortest requests
+MOVE_RETRY_AFTER_SECONDS = 0.1  # to look up another daemon, which has slots of its own
 RETRY_AFTER_JITTER = 0.5  # of the wait, so that callers refused together retry apart
 MAX_RETURN_SECONDS = 5.0  # beyond it, callers give up rather than return
 
@@ -34,6 +37,14 @@
     return wait * (1.0 + RETRY_AFTER_JITTER * jitter)
 
 
+def plan_move(jitter: float) -> float:
+    """Choose the seconds after which a caller may ask another daemon.
+
+    :param jitter: number in [0, 1) that differs between callers
+    """
+    return MOVE_RETRY_AFTER_SECONDS * (1.0 + RETRY_AFTER_JITTER * jitter)
+
+
 class ReturnSchedule:
     """The order in which callers that a rate limit refused may return.
 
--- a/tanagertrail/policy/stop_admission.py
+++ b/tanagertrail/policy/stop_admission.py
@@ -14,12 +14,12 @@
 from tanagertrail.policy.durations import LengthEstimate
 
 STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
-CLOSING_SECONDS = 0.2  # between the expected end of an answer and the cut
+CLOSING_SECONDS = 0.1  # between the expected end of an answer and the cut
 EARLY_SECONDS = 3.0  # after its start, in which callers do not know of the stop yet
 MIN_SAMPLES = 20
 MIN_EARLY_SAMPLES = 3
-LENGTH_MARGIN = 1.5  # on a high quantile of many lengths, since the load may grow
-FEW_SAMPLES_MARGIN = 2.0
+LENGTH_MARGIN = 1.5  # on a high quantile, since the load may grow
+EARLY_MARGIN = 1.0  # on a high quantile of many lengths
 RELAY_SECONDS = 0.05
 
 
@@ -81,7 +81,7 @@
     """Accept a request only if it is shown to end before the stop cuts it.
 
     A caller who is refused at once loses nothing and goes to another daemon, one who is cut loses
-    the answer. Early in the stop much time is left, so that less evidence is enough.
+    the answer. Early in the stop, when callers do not know of it, less evidence is enough.
 
     :param now: event-loop time in seconds
     """
@@ -96,8 +96,9 @@
     """Return the longest time in seconds that a request is expected to take, and why."""
     estimate = outlook.estimate
     is_early = outlook.arrived_at <= schedule.started_at + EARLY_SECONDS
-    if estimate is not None and estimate.samples >= MIN_SAMPLES:
-        return Basis.LENGTHS, LENGTH_MARGIN * estimate.seconds + RELAY_SECONDS
-    if estimate is not None and is_early and estimate.samples >= MIN_EARLY_SAMPLES:
-        return Basis.FEW_LENGTHS, FEW_SAMPLES_MARGIN * estimate.seconds + RELAY_SECONDS
-    return Basis.UNKNOWN, float("inf")
+    if estimate is None or estimate.samples < (MIN_EARLY_SAMPLES if is_early else MIN_SAMPLES):
+        return Basis.UNKNOWN, float("inf")
+    if estimate.samples < MIN_SAMPLES:
+        return Basis.FEW_LENGTHS, LENGTH_MARGIN * estimate.seconds + RELAY_SECONDS
+    margin = EARLY_MARGIN if is_early else LENGTH_MARGIN
+    return Basis.LENGTHS, margin * estimate.seconds + RELAY_SECONDS
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -9,6 +9,7 @@
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.http_server import LAST_READ_SECONDS
 from tanagertrail.gateway.upstream_stream import UpstreamStream
+from tanagertrail.policy.stop_admission import MIN_EARLY_SAMPLES
 from tanagertrail.standins.ports import HOST, find_port
 from tests.caller_utils import REQUEST, CallerWorld, turn_loop, with_callers
 from tests.gateway_utils import open_world, run_in_real_time
@@ -54,6 +55,8 @@
 async def test_first_request_on_a_connection_accepted_last_is_answered():
     async with open_world() as world:
         set_grace(world, 2.0)
+        for _ in range(MIN_EARLY_SAMPLES):  # else it is not shown to end in time
+            assert (await world.fetch("/look/1")).status == 200
         caller = UpstreamStream(await open_channel(HOST, world.ports["front"], 1.0))
         loop = asyncio.get_running_loop()
         call_before_listening_ends(
@@ -63,6 +66,21 @@
         assert (await world.read(caller)).status == 200
 
 
+@run_in_real_time
+async def test_first_request_on_a_connection_accepted_last_is_refused_if_its_length_is_unknown():
+    async with open_world() as world:
+        set_grace(world, 2.0)
+        caller = UpstreamStream(await open_channel(HOST, world.ports["front"], 1.0))
+        loop = asyncio.get_running_loop()
+        call_before_listening_ends(
+            world, lambda: loop.call_later(LATE_SECONDS, world.send, caller, "/look/1")
+        )
+        await world.node.stop()
+        reply = await world.read(caller)
+        assert (reply.status, reply.headers[b"connection"], reply.whole) == (503, b"close", True)
+        assert not any(upstream.arrivals for upstream in world.upstreams)
+
+
 @run_in_real_time
 async def test_request_cut_at_the_end_of_the_grace_period_gets_an_error():
     async with open_world() as world:
--- /dev/null
+++ b/tests/test_stop_admission.py
@@ -0,0 +1,124 @@
+"""Tests of the decision which requests a stopping daemon accepts."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from tanagertrail.policy.durations import MAX_KINDS, MAX_SAMPLES, DurationTable, LengthEstimate
+from tanagertrail.policy.stop_admission import (
+    EARLY_SECONDS,
+    MIN_EARLY_SAMPLES,
+    MIN_SAMPLES,
+    Basis,
+    RequestOutlook,
+    StopSchedule,
+    decide,
+)
+
+SCHEDULE = StopSchedule(100.0, 8.0)
+LONG = 60.0  # seconds of a deadline that says nothing
+
+
+def decide_at(since, seconds=None, samples=MIN_SAMPLES, time_left=LONG, arrived=None):
+    """Decide on a request some seconds after the stop began."""
+    estimate = None if seconds is None else LengthEstimate(seconds, samples)
+    now = SCHEDULE.started_at + since
+    arrived_at = now if arrived is None else SCHEDULE.started_at + arrived
+    return decide(SCHEDULE, RequestOutlook(arrived_at, time_left, estimate), now)
+
+
+@params((0.5, 4.0, True), (2.9, 4.0, True), (3.1, 4.0, False), (4.0, 2.0, True), (5.0, 2.0, False))
+def test_long_request_is_not_accepted_late(since, seconds, accepted):
+    decision = decide_at(since, seconds)
+    assert (decision.accepted, decision.basis) == (accepted, Basis.LENGTHS)
+
+
+def test_request_that_is_expected_to_be_cut_is_refused_early_too():
+    assert not decide_at(1.0, 7.0).accepted
+
+
+@params(0.0, 2.0, 5.0)
+def test_request_of_unknown_length_is_not_accepted(since):
+    decision = decide_at(since)
+    assert (decision.accepted, decision.basis, decision.seconds) == (False, Basis.UNKNOWN, LONG)
+
+
+@params((6.0, 1.0, True), (6.0, 1.4, False), (0.1, 7.0, True))
+def test_deadline_within_the_stop_is_enough_for_a_request_of_unknown_length(since, left, accepted):
+    decision = decide_at(since, time_left=left)
+    assert decision.accepted == accepted
+    assert (decision.basis is Basis.DEADLINE) == accepted
+
+
+def test_few_lengths_are_enough_only_early():
+    early = decide_at(1.0, 1.0, MIN_EARLY_SAMPLES)
+    assert (early.accepted, early.basis) == (True, Basis.FEW_LENGTHS)
+    assert not decide_at(EARLY_SECONDS + 0.1, 1.0, MIN_SAMPLES - 1).accepted
+    assert decide_at(EARLY_SECONDS + 0.1, 1.0, MIN_SAMPLES).accepted
+
+
+def test_retry_of_an_early_request_is_not_begun_when_it_would_be_cut():
+    assert decide_at(3.5, 2.0, arrived=-1.0).accepted
+    assert not decide_at(6.0, 2.0, arrived=-1.0).accepted
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.floats(0.0, 40.0),
+    st.floats(0.0, 1.2),
+    st.floats(0.0, 30.0),
+    st.floats(0.0, 30.0),
+    st.integers(1, 200),
+)
+def test_accepted_request_ends_before_the_cut(grace, part, seconds, time_left, samples):
+    schedule = StopSchedule(50.0, grace)
+    now = schedule.started_at + part * grace
+    outlook = RequestOutlook(now, time_left, LengthEstimate(seconds, samples))
+    decision = decide(schedule, outlook, now)
+    ends_at = now + min(seconds, time_left)
+    assert not decision.accepted or ends_at <= schedule.answers_end_at < schedule.cuts_at
+
+
+def test_length_is_a_high_quantile_of_recent_ones():
+    table = DurationTable()
+    for seconds in range(1000):
+        table.add("talk", 0, float(seconds % 10))
+    assert table.estimate("talk", 0) == LengthEstimate(9.0, MAX_SAMPLES)
+    for _ in range(MAX_SAMPLES):
+        table.add("talk", 0, 0.5)
+    assert table.estimate("talk", 0) == LengthEstimate(0.5, MAX_SAMPLES)
+    assert table.estimate("book", 0) is None
+
+
+def test_short_answers_do_not_make_long_ones_look_short():
+    table = DurationTable()
+    for _ in range(50):
+        table.add("talk", 20, 0.1)
+    assert table.estimate("talk", 2000) is None
+    table.add("talk", 2000, 5.0)
+    assert table.estimate("talk", 2000) == LengthEstimate(5.0, 1)
+    assert table.estimate("talk", 20) == LengthEstimate(5.0, 51)
+    for _ in range(60):
+        table.add("talk", 20, 0.1)
+    assert table.estimate("talk", 20) == LengthEstimate(0.1, 101)
+
+
+@params(0, 0.5, 1, float("inf"), float("nan"), -3, 1e300)
+def test_odd_sizes_are_measured(size):
+    table = DurationTable()
+    table.add("talk", size, 1.0)
+    assert table.estimate("talk", size) == LengthEstimate(1.0, 1)
+
+
+def test_memory_for_lengths_is_bounded():
+    table = DurationTable()
+    rng = random.Random(7)
+    for number in range(3 * MAX_KINDS):
+        for _ in range(200):
+            table.add(f"route-{number}", 10 ** rng.uniform(0, 12), 1.0)
+    assert len(table.kinds) == MAX_KINDS
+    held = [samples for classes in table.kinds.values() for samples in classes.values()]
+    assert max(len(samples) for samples in held) <= MAX_SAMPLES
+    assert max(len(classes) for classes in table.kinds.values()) <= 22
