--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -16,6 +16,7 @@
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.silence_watch import SilenceMonitor, SilenceWatch
+from tanagertrail.gateway.stop_gate import StopGate
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.trials import RolloutTrials
 from tanagertrail.gateway.upstream_links import UpstreamLinks
@@ -37,6 +38,7 @@
     :ivar links: whether this daemon reaches the upstreams itself
     :ivar in_flight: requests of callers in progress
     :ivar prompt_tokens_sent: prompt tokens of the requests so far, by service
+    :ivar stop_gate: lengths of requests, and what a planned stop does with them
     :ivar metrics: None if metrics are not exported
     """
 
@@ -61,6 +63,9 @@
         self.carry_client = CarryClient(members, sender, suspects, rng)
         self.admission = Admission(cluster_view, members, quota, suspects, rng)
         self.trials = RolloutTrials(cluster_view)
+        self.stop_gate = StopGate(log, rng)
+        self.admission.check_stop = self.stop_gate.check_arrival
+        self.carry_client.may_begin = self.stop_gate.allows_attempt
         self.selector = UpstreamSelector(
             cluster_view,
             members,
@@ -103,11 +108,12 @@
         self.suspects.note_started(fingerprint)
         try:
             await self.try_upstreams(exchange)
-        except (CallerGoneError, asyncio.CancelledError) as error:
+        except CallerGoneError:
             self.log_outcome(exchange, "caller gone")
-            if isinstance(error, asyncio.CancelledError):
-                raise
             stream.break_off()
+        except asyncio.CancelledError:
+            self.log_outcome(exchange, self.stop_gate.name_cancelled(exchange, "caller gone"))
+            raise
         finally:
             self.suspects.note_finished(fingerprint)
 
@@ -127,6 +133,9 @@
 
         It is None if no upstream may get the request.
         """
+        exchange.refusal = self.stop_gate.check_attempt(exchange)
+        if exchange.refusal is not None:
+            return None
         if not self.links.uses_own_links():
             attempt = await self.have_carried(exchange)
             if attempt is not None or self.links.is_cut:
@@ -147,6 +156,7 @@
         if isinstance(ended, Refusal):
             exchange.refusal = ended
             return None
+        self.stop_gate.note_carried(exchange, ended)
         return ended
 
     async def attempt_directly(self, exchange: Exchange) -> UpstreamAttempt | None:
@@ -181,6 +191,7 @@
             exchange.route.idempotent
             and exchange.sent_count + 1 < exchange.route.attempts
             and self.may_run_again(exchange)
+            and self.stop_gate.allows_attempt(exchange)
         )
 
     def claim_resend(self, exchange: Exchange, entry: UpstreamEntry, must_be_idle: bool) -> bool:
@@ -316,6 +327,7 @@
         """
         now = self.now()
         first = exchange.first_byte_at
+        self.stop_gate.note_ended(exchange, outcome, now - exchange.arrived_at)
         self.measure_outcome(exchange, outcome, now)
         fields = {
             "request": exchange.fields.request_id,
