Let holders of brittle upstreams' slots carry requests for other daemons

What callers saw: daemons refused callers for want of room at brittle upstreams while the parts of other daemons lay idle. Cause: slots were divided evenly over all daemons, so that in a large fleet a part is one or two slots, idle for as long as its own daemon has no request; nothing lent it. Change: beyond nine daemons an upstream's slots are divided among as many holders as get four each; a daemon without room has its request carried by up to three holders, over the way of daemons that are cut off. Holders are found once for a fleet, no longer by hashing all daemons for each request.

--- a/tanagertrail/emulator/brittle.py
+++ b/tanagertrail/emulator/brittle.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from tanagertrail.policy.brittle import BrittleRoom, plan_slots
+from tanagertrail.policy.brittle import BrittleRoom, list_holders, plan_slots
 from tanagertrail.policy.shared_rate import FleetView
 from tanagertrail.registry import Registry
 
@@ -21,6 +21,7 @@
 REPORT_SECONDS = 0.8  # between two reports of the requests in flight
 NEWS_SECONDS = 0.4  # until a report or a statement has reached the other daemons
 TRIES = 3
+CARRIERS = 3  # that are asked to carry a request for which a daemon has no room
 
 # Plans the largest part of an upstream's slots for one daemon.
 Limit = Callable[[str, int, FleetView], float]
@@ -37,7 +38,7 @@
 @LIMITS.register("parts")
 def plan_part(key: str, slots: int, fleet: FleetView) -> float:
     """Divide the slots among the daemons."""
-    return plan_slots(key, slots, fleet)
+    return plan_slots(list_holders(key, slots, fleet), slots, fleet)
 
 
 class BrittleSettings(NamedTuple):
@@ -64,6 +65,7 @@
 
     :ivar used: slots in use at the times of the reports, as a share of all
     :ivar served: requests answered, as a share of those sent by callers
+    :ivar carried: requests that one daemon carried for another
     """
 
     limit: str
@@ -72,6 +74,7 @@
     rejected: int
     used: float
     served: float
+    carried: int
 
 
 class EmulatedUpstream:
@@ -94,6 +97,8 @@
     :ivar flights: requests in flight by daemon and upstream
     :ivar reported: requests in flight by daemon and upstream, as daemons last heard
     :ivar totals: sums of these by upstream
+    :ivar holders: daemons that hold a part of an upstream's slots
+    :ivar carried: requests that a holder carried for another daemon
     :ivar informed_at: time in seconds from which a daemon knows that the upstreams are brittle
     """
 
@@ -109,6 +114,12 @@
                 fleet = FleetView(f"d{daemon}", names, 1.0)
                 room.part = plan(f"up-{number}", settings.slots, fleet)
                 room.ceiling = LOAD_FACTOR * settings.slots
+        self.holders = [
+            daemon
+            for daemon, rooms in enumerate(self.rooms)
+            if any(math.isfinite(room.part) and room.part for room in rooms)
+        ]
+        self.carried = 0
         self.flights = [[0] * settings.upstreams for _ in names]
         self.reported = [list(counts) for counts in self.flights]
         self.totals = [0] * settings.upstreams
@@ -138,6 +149,7 @@
             self.rejected,
             round(self.used / (slots * max(self.reports, 1)), 3),
             round(self.answered / max(self.asked, 1), 3),
+            self.carried,
         )
 
     def take_arrival(self, now: float, payload: object) -> None:
@@ -147,6 +159,16 @@
         self.schedule(now + self.rng.expovariate(rate), "arrival")
         self.asked += now >= STABILITY_SECONDS
         daemon = self.rng.randrange(settings.daemons)
+        if self.send_anywhere(now, daemon) or now < self.informed_at:
+            return
+        carriers = [holder for holder in self.holders if holder != daemon]
+        for carrier in self.rng.sample(carriers, min(CARRIERS, len(carriers))):
+            if self.send_anywhere(now, carrier):
+                self.carried += 1
+                return
+
+    def send_anywhere(self, now: float, daemon: int) -> bool:
+        """Let a daemon send a request to upstreams at which it has room, until one takes it."""
         tried: set[int] = set()
         for _ in range(TRIES):
             allowed = [
@@ -155,11 +177,12 @@
                 if upstream.number not in tried and self.allows(now, daemon, upstream)
             ]
             if not allowed:
-                return
+                return False
             chosen = min(allowed, key=lambda item: self.rank(daemon, item))
             tried.add(chosen.number)
             if self.send(now, daemon, chosen):
-                return
+                return True
+        return False
 
     def rank(self, daemon: int, upstream: EmulatedUpstream) -> tuple[int, float]:
         """Rank an upstream by its requests as far as a daemon knows, the lowest first."""
--- a/tanagertrail/gateway/brittle_upstreams.py
+++ b/tanagertrail/gateway/brittle_upstreams.py
@@ -11,8 +11,9 @@
 from tanagertrail.gateway.statement_table import OWN_ANSWER, StatementTable
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import UpstreamFields
-from tanagertrail.policy.brittle import BrittleRoom, plan_slots, widen_room
+from tanagertrail.policy.brittle import BrittleRoom, list_holders, plan_slots, widen_room
 from tanagertrail.policy.limit_statements import LimitStatement
+from tanagertrail.policy.shared_rate import FleetView
 
 LOAD_FACTOR = 2.0  # requests per slot that all daemons send to an upstream that is not brittle
 SERVICE_TIME_WEIGHT = 0.1  # of the newest request in the moving average
@@ -27,6 +28,7 @@
 
     :ivar in_force: ids of the upstreams whose newest statement says that they are brittle
     :ivar rooms: this daemon's room by upstream id and start
+    :ivar holders: daemons that hold a part, by key of the upstream, for ``holders_fleet``
     :ivar service_seconds: moving average of the time of a request, by service
     :ivar rejected_count: requests that brittle upstreams rejected
     """
@@ -43,6 +45,8 @@
         self.shared_rates = shared_rates
         self.in_force: set[str] = set()
         self.rooms: dict[tuple[str, float], BrittleRoom] = {}
+        self.holders: dict[str, list[str]] = {}
+        self.holders_fleet: FleetView | None = None
         self.service_seconds: dict[str, float] = {}
         self.rejected_count = 0
 
@@ -130,8 +134,7 @@
         self.shared_rates.refresh_fleet()
         held = self.shared_rates.held_rates
         room = self.rooms.setdefault((entry.record.id, entry.record.born), BrittleRoom())
-        key = f"brittle {entry.record.id} {entry.record.born}"
-        part = plan_slots(key, entry.record.slots, held.fleet)
+        part = plan_slots(self.find_holders(entry), entry.record.slots, held.fleet)
         is_alone = len(held.fleet.serving) == 1 and held.fleet.live_share == 1.0
         room.apply_part(part, is_alone or self.now() >= held.settled_at)
         return room
@@ -162,16 +165,37 @@
         elif served_for is not None:
             room.note_answered()
 
+    def find_holders(self, entry: UpstreamEntry) -> list[str]:
+        """Find the daemons that hold a part of an upstream's slots in the present fleet."""
+        fleet = self.shared_rates.held_rates.fleet
+        if fleet is not self.holders_fleet:
+            self.holders_fleet = fleet
+            self.holders.clear()
+        key = f"brittle {entry.record.id} {entry.record.born}"
+        holders = self.holders.get(key)
+        if holders is None:
+            holders = self.holders[key] = list_holders(key, entry.record.slots, fleet)
+        return holders
+
+    def list_other_holders(self, entries: list[UpstreamEntry]) -> set[str]:
+        """List the other daemons that hold a part of the slots of brittle upstreams."""
+        self.shared_rates.refresh_fleet()
+        brittle = filter(self.is_brittle, entries)
+        holders = {name for entry in brittle for name in self.find_holders(entry)}
+        return holders - {self.shared_rates.held_rates.fleet.own}
+
     def estimate_rate(self, entries: list[UpstreamEntry]) -> float | None:
-        """Estimate the requests per second that brittle upstreams take from this daemon.
+        """Estimate the requests per second that brittle upstreams take from one daemon's callers.
 
         It is None unless all are brittle.
         """
         if not entries or not all(map(self.is_brittle, entries)):
             return None
-        parts = sum(self.refresh_room(entry).part for entry in entries)
+        self.shared_rates.refresh_fleet()
+        fleet = self.shared_rates.held_rates.fleet
+        slots = sum(entry.record.slots for entry in entries) * fleet.live_share
         seconds = self.service_seconds.get(entries[0].record.service, FIRST_SERVICE_SECONDS)
-        return parts / max(seconds, 0.001)
+        return slots / max(len(fleet.serving), 1) / max(seconds, 0.001)
 
     def forget_rooms(self) -> None:
         """Drop the rooms at upstreams that are gone or have not been brittle for long."""
--- a/tanagertrail/gateway/carry_client.py
+++ b/tanagertrail/gateway/carry_client.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import TypeVar
 
 from tanagertrail.errors import InvalidInputError, UpstreamProtocolError
@@ -78,11 +78,14 @@
         """Return the event-loop time in seconds."""
         return asyncio.get_running_loop().time()
 
-    async def send_attempt(self, exchange: Exchange) -> UpstreamAttempt | Refusal:
+    async def send_attempt(
+        self, exchange: Exchange, among: Collection[str] | None = None
+    ) -> UpstreamAttempt | Refusal:
         """Have one carrier make an attempt and relay the response if it is a success.
 
         A carrier that has not sent the request on is followed by another one.
 
+        :param among: the only daemons to ask, None for all
         :raises CallerGoneError: if the caller has closed its connection
         """
         refusal = Refusal(
@@ -90,7 +93,7 @@
         )
         asked: list[str] = []
         while len(asked) < MAX_CARRIERS and exchange.time_left > HOP_MARGIN_SECONDS:
-            carrier = self.choose_carrier(exchange, asked)
+            carrier = self.choose_carrier(exchange, asked, among)
             if carrier is None:
                 break
             asked.append(carrier.daemon)
@@ -112,15 +115,21 @@
         elif result.outcome is CarryOutcome.NOT_CARRIED:
             self.chooser.note_refused(carrier.daemon, self.now())
 
-    def choose_carrier(self, exchange: Exchange, asked: list[str]) -> Member | None:
+    def choose_carrier(
+        self, exchange: Exchange, asked: list[str], among: Collection[str] | None = None
+    ) -> Member | None:
         """Choose the daemon that carries a request, None if there is none.
 
         :param asked: daemons that have refused it
+        :param among: the only daemons to choose from, None for all
         """
         now = self.now()
         self.refresh_carriers(now)
         broken = {attempt.carrier for attempt in exchange.attempts if not attempt.proves_not_run}
-        return self.carriers.get(self.chooser.choose(self.candidates, asked, broken, now) or "")
+        candidates = self.candidates
+        if among is not None:
+            candidates = [item for item in candidates if item.daemon in among]
+        return self.carriers.get(self.chooser.choose(candidates, asked, broken, now) or "")
 
     def has_carrier(self, exchange: Exchange) -> bool:
         """Return whether a daemon may be asked to carry a request now."""
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Collection
 
 from tanagertrail.gateway.admission import Admission, Refusal
 from tanagertrail.gateway.carry_client import CarryClient
@@ -122,9 +123,10 @@
         self.finish_failed(exchange)
 
     async def make_attempt(self, exchange: Exchange) -> UpstreamAttempt | None:
-        """Send a request to an upstream, through another daemon if this one is cut off from all.
+        """Send a request to an upstream, itself or through another daemon.
 
-        It is None if no upstream may get the request.
+        Another one carries it if this one is cut off from all upstreams or has used up its part of
+        what they take. It is None if no upstream may get the request.
         """
         if not self.links.uses_own_links():
             attempt = await self.have_carried(exchange)
@@ -138,11 +140,20 @@
             return attempt
         if self.selector.has_unreachable(exchange.service) and await self.links.settle():
             return await self.have_carried(exchange)
-        return None
+        holders = self.selector.list_holders(exchange.service)
+        if holders:
+            attempt = await self.have_carried(exchange, holders)
+            exchange.refusal = None  # this daemon knows as well when callers may return
+        return attempt
+
+    async def have_carried(
+        self, exchange: Exchange, carriers: Collection[str] | None = None
+    ) -> UpstreamAttempt | None:
+        """Have another daemon make an attempt; None if none did.
 
-    async def have_carried(self, exchange: Exchange) -> UpstreamAttempt | None:
-        """Have another daemon make an attempt; None if none did."""
-        ended = await self.carry_client.send_attempt(exchange)
+        :param carriers: the only daemons to ask, None for all that can carry requests
+        """
+        ended = await self.carry_client.send_attempt(exchange, carriers)
         if isinstance(ended, Refusal):
             exchange.refusal = ended
             return None
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -148,14 +148,19 @@
         return use is not VersionUse.FORBIDDEN
 
     def has_shared_limit(self, service: str) -> bool:
-        """Return whether the daemons divide a rate of requests to an upstream in use."""
+        """Return whether the daemons divide a rate of requests or the slots of one in use."""
         now = self.now()
         return any(
-            self.is_in_use(entry, now)
-            and (now < entry.cold_until or self.rate_limits.get_rate(entry) is not None)
-            for entry in self.cluster_view.upstreams.iter_service(service)
+            now < entry.cold_until
+            or self.rate_limits.get_rate(entry) is not None
+            or self.brittle.is_brittle(entry)
+            for entry in self.list_in_use(service)
         )
 
+    def list_holders(self, service: str) -> set[str]:
+        """List the other daemons that may have room where this one has used up its part."""
+        return self.brittle.list_other_holders(self.list_in_use(service))
+
     def has_unreachable(self, service: str) -> bool:
         """Return whether an upstream gets no requests because its connections failed."""
         now = self.now()
--- a/tanagertrail/policy/brittle.py
+++ b/tanagertrail/policy/brittle.py
@@ -1,32 +1,45 @@
 """Room at a brittle upstream, which falls over if it has to reject too many requests."""
 
-__all__ = ["BrittleRoom", "plan_slots", "widen_room"]
+__all__ = ["BrittleRoom", "list_holders", "plan_slots", "widen_room"]
 
 import math
+from collections.abc import Sequence
 
 from tanagertrail.policy.hashing import rank_by_hash
+from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.shared_rate import FleetView
 
 FIRST_PAUSE_SECONDS = 1.0  # the time in which rejections are counted against an upstream
 MAX_PAUSE_SECONDS = 8.0
+HELD_SLOTS = 4  # of an upstream, by each of its holders in a large fleet
 RECOVERY_SECONDS = 4.0  # in which the room grows to the usual after the upstream was brittle
 
 
-def plan_slots(key: str, slots: int, fleet: FleetView) -> int:
-    """Divide an upstream's slots evenly and return this daemon's part.
+def list_holders(key: str, slots: int, fleet: FleetView) -> list[str]:
+    """List the daemons among which an upstream's slots are divided, by rendezvous hashing.
 
-    Those that are left over go to the first daemons by rendezvous hashing. Daemons that are out of
-    touch may divide the same slots among themselves, so that parts shrink with their share.
+    In a large fleet few hold a part of several slots, since a part of one slot is idle for as long
+    as its daemon has no request. The others have their requests carried by holders.
 
     :param key: identity of the upstream's incarnation
     """
-    if fleet.own not in fleet.serving:
+    ranked = rank_by_hash(key, fleet.serving)
+    if len(ranked) <= MAX_FULL_MESH_DAEMONS:
+        return ranked
+    return ranked[: max(math.ceil(slots / HELD_SLOTS), 1)]
+
+
+def plan_slots(holders: Sequence[str], slots: int, fleet: FleetView) -> int:
+    """Divide an upstream's slots evenly among its holders and return this daemon's part.
+
+    Those that are left over go to the first holders. Daemons that are out of touch may divide the
+    same slots among themselves, so that parts shrink with their share.
+    """
+    if fleet.own not in holders:
         return 0
     usable = max(math.floor(slots * fleet.live_share), 1)
-    part, left = divmod(usable, len(fleet.serving))
-    if not left:
-        return part
-    return part + (fleet.own in rank_by_hash(key, fleet.serving)[:left])
+    part, left = divmod(usable, len(holders))
+    return part + (holders.index(fleet.own) < left)
 
 
 class BrittleRoom:
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -10,7 +10,7 @@
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import decode_upstream_fields
-from tanagertrail.policy.brittle import BrittleRoom, plan_slots, widen_room
+from tanagertrail.policy.brittle import BrittleRoom, list_holders, plan_slots, widen_room
 from tanagertrail.policy.limit_statements import LimitStatement
 from tanagertrail.policy.shared_rate import FleetView
 from tanagertrail.standins.brittle import BrittleUpstream
@@ -148,10 +148,27 @@
         assert statuses[200] - served_before >= 200, statuses
 
 
+@run_in_real_time
+async def test_room_of_one_daemon_is_not_left_unused_while_another_refuses_callers():
+    async with open_fleet(
+        "entry-2", "entry-3", upstreams=2, upstream_type=BrittleUpstream
+    ) as fleet:
+        for upstream in fleet.upstreams:
+            upstream.become_brittle(3, stability=0.0)
+        assert (await fleet.fetch("/book/x")).status == 200
+        await fleet.wait_until(lambda: all(node.brittle.in_force for node in fleet.nodes))
+        let_daemons_know_each_other(fleet)
+        replies = await asyncio.gather(*(fleet.fetch("/book/x") for _ in range(16)))
+        # Two upstreams run eight requests each at once; a third of these is the daemon's own part.
+        assert Counter(reply.status for reply in replies) == {200: 16}
+        assert sum(len(upstream.rejected_at) for upstream in fleet.upstreams) == 0
+
+
 def plan_parts(daemons, slots, live_share=1.0):
     """Plan the parts of all daemons."""
     names = frozenset(f"d{number}" for number in range(daemons))
-    return [plan_slots("up-a 1.0", slots, FleetView(name, names, live_share)) for name in names]
+    fleets = [FleetView(name, names, live_share) for name in names]
+    return [plan_slots(list_holders("up-a 1.0", slots, fleet), slots, fleet) for fleet in fleets]
 
 
 def test_parts_of_all_daemons_together_are_the_slots_of_an_upstream():
@@ -161,8 +178,16 @@
             assert sum(plan_parts(daemons, slots, 0.5)) == max(slots // 2, 1)
 
 
+def test_slots_of_an_upstream_are_not_spread_one_by_one_over_a_large_fleet():
+    for daemons, slots, most in ((10, 16, 4), (75, 16, 4), (380, 48, 12), (380, 1, 1)):
+        parts = [part for part in plan_parts(daemons, slots) if part]
+        assert len(parts) == most
+        assert max(parts) - min(parts) <= 1
+
+
 def test_daemon_that_serves_nobody_has_no_room_at_a_brittle_upstream():
-    assert plan_slots("up-a 1.0", 8, FleetView("d9", frozenset({"d1"}), 1.0)) == 0
+    fleet = FleetView("d9", frozenset({"d1"}), 1.0)
+    assert plan_slots(list_holders("up-a 1.0", 8, fleet), 8, fleet) == 0
 
 
 def test_room_does_not_grow_before_the_other_daemons_know_the_fleet():
