Let holders of named rates carry requests for daemons without a part

Cause: a part serves only the callers of its own daemon. Change: as with the slots of brittle upstreams, up to three holders are asked to carry the request. The ranking of daemons is kept for a fleet in one place, for slots and for rates.

--- a/tanagertrail/bench/rates.py
+++ b/tanagertrail/bench/rates.py
@@ -9,11 +9,13 @@
 from typing import NamedTuple
 
 from tanagertrail.policy.cold_rate import ColdRateLimiter
-from tanagertrail.policy.shared_rate import FleetView, HeldRates, RateBound
+from tanagertrail.policy.hashing import rank_by_hash
+from tanagertrail.policy.shared_rate import FleetView, HeldRates, RateBound, count_rate_holders
 from tanagertrail.registry import Registry
 
 MEASURED_SECONDS = 30.0
 UPSTREAM = "up"
+CARRIERS = 3  # that a daemon asks for a request for which it has no part left
 
 # Asks a daemon by number whether it may send a request at a time, and counts it if so.
 Spend = Callable[[int, float], bool]
@@ -84,6 +86,21 @@
     return spend
 
 
+@DIVISIONS.register("carrying holders")
+def divide_among_carriers(daemons: int, rate: float, bound: RateBound, rng: random.Random) -> Spend:
+    """Give a few daemons a token bucket each, and have them carry requests of the others."""
+    spend_own = divide_among_holders(daemons, rate, bound, rng)
+    names = {f"d{number}": number for number in range(daemons)}
+    ranked = rank_by_hash(UPSTREAM, names)[: count_rate_holders(rate, bound)]
+    holders = [names[name] for name in ranked]
+
+    def spend(daemon: int, now: float) -> bool:
+        carriers = rng.sample(holders, min(CARRIERS, len(holders)))
+        return any(spend_own(number, now) for number in (daemon, *carriers))
+
+    return spend
+
+
 def run_rates(
     division: str, daemons: int, rate: float, load: float, bound: RateBound, idle: float = 0.0
 ) -> RatesResult:
--- a/tanagertrail/emulator/brittle.py
+++ b/tanagertrail/emulator/brittle.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from tanagertrail.policy.brittle import BrittleRoom, list_holders, plan_slots
+from tanagertrail.policy.brittle import BrittleRoom, count_holders, plan_slots
+from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.policy.shared_rate import FleetView
 from tanagertrail.registry import Registry
 
@@ -37,8 +38,9 @@
 
 @LIMITS.register("parts")
 def plan_part(key: str, slots: int, fleet: FleetView) -> float:
-    """Divide the slots among the daemons."""
-    return plan_slots(list_holders(key, slots, fleet), slots, fleet)
+    """Divide the slots among their holders."""
+    count = count_holders(slots, len(fleet.serving))
+    return plan_slots(rank_by_hash(key, fleet.serving)[:count], slots, fleet)
 
 
 class BrittleSettings(NamedTuple):
--- a/tanagertrail/gateway/brittle_upstreams.py
+++ b/tanagertrail/gateway/brittle_upstreams.py
@@ -11,9 +11,8 @@
 from tanagertrail.gateway.statement_table import OWN_ANSWER, StatementTable
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import UpstreamFields
-from tanagertrail.policy.brittle import BrittleRoom, list_holders, plan_slots, widen_room
+from tanagertrail.policy.brittle import BrittleRoom, count_holders, plan_slots, widen_room
 from tanagertrail.policy.limit_statements import LimitStatement
-from tanagertrail.policy.shared_rate import FleetView
 
 LOAD_FACTOR = 2.0  # requests per slot that all daemons send to an upstream that is not brittle
 SERVICE_TIME_WEIGHT = 0.1  # of the newest request in the moving average
@@ -28,7 +27,6 @@
 
     :ivar in_force: ids of the upstreams whose newest statement says that they are brittle
     :ivar rooms: this daemon's room by upstream id and start
-    :ivar holders: daemons that hold a part, by key of the upstream, for ``holders_fleet``
     :ivar service_seconds: moving average of the time of a request, by service
     :ivar rejected_count: requests that brittle upstreams rejected
     """
@@ -45,8 +43,6 @@
         self.shared_rates = shared_rates
         self.in_force: set[str] = set()
         self.rooms: dict[tuple[str, float], BrittleRoom] = {}
-        self.holders: dict[str, list[str]] = {}
-        self.holders_fleet: FleetView | None = None
         self.service_seconds: dict[str, float] = {}
         self.rejected_count = 0
 
@@ -166,23 +162,12 @@
             room.note_answered()
 
     def find_holders(self, entry: UpstreamEntry) -> list[str]:
-        """Find the daemons that hold a part of an upstream's slots in the present fleet."""
-        fleet = self.shared_rates.held_rates.fleet
-        if fleet is not self.holders_fleet:
-            self.holders_fleet = fleet
-            self.holders.clear()
+        """Find the daemons that hold a part of an upstream's slots, none unless it is brittle."""
+        if not self.is_brittle(entry):
+            return []
+        count = count_holders(entry.record.slots, self.shared_rates.daemon_count)
         key = f"brittle {entry.record.id} {entry.record.born}"
-        holders = self.holders.get(key)
-        if holders is None:
-            holders = self.holders[key] = list_holders(key, entry.record.slots, fleet)
-        return holders
-
-    def list_other_holders(self, entries: list[UpstreamEntry]) -> set[str]:
-        """List the other daemons that hold a part of the slots of brittle upstreams."""
-        self.shared_rates.refresh_fleet()
-        brittle = filter(self.is_brittle, entries)
-        holders = {name for entry in brittle for name in self.find_holders(entry)}
-        return holders - {self.shared_rates.held_rates.fleet.own}
+        return self.shared_rates.find_holders(key, count)
 
     def estimate_rate(self, entries: list[UpstreamEntry]) -> float | None:
         """Estimate the requests per second that brittle upstreams take from one daemon's callers.
--- a/tanagertrail/gateway/rate_limits.py
+++ b/tanagertrail/gateway/rate_limits.py
@@ -9,7 +9,11 @@
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import UpstreamFields
 from tanagertrail.policy.limit_statements import LimitStatement
-from tanagertrail.policy.shared_rate import NAMED_RATE_BOUND, SharedRateLimiter
+from tanagertrail.policy.shared_rate import (
+    NAMED_RATE_BOUND,
+    SharedRateLimiter,
+    count_rate_holders,
+)
 
 
 class RateLimitTable(StatementTable):
@@ -33,6 +37,16 @@
         if self.get_rate(entry) is not None:
             self.shared_rates.note_sent(build_key(entry.record.id, entry.record.born))
 
+    def find_holders(self, entry: UpstreamEntry) -> list[str]:
+        """Find the daemons that hold a part of an upstream's rate, none unless it names one."""
+        rate = self.get_rate(entry)
+        if rate is None:
+            return []
+        return self.shared_rates.find_holders(
+            build_key(entry.record.id, entry.record.born),
+            count_rate_holders(rate, NAMED_RATE_BOUND),
+        )
+
     def get_own_rate(self, entry: UpstreamEntry) -> float:
         """Return this daemon's part of an upstream's rate in requests per second."""
         limiter = self.get_limiter(entry)
--- a/tanagertrail/gateway/shared_rates.py
+++ b/tanagertrail/gateway/shared_rates.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection
 
 from tanagertrail.gateway.members import MemberTable
+from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.shared_rate import FleetView, HeldRates, RateBound
 
@@ -13,6 +14,7 @@
 # Time in which all daemons learn that one has started, stopped or been lost.
 DIRECT_HANDOVER_SECONDS = 2.0
 RELAYED_HANDOVER_SECONDS = 3.5  # if states are relayed by two hubs
+MAX_RANKED_KEYS = 512
 
 
 class SharedRates:
@@ -22,6 +24,7 @@
 
     :ivar is_serving: returns whether this daemon accepts callers' requests and reaches upstreams
     :ivar held_rates: this daemon's parts
+    :ivar ranked: serving daemons of ``ranked_fleet`` in order of preference, by key
     """
 
     def __init__(self, members: MemberTable, is_serving: Callable[[], bool]) -> None:
@@ -29,6 +32,8 @@
         self.is_serving = is_serving
         self.held_rates = HeldRates(members.own.daemon)
         self.refreshed_at = float("-inf")
+        self.ranked: dict[str, list[str]] = {}
+        self.ranked_fleet: FleetView | None = None
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -57,6 +62,21 @@
             now,
         )
 
+    def find_holders(self, key: str, count: int) -> list[str]:
+        """Find the daemons of the present fleet that hold a part of what is divided.
+
+        :param key: what is divided
+        :param count: number of holders
+        """
+        self.refresh_fleet()
+        fleet = self.held_rates.fleet
+        if fleet is not self.ranked_fleet or len(self.ranked) >= MAX_RANKED_KEYS:
+            self.ranked_fleet = fleet
+            self.ranked.clear()
+        if key not in self.ranked:
+            self.ranked[key] = rank_by_hash(key, fleet.serving)
+        return self.ranked[key][:count]
+
     def allows_request(self, key: str, rate: float, bound: RateBound) -> bool:
         """Return whether this daemon may send a request now.
 
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -159,7 +159,10 @@
 
     def list_holders(self, service: str) -> set[str]:
         """List the other daemons that may have room where this one has used up its part."""
-        return self.brittle.list_other_holders(self.list_in_use(service))
+        holders: set[str] = set()
+        for entry in self.list_in_use(service):
+            holders.update(self.brittle.find_holders(entry), self.rate_limits.find_holders(entry))
+        return holders - {self.members.own.daemon}
 
     def has_unreachable(self, service: str) -> bool:
         """Return whether an upstream gets no requests because its connections failed."""
--- a/tanagertrail/policy/brittle.py
+++ b/tanagertrail/policy/brittle.py
@@ -1,11 +1,10 @@
 """Room at a brittle upstream, which falls over if it has to reject too many requests."""
 
-__all__ = ["BrittleRoom", "list_holders", "plan_slots", "widen_room"]
+__all__ = ["BrittleRoom", "count_holders", "plan_slots", "widen_room"]
 
 import math
 from collections.abc import Sequence
 
-from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.shared_rate import FleetView
 
@@ -15,18 +14,15 @@
 RECOVERY_SECONDS = 4.0  # in which the room grows to the usual after the upstream was brittle
 
 
-def list_holders(key: str, slots: int, fleet: FleetView) -> list[str]:
-    """List the daemons among which an upstream's slots are divided, by rendezvous hashing.
+def count_holders(slots: int, daemons: int) -> int:
+    """Count the daemons among which an upstream's slots are divided.
 
     In a large fleet few hold a part of several slots, since a part of one slot is idle for as long
     as its daemon has no request. The others have their requests carried by holders.
-
-    :param key: identity of the upstream's incarnation
     """
-    ranked = rank_by_hash(key, fleet.serving)
-    if len(ranked) <= MAX_FULL_MESH_DAEMONS:
-        return ranked
-    return ranked[: max(math.ceil(slots / HELD_SLOTS), 1)]
+    if daemons <= MAX_FULL_MESH_DAEMONS:
+        return daemons
+    return max(math.ceil(slots / HELD_SLOTS), 1)
 
 
 def plan_slots(holders: Sequence[str], slots: int, fleet: FleetView) -> int:
--- a/tanagertrail/policy/shared_rate.py
+++ b/tanagertrail/policy/shared_rate.py
@@ -7,6 +7,7 @@
     "RateBound",
     "RateShare",
     "SharedRateLimiter",
+    "count_rate_holders",
     "plan_share",
 ]
 
@@ -74,11 +75,20 @@
     first_tokens: float
 
 
+def count_rate_holders(rate: float, bound: RateBound) -> int:
+    """Count the daemons among which a rate is divided, if there are as many.
+
+    Each can send one request at once, and together these must fit in the bound.
+
+    :param rate: requests per second from all daemons together
+    """
+    return int(bound.compute_burst(max(rate, MIN_RATE)))
+
+
 def plan_share(key: str, rate: float, bound: RateBound, fleet: FleetView) -> RateShare | None:
     """Return this daemon's part of a rate, None if it holds none.
 
-    Only a few daemons hold a part, because each holder can send one request at once and together
-    these must fit in the bound. Holders are chosen by rendezvous hashing, so that daemons agree
+    Only a few daemons hold a part. Holders are chosen by rendezvous hashing, so that daemons agree
     without messages and a change of the fleet moves few parts. A part shrinks with the share of
     daemons that are out of touch, since these may divide the same rate among themselves.
 
@@ -87,7 +97,7 @@
     """
     rate = max(rate, MIN_RATE)
     burst = bound.compute_burst(rate)
-    holders = rank_by_hash(key, fleet.serving)[: int(burst)]
+    holders = rank_by_hash(key, fleet.serving)[: count_rate_holders(rate, bound)]
     if fleet.own not in holders:
         return None
     rank = holders.index(fleet.own)
--- a/tests/gateway_utils.py
+++ b/tests/gateway_utils.py
@@ -269,6 +269,14 @@
         await fleet.close()
 
 
+def let_daemons_know_each_other(fleet: Fleet) -> None:
+    """Let each daemon know that all others know the fleet."""
+    for node in fleet.nodes:
+        node.shared_rates.refreshed_at = float("-inf")
+        node.shared_rates.refresh_fleet()
+        node.shared_rates.held_rates.settled_at = 0.0
+
+
 Cut = Callable[[str, float], Awaitable[UpstreamStream]]
 CUTS: Registry[Cut] = Registry("cut")
 
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -10,11 +10,17 @@
 from tanagertrail.gateway.model import Upstream
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import decode_upstream_fields
-from tanagertrail.policy.brittle import BrittleRoom, list_holders, plan_slots, widen_room
+from tanagertrail.policy.brittle import BrittleRoom, count_holders, plan_slots, widen_room
+from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.policy.limit_statements import LimitStatement
 from tanagertrail.policy.shared_rate import FleetView
 from tanagertrail.standins.brittle import BrittleUpstream
-from tests.gateway_utils import open_fleet, open_world, run_in_real_time
+from tests.gateway_utils import (
+    let_daemons_know_each_other,
+    open_fleet,
+    open_world,
+    run_in_real_time,
+)
 from tests.utils import with_virtual_time
 
 FIELDS = (b"server-brittle", b"tanagertrail-server-brittle")
@@ -117,14 +123,6 @@
             await asyncio.sleep(float(reply.headers.get(b"retry-after", b"0.1")))
 
 
-def let_daemons_know_each_other(fleet):
-    """Let each daemon know that all others know the fleet."""
-    for node in fleet.nodes:
-        node.shared_rates.refreshed_at = float("-inf")
-        node.shared_rates.refresh_fleet()
-        node.shared_rates.held_rates.settled_at = 0.0
-
-
 @run_in_real_time
 async def test_callers_that_press_do_not_make_brittle_upstreams_fall():
     async with open_fleet(
@@ -167,8 +165,8 @@
 def plan_parts(daemons, slots, live_share=1.0):
     """Plan the parts of all daemons."""
     names = frozenset(f"d{number}" for number in range(daemons))
-    fleets = [FleetView(name, names, live_share) for name in names]
-    return [plan_slots(list_holders("up-a 1.0", slots, fleet), slots, fleet) for fleet in fleets]
+    holders = rank_by_hash("up-a 1.0", names)[: count_holders(slots, daemons)]
+    return [plan_slots(holders, slots, FleetView(name, names, live_share)) for name in names]
 
 
 def test_parts_of_all_daemons_together_are_the_slots_of_an_upstream():
@@ -186,8 +184,7 @@
 
 
 def test_daemon_that_serves_nobody_has_no_room_at_a_brittle_upstream():
-    fleet = FleetView("d9", frozenset({"d1"}), 1.0)
-    assert plan_slots(list_holders("up-a 1.0", 8, fleet), 8, fleet) == 0
+    assert plan_slots(["d1"], 8, FleetView("d9", frozenset({"d1"}), 1.0)) == 0
 
 
 def test_room_does_not_grow_before_the_other_daemons_know_the_fleet():
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -10,7 +10,7 @@
 
 from tanagertrail.gateway.members import MEMBERS_KIND
 from tanagertrail.gateway.peers import PeerClient
-from tests.gateway_utils import open_fleet, run_in_real_time
+from tests.gateway_utils import let_daemons_know_each_other, open_fleet, run_in_real_time
 
 REQUESTS_PER_SECOND = 60
 NAMED_AT_SECONDS = 1.0
@@ -127,6 +127,27 @@
     assert max(item.seconds for item in refused) < DEADLINE_SECONDS / 2
 
 
+@run_in_real_time
+async def test_part_of_a_named_rate_is_left_unused_by_a_daemon_without_callers():
+    rate, seconds = 6.0, 3.0
+    async with open_fleet("entry-2", "entry-3", upstreams=1) as fleet:
+        let_daemons_know_each_other(fleet)
+        fleet.upstreams[0].named_rate = str(rate)
+        await fleet.fetch("/look/x")
+        await fleet.wait_until(lambda: all(node.rate_limits.statements for node in fleet.nodes))
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        calls = []
+        while loop.time() < until:
+            calls.append(asyncio.create_task(call(fleet, 0)))
+            await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+        outcomes = await asyncio.gather(*calls)
+        served = sum(item.status == 200 for item in outcomes)
+        assert served >= USED_SHARE * rate * seconds
+        arrivals = fleet.upstreams[0].arrival_times
+        assert count_fullest_window(arrivals) <= compute_bound(rate)
+
+
 @run_in_real_time
 async def test_daemon_that_joins_is_ready_before_it_knows_the_limits_in_force():
     async with open_fleet("entry-2", upstreams=1) as fleet:
