Answer pages through a planned stop, and announce its close on them

Callers of the ready, directory and metrics pages saw no announcement of the close while a daemon stopped, and a page that was being rendered as it ended was cut off.

Cause: only the servers of requests were part of the stop; the page servers were just closed after it.

Change: the page servers announce the close from SIGTERM on and finish together with the others. Nothing waits for them before, so that a slow page can't hold up the stop.

Evidence: test_pages_of_a_stopping_daemon_name_it_no_more_and_announce_the_close and test_page_that_is_being_rendered_as_the_daemon_ends_is_answered failed before (no connection field; connection closed without an answer).

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -379,9 +379,9 @@
         self.stopping = True
         self.log.write("leaving", in_flight=self.dispatcher.in_flight)
         self.peer_client.exchange_with_all()
-        servers = (self.http_server, self.carry_server)
+        servers, pages = (self.http_server, self.carry_server), self.page_servers.http_servers
         gate = self.dispatcher.stop_gate
-        stop = PlannedStop(servers, self.leadership, self.supervisor, self.log, gate)
+        stop = PlannedStop(servers, self.leadership, self.supervisor, self.log, gate, pages)
         await stop.run(self.settings.bounds.grace)
         self.close()
 
--- a/tanagertrail/gateway/page_server.py
+++ b/tanagertrail/gateway/page_server.py
@@ -63,6 +63,11 @@
         """
         await self.serve(address, MetricsPage(lambda: render_text(metrics)))
 
+    @property
+    def http_servers(self) -> list[HttpServer]:
+        """The servers of the connections."""
+        return [server.http_server for server in self.servers]
+
     def close(self) -> None:
         """Close all connections."""
         for server in self.servers:
--- a/tanagertrail/gateway/planned_stop.py
+++ b/tanagertrail/gateway/planned_stop.py
@@ -22,6 +22,7 @@
     """Serve what still arrives, release the lease, and close all connections.
 
     :ivar servers: servers whose requests are to be answered
+    :ivar pages: servers whose requests are answered too, but not waited for before the end
     :ivar gate: told of the times of the stop, by which it judges requests
     """
 
@@ -32,12 +33,14 @@
         supervisor: Supervisor,
         log: EventLog,
         gate: StopGate,
+        pages: Sequence[HttpServer] = (),
     ) -> None:
         self.servers = servers
         self.leadership = leadership
         self.supervisor = supervisor
         self.log = log
         self.gate = gate
+        self.pages = pages
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -51,7 +54,7 @@
 
         :param grace: seconds until the process is ended from outside
         """
-        for server in self.servers:
+        for server in (*self.servers, *self.pages):
             server.stopping = True
         started = self.now()
         schedule = StopSchedule(started, grace)
@@ -62,7 +65,9 @@
         await self.release_lease(max(last_call, self.now() + MIN_RELEASE_SECONDS))
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, last_call)
-        cut = sum(await asyncio.gather(*(server.finish(latest) for server in self.servers)))
+        servers = (*self.servers, *self.pages)
+        cuts = await asyncio.gather(*(server.finish(latest) for server in servers))
+        cut = sum(cuts[: len(self.servers)])
         self.gate.report(cut)
         return cut
 
