Judge late arrivals at a stopping daemon by the longest recent request

Callers of the rig's last daemon of three stopped in series still saw requests of 4 s, sent 4.8 s after SIGTERM, cut at 7.4 s (routes once, talk, book; one of 1.5 s, look).

Cause: the 0.99 quantile of the last 100 lengths of a route forgets long requests in a fraction of a second where many short ones share the route.

Change: the longest length of each 10 s window of the last minute is kept besides, and later than 2.8 s after SIGTERM a request is judged by 1.25 times the longest. Early ones are judged by the quantile, since all would be refused where lengths differ.

--- a/tanagertrail/gateway/stop_gate.py
+++ b/tanagertrail/gateway/stop_gate.py
@@ -106,7 +106,7 @@
         :param arrived_at: event-loop time in seconds
         :param time_left: seconds until it has to be answered
         """
-        estimate = self.durations.estimate(route.name, read_answer_size(fields))
+        estimate = self.durations.estimate(route.name, read_answer_size(fields), self.now())
         outlook = RequestOutlook(arrived_at, time_left, estimate)
         return decide(self.schedule, outlook, self.now())
 
@@ -117,7 +117,7 @@
         """
         if outcome in MEASURED_OUTCOMES:
             size = read_answer_size(exchange.fields)
-            self.durations.add(exchange.route.name, size, seconds)
+            self.durations.add(exchange.route.name, size, seconds, self.now())
         if self.schedule is not None:
             self.outcomes[outcome] += 1
 
--- a/tanagertrail/policy/stop_admission.py
+++ b/tanagertrail/policy/stop_admission.py
@@ -15,11 +15,10 @@
 
 STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
 CLOSING_SECONDS = 0.1  # between the expected end of an answer and the cut
-EARLY_SECONDS = 3.0  # after its start, in which callers do not know of the stop yet
+EARLY_SECONDS = 2.8  # of the 3 s in which callers learn of a stop, less the signal's delay
 MIN_SAMPLES = 20
 MIN_EARLY_SAMPLES = 3
-LENGTH_MARGIN = 1.5  # on a high quantile, since the load may grow
-EARLY_MARGIN = 1.0  # on a high quantile of many lengths
+LENGTH_MARGIN = 1.25  # on the longest length, since the load may grow
 RELAY_SECONDS = 0.05
 
 
@@ -49,6 +48,7 @@
 
     DEADLINE = "deadline"
     LENGTHS = "lengths"
+    LONGEST = "longest length"
     FEW_LENGTHS = "few lengths"
     UNKNOWN = "unknown"
 
@@ -99,6 +99,7 @@
     if estimate is None or estimate.samples < (MIN_EARLY_SAMPLES if is_early else MIN_SAMPLES):
         return Basis.UNKNOWN, float("inf")
     if estimate.samples < MIN_SAMPLES:
-        return Basis.FEW_LENGTHS, LENGTH_MARGIN * estimate.seconds + RELAY_SECONDS
-    margin = EARLY_MARGIN if is_early else LENGTH_MARGIN
-    return Basis.LENGTHS, margin * estimate.seconds + RELAY_SECONDS
+        return Basis.FEW_LENGTHS, LENGTH_MARGIN * estimate.longest + RELAY_SECONDS
+    if is_early:
+        return Basis.LENGTHS, estimate.seconds + RELAY_SECONDS
+    return Basis.LONGEST, LENGTH_MARGIN * estimate.longest + RELAY_SECONDS
