Let a drain of tanagertraild end the calls of jobs that may run only once

Owners of a durable job saw it fail with 504 ('the daemon that made the call was lost') when the daemon that ran its call was stopped as planned. The same class as requests cut in a gateway's stop: work was begun without a look at whether it could be finished.

Cause: a drain waited for requests, not for the calls of jobs; the stop cancelled them, and a call that must run at most once can't be made again. Jobs accepted during the drain were begun too.

Jobs whose answers are streamed are resumed elsewhere as before.

Evidence: test_call_of_a_job_is_not_cut_by_the_stop_of_its_daemon and test_call_of_a_job_that_comes_during_a_drain_is_made_by_another_daemon failed before (state failed, 504) and pass, with one execution each.

--- a/tanagertrail/core/jobs.py
+++ b/tanagertrail/core/jobs.py
@@ -31,6 +31,7 @@
 RETRY_INTERVAL_SECONDS = 1.0
 QUERY_TIMEOUT_SECONDS = 0.5
 LATE_MARGIN_SECONDS = 5.0  # a job with less time left than this is late
+LATE_CALL_SECONDS = 10 * LATE_MARGIN_SECONDS  # for a job whose deadline is over
 TRIM_THRESHOLD_SEGMENTS = 64
 
 
@@ -101,6 +102,7 @@
 
     :ivar jobs: the jobs in this daemon's journal, by id
     :ivar deadlines: event-loop times in seconds, by job id
+    :ivar leaving: whether the daemon drains, so that it begins no call that it may have to cut
     :ivar last_trimmed_segment: number of the last journal segment that was deleted
     """
 
@@ -128,6 +130,7 @@
         self.pending_queries: dict[int, asyncio.Future[JobAnswer]] = {}
         self.last_query_number = 0
         self.stopping = False
+        self.leaving = False
         self.last_trimmed_segment = 0
         context.register_handler(JobQuery, self.receive_query)
         context.register_handler(JobAnswer, self.receive_answer)
@@ -181,13 +184,35 @@
     async def run(self, job_id: str) -> None:
         """Repeat attempts until the job's end is stored or another daemon seals the journal."""
         try:
-            finished = await self.run_attempt(job_id)
-            while not finished and not self.journal.sealed:
+            while self.may_attempt(job_id) and not await self.run_attempt(job_id):
+                if self.journal.sealed:
+                    break
                 await asyncio.sleep(RETRY_INTERVAL_SECONDS)
-                finished = await self.run_attempt(job_id)
         finally:
             self.running_tasks.pop(job_id, None)
 
+    def is_call(self, job_id: str) -> bool:
+        """Return whether a job is a call, which must run at most once."""
+        return self.jobs[job_id].path != CHAT_COMPLETIONS_PATH
+
+    def may_attempt(self, job_id: str) -> bool:
+        """Return whether an attempt at a job may begin here.
+
+        A call that is cut can't be made again; while this daemon drains, it is left to the daemon
+        that takes the journal over.
+        """
+        return not (self.leaving and self.is_call(job_id))
+
+    async def finish_calls(self) -> None:
+        """Wait for the calls that are being made, at most until the last one's deadline."""
+        calls = {
+            job_id: task for job_id, task in self.running_tasks.items() if self.is_call(job_id)
+        }
+        if not calls:
+            return
+        longest = max(self.compute_seconds_left(job_id) for job_id in calls)
+        await asyncio.wait(calls.values(), timeout=max(longest, 0.0) + LATE_CALL_SECONDS)
+
     async def run_attempt(self, job_id: str) -> bool:
         """Make one attempt at a job; return whether no other is needed."""
         record = self.jobs[job_id]
@@ -234,7 +259,7 @@
             method="POST",
             path=record.path,
             body=record.body,
-            deadline=max(deadline, now + 10 * LATE_MARGIN_SECONDS) if late else deadline,
+            deadline=max(deadline, now + LATE_CALL_SECONDS) if late else deadline,
             customer=record.customer,
             priority=Priority.REPORT_LATE if late else Priority(record.priority),
             idempotency_key=record.idempotency_key or record.job_id,
--- a/tanagertrail/core/node.py
+++ b/tanagertrail/core/node.py
@@ -236,10 +236,11 @@
 
         :param address_ttl_seconds: seconds for which callers may keep an address
         """
-        self.leaving = True
+        self.leaving = self.jobs.leaving = True
         self.members.announce_leaving()
         await asyncio.sleep(address_ttl_seconds)
         await self.idle.wait()
+        await self.jobs.finish_calls()
 
     async def stop(self) -> None:
         """Stop the jobs, release slots, leases and the registration, and stop all tasks."""
