Count requests in progress when a stopping daemon judges late arrivals

While upstreams grow slower, the lengths of requests that have ended look short until the first slow one ends, and a stopping daemon went on accepting late ones.

Change: what requests of the same route, of the same or a larger size, have lasted so far counts as a length for late arrivals. stop_cut and stop_carried tell what was expected when the attempt was allowed, not at the cut.

Evidence: test_request_is_refused_late_while_others_of_its_route_last_longer_than_any_before failed before (200 instead of 503, a held request of the route in progress for 1 s).

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -105,6 +105,7 @@
         if fields.prompt is not None:
             self.prompt_tokens_sent[exchange.service] += fields.prompt.input_tokens
         self.suspects.note_started(fingerprint)
+        self.stop_gate.running.add(exchange)
         try:
             await self.try_upstreams(exchange)
         except CallerGoneError:
@@ -114,6 +115,7 @@
             self.log_outcome(exchange, self.stop_gate.name_cancelled(exchange, "caller gone"))
             raise
         finally:
+            self.stop_gate.running.discard(exchange)
             self.suspects.note_finished(fingerprint)
 
     async def try_upstreams(self, exchange: Exchange) -> None:
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -13,6 +13,7 @@
 from tanagertrail.gateway.upstream_stream import ResponseHead
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
+from tanagertrail.policy.stop_admission import StopDecision
 
 
 def compute_timeout(route: Route, fields: CallerFields) -> float:
@@ -86,6 +87,7 @@
     :ivar continues: whether this continues a stream whose events another upstream has begun
     :ivar carrier: daemon that was last asked to carry the request, empty if none was
     :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
+    :ivar stop_decision: why a planned stop allowed the last attempt, None before it
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         self.continues = False
         self.carrier = ""
         self.refusal: Refusal | None = None
+        self.stop_decision: StopDecision | None = None
         self.sent_at = now
 
     @property
--- a/tanagertrail/gateway/stop_gate.py
+++ b/tanagertrail/gateway/stop_gate.py
@@ -17,7 +17,7 @@
 )
 from tanagertrail.gateway.model import Route
 from tanagertrail.platform.header_fields import CallerFields
-from tanagertrail.policy.durations import DurationTable
+from tanagertrail.policy.durations import DurationTable, find_size_class
 from tanagertrail.policy.retry_after import plan_move
 from tanagertrail.policy.stop_admission import (
     RequestOutlook,
@@ -35,6 +35,7 @@
     """What a daemon that stops does with requests.
 
     :ivar durations: what requests have lasted, own ones and those of other daemons
+    :ivar running: own requests that are in progress
     :ivar schedule: the times of the stop, None before it
     :ivar outcomes: requests that have ended since the stop began, by outcome
     """
@@ -43,6 +44,7 @@
         self.log = log
         self.rng = rng
         self.durations = DurationTable()
+        self.running: set[Exchange] = set()
         self.schedule: StopSchedule | None = None
         self.outcomes: Counter[str] = Counter()
 
@@ -70,6 +72,7 @@
             return None
         decision = self.decide(exchange)
         if decision.accepted:
+            exchange.stop_decision = decision
             return None
         self.log.write(
             "stop_attempt_refused",
@@ -106,10 +109,31 @@
         :param arrived_at: event-loop time in seconds
         :param time_left: seconds until it has to be answered
         """
-        estimate = self.durations.estimate(route.name, read_answer_size(fields), self.now())
+        size = read_answer_size(fields)
+        estimate = self.durations.estimate(route.name, size, self.now())
+        if estimate is not None:
+            longest = max(estimate.longest, self.measure_running(route, size))
+            estimate = estimate._replace(longest=longest)
         outlook = RequestOutlook(arrived_at, time_left, estimate)
         return decide(self.schedule, outlook, self.now())
 
+    def measure_running(self, route: Route, size: float) -> float:
+        """Return the seconds that a request of a route has lasted at most so far.
+
+        While upstreams grow slower, these show it before the lengths of those that have ended.
+
+        :param size: stated size of the answer in tokens; smaller ones are left out
+        """
+        now = self.now()
+        smallest = find_size_class(size)
+        lengths = (
+            now - exchange.arrived_at
+            for exchange in self.running
+            if exchange.route.name == route.name
+            and find_size_class(read_answer_size(exchange.fields)) >= smallest
+        )
+        return max(lengths, default=0.0)
+
     def note_ended(self, exchange: Exchange, outcome: str, seconds: float) -> None:
         """Record how a request ended, and what it lasted if that says what others will last.
 
@@ -136,7 +160,7 @@
             arrived_s=round(exchange.arrived_at - self.schedule.started_at, 3),
             tries=len(exchange.attempts),
             last_upstream=exchange.upstream,
-            **self.describe(self.decide(exchange)),
+            **self.describe(exchange.stop_decision or self.decide(exchange)),
         )
         return CUT_OUTCOME
 
@@ -150,7 +174,7 @@
             route=exchange.route.name,
             carrier=attempt.carrier,
             result=attempt.result,
-            **self.describe(self.decide(exchange)),
+            **self.describe(exchange.stop_decision or self.decide(exchange)),
         )
 
     def describe(self, decision: StopDecision) -> dict[str, Any]:
--- a/tanagertrail/policy/durations.py
+++ b/tanagertrail/policy/durations.py
@@ -1,6 +1,6 @@
 """Recent lengths of requests, from which the length of the next one is estimated."""
 
-__all__ = ["DurationTable", "LengthEstimate"]
+__all__ = ["DurationTable", "LengthEstimate", "find_size_class"]
 
 import math
 from collections import OrderedDict, deque
--- a/tests/test_stop_cases.py
+++ b/tests/test_stop_cases.py
@@ -11,7 +11,12 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.gateway.upstream_stream import UpstreamStream
-from tanagertrail.policy.stop_admission import StopSchedule
+from tanagertrail.policy.stop_admission import (
+    CLOSING_SECONDS,
+    MIN_SAMPLES,
+    STOP_MARGIN_SECONDS,
+    StopSchedule,
+)
 from tanagertrail.standins.documents import build_route
 from tanagertrail.standins.misbehaviour import FAULTS
 from tanagertrail.standins.ports import HOST
@@ -301,3 +306,26 @@
         assert time.monotonic() - started < 2.5
         await asyncio.gather(*tasks)
         assert {(reply.status, reply.whole) for reply in replies} == {(200, True), (503, True)}
+
+
+@run_in_real_time
+async def test_request_is_refused_late_while_others_of_its_route_last_longer_than_any_before():
+    async with open_world(build_config(routes=ROUTES)) as world:
+        for _ in range(MIN_SAMPLES):
+            assert (await world.fetch("/look/1")).status == 200
+        world.upstreams[0].faults.append("hold")
+        world.upstreams[1].faults.append("hold")
+        held = asyncio.create_task(world.fetch("/look/2", **LONG))
+        await world.wait_until(lambda: len(list_runs(world)) == MIN_SAMPLES + 1)
+        await asyncio.sleep(1.0)
+        for upstream in world.upstreams:
+            upstream.faults.clear()
+        now = asyncio.get_running_loop().time()
+        seconds_left = 1.0 + CLOSING_SECONDS + STOP_MARGIN_SECONDS
+        schedule = StopSchedule(now + seconds_left - LONG_SECONDS, LONG_SECONDS)
+        world.node.dispatcher.stop_gate.begin(schedule)
+        assert (await world.fetch("/book/1", b"order", **LONG)).status == 503  # unknown
+        assert (await world.fetch("/look/3", **LONG)).status == 503
+        for upstream in world.upstreams:
+            upstream.released.set()
+        assert (await held).status == 200
