--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -13,6 +13,7 @@
 from tanagertrail.gateway.upstream_stream import Representation, ResponseHead
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
+from tanagertrail.policy.stop_admission import StopDecision
 
 
 def compute_timeout(route: Route, fields: CallerFields) -> float:
@@ -87,6 +88,7 @@
     :ivar continues: whether the origin has sent its caller events of this stream
     :ivar carrier: daemon that was last asked to carry the request, empty if none was
     :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
+    :ivar stop_decision: why a planned stop allowed the last attempt, None before it
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         self.continues = False
         self.carrier = ""
         self.refusal: Refusal | None = None
+        self.stop_decision: StopDecision | None = None
         self.sent_at = now
 
     @property
