Test half answers at any byte, on either way to the caller

Report of other operators: an upstream stopped within its answer's head and closed; callers got a 200 with an empty or short body that was framed as whole (MIXED, ORDER). The test draws where an upstream ends (any byte of the head, a chunk, a trailer), how (closed, half-closed, reset), the framing (length first or last, twice, two that differ, chunks, a trailer, chunks and a length, interim heads, the end of the connection, HTTP/1.0), the status, the path, a caller of HTTP/1.1 or 1.0, the way (own, carried, own and then carried) and a hop that ends within the request or the answer, as it does where a carrier is killed. A caller may get no half as whole, no status that promises not run for what ran within 3 s, and no second run of an order.

--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -1,6 +1,7 @@
 """Fixtures for the answers of upstreams: a daemon whose connections are all in memory."""
 
 import asyncio
+import enum
 import itertools
 import socket
 from collections.abc import Callable, Iterable
@@ -23,14 +24,22 @@
 PORTS = dict.fromkeys(("front", "ready", "directory", "internal", "store", "cloud"), 1)
 
 
+class Ending(enum.Enum):
+    """Ways in which an upstream ends a connection."""
+
+    CLOSED = "closed"
+    HALF_CLOSED = "half-closed"
+    RESET = "reset"
+
+
 class Step(NamedTuple):
     """A part of what an upstream does with a request.
 
-    :ivar data: bytes that it sends, None to end the connection
+    :ivar data: bytes that it sends, or how it ends the connection, None to close it
     :ivar delay: seconds before
     """
 
-    data: bytes | None
+    data: bytes | Ending | None
     delay: float = 0.0
 
 
@@ -198,13 +207,23 @@
             await asyncio.sleep(step.delay)
             if self.transport.closed:
                 return
-            if step.data is None:
-                self.transport.close()
+            if not isinstance(step.data, bytes):
+                self.end(step.data)
                 return
             self.channel.data_received(
                 step.data.replace(OWN_ID, own_id).replace(OTHER_ID, other_id)
             )
 
+    def end(self, ending: Ending | None) -> None:
+        """End the connection."""
+        if ending is Ending.HALF_CLOSED:
+            self.channel.eof_received()
+        elif ending is Ending.RESET:
+            self.transport.closed = True
+            self.channel.connection_lost(ConnectionResetError("reset by peer"))
+        else:
+            self.transport.close()
+
 
 class MemoryUpstream:
     """An upstream whose next requests are treated as scripts say, further ones well.
@@ -239,6 +258,19 @@
         return UpstreamStream(connection.channel)
 
 
+class CallerChannel(Channel):
+    """The daemon's side of a caller's connection.
+
+    :ivar was_reset: whether the daemon ended it so that its end is no end of an answer
+    """
+
+    was_reset = False
+
+    def reset(self) -> None:
+        self.was_reset = True
+        self.abort()
+
+
 class MemoryWorld:
     """A daemon with upstreams and callers in memory.
 
@@ -289,7 +321,8 @@
     async def fetch(self, path: str, body: bytes = b"", **changes: str | None) -> Reply:
         """Send a request as a caller would and return the answer.
 
-        :param changes: further headers, and ``method``; ``request_id=None`` leaves the id out
+        :param changes: further headers, ``method`` and ``version``; ``request_id=None`` leaves the
+            id out
         """
         channel, received = self.send(path, body, **changes)
         return await self.read(channel, received, changes.get("method", "POST" if body else "GET"))
@@ -297,7 +330,11 @@
     def send(
         self, path: str, body: bytes = b"", **changes: str | None
     ) -> tuple[Channel, list[bytes]]:
-        """Send a request on a new connection, and return it with what will be received."""
+        """Send a request on a new connection, and return it with what will be received.
+
+        :param changes: as of :meth:`fetch`
+        """
+        version = changes.pop("version", "1.1")
         request_id = changes.pop("request_id", f"r{next(self.numbers)}")
         method = changes.pop("method", "POST" if body else "GET")
         headers = {
@@ -310,9 +347,9 @@
             headers["tanagertrail-request-id"] = request_id
         if body:
             headers["content-length"] = str(len(body))
-        lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        lines = [f"{method} {path} HTTP/{version}", *(f"{k}: {v}" for k, v in headers.items())]
         received: list[bytes] = []
-        channel = Channel()
+        channel = CallerChannel()
         channel.transport = MemoryTransport(channel, received.append)
         self.front.http_server.accept(channel)
         channel.data_received("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
@@ -328,6 +365,7 @@
         while not whole:
             if fed == len(received):
                 if channel.transport.closed:
+                    whole = ends_with_connection(channel, parser)
                     break
                 await channel.transport.changed.wait()
                 channel.transport.changed.clear()
@@ -361,3 +399,14 @@
     def runs(self) -> list[bytes]:
         """Ids of the requests that upstreams ran."""
         return [name for upstream in self.upstreams.values() for name in upstream.runs]
+
+
+def ends_with_connection(channel: CallerChannel, parser: h11.Connection) -> bool:
+    """Return whether the end of a caller's connection is that of its answer."""
+    if channel.was_reset:
+        return False
+    try:
+        parser.receive_data(b"")
+        return isinstance(parser.next_event(), h11.EndOfMessage)
+    except h11.RemoteProtocolError:
+        return False
--- a/tests/carried_answer_utils.py
+++ b/tests/carried_answer_utils.py
@@ -9,7 +9,7 @@
 from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.policy.carrier_choice import CarrierCandidate
 from tanagertrail.registry import Registry
-from tests.answer_utils import UNUSED_SOCKET, MemoryTransport, MemoryWorld
+from tests.answer_utils import UNUSED_SOCKET, Ending, MemoryTransport, MemoryWorld
 from tests.gateway_utils import HOST, SetLinks, set_links
 
 ORIGIN = "entry-2"
@@ -21,20 +21,40 @@
     """One end of a connection between two daemons in memory.
 
     :ivar peer: the other end
+    :ivar bytes_left: bytes that it sends before the connection ends, None for no limit
+    :ivar ending: how it ends then
     """
 
     def __init__(self, channel: Channel) -> None:
         super().__init__(channel, self.pass_on)
         self.loop = asyncio.get_running_loop()
         self.peer: LinkedTransport | None = None
+        self.bytes_left: int | None = None
+        self.ending = Ending.CLOSED
 
     def pass_on(self, data: bytes) -> None:
-        """Let the other end receive bytes."""
-        self.loop.call_soon(self.peer.arrive, data)
+        """Let the other end receive bytes, and end the connection behind the last one."""
+        if self.bytes_left is None:
+            self.loop.call_soon(self.peer.arrive, data)
+            return
+        self.loop.call_soon(self.peer.arrive, data[: self.bytes_left])
+        self.bytes_left = max(self.bytes_left - len(data), 0)
+        if not self.bytes_left and not self.closed:
+            self.loop.call_soon(self.break_off)
+
+    def break_off(self) -> None:
+        """End the connection for both ends."""
+        if self.ending is Ending.RESET and not self.peer.closed:
+            self.peer.closed = True
+            self.peer.channel.connection_lost(ConnectionResetError("reset by peer"))
+        elif self.ending is Ending.HALF_CLOSED:
+            self.write_eof()
+            return
+        self.close()
 
     def arrive(self, data: bytes) -> None:
         """Receive bytes unless this end is closed."""
-        if not self.closed:
+        if data and not self.closed:
             self.channel.data_received(data)
 
     def end_arrivals(self) -> None:
@@ -68,6 +88,8 @@
     """A daemon that carries the requests of another one, to which callers connect.
 
     :ivar hops: the carrier's ends of the connections between both
+    :ivar hop_cut: bytes after which the next connection ends, how, and whether they are those to
+        the carrier; None for a connection that lasts
     """
 
     is_cut = True
@@ -76,6 +98,7 @@
         super().__init__(upstreams, **changes)
         self.front = self.build_node(ORIGIN, **changes)
         self.hops: list[Channel] = []
+        self.hop_cut: tuple[int, Ending, bool] | None = None
         links = SetLinks()
         links.is_cut = self.is_cut
         set_links(self.front, links)
@@ -99,10 +122,19 @@
     async def open_hop(self, address: str, timeout: float = 0.0) -> UpstreamStream:
         """Open a connection from the origin to the carrier."""
         near, far = link_channels()
+        if self.hop_cut is not None:
+            bytes_left, ending, is_to_carrier = self.hop_cut
+            sender = near.transport if is_to_carrier else far.transport
+            sender.bytes_left, sender.ending = bytes_left, ending
+            self.hop_cut = None
         self.hops.append(far)
         self.node.carry_server.accept(far)
         return UpstreamStream(near)
 
+    def cut_hop(self, bytes_left: int, ending: Ending, is_to_carrier: bool) -> None:
+        """End the next connection between both daemons after some bytes in one direction."""
+        self.hop_cut = bytes_left, ending, is_to_carrier
+
     def prefer(self, name: str) -> None:
         """Make both daemons choose an upstream first."""
         super().prefer(name)
