Stop real daemons before callers with long requests and count what is lost

The soak's work takes 0.01 s and its check of stops looks only at what is sent within 3 s of SIGTERM and ends within 1 s, so requests that a stopping daemon accepts late and cuts at the end of the grace period can't show.

The command `tanagertrail-soak stops` starts daemons of any source tree before the stand-ins, keeps callers with requests of 0.02 to 4 s on their connections (until these close, with reconnections to the same daemon, or a new one for each request), and stops daemons alone, in series, overlapping or all at once. Stand-in upstreams may choose the work of each request for it.

--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -19,6 +19,7 @@
 from tanagertrail.soak import upstream_faults as _upstream_faults  # noqa: F401
 from tanagertrail.soak.checks import find_broken
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
+from tanagertrail.soak.stop_rig import run_stops
 from tanagertrail.soak.world import SoakWorld
 
 DEFAULT_SECONDS = 20.0
@@ -109,6 +110,8 @@
 class Soak:
     """Run real daemons under faults and check what callers and upstreams see."""
 
+    stops = staticmethod(run_stops)
+
     def run(
         self,
         seed: int = 1,
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -113,6 +113,8 @@
     :ivar emptied: failure domains that are to get no work
     """
 
+    upstream_type = SoakUpstream
+
     def __init__(self, seed: int, daemons: int, upstreams: int, folder: Path) -> None:
         self.seed = seed
         self.folder = folder
@@ -164,7 +166,7 @@
     async def add_upstream(self, name: str, domain: str) -> None:
         """Start an upstream behind a proxy and register it."""
         port = find_port()
-        upstream = SoakUpstream(name, domain, self.runs)
+        upstream = self.upstream_type(name, domain, self.runs)
         await upstream.start(HOST, port)
         self.upstreams.append(upstream)
         link = UpstreamLink(self.daemon_count, port)
