Let the rig's callers follow the directory and stops come early, rolling or beside other work

Added: callers that renew their addresses within the lifetime of the last answer (or three times it), keep them while no new ones are to be had, and leave connections to daemons that are missing, as PROTOCOL.md has it; callers that send two requests at once.

--- a/tanagertrail/soak/stop_callers.py
+++ b/tanagertrail/soak/stop_callers.py
@@ -18,12 +18,14 @@
 
 ROUTES = {"stream": "talk", "once": "once", "order": "book", "safe": "look"}
 STREAMS = frozenset({"stream", "once"})
-MODES = ("kept", "asking", "fresh")
+KEPT, ASKING, FRESH, PIPELINED, PROTOCOL = "kept", "asking", "fresh", "pipelined", "protocol"
+MODES = (KEPT, ASKING, FRESH)
+LOYAL = frozenset({KEPT, PIPELINED})  # callers that connect to the same daemon again
 CONNECT_SECONDS = 1.0
 ADDRESS_SECONDS = 1.0
-LONGEST_WAIT_SECONDS = 0.3  # after a refusal that names a longer one
 RETRY_SECONDS = 0.05
-ADDRESS_LIVES = 3  # lifetimes of a directory's answer for which callers use it
+ADDRESS_LIVES = (1, 3)  # lifetimes of a directory's answer for which callers use it
+MAX_DIRECTORIES = 3
 MAX_ADDRESSES_BYTES = 65_536
 MAX_BODY_BYTES = 65_536
 
@@ -41,12 +43,71 @@
     deadline: float
 
 
+class AddressBook:
+    """Addresses from the directory, kept for their lifetime and while no new ones are to be had.
+
+    :ivar lives: lifetimes of an answer for which it is used
+    :ivar fronts: ports of the fronts of the last answer
+    :ivar failed: those that have failed since
+    :ivar good_until: event-loop time in seconds
+    """
+
+    def __init__(self, directories: Sequence[int], rng: random.Random, lives: float) -> None:
+        self.directories = directories
+        self.rng = rng
+        self.lives = lives
+        self.fronts: list[int] = []
+        self.failed: set[int] = set()
+        self.good_until = 0.0
+
+    async def list_fronts(self) -> list[int]:
+        """List the fronts, after asking again if the last answer has expired."""
+        if asyncio.get_running_loop().time() >= self.good_until:
+            await self.renew()
+        return self.fronts
+
+    async def choose_front(self) -> int | None:
+        """Choose a front that has not failed, None if there is none."""
+        fronts = [front for front in await self.list_fronts() if front not in self.failed]
+        return self.rng.choice(fronts) if fronts else None
+
+    async def renew(self) -> None:
+        """Ask up to three daemons; an answer without addresses counts as a failure."""
+        now = asyncio.get_running_loop().time
+        asked = self.rng.sample(self.directories, min(MAX_DIRECTORIES, len(self.directories)))
+        for port in asked:
+            try:
+                fronts, lifetime = await self.ask(port)
+            except (OSError, TimeoutError, TanagertrailError, ValueError, KeyError):
+                continue
+            if fronts:
+                self.fronts, self.failed = fronts, set()
+                self.good_until = now() + self.lives * lifetime
+                return
+        self.good_until = now() + RETRY_SECONDS
+
+    async def ask(self, port: int) -> tuple[list[int], float]:
+        """Ask one daemon for ports of fronts and for their lifetime in seconds."""
+        stream = UpstreamStream(await open_channel(HOST, port, ADDRESS_SECONDS))
+        try:
+            async with asyncio.timeout(ADDRESS_SECONDS):
+                target = f"/tanagertrail/resolve?name={HOST_NAME}&region=island&zone=north"
+                stream.send_request(b"GET", target.encode(), [(b"host", b"directory")], b"")
+                await stream.read_head()
+                document = json.loads(await stream.read_remaining_body(MAX_ADDRESSES_BYTES))
+        finally:
+            stream.abort()
+        fronts = [int(address.rpartition(":")[2]) for address in document["addresses"]]
+        return fronts, float(document["ttl_s"])
+
+
 class StopCallers:
     """Callers, each of one kind of request, that go on until they are told to end.
 
     A ``kept`` caller uses its connection until it is closed and connects to the same daemon
     again until that refuses; an ``asking`` one asks the directory then; a ``fresh`` one opens a
-    connection for each request.
+    connection for each request; a ``pipelined`` one is a kept one that sends two at a time. A
+    ``protocol`` one renews its addresses and leaves connections to those that are missing.
 
     :ivar pause: least and greatest seconds between requests
     :ivar ending: whether no request is sent any more
@@ -68,83 +129,73 @@
         :param front: daemon to begin with, by the port of its front
         """
         rng = random.Random(f"{self.seed} {number}")
-        loop = asyncio.get_running_loop()
-        good_until = loop.time() + ADDRESS_SECONDS
+        lives = 0 if mode == ASKING else rng.choice(ADDRESS_LIVES)
+        book = AddressBook(self.directories, rng, lives)
         while not self.ending:
+            front = front or await book.choose_front()
+            if front is None:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             try:
-                if front is None:
-                    front, life = await self.ask_directory(rng)
-                    good_until = loop.time() + ADDRESS_LIVES * life
-                stays = await self.use_connection(rng, kind, front, once=mode == "fresh")
-            except (OSError, TimeoutError, TanagertrailError, ValueError, IndexError):
+                stays = await self.use_connection(book, kind, front, mode)
+            except (OSError, TimeoutError):
                 self.unreached += 1
-                front = None
+                book.failed.add(front)
+                stays = False
                 await asyncio.sleep(RETRY_SECONDS)
-                continue
-            is_stale = mode == "asking" or (mode == "fresh" and loop.time() > good_until)
-            if is_stale or not stays:
+            if mode not in LOYAL or not stays:
                 front = None
 
-    async def ask_directory(self, rng: random.Random) -> tuple[int, float]:
-        """Ask a daemon for addresses.
-
-        :returns: port of a front, and the lifetime of the answer in seconds
-        """
-        port = rng.choice(self.directories)
-        stream = UpstreamStream(await open_channel(HOST, port, ADDRESS_SECONDS))
-        try:
-            async with asyncio.timeout(ADDRESS_SECONDS):
-                target = f"/tanagertrail/resolve?name={HOST_NAME}&region=island&zone=north"
-                stream.send_request(b"GET", target.encode(), [(b"host", b"directory")], b"")
-                await stream.read_head()
-                document = json.loads(await stream.read_remaining_body(MAX_ADDRESSES_BYTES))
-        finally:
-            stream.abort()
-        address = rng.choice(document["addresses"])
-        return int(address.rpartition(":")[2]), float(document["ttl_s"])
-
     async def use_connection(
-        self, rng: random.Random, kind: StopKind, front: int, once: bool
+        self, book: AddressBook, kind: StopKind, front: int, mode: str
     ) -> bool:
         """Send requests on one connection until it closes.
 
-        :param once: whether to close it after the first answer
         :returns: whether the daemon may be asked again
+        :raises OSError: if the connection cannot be made
+        :raises TimeoutError: if that takes too long
         """
         stream = UpstreamStream(await open_channel(HOST, front, CONNECT_SECONDS))
         try:
             while not self.ending:
-                call = await self.call(stream, kind, front)
-                self.calls.append(call)
+                if mode == PROTOCOL and front not in await book.list_fronts():
+                    return False
+                if mode == PIPELINED:
+                    stream, call = await self.exchange_two(stream, kind, front)
+                else:
+                    call = await self.read_answer(stream, self.send(stream, kind, front, mode))
                 if call.status in REFUSALS:
+                    book.failed.add(front)
                     await asyncio.sleep(RETRY_SECONDS)
                     return False
-                await asyncio.sleep(rng.uniform(*self.pause))
-                if once or not call.whole or not stream.reusable:
+                await asyncio.sleep(book.rng.uniform(*self.pause))
+                if mode == FRESH or not call.whole or not stream.reusable:
                     return True
             return True
         finally:
             stream.abort()
 
-    async def call(self, stream: UpstreamStream, kind: StopKind, front: int) -> StopCall:
-        """Send one request and read its answer."""
-        self.sent += 1
-        request_id = f"stop-{self.sent}"
-        loop = asyncio.get_running_loop()
-        self.send(stream, request_id, kind)
-        call = StopCall(request_id, kind.name, front, kind.work, kind.deadline, loop.time())
-        try:
-            async with asyncio.timeout(kind.deadline):
-                call = await self.read_head(stream, call)
-                await stream.read_remaining_body(MAX_BODY_BYTES)
-                call = call._replace(whole=True)
-        except (OSError, TimeoutError, TanagertrailError):
-            pass  # the call says that its answer is missing or not whole
-        was_reset = isinstance(stream.channel.error, ConnectionResetError)
-        return call._replace(ended_at=loop.time(), reset=was_reset)
+    async def exchange_two(
+        self, stream: UpstreamStream, kind: StopKind, front: int
+    ) -> tuple[UpstreamStream, StopCall]:
+        """Send two requests at once and read their answers.
 
-    def send(self, stream: UpstreamStream, request_id: str, kind: StopKind) -> None:
+        :returns: the stream that goes on with the connection, and the second call
+        """
+        second = UpstreamStream(stream.channel)
+        calls = [self.send(item, kind, front, PIPELINED) for item in (stream, second)]
+        first_call = await self.read_answer(stream, calls[0])
+        arrived = stream.parser.trailing_data[0]
+        if not first_call.whole:
+            stream.abort()
+        elif arrived:
+            second.parser.receive_data(arrived)
+        return second, await self.read_answer(second, calls[1])
+
+    def send(self, stream: UpstreamStream, kind: StopKind, front: int, mode: str) -> StopCall:
         """Write a request that tells its upstream how long to work."""
+        self.sent += 1
+        request_id = f"stop-{self.sent}"
         body = request_id.encode() if kind.name == "order" else b""
         headers = [
             (b"host", HOST_NAME.encode()),
@@ -157,12 +208,22 @@
         suffix = "events" if kind.name in STREAMS else "x"
         target = f"/{ROUTES[kind.name]}/{suffix}?work={kind.work}"
         stream.send_request(b"POST" if body else b"GET", target.encode(), headers, body)
+        sent_at = asyncio.get_running_loop().time()
+        return StopCall(request_id, kind.name, front, kind.work, kind.deadline, sent_at, mode=mode)
 
-    async def read_head(self, stream: UpstreamStream, call: StopCall) -> StopCall:
-        """Read the head of an answer."""
-        head = await stream.read_head()
-        return call._replace(
-            head_at=asyncio.get_running_loop().time(),
-            status=head.status,
-            announced=(b"connection", b"close") in head.headers,
-        )
+    async def read_answer(self, stream: UpstreamStream, call: StopCall) -> StopCall:
+        """Read an answer, and note what its caller saw."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout_at(call.sent_at + call.deadline):
+                head = await stream.read_head()
+                announced = (b"connection", b"close") in head.headers
+                call = call._replace(head_at=loop.time(), status=head.status, announced=announced)
+                await stream.read_remaining_body(MAX_BODY_BYTES)
+                call = call._replace(whole=True)
+        except (OSError, TimeoutError, TanagertrailError):
+            pass  # the call says that its answer is missing or not whole
+        was_reset = isinstance(stream.channel.error, ConnectionResetError)
+        call = call._replace(ended_at=loop.time(), reset=was_reset)
+        self.calls.append(call)
+        return call
--- a/tanagertrail/soak/stop_counts.py
+++ b/tanagertrail/soak/stop_counts.py
@@ -29,6 +29,7 @@
     :ivar whole: whether the answer was complete
     :ivar announced: whether the answer announced the close of the connection
     :ivar reset: whether the connection ended with a reset
+    :ivar mode: how its caller uses connections
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     whole: bool = False
     announced: bool = False
     reset: bool = False
+    mode: str = ""
 
     @property
     def cut(self) -> bool:
@@ -81,8 +83,11 @@
 
     def excuses(self, call: StopCall) -> bool:
         """Say whether a call was sent early in the stop and cut in the last sixth of its grace."""
-        is_early = call.sent_at <= self.at + EARLY_SECONDS
-        return self.kind == "stop" and is_early and self.is_cut_last(call)
+        return self.kind == "stop" and not self.is_late(call) and self.is_cut_last(call)
+
+    def is_late(self, call: StopCall) -> bool:
+        """Say whether a call was sent when callers had time to learn of the stop."""
+        return call.sent_at > self.at + EARLY_SECONDS
 
     def is_cut_last(self, call: StopCall) -> bool:
         """Say whether a call ended in the last sixth of the grace period, or later."""
@@ -97,6 +102,7 @@
 class StopRow(NamedTuple):
     """Counts of the requests of one kind that met a stop.
 
+    :ivar late: sent later than 3 s after SIGTERM
     :ivar refused_in_time: refused though their work would have ended within the grace period
     :ivar refused_and_run: refused as not run, and run
     :ivar cut_early: cut, sent no later than 3 s after SIGTERM
@@ -112,6 +118,7 @@
     kind: str
     work: float
     calls: int
+    late: int
     served: int
     refused: int
     refused_in_time: int
@@ -155,18 +162,19 @@
 ) -> StopRow:
     """Count the calls of one kind that met a stop."""
     cut = [(call, stop) for call, stop in met if call.cut and is_passed_on(call, runs)]
-    late = [call for call, stop in cut if call.sent_at > stop.at + EARLY_SECONDS]
+    late = sum(stop.is_late(call) for call, stop in cut)
     refused = [(call, stop) for call, stop in met if call.status in REFUSALS]
     return StopRow(
         kind,
         work,
         len(met),
+        sum(stop.is_late(call) for call, stop in met),
         sum(call.status == 200 and call.whole for call, _ in met),
         len(refused),
         sum(stop.could_serve(call) for call, stop in refused),
         sum(call.request_id in runs for call, _ in refused),
-        len(cut) - len(late),
-        len(late),
+        len(cut) - late,
+        late,
         sum(stop.is_cut_last(call) for call, stop in cut),
         sum(call.cut and not is_passed_on(call, runs) for call, _ in met),
         sum(is_failed(call, runs) for call, _ in met),
--- a/tanagertrail/soak/stop_rig.py
+++ b/tanagertrail/soak/stop_rig.py
@@ -6,13 +6,15 @@
 import shutil
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from tanagertrail.soak.stop_callers import MODES, StopCallers, StopKind
+from tanagertrail.soak.stop_conditions import CONDITIONS, PATTERNS
 from tanagertrail.soak.stop_counts import Planned, StopCall, StopRow, count_rows, is_lost
-from tanagertrail.soak.stop_world import CONDITIONS, PATTERNS, SETTLE_SECONDS, StopPlan, StopWorld
+from tanagertrail.soak.stop_world import SETTLE_SECONDS, StopPlan, StopWorld
 from tanagertrail.standins.documents import BOUNDS
 
 
@@ -119,6 +121,8 @@
         print(f"stop of {stop.front}: ended after {took:.2f} s, by itself: {stop.ended_itself}")
     around = [planned.kind for _, planned in result.lost]
     counts = ", ".join(f"{around.count(kind)} {kind}" for kind in ("stop", "reload", "config"))
+    modes = Counter(call.mode for call, _ in result.lost)
+    print("lost by callers' use of connections:", dict(modes))
     print(f"{result.calls} calls; lost: {counts}; cut with no stop around: {len(result.calm_cut)}")
     if result.folder is not None:
         print(f"logs in {result.folder}", flush=True)
@@ -170,7 +174,7 @@
     :param kinds: kinds of requests, separated by commas; ``order:0.022:0.6`` has its own work
         and deadline
     :param modes: how callers use connections
-    :param pattern: one, series, overlap or all
+    :param pattern: one, series, overlap, rolling, early or all
     :param beside: what happens meanwhile
     :param keep: whether to keep the logs in any case
     """
--- a/tanagertrail/soak/stop_world.py
+++ b/tanagertrail/soak/stop_world.py
@@ -1,11 +1,8 @@
-"""The world of planned stops: daemons of any source tree, and what happens beside their stops."""
+"""The world of planned stops: daemons of any source tree before upstreams with timed work."""
 
-__all__ = ["CONDITIONS", "PATTERNS", "StopPlan", "StopWorld"]
+__all__ = ["SETTLE_SECONDS", "StopPlan", "StopWorld"]
 
 import asyncio
-import signal
-from collections.abc import Awaitable, Callable
-from itertools import count
 from pathlib import Path
 from typing import NamedTuple
 from urllib.parse import parse_qs
@@ -13,9 +10,7 @@
 from tanagertrail.gateway.handlers import MAIN_CONFIG
 from tanagertrail.gateway.http1 import CallerRequest
 from tanagertrail.platform.records import CONFIGURATION
-from tanagertrail.registry import Registry
 from tanagertrail.soak.processes import DaemonProcess
-from tanagertrail.soak.proxy import LinkState
 from tanagertrail.soak.stop_callers import StopKind
 from tanagertrail.soak.stop_counts import Planned
 from tanagertrail.soak.world import SoakUpstream, SoakWorld
@@ -24,10 +19,6 @@
 
 ROUTE_TIMEOUT_MS = 12_000  # longer than all deadlines, so that these alone end requests
 SETTLE_SECONDS = 1.5  # after a start, for the daemons to learn of each other
-CONFIG_GAP_SECONDS = 1.0
-SILENT_SECONDS = 1.2
-RELOAD_GAP_SECONDS = 0.25
-SECOND_TERM_SECONDS = 1.0
 MILLISECONDS = 1000.0
 
 
@@ -37,9 +28,9 @@
     :ivar tree: source tree of the daemons, empty for this one
     :ivar grace: grace period in seconds
     :ivar callers: number of callers, which share the kinds of requests evenly
-    :ivar pattern: which daemons stop when, one of :data:`PATTERNS`
+    :ivar pattern: which daemons stop when, a name of :mod:`.stop_conditions`
     :ivar at: seconds from the callers' start to the first stop
-    :ivar beside: what happens meanwhile, one of :data:`CONDITIONS`
+    :ivar beside: what happens meanwhile, a name of the same module
     :ivar idle: seconds after which daemons close idle connections, 0 for the default; callers
         then pause for about as long
     """
@@ -113,94 +104,13 @@
         ended = self.planned[place]._replace(ended_at=self.now(), ended_itself=itself)
         self.planned[place] = ended
 
+    def list_stopping(self) -> list[DaemonProcess]:
+        """List the daemons that stop."""
+        fronts = {item.front for item in self.planned if item.kind == "stop" and not item.ended_at}
+        return [daemon for daemon in self.daemons if daemon.ports.front in fronts]
+
     async def restart(self, number: int) -> None:
         """Start a daemon again and wait until it is ready."""
         await self.daemons[number].restart()
         await self.await_ready(self.daemons[number])
         await asyncio.sleep(SETTLE_SECONDS)
-
-
-Pattern = Callable[[StopWorld], Awaitable[None]]
-PATTERNS: Registry[Pattern] = Registry("pattern of stops")
-Condition = Callable[[StopWorld], Awaitable[None]]
-CONDITIONS: Registry[Condition] = Registry("condition beside stops")
-
-
-@PATTERNS.register("one")
-async def stop_one(world: StopWorld) -> None:
-    """Stop one daemon."""
-    await world.stop(0)
-
-
-@PATTERNS.register("series")
-async def stop_in_series(world: StopWorld) -> None:
-    """Stop and restart all daemons in turn."""
-    for number in range(len(world.daemons)):
-        await world.stop(number)
-        await world.restart(number)
-
-
-@PATTERNS.register("overlap")
-async def stop_overlapping(world: StopWorld) -> None:
-    """Stop a second daemon halfway through the grace period of the first."""
-    first = asyncio.create_task(world.stop(0))
-    await asyncio.sleep(world.plan.grace / 2)
-    await world.stop(1)
-    await first
-
-
-@PATTERNS.register("all")
-async def stop_all(world: StopWorld) -> None:
-    """Stop all daemons at once."""
-    await asyncio.gather(*(world.stop(number) for number in range(len(world.daemons))))
-
-
-@CONDITIONS.register("calm")
-async def keep_calm(world: StopWorld) -> None:
-    """Do nothing."""
-
-
-@CONDITIONS.register("config")
-async def change_config(world: StopWorld) -> None:
-    """Store new versions of the configuration all the while."""
-    for number in count():
-        world.extra_routes.append(f"new{number}")
-        world.put_config()
-        await asyncio.sleep(CONFIG_GAP_SECONDS)
-
-
-@CONDITIONS.register("silent")
-async def silence_upstreams(world: StopWorld) -> None:
-    """Silence the connections to each upstream but the first in turn."""
-    for number in count():
-        link = world.upstream_links[1 + number % (len(world.upstream_links) - 1)]
-        link.set_state(LinkState.SILENT)
-        await asyncio.sleep(SILENT_SECONDS)
-        link.set_state(LinkState.PASS)
-        await asyncio.sleep(SILENT_SECONDS / 2)
-
-
-@CONDITIONS.register("reload")
-async def reload_settings(world: StopWorld) -> None:
-    """Tell all daemons again and again to read their settings."""
-    while True:
-        for daemon in world.daemons:
-            if daemon.running:
-                world.planned.append(Planned("reload", daemon.ports.front, world.now()))
-                daemon.signal(signal.SIGHUP)
-        await asyncio.sleep(RELOAD_GAP_SECONDS)
-
-
-@CONDITIONS.register("terms")
-async def repeat_terms(world: StopWorld) -> None:
-    """Ask each daemon that stops again and again to stop."""
-    while True:
-        await asyncio.sleep(SECOND_TERM_SECONDS)
-        for daemon in list_stopping(world):
-            daemon.signal(signal.SIGTERM)
-
-
-def list_stopping(world: StopWorld) -> list[DaemonProcess]:
-    """List the daemons that stop."""
-    fronts = {item.front for item in world.planned if item.kind == "stop" and not item.ended_at}
-    return [daemon for daemon in world.daemons if daemon.ports.front in fronts]
--- a/tests/test_stop_rig.py
+++ b/tests/test_stop_rig.py
@@ -36,6 +36,7 @@
 
 def test_each_count_of_a_stop_finds_what_it_is_for():
     calls = {
+        "late": build_call(13.1, 13.2, status=200, whole=True, head_at=13.2, announced=True),
         "served": build_call(11.0, 11.1, status=200, whole=True, head_at=11.1, announced=True),
         "refused": build_call(15.45, 15.46, status=503, whole=True),
         "refused_in_time": build_call(14.0, 14.1, status=503, whole=True),
@@ -54,7 +55,7 @@
         assert row.calls == 1
         assert getattr(row, name) == 1, name
     (row,) = count_rows(calls.values(), [STOP], {"ran": 11.9})
-    assert (row.calls, row.served, row.refused) == (12, 2, 3)
+    assert (row.calls, row.served, row.refused) == (13, 3, 3)
     assert (row.refused_in_time, row.cut_early, row.cut_late, row.lost) == (2, 2, 2, 3)
 
 
