Count no calls to a daemon that was started again after its stop

A stop counts until 1 s after its grace period, so what a daemon that was started again within that time answered was counted as met by the stop: with stops 1.3 s apart, 1,201 whole answers on seemed to announce no close. The test failed before: it counted 1 call. What counts as lost stays as the rule has it.

--- a/tanagertrail/soak/stop_counts.py
+++ b/tanagertrail/soak/stop_counts.py
@@ -81,6 +81,10 @@
             return call.sent_at <= self.at + BOUNDS.config_apply
         return call.ended_at <= self.ended_at + BOUNDS.config_apply + AFTER_GRACE_SECONDS
 
+    def met(self, call: StopCall) -> bool:
+        """Say whether the process that was told to stop took a call, not one started after it."""
+        return self.concerns(call) and not 0.0 < self.ended_at < call.sent_at
+
     def excuses(self, call: StopCall) -> bool:
         """Say whether a call was sent early in the stop and cut in the last sixth of its grace."""
         return self.kind == "stop" and not self.is_late(call) and self.is_cut_last(call)
@@ -153,7 +157,7 @@
     met: dict[tuple[str, float], list[tuple[StopCall, Planned]]] = {}
     for call in calls:
         pairs = met.setdefault((call.kind, call.work), [])
-        pairs += [(call, stop) for stop in stops if stop.concerns(call)][:1]
+        pairs += [(call, stop) for stop in stops if stop.met(call)][:1]
     return [count_row(kind, work, met[kind, work], runs) for kind, work in sorted(met)]
 
 
--- a/tests/test_stop_rig.py
+++ b/tests/test_stop_rig.py
@@ -59,6 +59,12 @@
     assert (row.refused_in_time, row.cut_early, row.cut_late, row.lost) == (2, 2, 2, 3)
 
 
+def test_calls_to_a_daemon_that_was_started_again_are_not_counted_as_met_by_its_stop():
+    again = build_call(15.6, 15.7, status=200, whole=True, head_at=15.7)
+    assert count_rows([again], [STOP], {})[0].calls == 0
+    assert count_rows([again._replace(sent_at=15.4)], [STOP], {})[0].unannounced == 1
+
+
 def test_kinds_have_their_own_work_and_deadline_or_the_common_ones():
     assert parse_kinds("order:0.022:0.6,safe", (0.02, 4), 9.0) == (
         StopKind("order", 0.022, 0.6),
