Test carriers that end at any step of a request

The property draws when a carrier ends (turns of the event loop, then time), how (killed with a reset, closed in order, stopped with a grace of 0, 0.1 or 1 s), how long upstreams work and whether they refuse, with a second carrier beside. A request is answered once, truly refused (it does not run within 3 s) or in an unknown state; a stop with enough grace loses nothing. One stream ended without its end though the caller had all events: the carrier broke off behind the last one, and its resumption, which brings no event, proves nothing. That is so for own attempts too, and stays.

--- a/tests/carried_answer_utils.py
+++ b/tests/carried_answer_utils.py
@@ -6,6 +6,7 @@
 
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.exchange import Exchange, UpstreamAttempt
+from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.policy.carrier_choice import CarrierCandidate
 from tanagertrail.registry import Registry
@@ -87,6 +88,7 @@
 class CarriedWorld(MemoryWorld):
     """A daemon that carries the requests of another one, to which callers connect.
 
+    :ivar carriers: daemons that carry requests, by address
     :ivar hops: the carrier's ends of the connections between both
     :ivar hop_cut: bytes after which the next connection ends, how, and whether they are those to
         the carrier; None for a connection that lasts
@@ -102,25 +104,34 @@
         links = SetLinks()
         links.is_cut = self.is_cut
         set_links(self.front, links)
-        self.introduce()
-
-    def introduce(self) -> None:
-        """Let both daemons know each other."""
-        carrier = self.node.members.own._replace(carrier=f"{HOST}:1")
-        now = self.node.loop.time()
-        self.node.members.merge_member(self.front.members.own, now, True, False)
-        self.node.carry_server.is_ready = lambda: True
-        self.node.carry_server.list_hosts = lambda: {HOST}
-        self.front.members.merge_member(carrier, now, True)
         self.front.members.is_alive = lambda daemon, now: True
         client = self.front.dispatcher.carry_client
         client.pools.open = self.open_hop
         client.refresh_carriers = lambda now: None
-        client.carriers = {carrier.daemon: carrier}
-        client.candidates = [CarrierCandidate(carrier.daemon, True)]
+        self.carriers: dict[str, GatewayNode] = {}
+        self.add_carrier(self.node)
+
+    def add_carrier(self, node: GatewayNode) -> None:
+        """Let the origin and a carrier know each other."""
+        address = f"{HOST}:{len(self.carriers) + 1}"
+        carrier = node.members.own._replace(carrier=address)
+        now = node.loop.time()
+        node.members.merge_member(self.front.members.own, now, True, False)
+        node.carry_server.is_ready = lambda: True
+        node.carry_server.list_hosts = lambda: {HOST}
+        self.front.members.merge_member(carrier, now, True)
+        client = self.front.dispatcher.carry_client
+        client.carriers[carrier.daemon] = carrier
+        client.candidates.append(CarrierCandidate(carrier.daemon, True))
+        self.carriers[address] = node
 
     async def open_hop(self, address: str, timeout: float = 0.0) -> UpstreamStream:
-        """Open a connection from the origin to the carrier."""
+        """Open a connection from the origin to a carrier.
+
+        :raises ConnectionRefusedError: if that has ended
+        """
+        if address not in self.carriers:
+            raise ConnectionRefusedError("nothing listens")
         near, far = link_channels()
         if self.hop_cut is not None:
             bytes_left, ending, is_to_carrier = self.hop_cut
@@ -128,7 +139,7 @@
             sender.bytes_left, sender.ending = bytes_left, ending
             self.hop_cut = None
         self.hops.append(far)
-        self.node.carry_server.accept(far)
+        self.carriers[address].carry_server.accept(far)
         return UpstreamStream(near)
 
     def cut_hop(self, bytes_left: int, ending: Ending, is_to_carrier: bool) -> None:
@@ -142,8 +153,9 @@
             entry.in_flight_elsewhere = 0 if entry.record.id == name else 4
 
     def close(self) -> None:
-        """Stop both daemons and end what upstreams still do."""
-        self.front.close()
+        """Stop all daemons and end what upstreams still do."""
+        for node in (self.front, *self.carriers.values()):
+            node.close()
         super().close()
 
 
