--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,9 +2,27 @@
 
 import subprocess
 import sys
+import tempfile
+from pathlib import Path
+
+from tanagertrail.standins.documents import DOMAINS, DaemonPorts, build_node_file
 
 HEAVY_MODULES = ("cherrypy", "cheroot", "opentelemetry", "prometheus_client", "matplotlib", "fire")
-LIST_MODULES_SCRIPT = "import sys, tanagertrail.gateway.program; print(' '.join(sys.modules))"
+LIST_MODULES_SCRIPT = "import sys, tanagertrail.gateway.command_line; print(' '.join(sys.modules))"
+
+RELOAD_WHILE_LOADING_SCRIPT = """
+import os, signal, sys
+
+class Reloader:
+    def find_spec(self, name, path, target=None):
+        if name == "tanagertrail.gateway.node":
+            print("reload", flush=True)
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Reloader())
+from tanagertrail.gateway.program import main
+main()
+"""
 
 
 def test_gateway_start_imports_no_heavy_operator_modules() -> None:
@@ -16,3 +34,16 @@
     loaded = set(result.stdout.split())
     assert loaded.isdisjoint(HEAVY_MODULES), loaded.intersection(HEAVY_MODULES)
     assert "tanagertrail.settings.daemon" not in loaded
+
+
+def test_reload_signal_while_the_modules_load_ends_no_gateway() -> None:
+    """Loading takes half a second, in which the default action of SIGHUP would end the process."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "node.toml")
+        path.write_text(build_node_file("entry", DOMAINS[0], DaemonPorts(1, 2, 3, 4), 5, 6, []))
+        result = subprocess.run(
+            [sys.executable, "-c", RELOAD_WHILE_LOADING_SCRIPT, "--check", "--node-file", path],
+            capture_output=True,
+            text=True,
+        )
+    assert (result.returncode, result.stdout) == (0, "reload\nthe settings are valid\n")
