Reload settings that change while the gateway starts

What would be seen: a daemon whose settings file is written while it starts, without a signal or with one that came too early, keeps the older settings, its grace period among them, until the next change.

Cause: the watcher took the file as known as it was once the node had started, not as it was when its settings were read.

Change: the signature is taken before the settings are read. The test writes the file while the node starts; before, nothing was reloaded in 2.5 s.

--- a/tanagertrail/gateway/command_line.py
+++ b/tanagertrail/gateway/command_line.py
@@ -23,6 +23,7 @@
 
 async def run_node(path: str, tuning: GatewayTuning) -> None:
     """Run a daemon until SIGTERM or SIGINT."""
+    signature = read_file_signature(path)
     node = GatewayNode(read_settings_file(path), tuning)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -31,15 +32,21 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(node, path, "signal"))
     loop.set_exception_handler(node.supervisor.handle_loop_error)
     await node.start()
-    settings_watcher = node.supervisor.start("settings", lambda: watch_settings(node, path))
+    settings_watcher = node.supervisor.start(
+        "settings", lambda: watch_settings(node, path, signature)
+    )
     await stopping.wait()
     settings_watcher.cancel()
     await node.stop()
 
 
-async def watch_settings(node: GatewayNode, path: str) -> None:
-    """Reload the settings when the file changes without a signal."""
-    known_signature = read_file_signature(path)
+async def watch_settings(
+    node: GatewayNode, path: str, known_signature: tuple[int, int] | None
+) -> None:
+    """Reload the settings when the file changes without a signal.
+
+    :param known_signature: signature of the file before its settings were read
+    """
     while True:
         await asyncio.sleep(SETTINGS_CHECK_SECONDS)
         signature = read_file_signature(path)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,10 +1,16 @@
 """Tests for the cost of starting a gateway."""
 
+import asyncio
+import os
+import signal
 import subprocess
 import sys
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
 
+from tanagertrail.gateway import command_line
+from tanagertrail.settings.gateway import GatewayTuning
 from tanagertrail.standins.documents import DOMAINS, DaemonPorts, build_node_file
 
 HEAVY_MODULES = ("cherrypy", "cheroot", "opentelemetry", "prometheus_client", "matplotlib", "fire")
@@ -47,3 +53,41 @@
             text=True,
         )
     assert (result.returncode, result.stdout) == (0, "reload\nthe settings are valid\n")
+
+
+class NodeOfChangedSettings:
+    """A node that takes a moment to start, in which its settings file changes."""
+
+    path: Path
+    applied: list[str]
+
+    def __init__(self, settings, tuning):
+        self.supervisor = SimpleNamespace(handle_loop_error=None, start=self.start_task)
+
+    def start_task(self, name, work):
+        return asyncio.create_task(work())
+
+    async def start(self):
+        self.path.write_text(self.path.read_text().replace("grace_s = 8", "grace_s = 20"))
+        asyncio.get_running_loop().call_later(2.5, os.kill, os.getpid(), signal.SIGTERM)
+
+    def apply_settings(self, settings, cause):
+        self.applied.append(f"{cause}: grace of {settings.bounds.grace:.0f} s")
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def stop(self):
+        pass
+
+
+def test_settings_that_change_while_the_gateway_starts_are_not_missed() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "node.toml")
+        path.write_text(build_node_file("entry", DOMAINS[0], DaemonPorts(1, 2, 3, 4), 5, 6, []))
+        applied: list[str] = []
+        kind = type("Node", (NodeOfChangedSettings,), {"path": path, "applied": applied})
+        command_line.GatewayNode, former = kind, command_line.GatewayNode
+        try:
+            asyncio.run(command_line.run_node(str(path), GatewayTuning()))
+        finally:
+            command_line.GatewayNode = former
+    assert applied == ["changed file: grace of 20 s"]
