Exchange states with daemons of older releases in their own forms

What callers saw: nothing in calm.

Class: a reader that refuses what a later writer appends, and a writer that does not ask what its reader knows.

Change: a table of forms by release (daemons/releases). A state is read as the newest form that it fills, with the defaults of a silent daemon for the rest, and written as the prefix that its reader knows. A daemon of this release or a later one states its number as the stamp of its frames, which was 0. On a new connection it greets with a push without updates, which all releases acknowledge; who states no release then gets a bare state of the seven oldest fields under the incarnation before, so that what it lacks is not kept as told, and shows its form with the answer. No longer state is sent to anyone before. The registration leaves out the carrier while a member's release refuses it, and is written again when none does. What an older hub passes on shortened takes back neither carrier, nor links, nor counts of completed requests. Revisions of a later era of the store are not told to releases that do not order eras, nor taken from them, and are counted. Fields that a newer release appends to states, records, updates and messages are ignored, 64 at most. A state with fewer fields than 18 is named in `release_too_old` and the gauge `members_too_old`.

The check on an older row's extra field is as strict as before but for later fields: states, liveness records, summaries, updates and messages of another daemon may have up to 64 more fields at their end, all other rows may not.

--- a/tanagertrail/daemons/frames.py
+++ b/tanagertrail/daemons/frames.py
@@ -16,7 +16,7 @@
 
 from tanagertrail.daemons import peer_messages
 from tanagertrail.daemons.messages import MESSAGES, Message
-from tanagertrail.daemons.row_checks import find_checker
+from tanagertrail.daemons.row_checks import drop_later_fields, find_checker
 from tanagertrail.decoding import is_integer
 from tanagertrail.errors import FrameError
 
@@ -56,7 +56,8 @@
     try:
         document = msgpack.unpackb(body, use_list=False, strict_map_key=True)
         stamp, kind, fields = document
-        message = MESSAGES.get(kind)._make(fields)
+        message_type = MESSAGES.get(kind)
+        message = message_type._make(drop_later_fields(message_type, fields))
     except DECODE_ERRORS as error:
         raise FrameError(f"malformed frame: {type(error).__name__}") from error
     if not is_integer(stamp):
--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -23,6 +23,7 @@
 import msgpack
 
 from tanagertrail.daemons.messages import MESSAGES
+from tanagertrail.daemons.releases import RELEASE
 from tanagertrail.decoding import Unreadable, load_leniently
 from tanagertrail.errors import FrameError
 
@@ -43,6 +44,7 @@
 TrialRows = tuple[tuple[str, int, tuple[int, int, int, int]], ...]
 LostRows = tuple[tuple[str, tuple[str, ...], int, int], ...]
 LossRows = tuple[tuple[int, str, str, str, str, LostRows, int], ...]
+FingerprintLossRows = tuple[tuple[int, str, str, str, tuple[str, ...], int], ...]
 LimitRows = tuple[tuple[str, float, float, float, float], ...]
 LeavingRows = tuple[tuple[str, float, float], ...]
 
@@ -153,6 +155,8 @@
         that they leave
     :ivar brittle: rows like those of ``limits``, of the rejections in a second that upstreams say
         they survive
+    :ivar release: release in whose form the state was told; fields that this form lacks have their
+        defaults
     """
 
     daemon: str
@@ -181,6 +185,7 @@
     carrier: str = ""
     leaving: LeavingRows = ()
     brittle: LimitRows = ()
+    release: int = RELEASE
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/daemons/row_checks.py
+++ b/tanagertrail/daemons/row_checks.py
@@ -1,6 +1,6 @@
 """Checks that rows from other daemons have the declared types."""
 
-__all__ = ["decode_row", "find_checker"]
+__all__ = ["decode_growing_row", "decode_row", "drop_later_fields", "find_checker"]
 
 import functools
 import math
@@ -12,6 +12,7 @@
 TUPLE_TYPES = frozenset({tuple})
 NUMBER_TYPES = frozenset({int, float})
 PLAIN_TYPES = frozenset({int, float, str, bool, bytes})
+MAX_LATER_FIELDS = 64  # that a newer release may have appended to a row or message
 Checker = Callable[[Any], bool]
 Row = TypeVar("Row", bound=tuple)
 
@@ -106,3 +107,24 @@
         if not checker(value):
             raise FrameError(f"field {name} of {row_type.__name__} is malformed")
     return decoded
+
+
+def drop_later_fields(row_type: type[tuple], row: Any) -> Any:
+    """Drop the fields that a newer release has appended to a row.
+
+    :raises FrameError: if they are too many
+    """
+    count = len(row_type._fields)
+    if not isinstance(row, tuple) or len(row) <= count:
+        return row
+    if len(row) > count + MAX_LATER_FIELDS:
+        raise FrameError(f"a row of {row_type.__name__} has {len(row)} fields")
+    return row[:count]
+
+
+def decode_growing_row(row_type: type[Row], row: Any) -> Row:
+    """Decode a row to which newer releases append fields.
+
+    :raises FrameError: if it lacks a field, or one is of another type
+    """
+    return decode_row(row_type, drop_later_fields(row_type, row))
--- a/tanagertrail/errors.py
+++ b/tanagertrail/errors.py
@@ -9,6 +9,7 @@
     "InvalidInputError",
     "PlatformError",
     "RateLimitedError",
+    "ReleaseTooOldError",
     "SettingsError",
     "StoreUnavailableError",
     "StoreOutcomeUnknownError",
@@ -75,6 +76,17 @@
     """A frame between daemons is malformed, oversized or of an unknown type."""
 
 
+class ReleaseTooOldError(FrameError):
+    """A daemon's state has fewer fields than those of the oldest release that is read.
+
+    :ivar daemon: name of the daemon, empty if it could not be read
+    """
+
+    def __init__(self, daemon: str, field_count: int) -> None:
+        super().__init__(f"a state of daemon {daemon!r} has only {field_count} fields")
+        self.daemon = daemon
+
+
 class PlatformError(TanagertrailError):
     """A platform call failed."""
 
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -2,9 +2,11 @@
 
 __all__ = ["list_gauges"]
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
+from tanagertrail.daemons.releases import RELEASE
 from tanagertrail.gateway.metrics import GaugeRow
 
 if TYPE_CHECKING:
@@ -35,6 +37,7 @@
     yield GaugeRow("store_era", node.store.era or 0, {})
     yield GaugeRow("entries_refused", node.follower.refusals.counts.total(), {})
     yield GaugeRow("peer_rows_refused", node.state_sync.refused_rows, {})
+    yield from list_release_gauges(node)
     attributor = node.suspects.attributor
     yield GaugeRow("prompt_parts_quarantined", len(attributor.quarantined), {})
     yield GaugeRow("prompt_parts_suspected", len(attributor.suspected), {})
@@ -74,3 +77,14 @@
             yield GaugeRow("upstream_limit", rate, labels)
             yield GaugeRow("upstream_limit_own", node.rate_limits.get_own_rate(entry), labels)
             yield GaugeRow("upstream_limit_spent", node.rate_limits.get_spent(entry), labels)
+
+
+def list_release_gauges(node: "GatewayNode") -> Iterator[GaugeRow]:
+    """Yield the gauges on releases: this daemon's, those of living members, what is not told."""
+    yield GaugeRow("release", RELEASE, {})
+    yield GaugeRow("peer_frames_refused", node.state_sync.refused_frames, {})
+    yield GaugeRow("members_too_old", len(node.state_sync.too_old), {})
+    yield GaugeRow("store_updates_withheld", node.state_sync.withheld_updates, {})
+    releases = Counter(state.release for state in node.members.list_alive(node.loop.time()))
+    for release, count in releases.items():
+        yield GaugeRow("members_of_release", count, {"member_release": str(release)})
--- a/tanagertrail/gateway/losses.py
+++ b/tanagertrail/gateway/losses.py
@@ -4,8 +4,10 @@
     "LostRow",
     "UpstreamLoss",
     "describe_lost",
+    "extend_losses",
     "name_part_quarantine",
     "parse_part_quarantine",
+    "shorten_losses",
 ]
 
 from collections.abc import Iterable
@@ -37,6 +39,7 @@
 
     :ivar number: sequence number within the incarnation of the reporting daemon
     :ivar upstream: id and start time of the upstream, which identify its incarnation
+    :ivar service: service of the upstream, empty if a release that tells no parts reported it
     :ivar requests: requests of the reporting daemon that the upstream left unanswered
     :ivar age_ms: milliseconds since the crash was detected
     """
@@ -84,3 +87,17 @@
         int((now - attempt.sent_at) * 1000),
         int((now - attempt.failed_at) * 1000),
     )
+
+
+def extend_losses(rows: Iterable[tuple]) -> tuple:
+    """Extend rows of losses of releases that report the fingerprints of requests only."""
+    return tuple(
+        (*row[:4], "", tuple((fingerprint, (), 0, 0) for fingerprint in row[4]), row[5])
+        for row in rows
+    )
+
+
+def shorten_losses(rows: Iterable[tuple]) -> tuple:
+    """Shorten rows of losses to the fingerprints of requests, for releases that read no more."""
+    losses = (UpstreamLoss.from_row(row) for row in rows)
+    return tuple((*loss[:4], loss.fingerprints, loss.age_ms) for loss in losses)
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -17,6 +17,7 @@
 from typing import Any, NamedTuple
 
 from tanagertrail.daemons.peer_messages import DaemonState, LivenessRecord
+from tanagertrail.daemons.releases import CARRIER_RELEASE, OLDEST_RELEASE, RELEASE
 from tanagertrail.daemons.row_checks import decode_row
 from tanagertrail.decoding import (
     MAX_COUNT,
@@ -58,9 +59,15 @@
     strength: int = 0
     carrier: str = ""
 
-    def encode(self) -> dict[str, object]:
-        """Return the content of the stored registration."""
-        return self._asdict()
+    def encode(self, names_carrier: bool = True) -> dict[str, object]:
+        """Return the content of the stored registration.
+
+        :param names_carrier: whether it has the field that older releases refuse
+        """
+        content = self._asdict()
+        if not names_carrier:
+            del content["carrier"]
+        return content
 
     def build_state(self, counter: int, **details: Any) -> DaemonState:
         """Return a state of the daemon.
@@ -113,12 +120,22 @@
     :ivar last_seen_at: event-loop time in seconds at which it was last known to be alive
     :ivar serving: whether it accepts callers' requests
     :ivar reaches_upstreams: whether it reaches the upstreams, as far as it knows
+    :ivar release: newest release in whose form it was seen to tell its state or registration
     """
 
     member: Member
     last_seen_at: float
     serving: bool
     reaches_upstreams: bool = True
+    release: int = RELEASE
+
+    def merge_form(self, member: Member, release: int) -> bool:
+        """Merge what a newer form tells, and return whether the release is news."""
+        if member.carrier and not self.member.carrier:
+            self.member = self.member._replace(carrier=member.carrier)
+        is_news = release > self.release
+        self.release = max(release, self.release)
+        return is_news
 
 
 class MemberTable:
@@ -126,17 +143,39 @@
 
     :ivar own: this daemon as a member
     :ivar states: known members by name
+    :ivar registered: content of the stored registration, None until it is stored
     """
 
     def __init__(self, own: Member, log: EventLog) -> None:
         self.own = own
         self.log = log
         self.states: dict[str, MemberState] = {}
+        self.registered: dict[str, object] | None = None
+
+    @property
+    def may_name_carrier(self) -> bool:
+        """Whether all known members read a registration that names a carrier."""
+        return all(state.release >= CARRIER_RELEASE for state in self.states.values())
+
+    @property
+    def is_registration_outdated(self) -> bool:
+        """Whether the stored registration has a form that was chosen for other members."""
+        return self.registered is not None and (
+            ("carrier" in self.registered) != self.may_name_carrier
+        )
 
     def merge_member(
-        self, member: Member, last_seen_at: float, serving: bool, reaches_upstreams: bool = True
+        self,
+        member: Member,
+        last_seen_at: float,
+        serving: bool,
+        reaches_upstreams: bool = True,
+        release: int = RELEASE,
     ) -> None:
-        """Merge what was learnt about a member, unless something newer is known."""
+        """Merge what was learnt about a member, unless something newer is known.
+
+        :param release: release in whose form it was told
+        """
         if member.daemon == self.own.daemon:
             self.raise_incarnation(member.incarnation)
             return
@@ -145,9 +184,14 @@
             if state is None or state.member.address != member.address:
                 self.log.write("member_known", member=member.daemon, front=member.front)
             self.states[member.daemon] = MemberState(
-                member, last_seen_at, serving, reaches_upstreams
+                member, last_seen_at, serving, reaches_upstreams, release
             )
-        elif member.incarnation == state.member.incarnation and last_seen_at > state.last_seen_at:
+            return
+        if member.incarnation != state.member.incarnation:
+            return
+        if state.merge_form(member, release):
+            self.log.write("member_release", member=member.daemon, release=state.release)
+        if last_seen_at > state.last_seen_at:
             if serving != state.serving:
                 self.log.write("member_serving", member=member.daemon, serving=serving)
             if reaches_upstreams != state.reaches_upstreams:
@@ -208,12 +252,18 @@
         limit = self.alive_timeout
         return [state for state in self.states.values() if now - state.last_seen_at < limit]
 
-    def apply_liveness_record(self, record: LivenessRecord, now: float) -> None:
-        """Apply a liveness record of a known member; it carries no address of its own."""
+    def apply_liveness_record(
+        self, record: LivenessRecord, now: float, tells_links: bool = True
+    ) -> None:
+        """Apply a liveness record of a known member; it carries no address of its own.
+
+        :param tells_links: whether the record tells if the member reaches the upstreams
+        """
         state = self.states.get(record.daemon)
         if state is not None and state.member.incarnation == record.incarnation:
             seen_at = now - record.age_ms / 1000
-            self.merge_member(state.member, seen_at, record.serving, record.reaches_upstreams)
+            reaches = record.reaches_upstreams if tells_links else state.reaches_upstreams
+            self.merge_member(state.member, seen_at, record.serving, reaches, state.release)
 
     def list_strengths(self) -> dict[str, int]:
         """Return the strength of each member, including this daemon."""
@@ -278,29 +328,33 @@
     store: StoreClient, table: MemberTable, log: EventLog, rng: random.Random
 ) -> None:
     """Register this daemon in the store, retrying until it succeeds."""
+    table.registered = None
     while True:
         try:
-            await write_registration(store, table)
+            table.registered = await write_registration(store, table)
             return
         except PlatformError as error:
             log.write("registration_failed", error=str(error)[:200])
             await asyncio.sleep(rng.uniform(*REGISTRATION_RETRY_SECONDS))
 
 
-async def write_registration(store: StoreClient, table: MemberTable) -> None:
-    """Create or replace this daemon's registration.
+async def write_registration(store: StoreClient, table: MemberTable) -> dict[str, object]:
+    """Create or replace this daemon's registration, and return its content.
 
     :raises PlatformError: if the write failed or its answer was lost
     """
     name = table.own.daemon
+    content = table.own.encode(table.may_name_carrier)
     try:
-        await store.create(MEMBERS_KIND, name, table.own.encode())
+        await store.create(MEMBERS_KIND, name, content)
     except ConflictError:
         found = await store.read(MEMBERS_KIND, name)
         if found is not None:
             table.raise_incarnation(read_incarnation(found))
         revision = found.revision if found else 0
-        await store.replace(MEMBERS_KIND, name, table.own.encode(), revision)
+        content = table.own.encode(table.may_name_carrier)
+        await store.replace(MEMBERS_KIND, name, content, revision)
+    return content
 
 
 def read_incarnation(item: StoredObject) -> int:
@@ -340,4 +394,6 @@
                 "member_refused", MEMBERS_KIND, item.name, item.revision, error, member=item.name
             )
             return
-        self.table.merge_member(member, self.now() - self.table.alive_timeout, False)
+        release = CARRIER_RELEASE if "carrier" in item.content else OLDEST_RELEASE
+        last_seen_at = self.now() - self.table.alive_timeout
+        self.table.merge_member(member, last_seen_at, False, release=release)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import random
+from functools import partial
 
+from tanagertrail.daemons.releases import RELEASE
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.carry_server import CarryServer
 from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
@@ -218,7 +220,8 @@
         if self.settings.cloud:
             self.duty_runner = self.build_duty_runner()
             self.supervisor.start("duties", self.duty_runner.run)
-        self.log.write("started", incarnation=self.incarnation, front=self.settings.front)
+        front, release = self.settings.front, RELEASE
+        self.log.write("started", incarnation=self.incarnation, front=front, release=release)
 
     def build_duty_runner(self) -> DutyRunner:
         """Return the runner of the lease holder's duties."""
@@ -249,13 +252,11 @@
     def list_seeds(self) -> tuple[str, ...]:
         """Return addresses to try for other daemons while none is known."""
         port = self.settings.internal[0]
-        hosts = (seed.rpartition(":")[0] for seed in self.settings.seeds)
-        return tuple(f"{host}:{port}" for host in hosts)
+        return tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in self.settings.seeds)
 
     def list_peer_hosts(self) -> set[str]:
         """Return the hosts of other daemons."""
-        seed_hosts = {seed.rpartition(":")[0] for seed in self.settings.seeds}
-        return self.members.list_hosts() | seed_hosts
+        return self.members.list_hosts() | {seed.rpartition(":")[0] for seed in self.settings.seeds}
 
     def handle_restored_store(self) -> None:
         """Do again what a store that came back from an older copy may have lost."""
@@ -266,10 +267,8 @@
 
     def start_registration(self) -> None:
         """Start to register this daemon in the store."""
-        self.supervisor.start(
-            "registration",
-            lambda: register_member(self.store, self.members, self.log, self.rng),
-        )
+        work = partial(register_member, self.store, self.members, self.log, self.rng)
+        self.supervisor.start("registration", work)
 
     async def run_quarantines(self) -> None:
         """Remove expired quarantines while this daemon holds the lease, until cancelled."""
@@ -306,6 +305,8 @@
             self.shared_rates.forget_except(self.rate_limits.list_keys())
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
+            if self.members.is_registration_outdated:
+                self.start_registration()
 
     async def await_limits(self) -> None:
         """Wait until a serving daemon has told the limits in force, unless there is none."""
@@ -351,9 +352,8 @@
         """Return whether the lease holder is missing and this daemon may claim the lease."""
         topology = self.state_sync.topology
         silent = self.loop.time() - self.leader_seen_at
-        if not topology.is_hub or silent < LEADER_MISSING_SECONDS:
-            return False
-        if self.loop.time() - self.started_at < STARTUP_SETTLE_SECONDS:
+        is_new = self.loop.time() - self.started_at < STARTUP_SETTLE_SECONDS
+        if not topology.is_hub or is_new or silent < LEADER_MISSING_SECONDS:
             return False
         return topology.rank < LEASE_CANDIDATES or silent > LEADER_LOST_SECONDS
 
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -10,6 +10,7 @@
 
 from tanagertrail.daemons.frames import encode_frame, read_frame
 from tanagertrail.daemons.peer_messages import PeerAck, PeerRequest, PeerResponse, PeerUpdate
+from tanagertrail.daemons.releases import FIRST_STATED_RELEASE, RELEASE, ReleaseForm, find_form
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.channel import PEER_LIMITS, set_socket_options
 from tanagertrail.gateway.clock import BootClock
@@ -74,13 +75,14 @@
         try:
             while True:
                 _, message = await read_frame(reader)
-                writer.write(encode_frame(self.handle_message(message), 0))
+                writer.write(encode_frame(self.handle_message(message), RELEASE))
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
             pass  # the peer closed or died; the client's exchanges with it detect that
         except asyncio.CancelledError:
             pass  # the daemon stops; asyncio would log a cancelled stream task as an error
         except FrameError as error:
+            self.state_sync.refused_frames += 1
             self.log.write("peer_frame_refused", error=repr(error)[:200])
         except Exception as error:
             self.on_defect("peer connection", error)
@@ -109,10 +111,15 @@
 
 
 class PeerConnection:
-    """A connection to one member, opened on demand."""
+    """A connection to one member, opened on demand.
+
+    :ivar release: release in whose form the daemon at the other end tells its state, 0 while it
+        is not known; the daemon behind an address may be replaced only with the connection
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.release = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
@@ -122,15 +129,22 @@
         :raises OSError: if the peer cannot be reached
         :raises FrameError: if its reply cannot be read
         """
-        if self.writer is None or self.reader.at_eof():
+        if not self.is_open:
             await self.connect()
-        self.writer.write(encode_frame(message, 0))
+        self.writer.write(encode_frame(message, RELEASE))
         await self.writer.drain()
-        _, reply = await read_frame(self.reader)
+        stamp, reply = await read_frame(self.reader)
         if not isinstance(reply, expected):
             raise FrameError(f"unexpected message {type(reply).__name__}")
+        if stamp >= FIRST_STATED_RELEASE:
+            self.release = stamp
         return reply
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open, as far as it is known."""
+        return self.writer is not None and not self.reader.at_eof()
+
     async def connect(self) -> None:
         """Open the connection."""
         self.close()
@@ -143,6 +157,7 @@
         if self.writer is not None:
             self.writer.close()
         self.reader = self.writer = None
+        self.release = 0
 
 
 PeerCall = Callable[[str, PeerConnection], Awaitable[None]]
@@ -284,16 +299,32 @@
             self.log_failure(name, error)
         except FrameError as error:
             connection.close()
+            self.state_sync.refused_frames += 1
             self.log.write("peer_frame_refused", member=name, error=repr(error)[:200])
         except Exception as error:
             connection.close()
             self.on_defect("peer call", error)
 
     async def exchange_states(self, name: str, connection: PeerConnection) -> None:
-        """Exchange states with one member."""
+        """Exchange states with one member, in the form that it reads.
+
+        On a new connection the member is greeted first, to which it answers with its release. One
+        that states none gets a state that all releases read, and answers with its own.
+        """
+        if not connection.is_open or not connection.release:
+            await connection.request(self.state_sync.build_greeting(), PeerAck)
+        if not connection.release:
+            connection.release = await self.request_state(name, connection, None)
+        await self.request_state(name, connection, find_form(connection.release))
+
+    async def request_state(
+        self, name: str, connection: PeerConnection, form: ReleaseForm | None
+    ) -> int:
+        """Send a state in a form and return the release in whose form the response is."""
         sent_at = self.boot_time()
-        response = await connection.request(self.state_sync.build_request(name), PeerResponse)
-        self.state_sync.handle_response(response, sent_at)
+        request = self.state_sync.build_request(name, form)
+        response = await connection.request(request, PeerResponse)
+        return self.state_sync.handle_response(response, sent_at)
 
     async def push_update(self, name: str, connection: PeerConnection) -> None:
         """Push store updates to one member."""
--- a/tanagertrail/gateway/state_sync.py
+++ b/tanagertrail/gateway/state_sync.py
@@ -1,6 +1,6 @@
 """Synchronization of daemon states and store updates between the daemons of a fleet."""
 
-__all__ = ["StateSync", "SyncDelegate"]
+__all__ = ["STATE_MAX_AGE_SECONDS", "StateSync", "SyncDelegate"]
 
 import asyncio
 from collections import Counter
@@ -9,7 +9,6 @@
 from tanagertrail.daemons.peer_messages import (
     DaemonState,
     FleetSummary,
-    LivenessRecord,
     PeerAck,
     PeerRequest,
     PeerResponse,
@@ -17,22 +16,40 @@
     pack_rows,
     unpack_rows,
 )
-from tanagertrail.errors import FrameError
+from tanagertrail.daemons.releases import (
+    OLDEST_RELEASE,
+    OWN_FORM,
+    ReleaseForm,
+    find_form,
+)
+from tanagertrail.errors import FrameError, ReleaseTooOldError
 from tanagertrail.gateway.members import Member, MemberTable
 from tanagertrail.gateway.mirror import KindMirror
 from tanagertrail.gateway.peer_rows import (
     decode_liveness,
     decode_state,
     decode_update,
+    encode_state,
     unpack_one,
     unpack_state,
 )
+from tanagertrail.gateway.received_states import (
+    STATE_MAX_AGE_SECONDS,
+    FleetTotals,
+    ReceivedState,
+    complete_state,
+    is_newer,
+    pack_liveness,
+    pack_relayed_states,
+)
+from tanagertrail.platform.store import get_era
 from tanagertrail.policy.hubs import Topology
 
 CLIENT_TIMEOUT_SECONDS = 2.0  # after its last request, a daemon stays a client of this hub
 REACHABILITY_MAX_AGE_SECONDS = 2.0  # older states do not show that the store answers
-STATE_MAX_AGE_SECONDS = 4.5  # older states are neither relayed nor counted
 MAX_ERROR_LENGTH = 200  # characters
+MAX_TOO_OLD = 1000  # daemons that are remembered
+BARE_STATE_FIELDS = 7  # that daemons of all releases read without defaults
 
 
 class SyncDelegate:
@@ -65,58 +82,6 @@
         raise NotImplementedError
 
 
-class ReceivedState:
-    """A state received from another daemon.
-
-    :ivar reported_at: event-loop time in seconds at which the daemon reported the state
-    :ivar direct: whether the daemon itself sent the state, rather than a hub that relayed it
-    :ivar in_totals: whether the state is included in the :class:`FleetTotals`
-    """
-
-    def __init__(self, state: DaemonState, reported_at: float, direct: bool) -> None:
-        self.state = state
-        self.reported_at = reported_at
-        self.direct = direct
-        self.in_totals = False
-
-
-class FleetTotals:
-    """Totals of requests in flight and of quota rates over many daemons.
-
-    Updated incrementally as states arrive and expire: computing the totals from scratch for each
-    request would cost a hub time quadratic in the size of the fleet.
-    """
-
-    def __init__(self) -> None:
-        self.daemon_count = 0
-        self.in_flight: Counter[str] = Counter()
-        self.rates: Counter[str] = Counter()
-
-    def add(self, known: ReceivedState) -> None:
-        """Add a state to the totals."""
-        known.in_totals = True
-        self.accumulate(known.state, 1)
-
-    def remove(self, known: ReceivedState) -> None:
-        """Remove a state from the totals if it is included."""
-        if known.in_totals:
-            known.in_totals = False
-            self.accumulate(known.state, -1)
-
-    def accumulate(self, state: DaemonState, factor: int) -> None:
-        """Add a state to the totals, or subtract it.
-
-        :param factor: 1 to add, -1 to subtract
-        """
-        self.daemon_count += factor
-        for upstream_id, count in state.in_flight:
-            self.in_flight[upstream_id] += factor * count
-            if not self.in_flight[upstream_id]:
-                del self.in_flight[upstream_id]
-        for customer, _, rate in state.quota:
-            self.rates[customer] += factor * rate
-
-
 class StateSync:
     """Keep the states of other daemons, and build and handle peer messages.
 
@@ -126,6 +91,10 @@
     :ivar last_request_at: event-loop time in seconds of the last request of each daemon that gets
         store updates from here
     :ivar refused_rows: rows of other daemons that were passed over
+    :ivar refused_frames: frames of other daemons that could not be read
+    :ivar too_old: daemons whose states have a form that is too old to be read
+    :ivar withheld_updates: store updates that were not told, or not applied, because the other
+        daemon's release does not order revisions over the eras of the store
     :ivar quota_used: units by customer that all other daemons reported in total; never decreases
     """
 
@@ -142,6 +111,9 @@
         self.quota_used: Counter[str] = Counter()
         self.totals = FleetTotals()
         self.refused_rows = 0
+        self.refused_frames = 0
+        self.too_old: set[str] = set()
+        self.withheld_updates = 0
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -154,11 +126,16 @@
         """
         if state.daemon == self.members.own.daemon:
             return
+        known = self.states.get(state.daemon)
+        state = complete_state(state, known.state if known else None)
         reported_at = self.now() - state.age_ms / 1000
         self.members.merge_member(
-            Member.from_state(state), reported_at, state.serving, state.reaches_upstreams
+            Member.from_state(state),
+            reported_at,
+            state.serving,
+            state.reaches_upstreams,
+            state.release,
         )
-        known = self.states.get(state.daemon)
         if known is not None and not is_newer(state, known.state):
             known.direct = known.direct or direct
             return
@@ -194,95 +171,82 @@
         self.peer_revisions.pop(daemon, None)
         self.last_request_at.pop(daemon, None)
 
-    def pack_relayed_states(self, excluded: str) -> bytes:
+    def pack_relayed_states(self, excluded: str, form: ReleaseForm = OWN_FORM) -> bytes:
         """Return the packed states that this hub received directly, for another hub.
 
-        States relayed by other hubs are left out, so that no state circulates between hubs.
-        What upstreams state is left out too, because this daemon's own state holds all that it
-        knows of that.
-
         :param excluded: daemon that gets the states and so does not need its own
+        :param form: form that it reads
         """
-        now = self.now()
-        return pack_rows(
-            known.state._replace(
-                age_ms=int((now - known.reported_at) * 1000), limits=(), leaving=(), brittle=()
-            )
-            for name, known in self.states.items()
-            if known.direct
-            and name != excluded
-            and now - known.reported_at <= STATE_MAX_AGE_SECONDS
-        )
+        return pack_relayed_states(self.states, excluded, form, self.now())
 
-    def pack_liveness(self, excluded: str) -> bytes:
+    def pack_liveness(self, excluded: str, form: ReleaseForm = OWN_FORM) -> bytes:
         """Return packed liveness records of all other daemons, for a daemon that is not a hub."""
-        now = self.now()
-        return pack_rows(
-            LivenessRecord(
-                name,
-                known.state.incarnation,
-                known.state.serving,
-                known.state.lease_fencing,
-                int((now - known.reported_at) * 1000),
-                known.state.reaches_upstreams,
-            )
-            for name, known in self.states.items()
-            if name != excluded and now - known.reported_at <= STATE_MAX_AGE_SECONDS
-        )
+        return pack_liveness(self.states, excluded, form, self.now())
 
     def build_fleet_summary(self, receiver: str, own: DaemonState) -> FleetSummary:
         """Return the totals over all daemons except the receiver.
 
         :param own: the state of this daemon, which the totals include
         """
-        now = self.now()
-        for known in self.states.values():
-            if known.in_totals and now - known.reported_at > STATE_MAX_AGE_SECONDS:
-                self.totals.remove(known)
-        in_flight = self.totals.in_flight + Counter(dict(own.in_flight))
-        rates = self.totals.rates + Counter({customer: rate for customer, _, rate in own.quota})
-        used = self.quota_used + Counter({customer: total for customer, total, _ in own.quota})
-        daemons = self.totals.daemon_count + 1
-        receiver_known = self.states.get(receiver)
-        if receiver_known is not None:
-            used.subtract({customer: total for customer, total, _ in receiver_known.state.quota})
-        if receiver_known is not None and receiver_known.in_totals:
-            daemons -= 1
-            in_flight -= Counter(dict(receiver_known.state.in_flight))
-            rates.subtract({customer: rate for customer, _, rate in receiver_known.state.quota})
-        quota = tuple(
-            (customer, total, max(rates[customer], 0.0)) for customer, total in used.items()
-        )
-        return FleetSummary(daemons, tuple(in_flight.items()), quota)
+        self.totals.remove_outdated(self.states.values(), self.now())
+        return self.totals.summarize(own, self.states.get(receiver), self.quota_used)
 
     def list_revisions(self) -> tuple:
         """Return the revision of each mirror."""
         return tuple((kind, mirror.revision) for kind, mirror in self.mirrors.items())
 
-    def build_updates(self, known: dict[str, int]) -> tuple:
+    def build_updates(self, known: dict[str, int], form: ReleaseForm = OWN_FORM) -> tuple:
         """Return the store updates that a daemon lacks.
 
         :param known: revision by kind that the daemon has
+        :param form: form that it reads
         """
-        updates = (mirror.build_update(known.get(kind, 0)) for kind, mirror in self.mirrors.items())
+        updates = [
+            mirror.build_update(known.get(kind, 0))
+            for kind, mirror in self.mirrors.items()
+            if self.shares_revisions(mirror, form)
+        ]
         return tuple(tuple(update) for update in updates if update is not None)
 
-    def build_request(self, receiver: str) -> PeerRequest:
-        """Build the state exchange request to a daemon."""
+    def shares_revisions(self, mirror: KindMirror, form: ReleaseForm) -> bool:
+        """Return whether a revision means the same to daemons of a release; count it if not."""
+        if form.orders_eras or not get_era(mirror.revision):
+            return True
+        self.withheld_updates += 1
+        return False
+
+    def build_request(self, receiver: str, form: ReleaseForm | None = OWN_FORM) -> PeerRequest:
+        """Build the state exchange request to a daemon.
+
+        :param form: form that it reads, None if not known
+        """
+        if form is None:
+            state = self.build_bare_state()
+        else:
+            state = encode_state(self.delegate.describe_state(), form)
         return PeerRequest(
-            pack_rows([self.delegate.describe_state()]),
+            pack_rows([state]),
             self.topology.is_hub,
             receiver in self.topology.partners[:1],
             self.list_revisions(),
         )
 
+    def build_bare_state(self) -> tuple:
+        """Build the row of a state that daemons of all releases read and that tells no more.
+
+        It bears the incarnation before this one, so that what it lacks is not taken as told.
+        """
+        earlier = self.members.own._replace(incarnation=max(self.members.own.incarnation - 1, 0))
+        return tuple(earlier.build_state(0))[:BARE_STATE_FIELDS]
+
     def handle_request(self, request: PeerRequest) -> PeerResponse:
         """Apply a request and build its response.
 
         A state sent to the daemon's second hub is not relayed from there, since its first hub
         relays it.
         """
-        sender = unpack_state(request.state)
+        sender = self.read_state(request.state)
+        form = find_form(sender.release)
         if request.to_primary_hub or request.from_hub:
             self.last_request_at[sender.daemon] = self.now()
         self.apply_state(sender, direct=request.to_primary_hub and not request.from_hub)
@@ -290,26 +254,51 @@
         wants_summary = request.to_primary_hub and not request.from_hub
         own = self.delegate.describe_state()
         return PeerResponse(
-            pack_rows([own]),
+            pack_rows([encode_state(own, form)]),
             self.topology.is_hub,
             self.list_revisions(),
-            self.pack_relayed_states(sender.daemon) if request.from_hub else b"",
-            b"" if request.from_hub else self.pack_liveness(sender.daemon),
-            self.build_updates(dict(request.revisions)),
+            self.pack_relayed_states(sender.daemon, form) if request.from_hub else b"",
+            b"" if request.from_hub else self.pack_liveness(sender.daemon, form),
+            self.build_updates(dict(request.revisions), form),
             pack_rows([self.build_fleet_summary(sender.daemon, own)]) if wants_summary else b"",
             self.members.find_newer_incarnation(sender.daemon, sender.incarnation),
         )
 
+    def read_state(self, packed: bytes) -> DaemonState:
+        """Unpack the state in a request or response, and note a release that is too old.
+
+        :raises FrameError: if it is malformed
+        """
+        try:
+            state = unpack_state(packed)
+        except ReleaseTooOldError as error:
+            if error.daemon not in self.too_old and len(self.too_old) < MAX_TOO_OLD:
+                self.too_old.add(error.daemon)
+                self.members.log.write("release_too_old", member=error.daemon, error=str(error))
+            raise
+        self.too_old.discard(state.daemon)
+        return state
+
+    def find_peer_form(self, daemon: str) -> ReleaseForm:
+        """Find the form that a daemon reads, the oldest one if it is not known."""
+        known = self.members.states.get(daemon)
+        return find_form(known.release if known is not None else OLDEST_RELEASE)
+
+    def build_greeting(self) -> PeerUpdate:
+        """Build a push without updates, which daemons of all releases acknowledge."""
+        return PeerUpdate(self.members.own.daemon, self.list_revisions(), ())
+
     def build_store_update(self, receiver: str) -> PeerUpdate:
         """Build a push of the store updates that a daemon is assumed to lack."""
         known = self.peer_revisions.get(receiver, {})
-        updates = tuple(update for update in self.build_updates(known) if update[-1])
+        form = self.find_peer_form(receiver)
+        updates = tuple(update for update in self.build_updates(known, form) if update[-1])
         return PeerUpdate(self.members.own.daemon, self.list_revisions(), updates)
 
     def handle_store_update(self, update: PeerUpdate) -> PeerAck:
         """Apply pushed store updates and acknowledge the resulting revisions."""
         self.peer_revisions[update.daemon] = dict(update.revisions)
-        if self.apply_updates(update.updates, None):
+        if self.apply_updates(update.updates, None, self.find_peer_form(update.daemon)):
             self.delegate.on_store_update()
         return PeerAck(self.list_revisions())
 
@@ -317,12 +306,12 @@
         """Record the revisions that a daemon acknowledged."""
         self.peer_revisions[daemon] = dict(ack.revisions)
 
-    def handle_response(self, response: PeerResponse, sent_at: float) -> None:
-        """Apply the response to a request.
+    def handle_response(self, response: PeerResponse, sent_at: float) -> int:
+        """Apply the response to a request, and return the release in whose form it was told.
 
         :param sent_at: boot time in seconds just before the request was sent
         """
-        state = unpack_state(response.state)
+        state = self.read_state(response.state)
         self.members.raise_incarnation(response.newer_incarnation)
         self.apply_state(state, direct=not response.from_hub)
         self.apply_relayed_states(response.relayed)
@@ -331,8 +320,9 @@
         if response.fleet_summary and state.daemon in self.topology.partners[:1]:
             summary = unpack_one(FleetSummary, response.fleet_summary)
             self.delegate.apply_fleet_summary(state.daemon, state.incarnation, summary)
-        if self.apply_updates(response.updates, sent_at):
+        if self.apply_updates(response.updates, sent_at, find_form(state.release)):
             self.delegate.on_store_update()
+        return state.release
 
     def apply_relayed_states(self, packed: bytes) -> None:
         """Apply the states that a hub relayed."""
@@ -349,26 +339,29 @@
         now = self.now()
         for row in unpack_rows(packed):
             try:
-                record = decode_liveness(row)
+                record, tells_links = decode_liveness(row)
             except FrameError as error:
                 self.refuse_row(error)
                 continue
-            self.members.apply_liveness_record(record, now)
+            self.members.apply_liveness_record(record, now, tells_links)
             if record.lease_fencing:
                 self.delegate.record_leader_seen(record.age_ms / 1000)
 
-    def apply_updates(self, rows: tuple, sent_at: float | None) -> bool:
+    def apply_updates(self, rows: tuple, sent_at: float | None, form: ReleaseForm) -> bool:
         """Apply store updates to the mirrors and return whether anything changed.
 
         :param sent_at: boot time in seconds just before the request for them was sent, None for
             updates that were pushed
+        :param form: form of the daemon that sent them
         """
         changed = False
         for row in rows:
             try:
                 update = decode_update(row)
                 mirror = self.mirrors.get(update.kind)
-                if mirror is not None and mirror.apply_update(update, sent_at):
+                if mirror is None or not self.shares_revisions(mirror, form):
+                    continue
+                if mirror.apply_update(update, sent_at):
                     changed = True
             except FrameError as error:
                 self.refuse_row(error)
@@ -396,8 +389,3 @@
                 for kind, revision in known.items()
             )
         ]
-
-
-def is_newer(state: DaemonState, known: DaemonState) -> bool:
-    """Return whether a state is newer than another one of the same daemon."""
-    return (state.incarnation, state.counter) > (known.incarnation, known.counter)
--- a/tanagertrail/gateway/suspects.py
+++ b/tanagertrail/gateway/suspects.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Iterable
 
 from tanagertrail.daemons.peer_messages import DaemonState
+from tanagertrail.daemons.releases import COMPLETED_RELEASE
 from tanagertrail.gateway.crash_detector import UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.losses import (
@@ -187,7 +188,8 @@
 
         :param at: event-loop time in seconds at which the crash was detected
         """
-        self.count_part_loss(loss, at)
+        if loss.service:
+            self.count_part_loss(loss, at)
         counted_fingerprints = tuple(
             name for name in loss.fingerprints if not self.coincides_with_last_loss(name, at)
         )
@@ -309,6 +311,8 @@
                 failed_at = reported_at - age_ms / 1000
                 if not self.attributor.suspect(part, failed_at):
                     self.tell_if_cleared(part, failed_at)
+        if state.release < COMPLETED_RELEASE:
+            return
         counts = dict(state.completed)
         incarnation, known = self.completed_elsewhere.get(state.daemon, (0, {}))
         if incarnation == state.incarnation:
