--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -45,6 +45,7 @@
     """Serve the requests of other daemons.
 
     :ivar closed: whether it serves no more, not even connections accepted before
+    :ivar stated_release: release that it states in frames
     :ivar on_defect: called with the place and an exception that no code expects
     """
 
@@ -54,6 +55,7 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.closed = False
+        self.stated_release = RELEASE
         self.on_defect: DefectHandler = partial(log_defect, log)
 
     async def start(self, host: str, port: int) -> None:
@@ -75,7 +77,7 @@
         try:
             while True:
                 _, message = await read_frame(reader)
-                writer.write(encode_frame(self.handle_message(message), RELEASE))
+                writer.write(encode_frame(self.handle_message(message), self.stated_release))
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
             pass  # the peer closed or died; the client's exchanges with it detect that
@@ -115,10 +117,12 @@
 
     :ivar release: release in whose form the daemon at the other end tells its state, 0 while it
         is not known; the daemon behind an address may be replaced only with the connection
+    :ivar stated_release: release that this daemon states in frames
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, stated_release: int = RELEASE) -> None:
         self.address = address
+        self.stated_release = stated_release
         self.release = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -131,7 +135,7 @@
         """
         if not self.is_open:
             await self.connect()
-        self.writer.write(encode_frame(message, RELEASE))
+        self.writer.write(encode_frame(message, self.stated_release))
         await self.writer.drain()
         stamp, reply = await read_frame(self.reader)
         if not isinstance(reply, expected):
@@ -171,6 +175,7 @@
     :ivar active_calls: running calls by address, at most one per daemon
     :ivar pending_pushes: members to push updates to once their running call ends
     :ivar period: number of the current exchange period
+    :ivar stated_release: release that this daemon states in frames
     :ivar on_defect: called with the place and an exception that no code expects
     """
 
@@ -193,6 +198,7 @@
         self.active_calls: dict[str, asyncio.Task] = {}
         self.pending_pushes: set[str] = set()
         self.period = 0
+        self.stated_release = RELEASE
         self.push_timer: asyncio.TimerHandle | None = None
         self.on_defect: DefectHandler = partial(log_defect, log)
 
@@ -287,7 +293,9 @@
 
     async def run_call(self, name: str, address: str, call: PeerCall) -> None:
         """Make one call to a member and handle its failure."""
-        connection = self.connections.setdefault(address, PeerConnection(address))
+        if address not in self.connections:
+            self.connections[address] = PeerConnection(address, self.stated_release)
+        connection = self.connections[address]
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT_SECONDS):
                 await call(name, connection)
--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -19,6 +19,8 @@
 from tanagertrail.soak import upstream_faults as _upstream_faults  # noqa: F401
 from tanagertrail.soak.checks import find_broken
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
+from tanagertrail.soak.processes import OWN_TREE
+from tanagertrail.soak.release_rig import print_upgrade, run_upgrade
 from tanagertrail.soak.world import SoakWorld
 
 DEFAULT_SECONDS = 20.0
@@ -137,6 +139,27 @@
         for fault in draw_plan(seed, seconds):
             print(f"{fault.at:7.2f} s  {fault.kind:20} {fault.seconds:5.2f} s  #{fault.target}")
 
+    def upgrade(
+        self,
+        older: str,
+        newer: str = str(OWN_TREE),
+        course: str = "forth",
+        seed: int = 1,
+        daemons: int = 6,
+        kinds: str = "",
+    ) -> None:
+        """Replace daemons of an older source tree one by one by those of a newer one.
+
+        :param older: folder of the older sources, such as ``git archive`` writes
+        :param course: ``forth``, ``back`` or ``halt``
+        :param kinds: kinds of faults that come meanwhile, separated by slashes
+        """
+        names = [name for name in kinds.split("/") if name]
+        folders = (Path(older), Path(newer))
+        result = asyncio.run(run_upgrade(*folders, course, seed, daemons, kinds=names))
+        print_upgrade(result)
+        sys.exit(1 if result.broken or result.logs.refused or result.logs.defects else 0)
+
 
 def print_result(result: SoakResult) -> None:
     """Print what a run showed."""
--- a/tests/fuzz_decoding.py
+++ b/tests/fuzz_decoding.py
@@ -21,6 +21,7 @@
 
 from tanagertrail.daemons.frames import LENGTH_PREFIX, decode_frame, encode_frame
 from tanagertrail.daemons.peer_messages import (
+    DaemonState,
     FleetSummary,
     LivenessRecord,
     MirrorUpdate,
@@ -31,6 +32,7 @@
     pack_json,
     pack_rows,
 )
+from tanagertrail.daemons.releases import find_form_by_fields
 from tanagertrail.decoding import (
     find_violation,
     is_address,
@@ -41,6 +43,7 @@
 from tanagertrail.errors import FrameError, PlatformError
 from tanagertrail.gateway.members import MEMBERS_KIND
 from tanagertrail.gateway.node import GatewayNode
+from tanagertrail.gateway.peer_rows import encode_state
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND
 from tanagertrail.platform.store import Listing
 from tanagertrail.platform.stored_objects import decode_changes, decode_listing_page
@@ -48,8 +51,10 @@
 from tanagertrail.standins.documents import build_entry
 from tanagertrail.testing import run_in_virtual_time
 from tests.gateway_utils import build_config, build_settings
+from tests.older_daemons import STATE_COUNTS
 
 LEVELS = 4
+NEWEST_COUNT = len(DaemonState._fields)
 SPECIAL_VALUES = (
     *(-1, 0, 65_536, 99_999, 2**53, 2**63, 2**64, 2**70, 10**400, -(2**70)),
     *(float("nan"), float("inf"), -0.0, 1e300, True, False, None, [], {}, "", " ", "\ud800"),
@@ -315,8 +320,11 @@
         return
 
 
-def check_odd_messages(changes: list[Mutation], in_state: bool) -> None:
-    """Check messages with odd fields, and with odd fields of the states in them."""
+def check_odd_messages(changes: list[Mutation], in_state: bool, count: int) -> None:
+    """Check messages with odd fields, and with odd fields of the states in them.
+
+    :param count: fields of the states, those of an older, this or a newer release
+    """
 
     async def exchange() -> None:
         node = build_node()
@@ -336,7 +344,8 @@
         )
         updates = node.state_sync.build_updates({})
         for change in changes:
-            row = change.apply(to_lists(tuple(state))) if in_state else tuple(state)
+            told = encode_with(state, count)
+            row = change.apply(to_lists(told)) if in_state else told
             if not isinstance(row, list | tuple):
                 continue
             packed = pack_odd_rows([to_tuples(row)])
@@ -357,6 +366,12 @@
     run_watched(exchange())
 
 
+def encode_with(state: DaemonState, count: int) -> tuple:
+    """Return the row of a state with a number of fields."""
+    row = encode_state(state, find_form_by_fields(count))
+    return (*row, *range(count - len(row)))
+
+
 def pack_odd_rows(rows: list) -> bytes:
     """Pack rows, or return broken bytes if a value cannot be packed."""
     try:
@@ -409,6 +424,7 @@
     check_odd_messages: {
         "changes": st.lists(mutations, min_size=1, max_size=4),
         "in_state": st.booleans(),
+        "count": st.sampled_from((*STATE_COUNTS, NEWEST_COUNT, NEWEST_COUNT + 3)),
     },
 }
 
--- a/tests/older_daemons.py
+++ b/tests/older_daemons.py
@@ -6,6 +6,10 @@
 
 import msgpack
 
+from tanagertrail.daemons.peer_messages import DaemonState
+from tanagertrail.daemons.releases import find_form_by_fields
+from tanagertrail.errors import FrameError
+from tanagertrail.gateway.members import Member
 from tanagertrail.standins.ports import HOST, find_port
 
 STATE_FIELDS = (
@@ -18,6 +22,7 @@
     *("leaving", "brittle"),
 )
 STATE_COUNTS = (18, 19, 22, 24, 26)  # of the releases before the first that states its number
+OLDEST_COUNT = STATE_COUNTS[0]
 FIRST_COUNT_WITH_PARTS = 22  # whose losses hold the parts of prompts
 FIRST_COUNT_WITH_LINKS = 24  # whose liveness records tell whether upstreams are reached
 DEFAULTS = {
@@ -149,3 +154,40 @@
         """Stop listening."""
         if self.server is not None:
             self.server.close()
+
+
+class OlderMember(Member):
+    """A daemon of a release whose registrations name no carrier."""
+
+    def encode(self, names_carrier=True):
+        """Return the content of the stored registration."""
+        return super().encode(names_carrier=False)
+
+
+def make_older(node, count):
+    """Have a gateway that has not started yet speak and read only the form of an older release.
+
+    It greets nobody, states no release, and refuses states of more fields. Its decisions stay those
+    of this release.
+    """
+    form = find_form_by_fields(count)
+    sync, client = node.state_sync, node.peer_client
+    build_request, read_state = sync.build_request, sync.read_state
+
+    def read_older_state(packed):
+        (row,) = unpack(packed)
+        if len(row) > count:
+            raise FrameError(f"a state has {len(row)} fields, not {count}")
+        if len(row) < OLDEST_COUNT:
+            return DaemonState(*row, release=form.release)
+        return read_state(packed)
+
+    async def exchange_states(name, connection):
+        await client.request_state(name, connection, form)
+
+    sync.build_request = lambda receiver, _: build_request(receiver, form)
+    sync.read_state = read_older_state
+    client.exchange_states = exchange_states
+    client.stated_release = node.peer_server.stated_release = 0
+    if count < FIRST_COUNT_WITH_LINKS:
+        node.members.own = OlderMember(*node.members.own)._replace(carrier="")
