Show operators which releases run side by side

Operators who replace daemons one by one could not see how many are left, nor whether one release refuses the other: the new gauges were on the metrics page only. `tanagertrail beliefs` now shows the daemon's release, the live members by release and what could not be read. Tests: the page's lines, and a running gateway beside another one (failed before: the report had no releases).

--- a/tanagertrail/operators/beliefs.py
+++ b/tanagertrail/operators/beliefs.py
@@ -49,12 +49,14 @@
     :ivar values: values without labels, by name
     :ivar domains_out: failure domains that get no work
     :ivar failed_tasks: tasks that failed unexpectedly, with how often
+    :ivar releases: live members by release, as (release, members) pairs in rising order
     """
 
     values: dict[str, float]
     domains_out: tuple[str, ...]
     upstreams: tuple[UpstreamBelief, ...]
     failed_tasks: tuple[str, ...] = ()
+    releases: tuple[tuple[int, int], ...] = ()
 
 
 def iter_states(text: str) -> Iterator[tuple[dict[str, str], float]]:
@@ -84,6 +86,7 @@
     values: dict[str, float] = {}
     domains: list[str] = []
     tasks: list[str] = []
+    releases: dict[int, int] = {}
     upstreams: dict[tuple[str, str], dict[str, float]] = {}
     for labels, value in iter_states(text):
         name = labels.get("name", "")
@@ -92,6 +95,9 @@
             upstreams.setdefault(key, {})[name] = value
         elif name == "task_failures":
             tasks.append(f"{labels.get('task', '')} ({value:.0f})")
+        elif name == "members_of_release":
+            if labels.get("member_release", "").isdecimal():
+                releases[int(labels["member_release"])] = int(value)
         elif name == "domain_out":
             domains.append(labels.get("failure_domain", ""))
         else:
@@ -113,7 +119,8 @@
         )
         for (upstream, service), found in sorted(upstreams.items())
     )
-    return BeliefReport(values, tuple(sorted(domains)), rows, tuple(sorted(tasks)))
+    members = tuple(sorted(releases.items()))
+    return BeliefReport(values, tuple(sorted(domains)), rows, tuple(sorted(tasks)), members)
 
 
 def read_report(address: str) -> BeliefReport:
@@ -140,6 +147,8 @@
     version, age = values.get("config_version", 0), values.get("config_age_s", 0)
     yield f"configuration {version:.0f}, known to be the newest {age:.2f} s ago"
     yield f"{values.get('members_alive', 0):.0f} daemons live"
+    if "release" in values:
+        yield from format_releases(report)
     fencing = values.get("fencing", 0)
     yield f"holds the duties with number {fencing:.0f}" if fencing else "holds no duties"
     out = ", ".join(report.domains_out)
@@ -175,3 +184,17 @@
                 f"upstream {row.upstream} accepts {row.named_rate:g} requests a second from all "
                 f"daemons, {row.own_rate:.3g} of them from here"
             )
+
+
+def format_releases(report: BeliefReport) -> Iterator[str]:
+    """Yield the lines that show which releases run, and whether one refuses the other."""
+    own = int(report.values["release"])
+    others = ", ".join(f"{count} of release {release}" for release, count in report.releases)
+    yield f"runs release {own}; other live daemons: {others or 'none'}"
+    refused = report.values.get("peer_frames_refused", 0)
+    too_old = report.values.get("members_too_old", 0)
+    if refused or too_old:
+        yield (
+            f"{refused:.0f} messages of other daemons could not be read, "
+            f"{too_old:.0f} daemons are of a release that is too old"
+        )
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from tanagertrail.daemons.releases import RELEASE
 from tanagertrail.gateway.node import GatewayNode
 from tanagertrail.operators.beliefs import format_report, parse_metrics, read_report
 from tanagertrail.operators.client import OperatorError
@@ -48,6 +49,27 @@
     assert shown in lines
 
 
+def test_releases_that_run_side_by_side_are_shown():
+    page = (
+        PAGE
+        + """tanagertrail_state{name="release"} 6.0
+tanagertrail_state{name="members_of_release",member_release="6"} 2.0
+tanagertrail_state{name="members_of_release",member_release="3"} 4.0
+tanagertrail_state{name="members_of_release",member_release="x"} 4.0
+"""
+    )
+    lines = list(format_report(parse_metrics(page)))
+    assert "runs release 6; other live daemons: 4 of release 3, 2 of release 6" in lines
+    assert not any("could not be read" in line for line in lines)
+    page += """tanagertrail_state{name="peer_frames_refused"} 7.0
+tanagertrail_state{name="members_too_old"} 1.0
+"""
+    lines = list(format_report(parse_metrics(page)))
+    (shown,) = [line for line in lines if "could not be read" in line]
+    assert shown.startswith("7 messages of other daemons")
+    assert shown.endswith("1 daemons are of a release that is too old")
+
+
 def test_failed_tasks_and_refused_objects_are_shown():
     page = (
         PAGE
@@ -84,9 +106,11 @@
         await node.start()
         try:
             await world.wait_until(lambda: node.ready)
+            await world.wait_until(lambda: node.members.list_alive(node.loop.time()))
             report = await asyncio.to_thread(read_report, f"{HOST}:{metrics}")
             assert report.values["config_version"] == 1
             assert {row.upstream for row in report.upstreams} == {"up-a", "up-b"}
+            assert (report.values["release"], report.releases) == (RELEASE, ((RELEASE, 1),))
         finally:
             node.close()
 
