Divide brittle upstreams' slots evenly while a daemon of an older release is alive

What callers would see: in a fleet beyond nine of two releases, older daemons divide slots evenly over all and newer ones among a few holders, so that parts of an upstream may add up to more than its slots and it falls. Cause: one side of an upgrade changes what both sides have to agree on. Change: the view of the fleet says whether an older daemon is alive; then all divide evenly. Evidence: two new tests; the sums of parts over 30 daemons are 48 of 48. Not played with real processes of beyond nine daemons. Conclusion: the rule over all daemons holds while mixed, by the arithmetic of both releases.

--- a/tanagertrail/daemons/releases.py
+++ b/tanagertrail/daemons/releases.py
@@ -7,6 +7,7 @@
     "CARRIER_RELEASE",
     "COMPLETED_RELEASE",
     "FIRST_STATED_RELEASE",
+    "HOLDERS_RELEASE",
     "OLDEST_RELEASE",
     "OWN_FORM",
     "RELEASE",
@@ -48,6 +49,7 @@
 OLDEST_RELEASE = FORMS[0].release
 COMPLETED_RELEASE = 3  # the first whose states count completed requests
 CARRIER_RELEASE = 4  # the first whose registrations name a carrier
+HOLDERS_RELEASE = 6  # the first in which a few daemons hold the slots of brittle upstreams
 FIRST_STATED_RELEASE = 6  # the first whose daemons state their release in frames
 
 
--- a/tanagertrail/emulator/brittle.py
+++ b/tanagertrail/emulator/brittle.py
@@ -39,7 +39,7 @@
 @LIMITS.register("parts")
 def plan_part(key: str, slots: int, fleet: FleetView) -> float:
     """Divide the slots among their holders."""
-    count = count_holders(slots, len(fleet.serving))
+    count = count_holders(slots, fleet)
     return plan_slots(rank_by_hash(key, fleet.serving)[:count], slots, fleet)
 
 
--- a/tanagertrail/gateway/brittle_upstreams.py
+++ b/tanagertrail/gateway/brittle_upstreams.py
@@ -165,7 +165,7 @@
         """Find the daemons that hold a part of an upstream's slots, none unless it is brittle."""
         if not self.is_brittle(entry):
             return []
-        count = count_holders(entry.record.slots, self.shared_rates.daemon_count)
+        count = count_holders(entry.record.slots, self.shared_rates.held_rates.fleet)
         key = f"brittle {entry.record.id} {entry.record.born}"
         return self.shared_rates.find_holders(key, count)
 
--- a/tanagertrail/gateway/shared_rates.py
+++ b/tanagertrail/gateway/shared_rates.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Collection
 
+from tanagertrail.daemons.releases import HOLDERS_RELEASE
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.policy.hashing import rank_by_hash
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
@@ -57,11 +58,17 @@
         live_share = self.members.count_alive(now) / known
         direct = known <= MAX_FULL_MESH_DAEMONS
         self.held_rates.observe_fleet(
-            FleetView(self.members.own.daemon, frozenset(serving), live_share),
+            FleetView(
+                self.members.own.daemon, frozenset(serving), live_share, self.has_older_daemon(now)
+            ),
             DIRECT_HANDOVER_SECONDS if direct else RELAYED_HANDOVER_SECONDS,
             now,
         )
 
+    def has_older_daemon(self, now: float) -> bool:
+        """Return whether a live daemon is of a release that has no holders of slots."""
+        return any(state.release < HOLDERS_RELEASE for state in self.members.list_alive(now))
+
     def find_holders(self, key: str, count: int) -> list[str]:
         """Find the daemons of the present fleet that hold a part of what is divided.
 
--- a/tanagertrail/policy/brittle.py
+++ b/tanagertrail/policy/brittle.py
@@ -14,13 +14,14 @@
 RECOVERY_SECONDS = 4.0  # in which the room grows to the usual after the upstream was brittle
 
 
-def count_holders(slots: int, daemons: int) -> int:
+def count_holders(slots: int, fleet: FleetView) -> int:
     """Count the daemons among which an upstream's slots are divided.
 
     In a large fleet few hold a part of several slots, since a part of one slot is idle for as long
     as its daemon has no request. The others have their requests carried by holders.
     """
-    if daemons <= MAX_FULL_MESH_DAEMONS:
+    daemons = len(fleet.serving)
+    if fleet.spreads_slots or daemons <= MAX_FULL_MESH_DAEMONS:
         return daemons
     return max(math.ceil(slots / HELD_SLOTS), 1)
 
--- a/tanagertrail/policy/shared_rate.py
+++ b/tanagertrail/policy/shared_rate.py
@@ -51,11 +51,13 @@
     :ivar own: this daemon
     :ivar serving: live daemons that accept callers' requests, this one included if it does
     :ivar live_share: live daemons as a share of all known ones, in (0, 1]
+    :ivar spreads_slots: whether slots are divided among all daemons, as older releases do
     """
 
     own: str
     serving: frozenset[str]
     live_share: float
+    spreads_slots: bool = False
 
 
 class RateShare(NamedTuple):
--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
+from tanagertrail.daemons.releases import HOLDERS_RELEASE
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.crash_detector import CrashDetector
 from tanagertrail.gateway.model import Upstream
@@ -162,11 +163,12 @@
         assert sum(len(upstream.rejected_at) for upstream in fleet.upstreams) == 0
 
 
-def plan_parts(daemons, slots, live_share=1.0):
+def plan_parts(daemons, slots, live_share=1.0, spreads_slots=False):
     """Plan the parts of all daemons."""
     names = frozenset(f"d{number}" for number in range(daemons))
-    holders = rank_by_hash("up-a 1.0", names)[: count_holders(slots, daemons)]
-    return [plan_slots(holders, slots, FleetView(name, names, live_share)) for name in names]
+    fleets = [FleetView(name, names, live_share, spreads_slots) for name in names]
+    holders = rank_by_hash("up-a 1.0", names)[: count_holders(slots, fleets[0])]
+    return [plan_slots(holders, slots, fleet) for fleet in fleets]
 
 
 def test_parts_of_all_daemons_together_are_the_slots_of_an_upstream():
@@ -183,6 +185,24 @@
         assert max(parts) - min(parts) <= 1
 
 
+def test_slots_add_up_to_more_than_an_upstream_has_beside_daemons_of_older_releases():
+    older_parts = plan_parts(30, 48, spreads_slots=True)
+    assert sorted(older_parts) == [1] * 12 + [2] * 18
+    assert sum(older_parts) == 48
+
+
+@run_in_real_time
+async def test_older_daemon_is_taken_for_one_that_leaves_slots_to_holders():
+    async with open_fleet("entry-2") as fleet:
+        rates = fleet.node.shared_rates
+        let_daemons_know_each_other(fleet)
+        assert not rates.held_rates.fleet.spreads_slots
+        fleet.node.members.states["entry-2"].release = HOLDERS_RELEASE - 1
+        rates.refreshed_at = float("-inf")
+        rates.refresh_fleet()
+        assert rates.held_rates.fleet.spreads_slots
+
+
 def test_daemon_that_serves_nobody_has_no_room_at_a_brittle_upstream():
     assert plan_slots(["d1"], 8, FleetView("d9", frozenset({"d1"}), 1.0)) == 0
 
