--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -7,6 +7,7 @@
 
 from tanagertrail.errors import InvalidInputError
 from tanagertrail.gateway.admission import Refusal
+from tanagertrail.gateway.answer_relay import CallerGoneError
 from tanagertrail.gateway.caller_close import linger
 from tanagertrail.gateway.carried_exchange import (
     build_cut_result,
@@ -19,7 +20,9 @@
     CarriedResult,
     CarryOutcome,
     build_result_headers,
+    decode_begun,
     decode_request,
+    mark_resend,
     shorten_request_id,
 )
 from tanagertrail.gateway.channel import Channel
@@ -29,7 +32,6 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
 from tanagertrail.gateway.http_server import HttpServer
 from tanagertrail.gateway.model import Limits
-from tanagertrail.gateway.upstream_sender import CallerGoneError
 from tanagertrail.platform.header_fields import build_response_headers, decode_caller_fields
 from tanagertrail.policy.carrier_choice import compute_carry_room, compute_connection_limit
 
@@ -113,6 +115,7 @@
         request_id = shorten_request_id(fields.request_id)
         try:
             carried = decode_request(request.headers)
+            begun = decode_begun(request.headers)
         except InvalidInputError as error:
             result = CarriedResult(request_id, CarryOutcome.NOT_CARRIED, reason=str(error))
             self.refuse_carried(stream, result, "")
@@ -121,7 +124,7 @@
         if result is not None:
             self.refuse_carried(stream, result, carried.origin)
             return
-        exchange = build_exchange(request, stream, carried)
+        exchange = build_exchange(request, stream, carried, begun)
         self.in_flight += 1
         outcome = "origin gone"
         try:
@@ -230,7 +233,8 @@
         status, headers = STATUSES.get(attempt.result, 503), TEXT_HEADERS
         if attempt.head is not None:
             status, headers = attempt.head.status, build_response_headers(attempt.head.headers)
-        stream.send_response(status, build_result_headers(headers, result), attempt.body)
+        headers = mark_resend(build_result_headers(headers, result), exchange.resend_claimed)
+        stream.send_response(status, headers, attempt.body)
 
     def refuse_carried(self, stream: CallerStream, result: CarriedResult, origin: str) -> None:
         """Refuse a request of another daemon, which did not run."""
--- a/tanagertrail/gateway/peers.py
+++ b/tanagertrail/gateway/peers.py
@@ -10,6 +10,7 @@
 
 from tanagertrail.daemons.frames import encode_frame, read_frame
 from tanagertrail.daemons.peer_messages import PeerAck, PeerRequest, PeerResponse, PeerUpdate
+from tanagertrail.daemons.releases import FIRST_STATED_RELEASE, RELEASE, ReleaseForm, find_form
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.channel import PEER_LIMITS, set_socket_options
 from tanagertrail.gateway.clock import BootClock
@@ -44,6 +45,7 @@
     """Serve the requests of other daemons.
 
     :ivar closed: whether it serves no more, not even connections accepted before
+    :ivar stated_release: release that it states in frames
     :ivar on_defect: called with the place and an exception that no code expects
     """
 
@@ -53,6 +55,7 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.closed = False
+        self.stated_release = RELEASE
         self.on_defect: DefectHandler = partial(log_defect, log)
 
     async def start(self, host: str, port: int) -> None:
@@ -74,13 +77,14 @@
         try:
             while True:
                 _, message = await read_frame(reader)
-                writer.write(encode_frame(self.handle_message(message), 0))
+                writer.write(encode_frame(self.handle_message(message), self.stated_release))
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
             pass  # the peer closed or died; the client's exchanges with it detect that
         except asyncio.CancelledError:
             pass  # the daemon stops; asyncio would log a cancelled stream task as an error
         except FrameError as error:
+            self.state_sync.refused_frames += 1
             self.log.write("peer_frame_refused", error=repr(error)[:200])
         except Exception as error:
             self.on_defect("peer connection", error)
@@ -109,10 +113,17 @@
 
 
 class PeerConnection:
-    """A connection to one member, opened on demand."""
+    """A connection to one member, opened on demand.
 
-    def __init__(self, address: str) -> None:
+    :ivar release: release in whose form the daemon at the other end tells its state, 0 while it
+        is not known; the daemon behind an address may be replaced only with the connection
+    :ivar stated_release: release that this daemon states in frames
+    """
+
+    def __init__(self, address: str, stated_release: int = RELEASE) -> None:
         self.address = address
+        self.stated_release = stated_release
+        self.release = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
@@ -122,15 +133,22 @@
         :raises OSError: if the peer cannot be reached
         :raises FrameError: if its reply cannot be read
         """
-        if self.writer is None or self.reader.at_eof():
+        if not self.is_open:
             await self.connect()
-        self.writer.write(encode_frame(message, 0))
+        self.writer.write(encode_frame(message, self.stated_release))
         await self.writer.drain()
-        _, reply = await read_frame(self.reader)
+        stamp, reply = await read_frame(self.reader)
         if not isinstance(reply, expected):
             raise FrameError(f"unexpected message {type(reply).__name__}")
+        if stamp >= FIRST_STATED_RELEASE:
+            self.release = stamp
         return reply
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open, as far as it is known."""
+        return self.writer is not None and not self.reader.at_eof()
+
     async def connect(self) -> None:
         """Open the connection."""
         self.close()
@@ -143,6 +161,7 @@
         if self.writer is not None:
             self.writer.close()
         self.reader = self.writer = None
+        self.release = 0
 
 
 PeerCall = Callable[[str, PeerConnection], Awaitable[None]]
@@ -156,6 +175,7 @@
     :ivar active_calls: running calls by address, at most one per daemon
     :ivar pending_pushes: members to push updates to once their running call ends
     :ivar period: number of the current exchange period
+    :ivar stated_release: release that this daemon states in frames
     :ivar on_defect: called with the place and an exception that no code expects
     """
 
@@ -178,6 +198,7 @@
         self.active_calls: dict[str, asyncio.Task] = {}
         self.pending_pushes: set[str] = set()
         self.period = 0
+        self.stated_release = RELEASE
         self.push_timer: asyncio.TimerHandle | None = None
         self.on_defect: DefectHandler = partial(log_defect, log)
 
@@ -272,7 +293,9 @@
 
     async def run_call(self, name: str, address: str, call: PeerCall) -> None:
         """Make one call to a member and handle its failure."""
-        connection = self.connections.setdefault(address, PeerConnection(address))
+        if address not in self.connections:
+            self.connections[address] = PeerConnection(address, self.stated_release)
+        connection = self.connections[address]
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT_SECONDS):
                 await call(name, connection)
@@ -284,16 +307,32 @@
             self.log_failure(name, error)
         except FrameError as error:
             connection.close()
+            self.state_sync.refused_frames += 1
             self.log.write("peer_frame_refused", member=name, error=repr(error)[:200])
         except Exception as error:
             connection.close()
             self.on_defect("peer call", error)
 
     async def exchange_states(self, name: str, connection: PeerConnection) -> None:
-        """Exchange states with one member."""
+        """Exchange states with one member, in the form that it reads.
+
+        On a new connection the member is greeted first, to which it answers with its release. One
+        that states none gets a state that all releases read, and answers with its own.
+        """
+        if not connection.is_open or not connection.release:
+            await connection.request(self.state_sync.build_greeting(), PeerAck)
+        if not connection.release:
+            connection.release = await self.request_state(name, connection, None)
+        await self.request_state(name, connection, find_form(connection.release))
+
+    async def request_state(
+        self, name: str, connection: PeerConnection, form: ReleaseForm | None
+    ) -> int:
+        """Send a state in a form and return the release in whose form the response is."""
         sent_at = self.boot_time()
-        response = await connection.request(self.state_sync.build_request(name), PeerResponse)
-        self.state_sync.handle_response(response, sent_at)
+        request = self.state_sync.build_request(name, form)
+        response = await connection.request(request, PeerResponse)
+        return self.state_sync.handle_response(response, sent_at)
 
     async def push_update(self, name: str, connection: PeerConnection) -> None:
         """Push store updates to one member."""
