Let callers of the soak send requests that last up to twice the grace period

Cause: all work took 0.01 s, so nothing was ever near the end of the grace period. Change: a third as many callers in addition send long requests on routes of their own (safe, at most once, resumable and other streams). Work from 0.01 to 16 s, half of it drawn evenly, half by magnitude; the path states it and upstreams follow it. One in five has a deadline of 0.5 to 6 s, the others 20 s. Their routes time out after 20 s; the routes, deadlines and draws of the quick ones stay.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -1,21 +1,30 @@
 """Callers of the soak: they ask for addresses, keep connections and write down what they see."""
 
-__all__ = ["ONCE_ROUTES", "STREAM_ROUTES", "Call", "CallerCrowd"]
+__all__ = ["Call", "CallerCrowd"]
 
 import asyncio
 import itertools
 import json
+import math
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from tanagertrail.errors import TanagertrailError
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.upstream_stream import UpstreamStream
 from tanagertrail.platform import header_fields
+from tanagertrail.soak.workload import (
+    DEADLINE_SECONDS,
+    WORK_SECONDS,
+    SoakRequest,
+    build_request,
+    draw_long_request,
+    draw_request,
+)
 from tanagertrail.standins.documents import CUSTOMERS, HOST_NAME, SoakCustomer
 from tanagertrail.standins.ports import HOST
 
-DEADLINE_SECONDS = 3.0
 CONNECT_SECONDS = 1.0
 ADDRESS_SECONDS = 1.0
 MAX_ADDRESSES_BYTES = 65_536
@@ -23,12 +32,10 @@
 CALL_SECONDS = 0.06  # between calls to a daemon that is cut off
 PAUSE_SECONDS = (0.01, 0.12)
 RESEND_SECONDS = (0.05, 0.4)
-FIRST_PART = "soak"  # that the prompts of all streams share
-SECOND_PARTS = ("a", "b", "c", "d")
 LEAVE_SHARE = 0.03  # of calls whose caller closes its connection before the answer
-ROUTES = ("look", "look", "book", "book", "talk", "once")
-STREAM_ROUTES = frozenset({"talk", "once"})
-ONCE_ROUTES = frozenset({"book", "once"})  # whose requests may run at most once
+LONG_CALLERS_SHARE = 1 / 3  # of the callers, in addition to them
+
+Draw = Callable[[random.Random, int], SoakRequest]
 
 
 class Call(NamedTuple):
@@ -40,6 +47,8 @@
     :ivar whole: whether the answer was complete
     :ivar left: whether the caller closed its connection on purpose
     :ivar named_rate: whether the answer names a request rate
+    :ivar work: seconds for which an upstream works on it
+    :ivar deadline: seconds that its caller waits
     """
 
     request_id: str
@@ -55,6 +64,8 @@
     whole: bool = False
     left: bool = False
     named_rate: bool = False
+    work: float = WORK_SECONDS
+    deadline: float = DEADLINE_SECONDS
 
 
 class CallerCrowd:
@@ -75,17 +86,25 @@
         self.numbers = itertools.count(1)
 
     async def run(self, callers: int) -> None:
-        """Run callers until cancelled."""
+        """Run callers, and others with long requests, until cancelled."""
         async with asyncio.TaskGroup() as group:
             for number in range(callers):
-                group.create_task(self.run_caller(random.Random(self.rng.random() + number)))
+                own_rng = random.Random(self.rng.random() + number)
+                group.create_task(self.run_caller(own_rng, self.draw))
+            for _ in range(math.ceil(callers * LONG_CALLERS_SHARE)):
+                own_rng = random.Random(self.rng.random())
+                group.create_task(self.run_caller(own_rng, draw_long_request))
+
+    def draw(self, rng: random.Random, number: int) -> SoakRequest:
+        """Draw a quick request."""
+        return draw_request(rng, number, self.extra_routes)
 
-    async def run_caller(self, rng: random.Random) -> None:
+    async def run_caller(self, rng: random.Random, draw: Draw) -> None:
         """Ask for addresses and send requests until cancelled."""
         while True:
             try:
                 fronts = await self.ask_directory(rng)
-                await self.use_front(rng, rng.choice(fronts))
+                await self.use_front(rng, rng.choice(fronts), draw)
             except (OSError, TimeoutError, TanagertrailError, ValueError, IndexError):
                 await asyncio.sleep(rng.uniform(0.05, 0.2))
 
@@ -105,7 +124,8 @@
         except (OSError, TimeoutError):
             return
         try:
-            self.calls.append(await self.call(rng, stream, front))
+            request = self.draw(rng, next(self.numbers))
+            self.calls.append(await self.call(rng, stream, front, request))
         except (OSError, TanagertrailError):
             pass  # the connection broke before the request was written
         finally:
@@ -125,13 +145,14 @@
             stream.abort()
         return [int(address.rpartition(":")[2]) for address in document["addresses"]]
 
-    async def use_front(self, rng: random.Random, front: int) -> None:
+    async def use_front(self, rng: random.Random, front: int, draw: Draw) -> None:
         """Send some requests on one connection, as long as it stands."""
         port = self.links.get(front, front)
         stream = UpstreamStream(await open_channel(HOST, port, CONNECT_SECONDS))
         try:
             for _ in range(CALLS_ON_ONE_CONNECTION):
-                call = await self.call(rng, stream, front)
+                request = draw(rng, next(self.numbers))
+                call = await self.call(rng, stream, front, request)
                 self.calls.append(call)
                 if not call.whole or call.left or not stream.reusable:
                     return
@@ -139,20 +160,14 @@
         finally:
             stream.abort()
 
-    async def call(self, rng: random.Random, stream: UpstreamStream, front: int) -> Call:
+    async def call(
+        self, rng: random.Random, stream: UpstreamStream, front: int, request: SoakRequest
+    ) -> Call:
         """Send one request and read its answer."""
-        number = next(self.numbers)
-        route = rng.choice([*ROUTES, *self.extra_routes[-1:]])
-        customer = rng.choice(CUSTOMERS)
-        body = f"order {number}".encode() if route == "book" else b""
-        loop = asyncio.get_running_loop()
-        request_id = f"soak-{number}"
-        second_part = SECOND_PARTS[number % len(SECOND_PARTS)] if route in STREAM_ROUTES else ""
-        self.send(stream, request_id, route, customer, body, second_part)
-        call = Call(request_id, route, customer, body, front, loop.time(), loop.time())
+        call = self.send(stream, request, front)
         if rng.random() < LEAVE_SHARE:
             await asyncio.sleep(rng.uniform(0.0, 0.05))
-            return call._replace(left=True, ended_at=loop.time())
+            return call._replace(left=True, ended_at=asyncio.get_running_loop().time())
         return await self.await_answer(stream, call)
 
     async def send_again(self, rng: random.Random, body: bytes, seconds: float) -> None:
@@ -178,15 +193,13 @@
         self, rng: random.Random, route: str, body: bytes, second_part: str = ""
     ) -> None:
         """Send one request to any daemon and note what came of it."""
-        loop = asyncio.get_running_loop()
         front = rng.choice(list(self.links))
-        request_id = f"soak-{next(self.numbers)}"
+        request = build_request(next(self.numbers), route, CUSTOMERS[0], body, second_part)
         try:
             stream = UpstreamStream(await open_channel(HOST, self.links[front], CONNECT_SECONDS))
         except (OSError, TimeoutError):
             return
-        self.send(stream, request_id, route, CUSTOMERS[0], body, second_part)
-        call = Call(request_id, route, CUSTOMERS[0], body, front, loop.time(), loop.time())
+        call = self.send(stream, request, front)
         self.calls.append(await self.await_answer(stream, call))
         stream.abort()
 
@@ -194,40 +207,38 @@
         """Return a call with its answer, or with the time at which none had come."""
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(DEADLINE_SECONDS):
+            async with asyncio.timeout(call.deadline):
                 return await self.read(stream, call)
         except (OSError, TimeoutError, TanagertrailError):
             return call._replace(ended_at=loop.time())
 
-    def send(
-        self,
-        stream: UpstreamStream,
-        request_id: str,
-        route: str,
-        customer: SoakCustomer,
-        body: bytes,
-        second_part: str = "",
-    ) -> None:
-        """Write a request.
-
-        :param second_part: second part of its prompt, empty for a request without a prompt
-        """
+    def send(self, stream: UpstreamStream, request: SoakRequest, front: int) -> Call:
+        """Write a request and return its call, which has no answer yet."""
         headers = [
             (b"host", HOST_NAME.encode()),
-            (header_fields.REQUEST_ID, request_id.encode()),
-            (header_fields.DEADLINE_MS, str(int(DEADLINE_SECONDS * 1000)).encode()),
-            (header_fields.API_KEY, customer.key.encode()),
+            (header_fields.REQUEST_ID, request.request_id.encode()),
+            (header_fields.DEADLINE_MS, str(int(request.deadline * 1000)).encode()),
+            (header_fields.API_KEY, request.customer.key.encode()),
             (header_fields.CUSTOMER, b"somebody-else"),
         ]
-        if second_part:
-            prefix = f"{FIRST_PART}:9,{second_part}:9,{request_id}:9"
+        if request.prompt_prefix:
             headers.append((header_fields.MODEL, b"m"))
-            headers.append((header_fields.PROMPT_PREFIX, prefix.encode()))
-        if body:
-            headers.append((b"content-length", str(len(body)).encode()))
-        suffix = "events" if route in STREAM_ROUTES else "x"
-        method = b"POST" if body else b"GET"
-        stream.send_request(method, f"/{route}/{suffix}".encode(), headers, body)
+            headers.append((header_fields.PROMPT_PREFIX, request.prompt_prefix.encode()))
+        if request.body:
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        stream.send_request(request.method, request.path, headers, request.body)
+        now = asyncio.get_running_loop().time()
+        return Call(
+            request.request_id,
+            request.route,
+            request.customer,
+            request.body,
+            front,
+            now,
+            now,
+            work=request.work,
+            deadline=request.deadline,
+        )
 
     async def read(self, stream: UpstreamStream, call: Call) -> Call:
         """Read an answer to its end."""
--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -7,8 +7,9 @@
 from typing import NamedTuple
 
 from tanagertrail.registry import Registry
-from tanagertrail.soak.callers import ONCE_ROUTES, STREAM_ROUTES, Call
+from tanagertrail.soak.callers import Call
 from tanagertrail.soak.plan import Fault, was_disturbed
+from tanagertrail.soak.workload import ONCE_ROUTES, STREAM_ROUTES
 from tanagertrail.standins.documents import BOUNDS, COLD_RATE, COLD_SLACK, CUSTOMERS, PLAIN_UNITS
 from tanagertrail.standins.misbehaviour import EVENTS
 
--- a/tanagertrail/soak/loss_checks.py
+++ b/tanagertrail/soak/loss_checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from tanagertrail.soak.callers import DEADLINE_SECONDS, Call
+from tanagertrail.soak.callers import Call
 from tanagertrail.soak.checks import CHECKS, STABILITY_SECONDS, Evidence, count_runs
 from tanagertrail.standins.documents import BOUNDS
 
@@ -25,7 +25,7 @@
     counts = count_runs(evidence)
     for call in evidence.calls:
         took = call.ended_at - call.sent_at
-        if not is_cut(call) or took > LAST_SHARE * DEADLINE_SECONDS:
+        if not is_cut(call) or took > LAST_SHARE * call.deadline:
             continue
         may_have_crossed = not counts[call.request_id] and was_stopping(evidence, call)
         if not may_have_crossed and evidence.was_calm(call.sent_at, call.ended_at):
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -17,6 +17,7 @@
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
 from tanagertrail.soak.upstream_link import UpstreamLink
+from tanagertrail.soak.workload import WORK_SECONDS, parse_work
 from tanagertrail.standins.cloud import StandInCloud
 from tanagertrail.standins.documents import (
     CUSTOMERS,
@@ -26,12 +27,12 @@
     build_entry,
     build_node_file,
 )
+from tanagertrail.standins.misbehaviour import EVENTS, STREAM_SUFFIX
 from tanagertrail.standins.ports import HOST, find_port, find_port_pair
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
 
 READY_SECONDS = 15.0
-WORK_SECONDS = 0.01
 SLOTS = 16  # of each upstream, more than the callers need
 DOWN_SECONDS = 1.0  # from the end of an upstream until it is back
 FIRST_BORN_MS = 1_700_000_000_000  # Unix time of the first start of all upstreams
@@ -79,6 +80,12 @@
             self.needs[-1] = self.needs[-1]._replace(until=now)
         self.named_rate = None
 
+    def get_work(self, request: CallerRequest) -> float:
+        """Return the seconds of a plain request or of each event, at least the usual ones."""
+        work = parse_work(request.path) or 0.0
+        events = EVENTS if request.path.endswith(STREAM_SUFFIX) else 1
+        return max(work / events, self.work)
+
     def list_arrivals(self) -> list[Arrival]:
         """Return all requests that reached it."""
         arrivals = zip(self.arrivals, self.arrival_times, strict=True)
--- a/tanagertrail/standins/documents.py
+++ b/tanagertrail/standins/documents.py
@@ -4,6 +4,8 @@
     "BOUNDS",
     "COLD_SLACK",
     "CUSTOMERS",
+    "LONG_PREFIX",
+    "LONG_ROUTES",
     "DaemonPorts",
     "build_cold",
     "build_document",
@@ -51,6 +53,10 @@
 
 # Faults last for seconds, and the soak's prompts share no parts.
 PATIENT = {"timeout_ms": 4000, "slo_ms": 400, "gap_aim_ms": 200, "sticky": False}
+# Routes of requests whose work may last twice the grace period.
+LONG = PATIENT | {"timeout_ms": 20_000, "slo_ms": 18_000, "gap_aim_ms": 3000}
+LONG_PREFIX = "long_"
+LONG_ROUTES = ("long_look", "long_book", "long_talk", "long_once")
 
 
 class DaemonPorts(NamedTuple):
@@ -102,6 +108,17 @@
     return route | changes
 
 
+def build_long_routes() -> list[dict[str, Any]]:
+    """Return the routes of requests that may last longer than a daemon takes to stop."""
+    look, book, talk, once = LONG_ROUTES
+    return [
+        build_route(look, "safe", **LONG, attempts=3),
+        build_route(book, "unsafe", **LONG),
+        build_route(talk, "stream", **LONG, attempts=3),
+        build_route(once, "stream", **LONG, resumable=False, attempts=1),
+    ]
+
+
 def build_document(version: int, extra_routes: list[str], keys: set[str]) -> dict[str, Any]:
     """Return a configuration.
 
@@ -114,6 +131,7 @@
         build_route("talk", "stream", **repeated),
         build_route("once", "stream", **PATIENT, resumable=False, attempts=1),
         *(build_route(name, "safe", **repeated) for name in ("look", *extra_routes)),
+        *build_long_routes(),
     ]
     tenants = []
     for item in CUSTOMERS:
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -190,9 +190,13 @@
             await self.send_events(request, stream, EVENTS)
             stream.finish_response()
             return
-        await asyncio.sleep(self.work)
+        await asyncio.sleep(self.get_work(request))
         self.answer(request, stream)
 
+    def get_work(self, request: CallerRequest) -> float:
+        """Return the seconds that a plain request takes, or each event of a stream."""
+        return self.work
+
     def answer(self, request: CallerRequest, stream: CallerStream) -> None:
         """Answer a plain request."""
         stream.send_response(200, self.sign(request), b"answer of " + self.id.encode())
@@ -208,7 +212,7 @@
         if last is None:
             last = int(dict(request.headers).get(header_fields.LAST_EVENT_ID, b"0"))
         for number in range(last + 1, until + 1):
-            await asyncio.sleep(self.work)
+            await asyncio.sleep(self.get_work(request))
             await self.thawed.wait()
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if stream.response_started:
