Let some callers of the soak keep a connection until the daemon closes it

Change: of four quick callers two leave after twelve calls, one stays until the connection is closed, one connects to the same daemon again after that, as long as it accepts. Of the long ones each second one does either. A test shows the three manners; before, the one manner left after twelve calls.

--- a/tanagertrail/soak/callers.py
+++ b/tanagertrail/soak/callers.py
@@ -3,6 +3,7 @@
 __all__ = ["Call", "CallerCrowd"]
 
 import asyncio
+import enum
 import itertools
 import json
 import math
@@ -38,6 +39,18 @@
 Draw = Callable[[random.Random, int], SoakRequest]
 
 
+class Manner(enum.Enum):
+    """How a caller uses connections."""
+
+    LEAVES = "leaves after some calls"
+    STAYS = "stays until the connection is closed"
+    RETURNS = "connects to the same daemon again after that, as long as it accepts"
+
+
+QUICK_MANNERS = (Manner.LEAVES, Manner.LEAVES, Manner.STAYS, Manner.RETURNS)
+LONG_MANNERS = (Manner.RETURNS, Manner.STAYS)
+
+
 class Call(NamedTuple):
     """A request and what its caller saw, times by the event loop in seconds.
 
@@ -90,22 +103,30 @@
         async with asyncio.TaskGroup() as group:
             for number in range(callers):
                 own_rng = random.Random(self.rng.random() + number)
-                group.create_task(self.run_caller(own_rng, self.draw))
-            for _ in range(math.ceil(callers * LONG_CALLERS_SHARE)):
+                manner = QUICK_MANNERS[number % len(QUICK_MANNERS)]
+                group.create_task(self.run_caller(own_rng, self.draw, manner))
+            for number in range(math.ceil(callers * LONG_CALLERS_SHARE)):
                 own_rng = random.Random(self.rng.random())
-                group.create_task(self.run_caller(own_rng, draw_long_request))
+                manner = LONG_MANNERS[number % len(LONG_MANNERS)]
+                group.create_task(self.run_caller(own_rng, draw_long_request, manner))
 
     def draw(self, rng: random.Random, number: int) -> SoakRequest:
         """Draw a quick request."""
         return draw_request(rng, number, self.extra_routes)
 
-    async def run_caller(self, rng: random.Random, draw: Draw) -> None:
+    async def run_caller(self, rng: random.Random, draw: Draw, manner: Manner) -> None:
         """Ask for addresses and send requests until cancelled."""
+        front: int | None = None
         while True:
             try:
-                fronts = await self.ask_directory(rng)
-                await self.use_front(rng, rng.choice(fronts), draw)
+                if front is None:
+                    front = rng.choice(await self.ask_directory(rng))
+                else:
+                    await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
+                again = await self.use_front(rng, front, draw, manner)
+                front = front if again else None
             except (OSError, TimeoutError, TanagertrailError, ValueError, IndexError):
+                front = None
                 await asyncio.sleep(rng.uniform(0.05, 0.2))
 
     async def keep_calling(self, rng: random.Random, front: int, seconds: float) -> None:
@@ -145,20 +166,26 @@
             stream.abort()
         return [int(address.rpartition(":")[2]) for address in document["addresses"]]
 
-    async def use_front(self, rng: random.Random, front: int, draw: Draw) -> None:
-        """Send some requests on one connection, as long as it stands."""
+    async def use_front(self, rng: random.Random, front: int, draw: Draw, manner: Manner) -> bool:
+        """Send requests on one connection, as long as it stands and the caller stays.
+
+        :returns: whether the caller connects to the same daemon again
+        """
         port = self.links.get(front, front)
         stream = UpstreamStream(await open_channel(HOST, port, CONNECT_SECONDS))
+        answered = 0
         try:
-            for _ in range(CALLS_ON_ONE_CONNECTION):
+            while manner is not Manner.LEAVES or answered < CALLS_ON_ONE_CONNECTION:
                 request = draw(rng, next(self.numbers))
                 call = await self.call(rng, stream, front, request)
                 self.calls.append(call)
+                answered += call.status > 0
                 if not call.whole or call.left or not stream.reusable:
-                    return
+                    break
                 await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
         finally:
             stream.abort()
+        return manner is Manner.RETURNS and answered > 0
 
     async def call(
         self, rng: random.Random, stream: UpstreamStream, front: int, request: SoakRequest
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -1,16 +1,22 @@
 """Long requests, kept connections and planned stops of the fault soak."""
 
+import asyncio
 import random
 from collections import Counter
+from types import SimpleNamespace
 
+from tanagertrail.soak.callers import CallerCrowd, Manner
 from tanagertrail.soak.workload import (
     LONG_DEADLINE_SECONDS,
+    build_request,
     draw_long_request,
     draw_request,
     parse_work,
 )
 from tanagertrail.soak.world import SoakUpstream
-from tanagertrail.standins.documents import BOUNDS, LONG_ROUTES
+from tanagertrail.standins.documents import BOUNDS, CUSTOMERS, LONG_ROUTES
+from tanagertrail.standins.ports import HOST, find_port
+from tests.gateway_utils import run_in_real_time
 from tests.utils import with_virtual_time
 
 
@@ -52,6 +58,47 @@
     upstream.close()
 
 
+@run_in_real_time
+async def test_callers_never_stay_until_a_daemon_closes_their_connection():
+    """All left after twelve calls, so that no call came late in a stop on a kept connection."""
+    counts = {}
+    for manner in Manner:
+        served = []
+        server = await asyncio.start_server(build_server(served, 15), HOST, find_port())
+        port = server.sockets[0].getsockname()[1]
+        crowd = CallerCrowd(1, [], {}, [])
+        rng = SimpleNamespace(uniform=lambda *span: 0.0, random=lambda: 1.0)
+        again = await crowd.use_front(rng, port, build_plain_request, manner)
+        counts[manner] = len(served), again
+        server.close()
+    assert counts == {
+        Manner.LEAVES: (12, False),
+        Manner.STAYS: (15, False),
+        Manner.RETURNS: (15, True),
+    }
+
+
+def build_plain_request(rng, number):
+    """Build a quick request."""
+    return build_request(number, "look", CUSTOMERS[0])
+
+
+def build_server(served, most):
+    """Build what answers requests without a body and closes after some of them."""
+
+    async def serve(reader, writer):
+        for number in range(1, most + 1):
+            try:
+                served.append(await reader.readuntil(b"\r\n\r\n"))
+            except asyncio.IncompleteReadError:
+                break  # the caller has left
+            last = b"connection: close\r\n" if number == most else b""
+            writer.write(b"HTTP/1.1 200 OK\r\n" + last + b"content-length: 0\r\n\r\n")
+        writer.close()
+
+    return serve
+
+
 class FakeRequest:
     """A request of which only the path is known."""
 
