--- a/tanagertrail/soak/checks.py
+++ b/tanagertrail/soak/checks.py
@@ -1,26 +1,22 @@
 """The promises that a run must keep, from what callers, upstreams and the cloud API saw."""
 
-__all__ = ["CHECKS", "Arrival", "CutSeen", "Evidence", "Need", "Removal", "RunSeen", "find_broken"]
+__all__ = ["CHECKS", "find_broken"]
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
-from typing import NamedTuple
 
 from tanagertrail.registry import Registry
-from tanagertrail.soak.callers import Call
-from tanagertrail.soak.plan import Fault, was_disturbed
+from tanagertrail.soak.evidence import STABILITY_SECONDS, Evidence, Need
 from tanagertrail.soak.workload import ONCE_ROUTES, STREAM_ROUTES
 from tanagertrail.standins.documents import BOUNDS, COLD_RATE, COLD_SLACK, CUSTOMERS, PLAIN_UNITS
 from tanagertrail.standins.misbehaviour import EVENTS
 
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: has not run and never will
-STABILITY_SECONDS = BOUNDS.stability
 REGRESS_SECONDS = 0.25
 DEADLY = b"deadly "  # begins the bodies of requests that end the upstreams that run them
 DEADLY_PART = b"crashing part "  # begins the bodies of requests with a part that ends upstreams
 MOST_CRASHES = 5  # of upstreams after which such a part is to be known
 PART_REFUSAL = b"upstreams crash on a part of this prompt"
-STORE_FAULTS = "store "  # begins the kinds of faults in which a quarantine may not be stored
 MOST_LOST = 3  # upstreams after which such a request is to be known
 MOST_RETRIES = 3  # that may reach an upstream later than the stability bound after that
 RATE_WINDOW_SECONDS = 4.0  # in which an upstream in need counts requests
@@ -30,113 +26,6 @@
 SERVED_SHARE = 0.25  # of the calls that are sent in the last calm seconds of a run
 
 
-class RunSeen(NamedTuple):
-    """A request that an upstream began, times by the event loop in seconds.
-
-    :ivar cold: whether the upstream was cold
-    """
-
-    request_id: str
-    customer: str
-    upstream: str
-    domain: str
-    path: str
-    body: bytes
-    at: float
-    cold: bool
-
-
-class Removal(NamedTuple):
-    """What must not be used later than some seconds after it was removed.
-
-    :ivar what: upstream, failure domain or key
-    :ivar at: when the store acknowledged it
-    :ivar until: when it was taken back
-    """
-
-    kind: str
-    what: str
-    at: float
-    until: float
-
-
-class Arrival(NamedTuple):
-    """A request that reached an upstream, whether or not it ran."""
-
-    request_id: str
-    upstream: str
-    at: float
-
-
-class Need(NamedTuple):
-    """A span in which an upstream named a request rate.
-
-    :ivar rate: requests per second
-    :ivar at: when it first named it in an answer
-    :ivar until: when it named it no more
-    """
-
-    upstream: str
-    rate: float
-    at: float
-    until: float
-
-
-class CutSeen(NamedTuple):
-    """A span in which daemons were cut off from all upstreams.
-
-    :ivar ports: ports of their fronts
-    """
-
-    ports: frozenset[int]
-    since: float
-    until: float
-
-
-class Evidence(NamedTuple):
-    """All that a run has shown.
-
-    :ivar plan: faults, by seconds from ``started``
-    :ivar starts: (front port, time) of each start of a daemon
-    :ivar terms: (front port, time) of each request to a daemon to stop
-    :ivar usage: counts by window, once for each call of the cloud API
-    :ivar pauses: (front port, since, until) of each pause of a daemon
-    :ivar part_crashes: (part, time) of each end of an upstream on a part of prompts
-    """
-
-    started: float
-    ended: float
-    plan: list[Fault]
-    calls: list[Call]
-    runs: list[RunSeen]
-    removals: list[Removal]
-    starts: list[tuple[int, float]]
-    terms: list[tuple[int, float]]
-    usage: list[tuple[int, dict[str, int], int]]
-    arrivals: list[Arrival] = []
-    needs: list[Need] = []
-    pauses: list[tuple[int, float, float]] = []
-    part_crashes: list[tuple[str, float]] = []
-    cuts: list[CutSeen] = []
-
-    def was_restarted_or_paused(self, port: int, since: float, until: float) -> bool:
-        """Say whether a daemon was started or paused in a span."""
-        started = any(front == port and since < at <= until for front, at in self.starts)
-        return started or any(
-            front == port and begin < until and end > since for front, begin, end in self.pauses
-        )
-
-    def was_store_disturbed(self, since: float, until: float) -> bool:
-        """Say whether a fault of the store touched a span."""
-        faults = [fault for fault in self.plan if fault.kind.startswith(STORE_FAULTS)]
-        return was_disturbed(faults, since - self.started, until - self.started)
-
-    def was_calm(self, since: float, until: float) -> bool:
-        """Say whether nothing but planned work touched a span and the time before it."""
-        since -= STABILITY_SECONDS
-        return not was_disturbed(self.plan, since - self.started, until - self.started)
-
-
 Check = Callable[[Evidence], Iterator[str]]
 CHECKS: Registry[Check] = Registry("soak check")
 
--- a/tanagertrail/soak/cut_checks.py
+++ b/tanagertrail/soak/cut_checks.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator
 
 from tanagertrail.soak.callers import Call
-from tanagertrail.soak.checks import CHECKS, STABILITY_SECONDS, CutSeen, Evidence
+from tanagertrail.soak.checks import CHECKS
+from tanagertrail.soak.evidence import STABILITY_SECONDS, CutSeen, Evidence
 from tanagertrail.soak.plan import was_disturbed
 from tanagertrail.standins.documents import BOUNDS
 
--- a/tanagertrail/soak/loss_checks.py
+++ b/tanagertrail/soak/loss_checks.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator
 
 from tanagertrail.soak.callers import Call
-from tanagertrail.soak.checks import CHECKS, STABILITY_SECONDS, Evidence, count_runs
+from tanagertrail.soak.checks import CHECKS, count_runs
+from tanagertrail.soak.evidence import STABILITY_SECONDS, Evidence
 from tanagertrail.standins.documents import BOUNDS
 
 LAST_SHARE = 0.9  # of a caller's time, after which a call may have ended by its deadline
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -12,7 +12,7 @@
 from tanagertrail.platform import header_fields
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, UPSTREAMS
 from tanagertrail.soak.callers import CallerCrowd
-from tanagertrail.soak.checks import Arrival, CutSeen, Evidence, Need, Removal, RunSeen
+from tanagertrail.soak.evidence import Arrival, CutSeen, Evidence, Need, Removal, RunSeen
 from tanagertrail.soak.plan import Fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,19 +8,9 @@
 
 from tanagertrail.platform.records import UPSTREAMS
 from tanagertrail.soak.callers import Call
-from tanagertrail.soak.checks import (
-    CHECKS,
-    PART_REFUSAL,
-    Arrival,
-    CutSeen,
-    Evidence,
-    Need,
-    Removal,
-    RunSeen,
-    build_events,
-    find_broken,
-)
+from tanagertrail.soak.checks import CHECKS, PART_REFUSAL, build_events, find_broken
 from tanagertrail.soak.cut_faults import pick_daemons
+from tanagertrail.soak.evidence import Arrival, CutSeen, Evidence, Need, Removal, RunSeen
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.program import run_seed
