Judge the whole of a planned stop by the words of the rule

Why the soak didn't see it: the check of stops looked only at calls that were sent within 3 s of SIGTERM and ended within a second. Change: a call that ends from SIGTERM until 1 s after the grace period is held against the stop if its connection ended without a whole answer and it had been passed on, or ended later than 0.2 s after its last byte. Excused, as the rule says: the deadline (nine tenths of it used), an unplanned disruption from 3 s before the request on, and an upstream still at work in the last sixth of the grace period on a request sent no later than 3 s after SIGTERM. Disruption of the store alone excuses streams only, here and in "nothing lost". A 502 or 504 of the daemon's own for a request that was passed on counts as cut, with the same excuses: a complete answer by the rule, lost for its caller. A new check finds daemons that have to be killed at the end of the grace period. A result tells how requests fared in stops: served, cut, refused, refused though they would have ended in time. Checks changed: "nothing cut by a planned stop" finds all that it found, and more. "nothing lost" leaves calls that ran and ended in a stop to it, and so excuses cuts in the last sixth, which the old work of 0.01 s never reached.

--- a/tanagertrail/soak/evidence.py
+++ b/tanagertrail/soak/evidence.py
@@ -88,7 +88,8 @@
 
     :ivar plan: faults, by seconds from ``started``
     :ivar starts: (front port, time) of each start of a daemon
-    :ivar terms: (front port, time) of each request to a daemon to stop
+    :ivar terms: (front port, time) of the first request to stop in each life of a daemon
+    :ivar overruns: (front port, time) of each kill of a daemon at the end of its grace period
     :ivar usage: counts by window, once for each call of the cloud API
     :ivar pauses: (front port, since, until) of each pause of a daemon
     :ivar part_crashes: (part, time) of each end of an upstream on a part of prompts
@@ -108,6 +109,7 @@
     pauses: list[tuple[int, float, float]] = []
     part_crashes: list[tuple[str, float]] = []
     cuts: list[CutSeen] = []
+    overruns: list[tuple[int, float]] = []
 
     def was_restarted_or_paused(self, port: int, since: float, until: float) -> bool:
         """Say whether a daemon was started or paused in a span."""
--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -89,8 +89,9 @@
     daemon = pick_daemon(world, fault)
     if daemon.frozen or not daemon.running:
         return
-    world.terms.append((daemon.ports.front, world.now()))
-    await daemon.stop(BOUNDS.grace)
+    world.note_term(daemon)
+    if not await daemon.stop(BOUNDS.grace):
+        world.overruns.append((daemon.ports.front, world.now()))
     await daemon.restart()
 
 
--- a/tanagertrail/soak/plan.py
+++ b/tanagertrail/soak/plan.py
@@ -1,6 +1,14 @@
 """Which faults come when, drawn from a seed."""
 
-__all__ = ["FAULTS", "Fault", "FaultKind", "draw_plan", "register_fault", "was_disturbed"]
+__all__ = [
+    "FAULTS",
+    "MEAN_GAP_SECONDS",
+    "Fault",
+    "FaultKind",
+    "draw_plan",
+    "register_fault",
+    "was_disturbed",
+]
 
 import random
 from collections.abc import Awaitable, Callable, Collection, Iterable
@@ -66,11 +74,14 @@
     return register
 
 
-def draw_plan(seed: int, seconds: float, kinds: Collection[str] = ()) -> list[Fault]:
+def draw_plan(
+    seed: int, seconds: float, kinds: Collection[str] = (), gap: float = MEAN_GAP_SECONDS
+) -> list[Fault]:
     """Draw the faults of a run; the same seed gives the same plan.
 
     :param seconds: length of the run
     :param kinds: the only kinds to draw, empty for all
+    :param gap: mean seconds between faults
     """
     rng = random.Random(seed)
     common = [name for name in sorted(FAULTS) if not FAULTS.get(name).chance]
@@ -82,7 +93,7 @@
         kind = FAULTS.get(name)
         lasts = rng.uniform(kind.shortest, kind.longest)
         plan.append(Fault(at, name, rng.randrange(1000), lasts))
-        at += rng.expovariate(1.0 / MEAN_GAP_SECONDS)
+        at += rng.expovariate(1.0 / gap)
     apart = [] if kinds else sorted(FAULTS)
     return plan + [fault for name in apart for fault in draw_apart(seed, name, seconds)]
 
--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -3,6 +3,7 @@
 __all__ = ["main", "run_seed"]
 
 import asyncio
+import fnmatch
 import shutil
 import sys
 import tempfile
@@ -18,19 +19,22 @@
 from tanagertrail.soak import loss_checks as _loss_checks  # noqa: F401  and that of checks
 from tanagertrail.soak import upstream_faults as _upstream_faults  # noqa: F401
 from tanagertrail.soak.checks import find_broken
-from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
+from tanagertrail.soak.plan import FAULTS, MEAN_GAP_SECONDS, Fault, draw_plan
+from tanagertrail.soak.stop_checks import StopFigures, count_stops
 from tanagertrail.soak.world import SoakWorld
 
 DEFAULT_SECONDS = 20.0
 DEFAULT_DAEMONS = 4
 DEFAULT_UPSTREAMS = 6
 DEFAULT_CALLERS = 12
+PLANNED = "planned"  # names all kinds of faults that are planned work or no disruption
 SETTLE_SECONDS = 1.0  # after the last call, so that what still runs is seen
 
 
 class SoakResult(NamedTuple):
     """What a run showed.
 
+    :ivar stops: how callers fared in planned stops
     :ivar broken: promises that were broken, with the check's name
     :ivar folder: where plan and logs are kept, None unless a promise was broken
     """
@@ -40,6 +44,7 @@
     served: int
     runs: int
     plan: list[Fault]
+    stops: StopFigures
     broken: list[str]
     folder: Path | None
 
@@ -50,8 +55,10 @@
     await FAULTS.get(fault.kind).inject(world, fault)
 
 
-async def play(world: SoakWorld, plan: list[Fault], seconds: float, callers: int) -> list[str]:
-    """Play a plan before callers and return what was broken."""
+async def play(
+    world: SoakWorld, plan: list[Fault], seconds: float, callers: int
+) -> tuple[list[str], StopFigures]:
+    """Play a plan before callers and return what was broken, and figures on stops."""
     await world.start()
     crowd = asyncio.create_task(world.crowd.run(callers))
     injected = [asyncio.create_task(inject(world, fault)) for fault in plan]
@@ -67,7 +74,8 @@
         for daemon in world.daemons
         if not daemon.running
     ]
-    return find_broken(world.collect(plan)) + failed + ended
+    evidence = world.collect(plan)
+    return find_broken(evidence) + failed + ended, count_stops(evidence)
 
 
 async def run_seed(
@@ -77,16 +85,18 @@
     upstreams: int = DEFAULT_UPSTREAMS,
     callers: int = DEFAULT_CALLERS,
     kinds: Collection[str] = (),
+    gap: float = MEAN_GAP_SECONDS,
 ) -> SoakResult:
     """Play the plan of one seed and check what it shows.
 
     :param kinds: the only kinds of faults to play, empty for all
+    :param gap: mean seconds between faults
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    plan = draw_plan(seed, seconds, kinds)
+    plan = draw_plan(seed, seconds, kinds, gap)
     world = SoakWorld(seed, daemons, upstreams, folder)
     try:
-        broken = await play(world, plan, seconds, callers)
+        broken, stops = await play(world, plan, seconds, callers)
     finally:
         await world.close()
     calls = world.crowd.calls
@@ -97,7 +107,7 @@
     else:
         shutil.rmtree(folder)
     kept = folder if broken else None
-    return SoakResult(seed, len(calls), served, len(world.runs), plan, broken, kept)
+    return SoakResult(seed, len(calls), served, len(world.runs), plan, stops, broken, kept)
 
 
 def parse_seeds(seeds: str) -> range:
@@ -106,6 +116,24 @@
     return range(int(first), int(last or first) + 1)
 
 
+def list_kinds(text: str) -> list[str]:
+    """List the kinds of faults that some patterns name.
+
+    :param text: patterns separated by slashes
+    :raises ValueError: if a pattern names none
+    """
+    kinds: set[str] = set()
+    for pattern in filter(None, text.split("/")):
+        if pattern == PLANNED:
+            found = [name for name in FAULTS if FAULTS.get(name).planned]
+        else:
+            found = fnmatch.filter(FAULTS, pattern)
+        if not found:
+            raise ValueError(f"no kind of fault is called {pattern!r}")
+        kinds.update(found)
+    return sorted(kinds)
+
+
 class Soak:
     """Run real daemons under faults and check what callers and upstreams see."""
 
@@ -118,16 +146,19 @@
         upstreams: int = DEFAULT_UPSTREAMS,
         callers: int = DEFAULT_CALLERS,
         kinds: str = "",
+        gap: float = MEAN_GAP_SECONDS,
     ) -> None:
         """Play one seed, or all of ``--seeds A..B`` in turn.
 
         :param seconds: length of a run
-        :param kinds: the only kinds of faults to play, separated by slashes
+        :param kinds: the only kinds of faults to play, separated by slashes, ``*`` for any text;
+            ``planned`` stands for all that excuse no lost request
+        :param gap: mean seconds between faults
         """
         failed = 0
-        names = [name for name in kinds.split("/") if name]
+        names = list_kinds(kinds)
         for number in parse_seeds(seeds or str(seed)):
-            result = asyncio.run(run_seed(number, seconds, daemons, upstreams, callers, names))
+            result = asyncio.run(run_seed(number, seconds, daemons, upstreams, callers, names, gap))
             failed += bool(result.broken)
             print_result(result)
         sys.exit(1 if failed else 0)
@@ -146,6 +177,13 @@
         f"{result.served} served, {result.runs} runs",
         flush=True,
     )
+    stops = result.stops
+    if stops.stops:
+        print(
+            f"  {stops.stops} stops, {stops.killed} killed; sent in them {stops.sent}: "
+            f"{stops.served} served, {stops.cut} cut, {stops.refused} refused, "
+            f"{stops.refused_in_time} of these would have ended in time"
+        )
     for text in result.broken:
         print(f"  {text}")
     if result.folder is not None:
--- a/tanagertrail/soak/workload.py
+++ b/tanagertrail/soak/workload.py
@@ -4,6 +4,7 @@
     "DEADLINE_SECONDS",
     "LONG_DEADLINE_SECONDS",
     "ONCE_ROUTES",
+    "ORDER_ROUTES",
     "STREAM_ROUTES",
     "WORK_SECONDS",
     "SoakRequest",
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -128,6 +128,7 @@
         self.runs: list[RunSeen] = []
         self.removals: list[Removal] = []
         self.terms: list[tuple[int, float]] = []
+        self.overruns: list[tuple[int, float]] = []
         self.pauses: list[tuple[int, float, float]] = []
         self.version = 1
         self.extra_routes: list[str] = []
@@ -294,6 +295,12 @@
         """Note that something that was removed is back."""
         self.removals[place] = self.removals[place]._replace(until=self.now())
 
+    def note_term(self, daemon: DaemonProcess) -> None:
+        """Note that a daemon is asked to stop, unless it stops already."""
+        port = daemon.ports.front
+        if not any(front == port and at >= daemon.starts[-1] for front, at in self.terms):
+            self.terms.append((port, self.now()))
+
     def note_cut(self, numbers: list[int], since: float) -> None:
         """Note that daemons were cut off until now."""
         if not numbers:
@@ -324,6 +331,7 @@
             self.pauses,
             [item for upstream in self.upstreams for item in upstream.part_crashes],
             self.cuts,
+            self.overruns,
         )
 
     async def close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,25 +7,29 @@
 from types import SimpleNamespace
 
 from tanagertrail.platform.records import UPSTREAMS
-from tanagertrail.soak.callers import Call
 from tanagertrail.soak.checks import CHECKS, PART_REFUSAL, build_events, find_broken
 from tanagertrail.soak.cut_faults import pick_daemons
-from tanagertrail.soak.evidence import Arrival, CutSeen, Evidence, Need, Removal, RunSeen
+from tanagertrail.soak.evidence import Arrival, CutSeen, Need, Removal
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.program import run_seed
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
 from tanagertrail.soak.upstream_link import HANGING, Cut, UpstreamLink
 from tanagertrail.soak.world import SoakWorld
-from tanagertrail.standins.documents import CUSTOMERS, DaemonPorts
+from tanagertrail.standins.documents import DaemonPorts
 from tanagertrail.standins.ports import HOST, find_port
 from tanagertrail.standins.store import StandInStore
 from tests.gateway_utils import run_in_real_time
+from tests.soak_utils import (
+    GUILD,
+    NARROW,
+    build_call,
+    build_evidence,
+    build_run,
+    name_broken,
+)
 from tests.utils import with_virtual_time
 
-GUILD = CUSTOMERS[0]
-NARROW = CUSTOMERS[1]
-
 # Seeds that failed once, each with its cause.
 REGRESSION_SEEDS = (
     125,  # the soak's own callers ended when a daemon announced that it closes a connection
@@ -35,33 +39,6 @@
 )
 
 
-def build_call(number, route="book", status=200, sent_at=10.0, customer=GUILD, **changes):
-    """Return a call that went well, with changes."""
-    body = b"order" if route == "book" else b""
-    answer = build_events() if route == "talk" else b"answer of up-1"
-    call = Call(f"r{number}", route, customer, body, 1000, sent_at, sent_at + 0.1)
-    call = call._replace(status=status, stamp=f"up-1.r{number}", answer=answer, whole=True)
-    return call._replace(**changes)
-
-
-def build_run(number, route="book", at=10.05, customer=GUILD, **changes):
-    """Return what an upstream saw of a call that went well."""
-    body = b"order" if route == "book" else b""
-    run = RunSeen(f"r{number}", customer.name, "up-1", "north", f"/{route}/x", body, at, False)
-    return run._replace(**changes)
-
-
-def build_evidence(calls, runs, **changes):
-    """Return the evidence of a calm run."""
-    evidence = Evidence(0.0, 60.0, [], calls, runs, [], [], [], [])
-    return evidence._replace(**changes)
-
-
-def name_broken(evidence):
-    """Return the names of the checks that found something."""
-    return {text.partition(":")[0] for text in find_broken(evidence)}
-
-
 def test_a_calm_run_breaks_nothing():
     calls = [build_call(n, route) for n, route in enumerate(["book", "look", "talk"])]
     runs = [build_run(n, route) for n, route in enumerate(["book", "look", "talk"])]
@@ -131,6 +108,7 @@
         "no version goes back": back,
         "nothing cut by a planned stop": stopped,
         "nothing lost": lost,
+        "stops within the grace period": build_evidence([], [], overruns=[(1000, 20.0)]),
         "one count for a window": usage,
         "rates that upstreams name": named,
         "recovery": dead,
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -6,6 +6,9 @@
 from types import SimpleNamespace
 
 from tanagertrail.soak.callers import CallerCrowd, Manner
+from tanagertrail.soak.plan import Fault
+from tanagertrail.soak.program import run_seed  # noqa: F401  fills the registries
+from tanagertrail.soak.stop_checks import count_stops
 from tanagertrail.soak.workload import (
     LONG_DEADLINE_SECONDS,
     build_request,
@@ -13,10 +16,11 @@
     draw_request,
     parse_work,
 )
-from tanagertrail.soak.world import SoakUpstream
+from tanagertrail.soak.world import SoakUpstream, SoakWorld
 from tanagertrail.standins.documents import BOUNDS, CUSTOMERS, LONG_ROUTES
 from tanagertrail.standins.ports import HOST, find_port
 from tests.gateway_utils import run_in_real_time
+from tests.soak_utils import build_call, build_evidence, build_run, name_broken
 from tests.utils import with_virtual_time
 
 
@@ -99,6 +103,76 @@
     return serve
 
 
+def build_stop(sent_at, ended_at, work, status=0, plan=(), deadline=20.0, ran_at=None, **changes):
+    """Build what a run shows of one request around a SIGTERM at 100.0, times from then on."""
+    call = build_call(1, "long_book", sent_at=100.0 + sent_at, work=work, deadline=deadline)
+    call = call._replace(status=status, whole=status > 0, stamp="", ended_at=100.0 + ended_at)
+    begun = sent_at + 0.05 if ran_at is None else ran_at
+    runs = [build_run(1, "long_book", at=100.0 + begun, body=call.body)] if begun < 50 else []
+    changes = {"ended": 160.0, "terms": [(1000, 100.0)], "plan": list(plan)} | changes
+    return build_evidence([call], runs, **changes)
+
+
+STOPS = {"nothing cut by a planned stop"}
+NEVER = 60.0  # begins after the run
+
+
+def test_request_that_came_late_in_a_stop_and_was_cut_is_overlooked():
+    assert name_broken(build_stop(4.0, 7.4, 5.0)) == STOPS
+    assert name_broken(build_stop(4.0, 7.4, 5.0, status=504)) == STOPS
+    assert name_broken(build_stop(3.1, 7.4, 16.0)) == STOPS
+    assert name_broken(build_stop(-2.0, 5.0, 16.0)) == STOPS
+    assert name_broken(build_stop(1.0, 7.4, 5.0)) == STOPS
+    assert name_broken(build_stop(4.0, 8.9, 5.0)) == STOPS
+    assert name_broken(build_stop(4.0, 4.5, 5.0, ran_at=NEVER)) == STOPS
+
+
+def test_cut_that_the_rule_allows_is_held_against_a_stop():
+    assert name_broken(build_stop(2.9, 7.4, 5.0)) == set()
+    assert name_broken(build_stop(-3.0, 7.4, 10.0)) == set()
+    assert name_broken(build_stop(2.9, 7.4, 5.0, status=504)) == set()
+    assert name_broken(build_stop(4.0, 6.0, 5.0, status=504, deadline=2.0)) == set()
+    assert name_broken(build_stop(4.0, 4.1, 5.0, ran_at=NEVER)) == set()
+    assert name_broken(build_stop(4.0, 7.4, 5.0, status=504, ran_at=NEVER)) == set()
+    assert name_broken(build_stop(4.0, 7.4, 5.0, plan=[Fault(102.0, "kill", 0, 1.0)])) == set()
+
+
+def test_store_that_is_away_excuses_cut_orders():
+    plan = [Fault(102.0, "store busy", 0, 4.0)]
+    assert name_broken(build_stop(4.0, 7.4, 5.0, plan=plan)) == STOPS
+    stream = build_stop(4.0, 7.4, 5.0, plan=plan)
+    calls = [call._replace(route="long_talk") for call in stream.calls]
+    runs = [run._replace(path="/long_talk/events") for run in stream.runs]
+    stream = stream._replace(calls=calls, runs=runs)
+    assert name_broken(stream) == set()
+    assert name_broken(stream._replace(plan=[])) == STOPS
+    link_cut = [*plan, Fault(102.0, "store cut", 0, 4.0)]
+    assert name_broken(build_stop(4.0, 7.4, 5.0, plan=link_cut)) == set()
+
+
+def test_refusal_of_what_would_have_ended_in_time_is_not_counted():
+    early = count_stops(build_stop(1.0, 1.01, 2.0, status=503, ran_at=NEVER))
+    assert (early.stops, early.sent, early.refused, early.refused_in_time) == (1, 1, 1, 1)
+    late = count_stops(build_stop(4.0, 4.01, 5.0, status=503, ran_at=NEVER))
+    assert (late.refused, late.refused_in_time, late.cut) == (1, 0, 0)
+    cut = count_stops(build_stop(4.0, 7.4, 5.0, status=504))
+    assert (cut.cut, cut.served, cut.refused) == (1, 0, 0)
+    before = count_stops(build_stop(-1.0, 7.4, 5.0, status=504))
+    assert before.sent == 0
+    reborn = count_stops(build_stop(4.0, 4.1, 1.0, status=503, starts=[(1000, 103.0)]))
+    assert reborn.sent == 0
+
+
+def test_second_sigterm_moves_the_begin_of_a_stop():
+    daemon = SimpleNamespace(ports=SimpleNamespace(front=1000), starts=[5.0])
+    world = SimpleNamespace(terms=[])
+    for now in (10.0, 12.0, 20.0):
+        world.now = lambda now=now: now
+        SoakWorld.note_term(world, daemon)
+        daemon.starts += [15.0] if now == 12.0 else []
+    assert world.terms == [(1000, 10.0), (1000, 20.0)]
+
+
 class FakeRequest:
     """A request of which only the path is known."""
 
