Have the soak stop daemons in series, overlapping, twice and in odd moments

Change: stops in series, stops that overlap, of all at once, asked twice, with a SIGHUP before or in them, of a daemon that isn't ready yet, beside a store that is away, beside cuts from upstreams; the supervisor kills at grace_s. A second SIGTERM of one process doesn't move the begin of its stop.

--- a/tanagertrail/soak/faults.py
+++ b/tanagertrail/soak/faults.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import signal
 
 from tanagertrail.soak.checks import DEADLY, DEADLY_PART
 from tanagertrail.soak.plan import Fault, register_fault
@@ -13,7 +12,6 @@
 from tanagertrail.soak.upstream_link import UpstreamLink
 from tanagertrail.soak.world import DOWN_SECONDS, SoakUpstream, SoakWorld
 from tanagertrail.standins.documents import (
-    BOUNDS,
     COLD_RATE,
     DOMAINS,
     build_cold,
@@ -83,24 +81,6 @@
     world.pauses.append((daemon.ports.front, since, world.now()))
 
 
-@register_fault("stop", 3.0, 5.0, planned=True)
-async def stop(world: SoakWorld, fault: Fault) -> None:
-    """Ask a daemon to stop, and start it again."""
-    daemon = pick_daemon(world, fault)
-    if daemon.frozen or not daemon.running:
-        return
-    world.note_term(daemon)
-    if not await daemon.stop(BOUNDS.grace):
-        world.overruns.append((daemon.ports.front, world.now()))
-    await daemon.restart()
-
-
-@register_fault("reload", 0.1, 0.2, planned=True)
-async def reload(world: SoakWorld, fault: Fault) -> None:
-    """Tell a daemon to read its settings again."""
-    pick_daemon(world, fault).signal(signal.SIGHUP)
-
-
 @register_fault("store cut", 1.0, 7.0)
 async def cut_store(world: SoakWorld, fault: Fault) -> None:
     """Silence a daemon's connections to the store."""
--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -17,6 +17,7 @@
 from tanagertrail.soak import cut_faults as _cut_faults  # noqa: F401
 from tanagertrail.soak import faults as _faults  # noqa: F401  fills the registry of faults
 from tanagertrail.soak import loss_checks as _loss_checks  # noqa: F401  and that of checks
+from tanagertrail.soak import stop_faults as _stop_faults  # noqa: F401
 from tanagertrail.soak import upstream_faults as _upstream_faults  # noqa: F401
 from tanagertrail.soak.checks import find_broken
 from tanagertrail.soak.plan import FAULTS, MEAN_GAP_SECONDS, Fault, draw_plan
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -7,8 +7,9 @@
 
 from tanagertrail.soak.callers import CallerCrowd, Manner
 from tanagertrail.soak.plan import Fault
-from tanagertrail.soak.program import run_seed  # noqa: F401  fills the registries
+from tanagertrail.soak.program import list_kinds, run_seed
 from tanagertrail.soak.stop_checks import count_stops
+from tanagertrail.soak.stop_faults import signal_later
 from tanagertrail.soak.workload import (
     LONG_DEADLINE_SECONDS,
     build_request,
@@ -138,7 +139,7 @@
 
 
 def test_store_that_is_away_excuses_cut_orders():
-    plan = [Fault(102.0, "store busy", 0, 4.0)]
+    plan = [Fault(102.0, "store busy", 0, 4.0), Fault(101.0, "store away beside a stop", 0, 9.0)]
     assert name_broken(build_stop(4.0, 7.4, 5.0, plan=plan)) == STOPS
     stream = build_stop(4.0, 7.4, 5.0, plan=plan)
     calls = [call._replace(route="long_talk") for call in stream.calls]
@@ -173,6 +174,41 @@
     assert world.terms == [(1000, 10.0), (1000, 20.0)]
 
 
+@with_virtual_time
+async def test_second_sigterm_ends_a_daemon_that_was_started_again():
+    """Seeds 11 and 215: the stop was over before the second signal, and nobody restarted it."""
+    sent = []
+    daemon = SimpleNamespace(process="first", signal=sent.append)
+    late = asyncio.create_task(signal_later(daemon, "SIGTERM", 1.0))
+    await asyncio.sleep(0.5)
+    daemon.process = "second"
+    await late
+    assert sent == []
+    await signal_later(daemon, "SIGTERM", 1.0)
+    assert sent == ["SIGTERM"]
+
+
+def test_patterns_of_kinds_miss_a_stop():
+    stops = list_kinds("*stop*")
+    assert {"stop", "stop of all", "stops in series", "reload during a stop"} <= set(stops)
+    assert set(stops) & set(list_kinds("planned")) == set(stops) - {
+        "store away beside a stop",
+        "upstreams cut beside stops",
+    }
+    try:
+        list_kinds("stop/no such kind")
+    except ValueError:
+        return
+    raise AssertionError("a kind that does not exist was accepted")
+
+
+def test_long_requests_that_come_late_in_a_stop_of_all_daemons_are_cut():
+    result = asyncio.run(run_seed(23, 13.0, 3, 4, 30, ["stop of all"], 30.0))
+    assert result.broken == []
+    assert result.stops.stops == 3
+    assert result.stops.killed == 0
+
+
 class FakeRequest:
     """A request of which only the path is known."""
 
