--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -309,6 +309,12 @@
         assert result.broken == [], result.seed
 
 
+def test_stream_that_a_carrier_ended_without_events_looks_complete():
+    """Seed 9001: a carrier told a resumption that got no events as delivered."""
+    result = asyncio.run(run_seed(9001))
+    assert result.broken == []
+
+
 class SlowStart(DaemonProcess):
     """A daemon whose start takes a moment, and which starts nothing."""
 
