--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -1,6 +1,6 @@
 """A caller's request in progress, and the results of the attempts at upstreams."""
 
-__all__ = ["Exchange", "UpstreamAttempt", "AttemptResult"]
+__all__ = ["AttemptResult", "Exchange", "UpstreamAttempt", "compute_timeout"]
 
 import asyncio
 import enum
@@ -13,6 +13,12 @@
 from tanagertrail.gateway.upstream_stream import ResponseHead
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
+from tanagertrail.policy.stop_admission import StopDecision
+
+
+def compute_timeout(route: Route, fields: CallerFields) -> float:
+    """Return the seconds within which a request must be answered."""
+    return route.timeout if fields.timeout is None else min(fields.timeout, route.timeout)
 
 
 class AttemptResult(enum.StrEnum):
@@ -81,6 +87,7 @@
     :ivar continues: whether this continues a stream whose events another upstream has begun
     :ivar carrier: daemon that was last asked to carry the request, empty if none was
     :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
+    :ivar stop_decision: why a planned stop allowed the last attempt, None before it
     """
 
     def __init__(
@@ -100,8 +107,7 @@
         self.route = route
         self.customer = customer
         self.arrived_at = now
-        timeout = fields.timeout if fields.timeout is not None else route.timeout
-        self.deadline = now + min(timeout, route.timeout)
+        self.deadline = now + compute_timeout(route, fields)
         self.service = ""
         self.upstream = ""
         self.attempts: list[UpstreamAttempt] = []
@@ -114,6 +120,7 @@
         self.continues = False
         self.carrier = ""
         self.refusal: Refusal | None = None
+        self.stop_decision: StopDecision | None = None
         self.sent_at = now
 
     @property
