--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -80,8 +80,8 @@
             self.needs[-1] = self.needs[-1]._replace(until=now)
         self.named_rate = None
 
-    def get_work(self, request: CallerRequest) -> float:
-        """Return the seconds of a plain request or of each event, at least the usual ones."""
+    def choose_work(self, request: CallerRequest) -> float:
+        """Choose the seconds of a plain request or of each event, at least the usual ones."""
         work = parse_work(request.path) or 0.0
         events = EVENTS if request.path.endswith(STREAM_SUFFIX) else 1
         return max(work / events, self.work)
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -190,11 +190,11 @@
             await self.send_events(request, stream, EVENTS)
             stream.finish_response()
             return
-        await asyncio.sleep(self.get_work(request))
+        await asyncio.sleep(self.choose_work(request))
         self.answer(request, stream)
 
-    def get_work(self, request: CallerRequest) -> float:
-        """Return the seconds that a plain request takes, or each event of a stream."""
+    def choose_work(self, request: CallerRequest) -> float:
+        """Choose the seconds that a plain request takes, or each event of a stream."""
         return self.work
 
     def answer(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -212,7 +212,7 @@
         if last is None:
             last = int(dict(request.headers).get(header_fields.LAST_EVENT_ID, b"0"))
         for number in range(last + 1, until + 1):
-            await asyncio.sleep(self.get_work(request))
+            await asyncio.sleep(self.choose_work(request))
             await self.thawed.wait()
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if stream.response_started:
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -57,9 +57,9 @@
     upstream = SoakUpstream("up-1", "north", [])
     upstream.work = 0.4
     for path, seconds in (("/long_talk/6.000/events", 1.0), ("/long_book/6.000/x", 6.0)):
-        assert upstream.get_work(FakeRequest(path)) == seconds
+        assert upstream.choose_work(FakeRequest(path)) == seconds
     for path in ("/long_book/0.010/x", "/book/x", "/talk/events"):
-        assert upstream.get_work(FakeRequest(path)) == 0.4
+        assert upstream.choose_work(FakeRequest(path)) == 0.4
     upstream.close()
 
 
