Ignore SIGHUP from the first line of a daemon until its handler is set

Cause: by default SIGHUP ends a process; the handler was set only when all modules were imported and the settings read. The signal never reached the logs: the process had not begun to write. Change: the program ignores SIGHUP before it imports anything else; the settings are read later, so that nothing is missed. The soak's own start does the same. Conclusion: a supervisor that signals in these first moments still ends it; nothing in the program can help that.

--- a/tanagertrail/gateway/program.py
+++ b/tanagertrail/gateway/program.py
@@ -2,10 +2,15 @@
 
 __all__ = ["main"]
 
+import signal
+
+if __name__ == "__main__":
+    # By default SIGHUP would end the process until its handler is set; settings are read later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import argparse
 import asyncio
 import os
-import signal
 import sys
 
 from tanagertrail.errors import SettingsError
--- a/tanagertrail/soak/redirected.py
+++ b/tanagertrail/soak/redirected.py
@@ -2,6 +2,11 @@
 
 __all__ = ["PORTS_VARIABLE", "encode_ports", "redirect_connections"]
 
+import signal
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # as the daemon's own program does
+
 import asyncio
 import json
 import os
