--- a/tanagertrail/soak/stop_checks.py
+++ b/tanagertrail/soak/stop_checks.py
@@ -1,6 +1,6 @@
 """The promises on planned stops, and figures on how callers fared in them."""
 
-__all__ = ["StopFigures", "count_stops", "find_stop", "was_calm"]
+__all__ = ["STOP_REFUSAL", "StopFigures", "count_stops", "find_stop", "was_calm"]
 
 from collections import defaultdict
 from collections.abc import Iterator
@@ -19,7 +19,7 @@
 LOSS_SLACK_SECONDS = 0.2  # in which a request may cross the close of its connection
 LAST_SHARE = 0.9  # of a caller's time, after which a call may have ended by its deadline
 CUT_STATUSES = frozenset({502, 504})  # of a daemon's own answers to requests that it cut
-REFUSED_STATUS = 503
+STOP_REFUSAL = b"the gateway is stopping"
 # Disruption of the store alone, which excuses no loss of requests other than streams.
 STORE_DISRUPTIONS = frozenset(
     {
@@ -39,6 +39,7 @@
 
     :ivar killed: stops that the supervisor ended by a kill
     :ivar cut: requests that were passed on and got no whole answer, or a failure in its place
+    :ivar refused: requests that were refused because of the stop
     :ivar refused_in_time: refused requests that an upstream would have done in time
     """
 
@@ -139,7 +140,7 @@
             lost = is_cut(call) or has_failure_for_answer(call)
             excused = call.ended_at - call.sent_at > LAST_SHARE * call.deadline
             cut += lost and call.request_id in runs and not excused
-            if call.status == REFUSED_STATUS and not call.stamp:
+            if call.answer == STOP_REFUSAL:
                 refused += 1
                 refused_in_time += call.sent_at + call.work < at + LAST_PART_SECONDS
     killed = len(evidence.overruns)
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -8,7 +8,7 @@
 from tanagertrail.soak.callers import CallerCrowd, Manner
 from tanagertrail.soak.plan import Fault
 from tanagertrail.soak.program import list_kinds, run_seed
-from tanagertrail.soak.stop_checks import count_stops
+from tanagertrail.soak.stop_checks import STOP_REFUSAL, count_stops
 from tanagertrail.soak.stop_faults import signal_later
 from tanagertrail.soak.workload import (
     LONG_DEADLINE_SECONDS,
@@ -104,10 +104,14 @@
     return serve
 
 
-def build_stop(sent_at, ended_at, work, status=0, plan=(), deadline=20.0, ran_at=None, **changes):
+def build_stop(
+    sent_at, ended_at, work, status=0, plan=(), deadline=20.0, ran_at=None, answer=b"", **changes
+):
     """Build what a run shows of one request around a SIGTERM at 100.0, times from then on."""
     call = build_call(1, "long_book", sent_at=100.0 + sent_at, work=work, deadline=deadline)
-    call = call._replace(status=status, whole=status > 0, stamp="", ended_at=100.0 + ended_at)
+    call = call._replace(
+        status=status, whole=status > 0, stamp="", ended_at=100.0 + ended_at, answer=answer
+    )
     begun = sent_at + 0.05 if ran_at is None else ran_at
     runs = [build_run(1, "long_book", at=100.0 + begun, body=call.body)] if begun < 50 else []
     changes = {"ended": 160.0, "terms": [(1000, 100.0)], "plan": list(plan)} | changes
@@ -152,10 +156,13 @@
 
 
 def test_refusal_of_what_would_have_ended_in_time_is_not_counted():
-    early = count_stops(build_stop(1.0, 1.01, 2.0, status=503, ran_at=NEVER))
+    refusal = {"answer": STOP_REFUSAL, "status": 503, "ran_at": NEVER}
+    early = count_stops(build_stop(1.0, 1.01, 2.0, **refusal))
     assert (early.stops, early.sent, early.refused, early.refused_in_time) == (1, 1, 1, 1)
-    late = count_stops(build_stop(4.0, 4.01, 5.0, status=503, ran_at=NEVER))
+    late = count_stops(build_stop(4.0, 4.01, 5.0, **refusal))
     assert (late.refused, late.refused_in_time, late.cut) == (1, 0, 0)
+    other = count_stops(build_stop(1.0, 1.01, 2.0, status=503, ran_at=NEVER))
+    assert (other.sent, other.refused) == (1, 0)
     cut = count_stops(build_stop(4.0, 7.4, 5.0, status=504))
     assert (cut.cut, cut.served, cut.refused) == (1, 0, 0)
     before = count_stops(build_stop(-1.0, 7.4, 5.0, status=504))
