--- a/tanagertrail/gateway/brittle_upstreams.py
+++ b/tanagertrail/gateway/brittle_upstreams.py
@@ -11,7 +11,7 @@
 from tanagertrail.gateway.statement_table import OWN_ANSWER, StatementTable
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import UpstreamFields
-from tanagertrail.policy.brittle import BrittleRoom, plan_slots, widen_room
+from tanagertrail.policy.brittle import BrittleRoom, count_holders, plan_slots, widen_room
 from tanagertrail.policy.limit_statements import LimitStatement
 
 LOAD_FACTOR = 2.0  # requests per slot that all daemons send to an upstream that is not brittle
@@ -130,8 +130,7 @@
         self.shared_rates.refresh_fleet()
         held = self.shared_rates.held_rates
         room = self.rooms.setdefault((entry.record.id, entry.record.born), BrittleRoom())
-        key = f"brittle {entry.record.id} {entry.record.born}"
-        part = plan_slots(key, entry.record.slots, held.fleet)
+        part = plan_slots(self.find_holders(entry), entry.record.slots, held.fleet)
         is_alone = len(held.fleet.serving) == 1 and held.fleet.live_share == 1.0
         room.apply_part(part, is_alone or self.now() >= held.settled_at)
         return room
@@ -162,16 +161,26 @@
         elif served_for is not None:
             room.note_answered()
 
+    def find_holders(self, entry: UpstreamEntry) -> list[str]:
+        """Find the daemons that hold a part of an upstream's slots, none unless it is brittle."""
+        if not self.is_brittle(entry):
+            return []
+        count = count_holders(entry.record.slots, self.shared_rates.daemon_count)
+        key = f"brittle {entry.record.id} {entry.record.born}"
+        return self.shared_rates.find_holders(key, count)
+
     def estimate_rate(self, entries: list[UpstreamEntry]) -> float | None:
-        """Estimate the requests per second that brittle upstreams take from this daemon.
+        """Estimate the requests per second that brittle upstreams take from one daemon's callers.
 
         It is None unless all are brittle.
         """
         if not entries or not all(map(self.is_brittle, entries)):
             return None
-        parts = sum(self.refresh_room(entry).part for entry in entries)
+        self.shared_rates.refresh_fleet()
+        fleet = self.shared_rates.held_rates.fleet
+        slots = sum(entry.record.slots for entry in entries) * fleet.live_share
         seconds = self.service_seconds.get(entries[0].record.service, FIRST_SERVICE_SECONDS)
-        return parts / max(seconds, 0.001)
+        return slots / max(len(fleet.serving), 1) / max(seconds, 0.001)
 
     def forget_rooms(self) -> None:
         """Drop the rooms at upstreams that are gone or have not been brittle for long."""
--- a/tanagertrail/gateway/upstream_stream.py
+++ b/tanagertrail/gateway/upstream_stream.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 connections to upstreams, parsed by h11."""
 
-__all__ = ["ResponseHead", "UpstreamStream"]
+__all__ = ["Representation", "ResponseHead", "UpstreamStream", "read_body"]
 
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import h11
@@ -14,6 +15,14 @@
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one; servers send one or two
 
 
+class Representation(NamedTuple):
+    """What all parts of one response share."""
+
+    status: int
+    media_type: str
+    encoding: str
+
+
 class ResponseHead(NamedTuple):
     """Status and headers of an upstream's response.
 
@@ -31,11 +40,11 @@
         return b"content-length" in names or b"transfer-encoding" in names
 
     @property
-    def representation(self) -> tuple[int, bytes, bytes]:
-        """Status, media type and encoding, which all parts of one response share."""
-        fields = dict(self.headers)
-        media_type = fields.get(b"content-type", b"").partition(b";")[0].strip().lower()
-        return self.status, media_type, fields.get(b"content-encoding", b"").strip().lower()
+    def representation(self) -> Representation:
+        """Status, media type and encoding."""
+        fields = {name: value.decode("latin-1").lower() for name, value in self.headers}
+        media_type = fields.get(b"content-type", "").partition(";")[0].strip()
+        return Representation(self.status, media_type, fields.get(b"content-encoding", "").strip())
 
 
 class UpstreamStream:
@@ -103,14 +112,7 @@
         :param max_bytes: largest length
         :raises UpstreamProtocolError: if it is longer, cut short or malformed
         """
-        chunks = []
-        body_length = 0
-        while (chunk := await self.read_body_chunk()) is not None:
-            body_length += len(chunk)
-            if body_length > max_bytes:
-                raise UpstreamProtocolError(f"the answer is longer than {max_bytes} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return await read_body(self.read_body_chunk, max_bytes)
 
     async def next_event(self) -> object:
         """Return the next event of the parser."""
@@ -168,3 +170,19 @@
     def abort(self) -> None:
         """Close the connection immediately, which cancels the request at the upstream."""
         self.channel.discard()
+
+
+async def read_body(read_chunk: Callable[[], Awaitable[bytes | None]], max_bytes: int) -> bytes:
+    """Read the chunks of a body until there is none.
+
+    :param max_bytes: largest length
+    :raises UpstreamProtocolError: if it is longer, cut short or malformed
+    """
+    chunks: list[bytes] = []
+    body_length = 0
+    while (chunk := await read_chunk()) is not None:
+        body_length += len(chunk)
+        if body_length > max_bytes:
+            raise UpstreamProtocolError(f"the answer is longer than {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -22,6 +22,7 @@
 from tanagertrail.soak.checks import find_broken
 from tanagertrail.soak.plan import FAULTS, MEAN_GAP_SECONDS, Fault, draw_plan
 from tanagertrail.soak.stop_checks import StopFigures, count_stops
+from tanagertrail.soak.stop_rig import run_stops
 from tanagertrail.soak.world import SoakWorld
 
 DEFAULT_SECONDS = 20.0
@@ -138,6 +139,8 @@
 class Soak:
     """Run real daemons under faults and check what callers and upstreams see."""
 
+    stops = staticmethod(run_stops)
+
     def run(
         self,
         seed: int = 1,
--- /dev/null
+++ b/tanagertrail/soak/stop_world.py
@@ -0,0 +1,116 @@
+"""The world of planned stops: daemons of any source tree before upstreams with timed work."""
+
+__all__ = ["SETTLE_SECONDS", "StopPlan", "StopWorld"]
+
+import asyncio
+from pathlib import Path
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+from tanagertrail.gateway.handlers import MAIN_CONFIG
+from tanagertrail.gateway.http1 import CallerRequest
+from tanagertrail.platform.records import CONFIGURATION
+from tanagertrail.soak.processes import DaemonProcess
+from tanagertrail.soak.stop_callers import StopKind
+from tanagertrail.soak.stop_counts import Planned
+from tanagertrail.soak.world import SoakUpstream, SoakWorld
+from tanagertrail.standins.documents import BOUND_FIELDS, build_document
+from tanagertrail.standins.misbehaviour import EVENTS, STREAM_SUFFIX
+
+ROUTE_TIMEOUT_MS = 12_000  # longer than all deadlines, so that these alone end requests
+SETTLE_SECONDS = 1.5  # after a start, for the daemons to learn of each other
+MILLISECONDS = 1000.0
+
+
+class StopPlan(NamedTuple):
+    """What a run plays.
+
+    :ivar tree: source tree of the daemons, empty for this one
+    :ivar grace: grace period in seconds
+    :ivar callers: number of callers, which share the kinds of requests evenly
+    :ivar pattern: which daemons stop when, a name of :mod:`.stop_conditions`
+    :ivar at: seconds from the callers' start to the first stop
+    :ivar beside: what happens meanwhile, a name of the same module
+    :ivar idle: seconds after which daemons close idle connections, 0 for the default; callers
+        then pause for about as long
+    """
+
+    seed: int
+    tree: str
+    grace: float
+    kinds: tuple[StopKind, ...]
+    modes: tuple[str, ...]
+    callers: int
+    pattern: str
+    at: float
+    beside: str
+    daemons: int
+    upstreams: int
+    idle: float
+
+
+class TimedUpstream(SoakUpstream):
+    """An upstream that works for as long as a request says."""
+
+    def choose_work(self, request: CallerRequest) -> float:
+        """Choose the seconds that a plain request takes, or each event of a stream."""
+        query = request.target.partition(b"?")[2].decode()
+        work = float(parse_qs(query)["work"][0])
+        return work / EVENTS if request.path.endswith(STREAM_SUFFIX) else work
+
+
+class StopWorld(SoakWorld):
+    """A world whose daemons have the grace period and the code of a plan.
+
+    :ivar planned: planned work that has happened
+    """
+
+    upstream_type = TimedUpstream
+
+    def __init__(self, plan: StopPlan, folder: Path) -> None:
+        super().__init__(plan.seed, plan.daemons, plan.upstreams, folder)
+        self.plan = plan
+        self.planned: list[Planned] = []
+
+    async def add_daemons(self, store_port: int, cloud_port: int) -> None:
+        """Build the daemons with the grace period and the source tree of the plan."""
+        await super().add_daemons(store_port, cloud_port)
+        for daemon in self.daemons:
+            text = daemon.settings_path.read_text()
+            former = f"grace_s = {BOUND_FIELDS['grace_s']}"
+            daemon.settings_path.write_text(text.replace(former, f"grace_s = {self.plan.grace}"))
+            if self.plan.tree:
+                daemon.tree = Path(self.plan.tree)
+
+    def put_config(self) -> None:
+        """Store a new version whose routes have time for the longest work."""
+        self.version += 3
+        document = build_document(self.version, self.extra_routes, self.keys)
+        for route in document["routes"]:
+            route["timeout_ms"] = ROUTE_TIMEOUT_MS
+        if self.plan.idle:
+            document["limits"] = {"idle_timeout_ms": int(self.plan.idle * MILLISECONDS)}
+        sent_at = self.now()
+        self.store.put(CONFIGURATION, MAIN_CONFIG, document)
+        self.planned.append(Planned("config", 0, sent_at, ended_at=self.now()))
+
+    async def stop(self, number: int) -> None:
+        """Stop a daemon as a supervisor does, and note it."""
+        daemon = self.daemons[number]
+        at = self.now()
+        place = len(self.planned)
+        self.planned.append(Planned("stop", daemon.ports.front, at, self.plan.grace))
+        itself = await daemon.stop(self.plan.grace)
+        ended = self.planned[place]._replace(ended_at=self.now(), ended_itself=itself)
+        self.planned[place] = ended
+
+    def list_stopping(self) -> list[DaemonProcess]:
+        """List the daemons that stop."""
+        fronts = {item.front for item in self.planned if item.kind == "stop" and not item.ended_at}
+        return [daemon for daemon in self.daemons if daemon.ports.front in fronts]
+
+    async def restart(self, number: int) -> None:
+        """Start a daemon again and wait until it is ready."""
+        await self.daemons[number].restart()
+        await self.await_ready(self.daemons[number])
+        await asyncio.sleep(SETTLE_SECONDS)
--- a/tests/answer_utils.py
+++ b/tests/answer_utils.py
@@ -1,6 +1,7 @@
 """Fixtures for the answers of upstreams: a daemon whose connections are all in memory."""
 
 import asyncio
+import enum
 import itertools
 import socket
 from collections.abc import Callable, Iterable
@@ -23,14 +24,22 @@
 PORTS = dict.fromkeys(("front", "ready", "directory", "internal", "store", "cloud"), 1)
 
 
+class Ending(enum.Enum):
+    """Ways in which an upstream ends a connection."""
+
+    CLOSED = "closed"
+    HALF_CLOSED = "half-closed"
+    RESET = "reset"
+
+
 class Step(NamedTuple):
     """A part of what an upstream does with a request.
 
-    :ivar data: bytes that it sends, None to end the connection
+    :ivar data: bytes that it sends, or how it ends the connection, None to close it
     :ivar delay: seconds before
     """
 
-    data: bytes | None
+    data: bytes | Ending | None
     delay: float = 0.0
 
 
@@ -198,13 +207,23 @@
             await asyncio.sleep(step.delay)
             if self.transport.closed:
                 return
-            if step.data is None:
-                self.transport.close()
+            if not isinstance(step.data, bytes):
+                self.end(step.data)
                 return
             self.channel.data_received(
                 step.data.replace(OWN_ID, own_id).replace(OTHER_ID, other_id)
             )
 
+    def end(self, ending: Ending | None) -> None:
+        """End the connection."""
+        if ending is Ending.HALF_CLOSED:
+            self.channel.eof_received()
+        elif ending is Ending.RESET:
+            self.transport.closed = True
+            self.channel.connection_lost(ConnectionResetError("reset by peer"))
+        else:
+            self.transport.close()
+
 
 class MemoryUpstream:
     """An upstream whose next requests are treated as scripts say, further ones well.
@@ -239,33 +258,52 @@
         return UpstreamStream(connection.channel)
 
 
+class CallerChannel(Channel):
+    """The daemon's side of a caller's connection.
+
+    :ivar was_reset: whether the daemon ended it so that its end is no end of an answer
+    """
+
+    was_reset = False
+
+    def reset(self) -> None:
+        self.was_reset = True
+        self.abort()
+
+
 class MemoryWorld:
     """A daemon with upstreams and callers in memory.
 
-    :ivar defects: defects that the daemon logged
+    :ivar node: the daemon that reaches the upstreams
+    :ivar front: the daemon that callers connect to
+    :ivar defects: defects that the daemons logged
     """
 
     def __init__(self, upstreams: int = 1, **changes: Any) -> None:
-        self.node = GatewayNode(build_settings(PORTS))
         self.defects: list[dict[str, Any]] = []
-        write = self.node.log.write
-        self.node.log.write = lambda event, **fields: (
-            self.defects.append(fields) if event == "defect" else write(event, **fields)
-        )
         self.numbers = itertools.count(1)
         self.upstreams = {f"up-{letter}": MemoryUpstream(f"up-{letter}") for letter in "abc"}
         self.upstreams = dict(itertools.islice(self.upstreams.items(), upstreams))
-        self.node.pools.open = self.open
-        self.node.crash_detector.probe_connection = self.accept_probe
-        view = self.node.cluster_view
+        self.node = self.front = self.build_node("entry-1", **changes)
+
+    def build_node(self, name: str, **changes: Any) -> GatewayNode:
+        """Build a daemon that knows the configuration and the upstreams."""
+        node = GatewayNode(build_settings(PORTS, name))
+        write = node.log.write
+        node.log.write = lambda event, **fields: (
+            self.defects.append(fields) if event == "defect" else write(event, **fields)
+        )
+        node.pools.open = self.open
+        node.crash_detector.probe_connection = self.accept_probe
+        view = node.cluster_view
         view.apply_config(decode_configuration(build_config(**changes)))
         view.config_confirmed_at = read_boot_time()
         view.upstreams_known = view.evacuated_known = view.rollouts_known = True
         view.limits_known = True
-        for number, name in enumerate(self.upstreams):
-            entry = build_entry(1000 + number, "north")
-            item = StoredObject(name, 1, 1, entry, None)
-            view.upstreams.put(decode_upstream(item), asyncio.get_running_loop().time())
+        for number, upstream in enumerate(self.upstreams):
+            item = StoredObject(upstream, 1, 1, build_entry(1000 + number, "north"), None)
+            view.upstreams.put(decode_upstream(item), node.loop.time())
+        return node
 
     async def open(self, address: str, timeout: float = 0.0) -> UpstreamStream:
         """Open a connection to an upstream."""
@@ -283,8 +321,20 @@
     async def fetch(self, path: str, body: bytes = b"", **changes: str | None) -> Reply:
         """Send a request as a caller would and return the answer.
 
-        :param changes: further headers, and ``method``; ``request_id=None`` leaves the id out
+        :param changes: further headers, ``method`` and ``version``; ``request_id=None`` leaves the
+            id out
         """
+        channel, received = self.send(path, body, **changes)
+        return await self.read(channel, received, changes.get("method", "POST" if body else "GET"))
+
+    def send(
+        self, path: str, body: bytes = b"", **changes: str | None
+    ) -> tuple[Channel, list[bytes]]:
+        """Send a request on a new connection, and return it with what will be received.
+
+        :param changes: as of :meth:`fetch`
+        """
+        version = changes.pop("version", "1.1")
         request_id = changes.pop("request_id", f"r{next(self.numbers)}")
         method = changes.pop("method", "POST" if body else "GET")
         headers = {
@@ -297,13 +347,13 @@
             headers["tanagertrail-request-id"] = request_id
         if body:
             headers["content-length"] = str(len(body))
-        lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        lines = [f"{method} {path} HTTP/{version}", *(f"{k}: {v}" for k, v in headers.items())]
         received: list[bytes] = []
-        channel = Channel()
+        channel = CallerChannel()
         channel.transport = MemoryTransport(channel, received.append)
-        self.node.http_server.accept(channel)
+        self.front.http_server.accept(channel)
         channel.data_received("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
-        return await self.read(channel, received, method)
+        return channel, received
 
     async def read(self, channel: Channel, received: list[bytes], method: str) -> Reply:
         """Read an answer until it is whole or the daemon ends the connection."""
@@ -315,6 +365,7 @@
         while not whole:
             if fed == len(received):
                 if channel.transport.closed:
+                    whole = ends_with_connection(channel, parser)
                     break
                 await channel.transport.changed.wait()
                 channel.transport.changed.clear()
@@ -348,3 +399,14 @@
     def runs(self) -> list[bytes]:
         """Ids of the requests that upstreams ran."""
         return [name for upstream in self.upstreams.values() for name in upstream.runs]
+
+
+def ends_with_connection(channel: CallerChannel, parser: h11.Connection) -> bool:
+    """Return whether the end of a caller's connection is that of its answer."""
+    if channel.was_reset:
+        return False
+    try:
+        parser.receive_data(b"")
+        return isinstance(parser.next_event(), h11.EndOfMessage)
+    except h11.RemoteProtocolError:
+        return False
