--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -12,11 +12,12 @@
 from tanagertrail.platform import header_fields
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, UPSTREAMS
 from tanagertrail.soak.callers import CallerCrowd
-from tanagertrail.soak.checks import Arrival, CutSeen, Evidence, Need, Removal, RunSeen
+from tanagertrail.soak.evidence import Arrival, CutSeen, Evidence, Need, Removal, RunSeen
 from tanagertrail.soak.plan import Fault
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.proxy import LinkState, LoopbackProxy
 from tanagertrail.soak.upstream_link import UpstreamLink
+from tanagertrail.soak.workload import WORK_SECONDS, parse_work
 from tanagertrail.standins.cloud import StandInCloud
 from tanagertrail.standins.documents import (
     CUSTOMERS,
@@ -26,12 +27,12 @@
     build_entry,
     build_node_file,
 )
+from tanagertrail.standins.misbehaviour import EVENTS, STREAM_SUFFIX
 from tanagertrail.standins.ports import HOST, find_port, find_port_pair
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
 
 READY_SECONDS = 15.0
-WORK_SECONDS = 0.01
 SLOTS = 16  # of each upstream, more than the callers need
 DOWN_SECONDS = 1.0  # from the end of an upstream until it is back
 FIRST_BORN_MS = 1_700_000_000_000  # Unix time of the first start of all upstreams
@@ -79,6 +80,12 @@
             self.needs[-1] = self.needs[-1]._replace(until=now)
         self.named_rate = None
 
+    def choose_work(self, request: CallerRequest) -> float:
+        """Choose the seconds of a plain request or of each event, at least the usual ones."""
+        work = parse_work(request.path) or 0.0
+        events = EVENTS if request.path.endswith(STREAM_SUFFIX) else 1
+        return max(work / events, self.work)
+
     def list_arrivals(self) -> list[Arrival]:
         """Return all requests that reached it."""
         arrivals = zip(self.arrivals, self.arrival_times, strict=True)
@@ -123,6 +130,7 @@
         self.runs: list[RunSeen] = []
         self.removals: list[Removal] = []
         self.terms: list[tuple[int, float]] = []
+        self.overruns: list[tuple[int, float]] = []
         self.pauses: list[tuple[int, float, float]] = []
         self.version = 1
         self.extra_routes: list[str] = []
@@ -289,6 +297,12 @@
         """Note that something that was removed is back."""
         self.removals[place] = self.removals[place]._replace(until=self.now())
 
+    def note_term(self, daemon: DaemonProcess) -> None:
+        """Note that a daemon is asked to stop, unless it stops already."""
+        port = daemon.ports.front
+        if not any(front == port and at >= daemon.starts[-1] for front, at in self.terms):
+            self.terms.append((port, self.now()))
+
     def note_cut(self, numbers: list[int], since: float) -> None:
         """Note that daemons were cut off until now."""
         if not numbers:
@@ -319,6 +333,7 @@
             self.pauses,
             [item for upstream in self.upstreams for item in upstream.part_crashes],
             self.cuts,
+            self.overruns,
         )
 
     async def close(self) -> None:
