Tell daemons that are no hubs the releases of the others

What callers would have seen: after an upgrade from release 3 in a fleet of more than nine, a daemon that is cut off from its upstreams finds only hubs as carriers, for good.

Cause: a registration leaves its carrier out while a member of an older release is known. A daemon that is no hub gets no states of the others, only liveness records, and read from the registrations without a carrier that all are older; so none of these daemons wrote its carrier again. Class: a decision that all take from what all wrote by it.

Change: a liveness record of release 6 tells the release in whose form the member told its state.

Test: a daemon that is no hub, before failing since the record had no release (the test read it as outdated for ever).

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -110,6 +110,7 @@
     :ivar lease_fencing: fencing number of the lease that it holds and renews, 0 for none
     :ivar age_ms: age of the state that this record was taken from, when it was sent
     :ivar reaches_upstreams: whether the daemon reaches the upstreams, as far as it knows
+    :ivar release: release in whose form the daemon told its state
     """
 
     daemon: str
@@ -118,6 +119,7 @@
     lease_fencing: int
     age_ms: int
     reaches_upstreams: bool = True
+    release: int = RELEASE
 
 
 class DaemonState(NamedTuple):
--- a/tanagertrail/daemons/releases.py
+++ b/tanagertrail/daemons/releases.py
@@ -41,7 +41,7 @@
     ReleaseForm(3, 22, 5, True, True),
     ReleaseForm(4, 24, 6, True, True),
     ReleaseForm(5, 26, 6, True, True),
-    ReleaseForm(6, 27, 6, True, True),
+    ReleaseForm(6, 27, 7, True, True),
 )
 OWN_FORM = FORMS[-1]
 RELEASE = OWN_FORM.release
--- a/tanagertrail/gateway/members.py
+++ b/tanagertrail/gateway/members.py
@@ -160,9 +160,8 @@
     @property
     def is_registration_outdated(self) -> bool:
         """Whether the stored registration has a form that was chosen for other members."""
-        return self.registered is not None and (
-            ("carrier" in self.registered) != self.may_name_carrier
-        )
+        content = self.registered
+        return content is not None and ("carrier" in content) != self.may_name_carrier
 
     def merge_member(
         self,
@@ -252,18 +251,20 @@
         limit = self.alive_timeout
         return [state for state in self.states.values() if now - state.last_seen_at < limit]
 
-    def apply_liveness_record(
-        self, record: LivenessRecord, now: float, tells_links: bool = True
-    ) -> None:
+    def apply_liveness_record(self, record: LivenessRecord, now: float, field_count: int) -> None:
         """Apply a liveness record of a known member; it carries no address of its own.
 
-        :param tells_links: whether the record tells if the member reaches the upstreams
+        :param field_count: number of fields that were told; the others change nothing
         """
         state = self.states.get(record.daemon)
         if state is not None and state.member.incarnation == record.incarnation:
             seen_at = now - record.age_ms / 1000
-            reaches = record.reaches_upstreams if tells_links else state.reaches_upstreams
-            self.merge_member(state.member, seen_at, record.serving, reaches, state.release)
+            told = LivenessRecord._fields[:field_count]
+            links = record if "reaches_upstreams" in told else state
+            form = record if "release" in told else state
+            self.merge_member(
+                state.member, seen_at, record.serving, links.reaches_upstreams, form.release
+            )
 
     def list_strengths(self) -> dict[str, int]:
         """Return the strength of each member, including this daemon."""
--- a/tanagertrail/gateway/peer_rows.py
+++ b/tanagertrail/gateway/peer_rows.py
@@ -21,7 +21,6 @@
 )
 from tanagertrail.daemons.releases import (
     FIRST_STATED_RELEASE,
-    OWN_FORM,
     ReleaseForm,
     find_form_by_fields,
 )
@@ -159,11 +158,13 @@
     return update
 
 
-def decode_liveness(row: Any) -> tuple[LivenessRecord, bool]:
-    """Decode the row of a liveness record, and whether it tells if upstreams are reached.
+def decode_liveness(row: Any) -> tuple[LivenessRecord, int]:
+    """Decode the row of a liveness record, and count the fields that it tells.
 
     :raises FrameError: if it is malformed
     """
     record = decode_growing_row(LivenessRecord, row)
     check_age(record.age_ms)
-    return record, len(row) >= OWN_FORM.liveness_fields
+    if not is_integer(record.release, 1, MAX_COUNT):
+        raise FrameError(f"release {record.release} of {record.daemon} is out of range")
+    return record, len(row)
--- a/tanagertrail/gateway/received_states.py
+++ b/tanagertrail/gateway/received_states.py
@@ -168,6 +168,7 @@
                 known.state.lease_fencing,
                 int((now - known.reported_at) * 1000),
                 known.state.reaches_upstreams,
+                known.state.release,
             ),
             form,
         )
--- a/tanagertrail/gateway/state_sync.py
+++ b/tanagertrail/gateway/state_sync.py
@@ -339,11 +339,11 @@
         now = self.now()
         for row in unpack_rows(packed):
             try:
-                record, tells_links = decode_liveness(row)
+                record, field_count = decode_liveness(row)
             except FrameError as error:
                 self.refuse_row(error)
                 continue
-            self.members.apply_liveness_record(record, now, tells_links)
+            self.members.apply_liveness_record(record, now, field_count)
             if record.lease_fencing:
                 self.delegate.record_leader_seen(record.age_ms / 1000)
 
--- a/tests/test_mixed_releases.py
+++ b/tests/test_mixed_releases.py
@@ -7,6 +7,7 @@
 
 from tanagertrail.daemons.frames import decode_frame
 from tanagertrail.daemons.peer_messages import DaemonState, PeerRequest, PeerResponse, pack_rows
+from tanagertrail.daemons.releases import OLDEST_RELEASE
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.members import MEMBERS_KIND
 from tanagertrail.gateway.mirror import KindMirror
@@ -186,6 +187,24 @@
     assert daemon.members.states["d1"].reaches_upstreams
 
 
+@with_virtual_time
+async def test_daemon_that_is_no_hub_learns_when_all_read_registrations_with_a_carrier():
+    daemon = Daemon("d0")
+    daemon.members.registered = daemon.members.own.encode()
+    member = daemon.members.states["d1"].member._replace(incarnation=2)
+    daemon.members.merge_member(member, 0.0, False, release=OLDEST_RELEASE)
+    assert daemon.members.is_registration_outdated
+    daemon.state_sync.apply_liveness(pack_rows([("d1", 2, True, 0, 0, True)]))
+    assert daemon.members.is_registration_outdated
+    hub = Daemon("d2")
+    hub.state_sync.apply_state(DaemonState(*build_row(26, daemon="d1", incarnation=2)), True)
+    daemon.state_sync.apply_liveness(hub.state_sync.pack_liveness("d0"))
+    assert not daemon.members.is_registration_outdated
+    assert {len(row) for row in unpack(hub.state_sync.pack_liveness("d0"))} == {7}
+    with raises(FrameError):
+        decode_liveness(("d1", 5, True, 0, 0, False, 0))
+
+
 @run_in_real_time
 async def test_requests_that_an_older_hub_did_not_count_are_not_counted_twice():
     async with open_world() as world:
@@ -227,8 +246,8 @@
     newer = (*build_row(26), 7, {"section": 1}, "more")
     state = decode_state(newer)
     assert (state.release, state.counter) == (7, 1)
-    record, tells_links = decode_liveness(("d1", 5, True, 0, 0, False, "more"))
-    assert tells_links and not record.reaches_upstreams
+    record, field_count = decode_liveness(("d1", 5, True, 0, 0, False, 7, "more"))
+    assert (record.reaches_upstreams, record.release, field_count) == (False, 7, 8)
     body = msgpack.packb([7, "peer_question", [pack([newer]), False, True, [], "more"]])
     assert decode_frame(body)[1] == PeerRequest(pack([newer]), False, True, ())
     for row in ((*newer, *range(100)), (*newer[:26], 0), (*newer[:26], "7"), (*newer[:26], True)):
