Keep the cut of a short grace period within its last sixth

What callers saw (rig, grace of 2 s): 6 streams that were under way when SIGTERM came were cut at 1.4 s, before the last sixth, which the rule does not excuse. Cause: 0.6 s for closing, whatever the grace period. Change: the margin is a sixth of a grace period below 3.6 s, and what callers have to read the last responses shrinks with it, so that the process ends in time. Longer grace periods are as before.

--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -225,10 +225,11 @@
             for stream in self.streams
         )
 
-    async def finish(self, deadline: float) -> int:
+    async def finish(self, deadline: float, lingers_for: float = LINGER_SECONDS) -> int:
         """Stop accepting, answer what has arrived, and close all connections.
 
         :param deadline: event-loop time in seconds at which requests in progress are cut
+        :param lingers_for: seconds after that in which callers may read the last responses
         :returns: number of requests that were cut
         """
         loop = asyncio.get_running_loop()
@@ -241,7 +242,7 @@
         await self.wait_for_connections(max(deadline, loop.time() + LAST_READ_SECONDS))
         for task in self.tasks:
             task.cancel()
-        await self.wait_for_connections(loop.time() + LINGER_SECONDS)
+        await self.wait_for_connections(loop.time() + lingers_for)
         return self.closes[CloseReason.CUT]
 
     async def wait_for_connections(self, latest: float) -> None:
--- a/tanagertrail/gateway/planned_stop.py
+++ b/tanagertrail/gateway/planned_stop.py
@@ -66,7 +66,9 @@
         # Requests may have arrived while the lease was released.
         await self.wait_until_drained(started, last_call)
         servers = (*self.servers, *self.pages)
-        cuts = await asyncio.gather(*(server.finish(latest) for server in servers))
+        cuts = await asyncio.gather(
+            *(server.finish(latest, schedule.lingers_for) for server in servers)
+        )
         cut = sum(cuts[: len(self.servers)])
         self.gate.report(cut)
         return cut
--- a/tanagertrail/policy/stop_admission.py
+++ b/tanagertrail/policy/stop_admission.py
@@ -14,6 +14,8 @@
 from tanagertrail.policy.durations import LengthEstimate
 
 STOP_MARGIN_SECONDS = 0.6  # of the grace period, left for closing
+MAX_MARGIN_SHARE = 1 / 6  # of a short grace period; requests that came early may be cut in it
+MAX_EXIT_SECONDS = 0.1  # of the margin, left for the process to end
 CLOSING_SECONDS = 0.1  # between the expected end of an answer and the cut
 EARLY_SECONDS = 2.8  # of the 3 s in which callers learn of a stop, less the signal's delay
 MIN_SAMPLES = 20
@@ -32,10 +34,20 @@
     started_at: float
     grace: float
 
+    @property
+    def margin(self) -> float:
+        """Seconds of the grace period that are left for closing."""
+        return min(STOP_MARGIN_SECONDS, MAX_MARGIN_SHARE * self.grace)
+
     @property
     def cuts_at(self) -> float:
         """Event-loop time in seconds at which requests in progress are cut."""
-        return self.started_at + self.grace - STOP_MARGIN_SECONDS
+        return self.started_at + self.grace - self.margin
+
+    @property
+    def lingers_for(self) -> float:
+        """Seconds after the cut in which callers may read the last responses and close."""
+        return self.margin - min(MAX_EXIT_SECONDS, self.margin / 2)
 
     @property
     def answers_end_at(self) -> float:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -107,6 +107,23 @@
         assert (reply.status, reply.whole) == (200, False)
 
 
+@run_in_real_time
+async def test_stream_is_cut_before_the_last_sixth_of_a_short_grace_period():
+    async with open_world() as world:
+        grace = 1.8
+        set_grace(world, grace)
+        world.keep_one_upstream().work = 0.5
+        await world.wait_for_upstreams(1)
+        pending_reply = asyncio.create_task(world.fetch("/talk/a/events", b"thing"))
+        await world.wait_until(lambda: world.upstreams[0].runs)
+        started = time.monotonic()
+        stop = asyncio.create_task(world.node.stop())
+        assert not (await pending_reply).whole
+        assert time.monotonic() - started >= grace * 5 / 6
+        await stop
+        assert time.monotonic() - started < grace
+
+
 @run_in_real_time
 async def test_slow_release_of_the_lease_does_not_use_up_the_grace_period():
     async with open_world() as world:
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -37,6 +37,13 @@
     assert (decision.accepted, decision.basis) == (accepted, basis)
 
 
+@params(0.5, 2.0, 3.6, 8.0, 60.0)
+def test_cut_comes_before_the_last_sixth_of_the_grace_period(grace):
+    schedule = StopSchedule(100.0, grace)
+    assert 100.0 + grace * 5 / 6 <= schedule.cuts_at + 1e-9
+    assert schedule.cuts_at + schedule.lingers_for < 100.0 + grace
+
+
 def test_one_long_request_among_short_ones_is_looked_at_late():
     assert decide_at(EARLY_SECONDS - 0.1, 0.1, longest=6.0).accepted
     assert not decide_at(EARLY_SECONDS + 0.1, 0.1, longest=6.0).accepted
