Start daemons of the rig again that end before they are ready

With stops 1.3 s apart beside SIGHUP each 0.25 s a signal met the start of a restarted daemon's interpreter and ended it, and the rig waited for it without end (stopped after 150 s; trial). An earlier run of the same plan had been started under nohup, whose SIGHUP the daemons inherit as ignored.

--- a/tanagertrail/soak/stop_rig.py
+++ b/tanagertrail/soak/stop_rig.py
@@ -23,6 +23,8 @@
 
     :ivar lost: calls that break the rule on lost requests, with the planned work around them
     :ivar calm_cut: calls that were cut with no stop around them
+    :ivar unreached: attempts to connect that failed
+    :ivar ended_starting: starts of daemons that ended before they were ready
     :ivar folder: where the calls and the daemons' logs are kept, None unless something was lost
     """
 
@@ -32,6 +34,7 @@
     lost: list[tuple[StopCall, Planned]]
     calm_cut: list[StopCall]
     unreached: int
+    ended_starting: int
     folder: Path | None
 
 
@@ -105,6 +108,7 @@
         lost,
         calm_cut,
         callers.unreached,
+        world.ended_starting,
         folder if kept else None,
     )
 
@@ -119,6 +123,7 @@
     for stop in result.stops:
         took = stop.ended_at - stop.at
         print(f"stop of {stop.front}: ended after {took:.2f} s, by itself: {stop.ended_itself}")
+    print(f"starts that ended before the daemon was ready: {result.ended_starting}")
     around = [planned.kind for _, planned in result.lost]
     counts = ", ".join(f"{around.count(kind)} {kind}" for kind in ("stop", "reload", "config"))
     modes = Counter(call.mode for call, _ in result.lost)
--- a/tanagertrail/soak/stop_world.py
+++ b/tanagertrail/soak/stop_world.py
@@ -13,11 +13,12 @@
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.stop_callers import StopKind
 from tanagertrail.soak.stop_counts import Planned
-from tanagertrail.soak.world import SoakUpstream, SoakWorld
+from tanagertrail.soak.world import READY_SECONDS, SoakUpstream, SoakWorld
 from tanagertrail.standins.documents import BOUND_FIELDS, build_document
 from tanagertrail.standins.misbehaviour import EVENTS, STREAM_SUFFIX
 
 ROUTE_TIMEOUT_MS = 12_000  # longer than all deadlines, so that these alone end requests
+CHECK_SECONDS = 0.1
 SETTLE_SECONDS = 1.5  # after a start, for the daemons to learn of each other
 MILLISECONDS = 1000.0
 
@@ -63,6 +64,7 @@
     """A world whose daemons have the grace period and the code of a plan.
 
     :ivar planned: planned work that has happened
+    :ivar ended_starting: starts of daemons that ended before they were ready
     """
 
     upstream_type = TimedUpstream
@@ -71,6 +73,7 @@
         super().__init__(plan.seed, plan.daemons, plan.upstreams, folder)
         self.plan = plan
         self.planned: list[Planned] = []
+        self.ended_starting = 0
 
     async def add_daemons(self, store_port: int, cloud_port: int) -> None:
         """Build the daemons with the grace period and the source tree of the plan."""
@@ -110,7 +113,20 @@
         return [daemon for daemon in self.daemons if daemon.ports.front in fronts]
 
     async def restart(self, number: int) -> None:
-        """Start a daemon again and wait until it is ready."""
-        await self.daemons[number].restart()
-        await self.await_ready(self.daemons[number])
+        """Start a daemon again as a supervisor does, until it is ready.
+
+        :raises TimeoutError: if it never is
+        """
+        daemon = self.daemons[number]
+        await daemon.restart()
+        ready = asyncio.create_task(self.await_ready(daemon))
+        try:
+            async with asyncio.timeout(READY_SECONDS):
+                while not ready.done():
+                    await asyncio.wait([ready], timeout=CHECK_SECONDS)
+                    if not daemon.running:
+                        self.ended_starting += 1
+                        await daemon.restart()
+        finally:
+            ready.cancel()
         await asyncio.sleep(SETTLE_SECONDS)
--- a/tests/test_stop_rig.py
+++ b/tests/test_stop_rig.py
@@ -93,5 +93,6 @@
     assert (result.lost, result.calm_cut) == ([], [])
     assert len(result.stops) == 3
     assert all(stop.ended_itself for stop in result.stops)
+    assert result.ended_starting == 0
     assert sum(row.served for row in result.rows) > 100
     assert sum(row.refused_and_run for row in result.rows) == 0
