Let time pass before the next review of a silence

What callers saw: nothing; on a real clock a review that is due within 1e-16 s only repeats until the clock has moved. In virtual time it never does: python -m tests.test_upstream_answers 1500 1 hung at example 1168 (own attempts; stack in SilenceWatch.review) until it was ended after 500 s. Cause: the rest of the time to the first review can be a rounding error, which added to the time gives the same time again. The same holds for the rest until the limit. Change: the next review is 1 ms away at least. Evidence: test_review_is_due_again_in_the_same_instant failed, passes now; the 15 tests of silences pass.

--- a/tanagertrail/gateway/silence_watch.py
+++ b/tanagertrail/gateway/silence_watch.py
@@ -24,6 +24,7 @@
 
 FIRST_REVIEW_SECONDS = 0.5  # of silence, since most events come sooner
 REVIEW_SECONDS = 0.25
+MIN_REVIEW_SECONDS = 0.001  # a rounding error of the clock is no time to wait
 UNREAD_REVIEW_SECONDS = 0.02  # until what has arrived is read
 MAX_LATENESS_SECONDS = 0.05  # of a timer, beyond which the daemon itself did not run
 LOGGED_SILENCE_SECONDS = 1.0
@@ -161,7 +162,7 @@
             self.entry.note_heard(now)
         silent_for = 0.0 if self.is_suspended else now - self.progress_at
         if silent_for < self.first_review:
-            self.review_after(self.first_review - silent_for)
+            self.review_after(max(self.first_review - silent_for, MIN_REVIEW_SECONDS))
             return
         silence = self.describe(now)
         judgement = judge_silence(silence)
@@ -171,7 +172,8 @@
             self.scope.reschedule(now)
             return
         until_limit = max(judgement.limit - silence.seconds, 0.0)
-        self.review_after(min(until_limit or REVIEW_SECONDS, REVIEW_SECONDS))
+        until_limit = max(until_limit, MIN_REVIEW_SECONDS) if until_limit else REVIEW_SECONDS
+        self.review_after(min(until_limit, REVIEW_SECONDS))
 
     def describe(self, now: float) -> Silence:
         """Describe the silence for the judgement."""
--- a/tests/test_silence_watch.py
+++ b/tests/test_silence_watch.py
@@ -1,6 +1,7 @@
 """Tests for the watching of a single attempt."""
 
 import asyncio
+import math
 from types import SimpleNamespace
 
 from tanagertrail.gateway.eventlog import EventLog
@@ -53,3 +54,20 @@
 
     with raises(TimeoutError):
         await wait_for_answer()
+
+
+@with_virtual_time
+async def test_review_is_due_again_in_the_same_instant():
+    """A rest of 1e-16 s moved no clock, and reviews followed each other without end."""
+    watch, channel = build_watch()
+    watch.first_review = 0.3
+    reviews = []
+    async with watch.limit(channel):
+        await asyncio.sleep(0.1)
+        watch.timer.cancel()
+        watch.review_after = reviews.append
+        now = watch.loop.time()
+        watch.progress_at = now - 0.3
+        watch.first_review = math.nextafter(now - watch.progress_at, 1.0)
+        watch.review(now)
+    assert now + reviews[0] > now
