Play random answers to carried requests too

The property over answers, copies, cuts and odd bytes on kept connections held for a daemon's own attempts only. It now also plays two daemons, of which one carries the other's requests, from the first request on or after the first attempt; checks and draws of the own way are as before.

--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -25,6 +25,7 @@
     build_refusal,
     build_stream_head,
 )
+from tests.carried_answer_utils import WORLDS
 
 CI_EXAMPLES = 200
 LAST_EVENT = 4
@@ -107,6 +108,7 @@
     st.sampled_from([0.0, 0.001, 0.03]),
     st.sampled_from([1.0, 1.0, 1.0, 0.9, 0.5]),
 )
+CARRIED_WAYS = st.sampled_from(["carried", "own, then carried"])
 requests = st.tuples(st.sampled_from(PATHS), st.sampled_from([0.02, 0.0, 0.6]))
 
 
@@ -215,9 +217,9 @@
         assert (reply.body, reply.whole) == (b"answer to " + request_id, True)
 
 
-async def play(sequence: list[tuple[str, float]], drawn: list[list[Plan]]) -> None:
+async def play(sequence: list[tuple[str, float]], drawn: list[list[Plan]], way: str) -> None:
     """Play requests in turn before upstreams with plans, and check each reply."""
-    world = MemoryWorld(len(drawn))
+    world = WORLDS.get(way)(len(drawn))
     for name, own_plans in zip(list(world.upstreams), drawn, strict=True):
         world.upstreams[name] = RandomUpstream(name)
         world.upstreams[name].plans = list(own_plans)
@@ -239,25 +241,30 @@
 )
 
 
-def play_drawn(sequence: list[tuple[str, float]], drawn: list[list[Plan]]) -> None:
+def play_drawn(sequence: list[tuple[str, float]], drawn: list[list[Plan]], way: str) -> None:
     """Play one drawn example in virtual time."""
-    run_in_virtual_time(play(sequence, drawn))
+    run_in_virtual_time(play(sequence, drawn, way))
 
 
 @settings(max_examples=CI_EXAMPLES, derandomize=True, deadline=None, database=None)
 @given(*DRAWS)
 def test_random_answers_reach_the_wrong_caller_or_make_false_promises(sequence, drawn):
-    play_drawn(sequence, drawn)
+    play_drawn(sequence, drawn, "own")
+
+
+@settings(max_examples=CI_EXAMPLES, derandomize=True, deadline=None, database=None)
+@given(*DRAWS, CARRIED_WAYS)
+def test_random_answers_to_carried_requests_reach_the_wrong_caller(sequence, drawn, way):
+    play_drawn(sequence, drawn, way)
 
 
 def main() -> None:
-    """Play further examples."""
+    """Play further examples on either way."""
     examples, first_seed = int(sys.argv[1]), int(sys.argv[2])
-    widened = settings(max_examples=examples, deadline=None, database=None)(
-        given(*DRAWS)(play_drawn)
-    )
-    seed(first_seed)(widened)()
-    print(f"{examples} examples of seed {first_seed} kept all promises")
+    for ways in (st.just("own"), CARRIED_WAYS):
+        widened = settings(max_examples=examples, deadline=None, database=None)
+        seed(first_seed)(widened(given(*DRAWS, ways)(play_drawn)))()
+    print(f"2 x {examples} examples of seed {first_seed} kept all promises")
 
 
 if __name__ == "__main__":
