Hold no calls against a cut while nobody is left to carry them

Cause, traced in its logs: three of four daemons were cut off; the fourth was asked to stop 0.5 s after the third one's cut began. The new kinds let a cut and stops of the others meet; a planned stop is no unplanned disruption that had excused this span. Change of a check: calls count only while some daemon is neither cut off nor stopping (until 3 s after its start). All other calls count as before; the test failed before for the stopping carrier, and shows that one carrier that stays is enough to break the promise. Conclusion: the case is allowed; a fault of the check.

--- a/tanagertrail/soak/cut_checks.py
+++ b/tanagertrail/soak/cut_checks.py
@@ -39,16 +39,48 @@
 
 
 def is_counted(evidence: Evidence, cut: CutSeen, call: Call) -> bool:
-    """Say whether a call without a quota was sent during a cut, and calm apart from cuts."""
+    """Say whether a call without a quota was sent during a cut, and calm apart from cuts.
+
+    While all other daemons are cut off or stop, nobody can carry requests for this one.
+    """
     if call.left or call.customer.rate or not cut.since + STABILITY_SECONDS <= call.sent_at:
         return False
     if call.sent_at >= cut.until or was_stopping(evidence, call):
         return False
+    if not has_carrier(evidence, call):
+        return False
     others = [fault for fault in evidence.plan if not fault.kind.startswith(CUT_FAULTS)]
     since = call.sent_at - STABILITY_SECONDS - evidence.started
     return not was_disturbed(others, since, call.ended_at - evidence.started)
 
 
+def has_carrier(evidence: Evidence, call: Call) -> bool:
+    """Say whether a daemon was there that was neither cut off nor stopping."""
+    ports = {port for port, _ in evidence.starts} | {other.port for other in evidence.calls}
+    return any(
+        not is_cut_off(evidence, port, call) and not is_stopping(evidence, port, call)
+        for port in ports
+    )
+
+
+def is_cut_off(evidence: Evidence, port: int, call: Call) -> bool:
+    """Say whether a daemon was cut off while a call lasted."""
+    return any(
+        port in cut.ports and cut.since <= call.ended_at and call.sent_at <= cut.until
+        for cut in evidence.cuts
+    )
+
+
+def is_stopping(evidence: Evidence, port: int, call: Call) -> bool:
+    """Say whether a daemon was asked to stop and not back for some seconds when a call ended."""
+    for front, at in evidence.terms:
+        starts = (start for other, start in evidence.starts if other == port and start > at)
+        back = min(starts, default=at + BOUNDS.grace) + STABILITY_SECONDS
+        if front == port and at <= call.ended_at and call.sent_at <= back:
+            return True
+    return False
+
+
 def was_cut(evidence: Evidence, call: Call) -> bool:
     """Say whether the daemon of a call was cut off then or shortly before."""
     return any(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 
 from tanagertrail.platform.records import UPSTREAMS
 from tanagertrail.soak.checks import CHECKS, PART_REFUSAL, build_events, find_broken
+from tanagertrail.soak.cut_checks import has_carrier
 from tanagertrail.soak.cut_faults import pick_daemons
 from tanagertrail.soak.evidence import Arrival, CutSeen, Need, Removal
 from tanagertrail.soak.plan import FAULTS, Fault, draw_plan
@@ -282,6 +283,22 @@
     assert broken == {"served while cut"}
 
 
+def test_callers_of_a_daemon_that_nobody_is_left_to_carry_for_are_held_against_a_cut():
+    """Seed 7017: the only daemon that reached the upstreams stopped half a second later."""
+    unserved = [build_call(n, status=503, port=1, sent_at=10.0) for n in range(60)]
+    served = [build_call(n, sent_at=9.0, port=0) for n in range(60, 80)]
+    cuts = [CutSeen(frozenset({1}), 5.0, 14.0)]
+    evidence = build_evidence([*unserved, *served], [], cuts=cuts)
+    assert name_broken(evidence) == {"served while cut"}
+    stopping = evidence._replace(terms=[(0, 9.5)])
+    assert name_broken(stopping) == set()
+    assert name_broken(stopping._replace(starts=[(0, 9.6)])) == set()
+    other = evidence._replace(starts=[(0, 1.0), (2, 1.0)], terms=[(0, 9.5)])
+    assert name_broken(other) == {"served while cut"}
+    assert not has_carrier(stopping, unserved[0])
+    assert has_carrier(stopping._replace(starts=[(0, 6.0)], terms=[(0, 5.0)]), unserved[0])
+
+
 @run_in_real_time
 async def test_upstream_that_crashes_while_it_is_cold_is_counted_as_cold_when_it_is_back():
     """Seed 1022: a crash and a cold start struck one upstream at once."""
