Keep a wait that an upstream asks for whole, up to two minutes

Cause: the bound for absurd values lay below sound ones. Change: two minutes; hours are still cut. Evidence: the new test failed before and passes. Conclusion: a wait of more than two minutes is still cut short, as decided there.

--- a/tanagertrail/policy/statements.py
+++ b/tanagertrail/policy/statements.py
@@ -11,7 +11,7 @@
 
 from typing import NamedTuple
 
-MAX_WAIT_SECONDS = 10.0  # longer ones would keep an upstream out of use by mistake
+MAX_WAIT_SECONDS = 120.0  # longer ones would keep an upstream out of use by mistake
 
 
 class LeavingStatement(NamedTuple):
--- a/tests/test_upstream_statements.py
+++ b/tests/test_upstream_statements.py
@@ -200,6 +200,15 @@
     assert not table.waits
 
 
+def test_wait_of_a_minute_is_cut_short():
+    clock = Clock()
+    table, _ = build_table(clock)
+    entry = build_upstream()
+    hear(table, entry, 503, retry_after="60")
+    clock.now += 59.0
+    assert table.count_wait_left(entry) == 1.0
+
+
 def test_statement_of_another_upstream_is_believed():
     table, _ = build_table(Clock())
     entry = build_upstream()
