Decide on no part of prompts while a daemon tells no completed requests

Cause: a part is condemned if the requests with it are lost and others complete. Releases 1 and 2 tell neither the parts of lost requests nor which completed, so a new daemon knows its own few only. Class: a decision on a sum of which a part is not told.

Change: a daemon decides on parts only while all live members are of releases that tell completed requests. Beside the others no deadly part is found, as before them; whole requests are counted by fingerprint as ever, stored quarantines hold.

Test: failed before (the daemon took itself to hear of all).

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -206,7 +206,7 @@
         self.suspects.on_quarantine = self.quarantine.start_storing
         self.follower.quarantine_handler.on_lost = self.quarantine.start_storing
         self.suspects.on_refuted = self.quarantine.start_removing
-        self.suspects.hears_all_losses = lambda: self.state_sync.topology.is_hub
+        self.suspects.hears_all_losses = self.state_sync.hears_all_losses
         self.suspects.relays = self.is_relaying_hub
         self.quarantine.adopt_task = self.supervisor.adopt
         self.supervisor.start("quarantines", self.run_quarantines)
--- a/tanagertrail/gateway/state_sync.py
+++ b/tanagertrail/gateway/state_sync.py
@@ -17,6 +17,7 @@
     unpack_rows,
 )
 from tanagertrail.daemons.releases import (
+    COMPLETED_RELEASE,
     OLDEST_RELEASE,
     OWN_FORM,
     ReleaseForm,
@@ -163,6 +164,11 @@
             for item in known
         )
 
+    def hears_all_losses(self) -> bool:
+        """Return whether all daemons tell this one which requests were lost and completed."""
+        alive = self.members.list_alive(self.now())
+        return self.topology.is_hub and all(item.release >= COMPLETED_RELEASE for item in alive)
+
     def forget(self, daemon: str) -> None:
         """Drop everything known about a daemon that is gone."""
         known = self.states.pop(daemon, None)
--- a/tests/test_mixed_releases.py
+++ b/tests/test_mixed_releases.py
@@ -242,6 +242,19 @@
         assert not suspects.attributor.crashes
 
 
+@run_in_real_time
+async def test_sound_part_is_not_condemned_while_an_older_daemon_tells_no_completed_requests():
+    """One new daemon among five older ones refused the part that all prompts share."""
+    for count in STATE_COUNTS:
+        async with open_mixed_world(count) as (world, older):
+            await world.wait_until(lambda: older.states)
+            tells_completed = count >= FIRST_COUNT_WITH_PARTS
+            assert world.node.suspects.hears_all_losses() == tells_completed
+            older.close()
+            world.node.members.mark_unreachable("older", world.node.loop.time())
+            assert world.node.suspects.hears_all_losses()
+
+
 def test_fields_that_a_newer_release_appends_are_ignored():
     newer = (*build_row(26), 7, {"section": 1}, "more")
     state = decode_state(newer)
