Let callers read a whole answer behind the cut of a stop

What callers saw: half of a large plain answer, or of the end of a stream, if they read slowly while the daemon stopped.

Cause: `HttpServer.finish` cancels the tasks of all connections at the cut, also of those that have nothing to do but wait until a whole answer is read. Without tasks it returns at once, the process exits, and what the transport still holds is lost, though the seconds for lingering have not begun. The request counts as answered, so the log shows nothing.

Evidence: test_answer_that_is_still_read_when_requests_are_cut_is_not_broken_off failed before, with the close announced and without: the connection was closed at the cut.

Change: the cut leaves alone what only lingers, and lets an idle connection with unsent bytes linger, for the time that a cut already leaves to callers. One that reads nothing doesn't hold up the end (second test, which passes before too).

--- a/tanagertrail/gateway/caller_close.py
+++ b/tanagertrail/gateway/caller_close.py
@@ -24,7 +24,8 @@
 
     ``ANNOUNCED`` follows a ``Connection: close`` of either side. ``BROKEN_OFF`` cuts a response
     that cannot be completed, so that it does not look complete. ``STOPPED`` closes an idle
-    connection and ``CUT`` one with an unanswered request, both because the daemon ends.
+    connection, ``UNREAD`` one whose caller has not read its last response, and ``CUT`` one with an
+    unanswered request, all three because the daemon ends.
     """
 
     CALLER_CLOSED = "caller closed"
@@ -35,6 +36,7 @@
     BROKEN_OFF = "response broken off"
     DEFECT = "defect"
     STOPPED = "stopped"
+    UNREAD = "response unread at the stop"
     CUT = "cut by the stop"
 
 
@@ -48,7 +50,13 @@
 
 
 LINGERING_REASONS = frozenset(
-    {CloseReason.ANNOUNCED, CloseReason.REFUSED, CloseReason.DEFECT, CloseReason.CUT}
+    {
+        CloseReason.ANNOUNCED,
+        CloseReason.REFUSED,
+        CloseReason.DEFECT,
+        CloseReason.UNREAD,
+        CloseReason.CUT,
+    }
 )
 
 
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -43,6 +43,7 @@
 
     :ivar limits: returns the limits that are currently in force
     :ivar tasks: one task per connection
+    :ivar lingering: those of them that only wait for the caller to read its last response
     :ivar busy_channels: connections with a request that is being handled
     :ivar streams: streams of all open connections
     :ivar stopping: whether the daemon is shutting down, so that responses announce the close
@@ -57,6 +58,7 @@
         self.log = log
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task] = set()
+        self.lingering: set[asyncio.Task] = set()
         self.busy_channels: set[Channel] = set()
         self.streams: set[CallerStream] = set()
         self.stopping = False
@@ -85,12 +87,21 @@
         try:
             reason = await self.serve_until_close(channel)
             if reason in LINGERING_REASONS:
-                await linger(channel)
+                await self.let_caller_read(channel)
             elif reason in (CloseReason.IDLE, CloseReason.STOPPED):
                 end_sending(channel)
         finally:
             channel.close()
 
+    async def let_caller_read(self, channel: Channel) -> None:
+        """Linger before the close of a connection; the cut of requests does not end this."""
+        task = asyncio.current_task()
+        self.lingering.add(task)
+        try:
+            await linger(channel)
+        finally:
+            self.lingering.discard(task)
+
     async def serve_until_close(self, channel: Channel) -> CloseReason:
         """Serve the requests of a connection until it is to close, and return the reason."""
         stream = CallerStream(channel, self.limits, lambda: self.stopping)
@@ -205,9 +216,14 @@
     def answer_cut_request(self, stream: CallerStream) -> CloseReason:
         """Answer a request that is cut because the daemon ends, or break off its response."""
         state = stream.request_state
-        if not self.ending or state is RequestState.IDLE or stream.channel.peer_closed:
+        is_idle = (
+            state is RequestState.IDLE and not stream.channel.transport.get_write_buffer_size()
+        )
+        if not self.ending or is_idle or stream.channel.peer_closed:
             return CloseReason.STOPPED
         asyncio.current_task().uncancel()  # the task goes on to send the answer
+        if state is RequestState.IDLE:
+            return CloseReason.UNREAD
         self.log.write("caller_closed", reason=CloseReason.CUT, state=state)
         if state is RequestState.RESPONSE_BEGUN:
             stream.break_off()
@@ -240,7 +256,7 @@
         for stream in self.streams:
             stream.idle_wait.end()
         await self.wait_for_connections(max(deadline, loop.time() + LAST_READ_SECONDS))
-        for task in self.tasks:
+        for task in self.tasks - self.lingering:
             task.cancel()
         await self.wait_for_connections(loop.time() + lingers_for)
         return self.closes[CloseReason.CUT]
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -205,3 +205,42 @@
     await world.server.finish(asyncio.get_running_loop().time() + 1)
     assert transport.sent.startswith(b"HTTP/1.1 503 ")
     assert world.handled == []
+
+
+@params("announced", "kept")
+@with_callers
+async def test_answer_that_is_still_read_when_requests_are_cut_is_not_broken_off(world, close):
+    """A whole answer was cut at its caller's pace, with half a second of the stop left."""
+    loop = asyncio.get_running_loop()
+    transport = world.connect()
+    transport.unsent = 100_000
+    transport.channel.pause_writing()
+    world.server.stopping = close == "announced"
+    await world.request(transport)
+    assert transport.answers == 1
+    cuts_at = loop.time() + 0.3
+
+    def read_rest():
+        transport.unsent = 0
+        transport.channel.resume_writing()
+        transport.end()
+        transport.deliver()
+
+    loop.call_at(cuts_at + 0.2, read_rest)
+    cut = await world.server.finish(cuts_at, 0.5)
+    assert not transport.aborted
+    assert transport.closed_at >= cuts_at + 0.2
+    assert (cut, loop.time() <= cuts_at + 0.5) == (0, True)
+
+
+@with_callers
+async def test_caller_that_reads_nothing_does_not_hold_up_the_end(world):
+    loop = asyncio.get_running_loop()
+    transport = world.connect()
+    transport.unsent = 100_000
+    transport.channel.pause_writing()
+    world.server.stopping = True
+    await world.request(transport)
+    cuts_at = loop.time() + 0.3
+    await world.server.finish(cuts_at, 0.5)
+    assert loop.time() <= cuts_at + 0.5 + 1e-6
