Tell origins that a request which a stop found half read did not run

What callers saw: 502 instead of a refusal, or of another carrier's answer, to an order of which a stopping carrier had read only a part when it cut its connections.

Cause: two paths to one answer. A request that can't be read is refused with the fields of the server, which tell an origin that it did not run; the one that the cut finds half read got 503 without them, which to an origin proves nothing.

Evidence: test_request_read_by_half_at_the_end_is_refused_with_the_fields_of_its_server failed before: 503 without the field. The 504 of a request that was read stays as it is.

--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -230,7 +230,7 @@
         elif state is RequestState.UNANSWERED:
             stream.send_failure(504, "the gateway ends")
         else:
-            stream.send_failure(503, "the gateway ends")
+            stream.send_failure(503, "the gateway ends", self.refusal_headers)
         return CloseReason.CUT
 
     @property
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -244,3 +244,16 @@
     cuts_at = loop.time() + 0.3
     await world.server.finish(cuts_at, 0.5)
     assert loop.time() <= cuts_at + 0.5 + 1e-6
+
+
+@with_callers
+async def test_request_read_by_half_at_the_end_is_refused_with_the_fields_of_its_server(world):
+    """A carrier's origin could not tell that the request did not run, and answered 502."""
+    world.server.refusal_headers = [(b"carry-result", b"not run")]
+    transport = world.connect()
+    transport.send((REQUEST % 1)[:9])
+    transport.deliver()
+    await turn_loop()
+    await world.server.finish(asyncio.get_running_loop().time() + 1)
+    assert transport.sent.startswith(b"HTTP/1.1 503 ")
+    assert b"carry-result: not run" in transport.sent
