Judge late requests by carried ones in progress too

While upstreams grow slower, a stopping daemon takes a request late that is cut at its end.

Cause: the gate looks at how long requests of a route have been running so far, but only own ones entered that set. Lengths of carried requests that have ended were recorded: two paths into one decision, of which one lacks a rule.

Evidence: test_request_is_accepted_late_while_carried_ones_of_its_route_last_longer_than_any failed before: with a carried request that had run for 1.0 s, one of the same route was taken 1.1 s before the cut.

Change: a carried request is in the set while it is handled.

--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -126,6 +126,7 @@
             return
         exchange = build_exchange(request, stream, carried, begun)
         self.in_flight += 1
+        self.dispatcher.stop_gate.running.add(exchange)
         outcome = "origin gone"
         try:
             outcome = await self.carry(exchange, stream, carried)
@@ -136,6 +137,7 @@
             raise
         finally:
             self.in_flight -= 1
+            self.dispatcher.stop_gate.running.discard(exchange)
             self.log_carried(exchange, carried, outcome, started_at)
 
     def find_obstacle(self, carried: CarriedRequest, request_id: str) -> CarriedResult | None:
--- a/tanagertrail/gateway/stop_gate.py
+++ b/tanagertrail/gateway/stop_gate.py
@@ -35,7 +35,7 @@
     """What a daemon that stops does with requests.
 
     :ivar durations: what requests have lasted, own ones and those of other daemons
-    :ivar running: own requests that are in progress
+    :ivar running: requests that are in progress, own ones and those of other daemons
     :ivar schedule: the times of the stop, None before it
     :ivar outcomes: requests that have ended since the stop began, by outcome
     """
--- /dev/null
+++ b/tests/test_carried_requests_in_a_stop.py
@@ -0,0 +1,69 @@
+"""Requests that one daemon carries for another while either stops."""
+
+import asyncio
+
+from tanagertrail.policy.stop_admission import (
+    CLOSING_SECONDS,
+    MIN_SAMPLES,
+    STOP_MARGIN_SECONDS,
+    StopSchedule,
+)
+from tests.answer_utils import (
+    Script,
+    Step,
+    build_answer,
+    build_chunk,
+    build_events,
+    build_stream_head,
+)
+from tests.carried_answer_utils import CarriedWorld
+from tests.gateway_utils import build_route
+from tests.utils import with_virtual_time
+
+GRACE_SECONDS = 8.0
+SILENT_SECONDS = 4.0
+LONG = {"tanagertrail_deadline_ms": "9000"}
+ROUTES = [
+    build_route("look", "safe", timeout_ms=10_000, slo_ms=200, gap_aim_ms=100),
+    build_route("talk", "stream", timeout_ms=10_000, slo_ms=200, gap_aim_ms=100),
+]
+
+
+def stop_late(node, seconds_left):
+    """Let a daemon be in a planned stop, with a number of seconds before requests are cut."""
+    now = node.loop.time()
+    started = now + seconds_left + STOP_MARGIN_SECONDS - GRACE_SECONDS
+    node.dispatcher.stop_gate.begin(StopSchedule(started, GRACE_SECONDS))
+    node.stopping = True
+
+
+def add_silent_answer(world, path):
+    """Let the first upstream be silent for a while before its answer, or within a stream."""
+    if path == "/look/1":
+        steps = (Step(build_answer(), SILENT_SECONDS),)
+    else:
+        steps = (
+            Step(build_stream_head() + build_chunk(build_events(1, 1)), 0.0),
+            Step(build_chunk(build_events(2, 3)) + build_chunk(b""), SILENT_SECONDS),
+        )
+    world.upstreams["up-a"].scripts.append(Script(steps))
+
+
+@with_virtual_time
+async def test_request_is_accepted_late_while_carried_ones_of_its_route_last_longer_than_any():
+    """Only own requests in progress showed a stopping daemon that upstreams grew slower."""
+    routes = [build_route("look", "safe", timeout_ms=10_000, attempts=1)]
+    world = CarriedWorld(2, routes=routes)
+    gate = world.node.dispatcher.stop_gate
+    for _ in range(MIN_SAMPLES):
+        gate.durations.add("look", 0, 0.01, world.node.loop.time())
+    world.prefer("up-a")
+    add_silent_answer(world, "/look/1")
+    carried = asyncio.create_task(world.fetch("/look/1", **LONG))
+    await asyncio.sleep(1.0)
+    stop_late(world.node, 1.0 + CLOSING_SECONDS)
+    world.front, origin = world.node, world.front
+    assert (await world.fetch("/look/2", **LONG)).status == 503
+    world.front = origin
+    assert (await carried).status == 200
+    assert not gate.running
