Keep a silent attempt whose stopping origin would not repeat it

A stopping daemon has a request carried. The upstream falls silent, the carrier gives the attempt up to have it sent again, and the origin, which has no time left in its stop, refuses to: a safe request gets 504 and a stream breaks off, though the upstream was sound and ended in time.

Cause: two paths to one decision. An own attempt is given up only if the gate of the stop allows the next one; a carrier asks its own gate, but the next attempt is its origin's.

Evidence: test_carrier_gives_up_a_silent_attempt_that_a_stopping_origin_does_not_repeat failed before (504; one event of three and no end). The test beside it, which passes before too, keeps resends for origins that serve.

Change: a carrier makes no resend for an origin that has told that it doesn't serve. It doesn't know how much time that one has left, so it doesn't resend early in a stop either; an attempt whose upstream is proven to have ended is still given up.

--- a/tanagertrail/gateway/carried_exchange.py
+++ b/tanagertrail/gateway/carried_exchange.py
@@ -84,6 +84,7 @@
         compute_part_keys(fields),
     )
     carried_stream.exchange = exchange
+    exchange.origin = carried.origin
     exchange.service = carried.service
     exchange.continues = carried.continues
     exchange.begun = begun
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -205,8 +205,19 @@
             and exchange.sent_count + 1 < exchange.route.attempts
             and self.may_run_again(exchange)
             and self.stop_gate.allows_attempt(exchange)
+            and self.origin_serves(exchange)
         )
 
+    def origin_serves(self, exchange: Exchange) -> bool:
+        """Return whether the origin of a carried request is not known to stop.
+
+        It makes the next attempt, and the time that it has left for one is not known here.
+        """
+        if not exchange.origin:
+            return True
+        state = self.members.states.get(exchange.origin)
+        return state is not None and state.serving
+
     def claim_resend(self, exchange: Exchange, entry: UpstreamEntry, must_be_idle: bool) -> bool:
         """Charge a resend to the retry budget while the first attempt still lasts.
 
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -86,6 +86,7 @@
     :ivar resend_claimed: whether the retry budget has a place for the next attempt
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
     :ivar continues: whether the origin has sent its caller events of this stream
+    :ivar origin: daemon that this one carries the request for, empty for an own request
     :ivar carrier: daemon that was last asked to carry the request, empty if none was
     :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
     :ivar stop_decision: why a planned stop allowed the last attempt, None before it
@@ -119,6 +120,7 @@
         self.resend_claimed = False
         self.first_byte_at: float | None = None
         self.continues = False
+        self.origin = ""
         self.carrier = ""
         self.refusal: Refusal | None = None
         self.stop_decision: StopDecision | None = None
--- a/tests/test_carried_requests_in_a_stop.py
+++ b/tests/test_carried_requests_in_a_stop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from nose2.tools import params
+
 from tanagertrail.policy.stop_admission import (
     CLOSING_SECONDS,
     MIN_SAMPLES,
@@ -49,6 +51,34 @@
     world.upstreams["up-a"].scripts.append(Script(steps))
 
 
+@params("/look/1", "/talk/a/events")
+@with_virtual_time
+async def test_carrier_gives_up_a_silent_attempt_that_a_stopping_origin_does_not_repeat(path):
+    """The answer was lost, although the upstream was sound and ended before the stop."""
+    world = CarriedWorld(2, routes=ROUTES)
+    world.prefer("up-a")
+    add_silent_answer(world, path)
+    world.node.loop.call_later(0.1, world.prefer, "up-b")
+    asked = asyncio.create_task(world.fetch(path, **LONG))
+    await asyncio.sleep(0.05)
+    assert len(world.runs) == 1
+    stop_late(world.front, SILENT_SECONDS + 1.0)
+    member, now = world.front.members.own, world.node.loop.time()
+    world.node.members.merge_member(member, now, world.front.ready, False)
+    reply = await asked
+    assert (reply.status, reply.whole, len(world.runs)) == (200, True, 1), reply
+
+
+@with_virtual_time
+async def test_carrier_repeats_a_silent_attempt_of_an_origin_that_serves():
+    world = CarriedWorld(2, routes=ROUTES)
+    world.prefer("up-a")
+    add_silent_answer(world, "/look/1")
+    world.node.loop.call_later(0.1, world.prefer, "up-b")
+    assert (await world.fetch("/look/1", **LONG)).status == 200
+    assert len(world.runs) == 2
+
+
 @with_virtual_time
 async def test_request_is_accepted_late_while_carried_ones_of_its_route_last_longer_than_any():
     """Only own requests in progress showed a stopping daemon that upstreams grew slower."""
