Ignore signals once a stop is over and the log is closed

What callers saw: nothing, they have their answers by then. A supervisor that repeats SIGTERM, or a reload, saw a stopped daemon end by the signal, without the last lines of its log.

Cause: signals that meet a process in a state that isn't ready for them, as at the start: the end of the event loop restores the default actions, and closing the log may take a second.

Evidence: test_signals_while_the_log_is_closed_do_not_change_how_the_gateway_ends failed before (status -1 by SIGHUP).

Change: the process ignores these signals after the stop. A stop in progress takes them as before.

--- a/tanagertrail/gateway/command_line.py
+++ b/tanagertrail/gateway/command_line.py
@@ -15,6 +15,7 @@
 from tanagertrail.settings.gateway import GatewayTuning
 from tanagertrail.settings.ini_file import read_settings
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_INVALID_SETTINGS = 2
 EXIT_START_FAILED = 3
 SETTINGS_CHECK_SECONDS = 1.0
@@ -27,7 +28,7 @@
     node = GatewayNode(read_settings_file(path), tuning)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(node, path, "signal"))
     loop.set_exception_handler(node.supervisor.handle_loop_error)
@@ -40,6 +41,18 @@
     await node.stop()
 
 
+async def run_last_node(path: str, tuning: GatewayTuning) -> None:
+    """Run a daemon after which the process ends, and let no later signal end it sooner.
+
+    Their default actions would lose the end of the log, and the exit status.
+    """
+    await run_node(path, tuning)
+    loop = asyncio.get_running_loop()
+    for signal_number in (*STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_IGN)
+
+
 async def watch_settings(
     node: GatewayNode, path: str, known_signature: tuple[int, int] | None
 ) -> None:
@@ -111,7 +124,7 @@
     writer.push_application()
     status = 0
     try:
-        asyncio.run(run_node(path, tuning))
+        asyncio.run(run_last_node(path, tuning))
     except OSError as error:
         print(f"cannot start: {error}", file=sys.stderr)
         status = EXIT_START_FAILED
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -30,6 +30,33 @@
 main()
 """
 
+SIGNALS_AT_THE_END_SCRIPT = """
+import os, signal, sys
+from types import SimpleNamespace
+from tanagertrail.gateway import command_line
+from tanagertrail.settings.gateway import GatewayTuning
+
+class Node:
+    def __init__(self, settings, tuning):
+        start = lambda name, work: SimpleNamespace(cancel=lambda: None)
+        self.supervisor = SimpleNamespace(handle_loop_error=None, start=start)
+
+    async def start(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def stop(self):
+        print("stopped", flush=True)
+
+def close(writer):
+    for name in ("SIGHUP", "SIGINT", "SIGTERM"):
+        os.kill(os.getpid(), signal.Signals[name])
+        print(name, flush=True)
+
+command_line.GatewayNode = Node
+command_line.LineWriter.close = close
+command_line.run_process(sys.argv[1], GatewayTuning())
+"""
+
 
 def test_gateway_start_imports_no_heavy_operator_modules() -> None:
     """After a power failure, imports that only operators need would delay the start."""
@@ -91,3 +118,15 @@
         finally:
             command_line.GatewayNode = former
     assert applied == ["changed file: grace of 20 s"]
+
+
+def test_signals_while_the_log_is_closed_do_not_change_how_the_gateway_ends() -> None:
+    """Closing the log takes up to a second, in which a second SIGTERM ended the process."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "node.toml")
+        path.write_text(build_node_file("entry", DOMAINS[0], DaemonPorts(1, 2, 3, 4), 5, 6, []))
+        result = subprocess.run(
+            [sys.executable, "-c", SIGNALS_AT_THE_END_SCRIPT, path], capture_output=True, text=True
+        )
+    assert result.stdout.split() == ["stopped", "SIGHUP", "SIGINT", "SIGTERM"], result
+    assert result.returncode == 0
