--- a/tests/test_stop_cases.py
+++ b/tests/test_stop_cases.py
@@ -350,3 +350,27 @@
         reply = await world.fetch("/look/1", **LONG)
         assert reply.status == 200
         assert len(list_runs(world)) == 1
+
+
+@run_in_real_time
+async def test_request_that_a_stop_refuses_is_charged_to_its_customer():
+    async with open_world(build_config(routes=ROUTES)) as world:
+        let_stop_be_late(world.node)
+        charged = []
+        world.node.dispatcher.admission.charge_quota = lambda *arguments: charged.append(arguments)
+        assert (await world.fetch("/book/1", b"order", **LONG)).status == 503
+        assert not charged
+        assert world.node.dispatcher.stop_gate.outcomes == {"refused by the stop": 1}
+
+
+@run_in_real_time
+async def test_requests_that_time_out_do_not_look_short():
+    """Only short requests of a route had an answer in time, and others were taken late."""
+    async with open_world(build_config(routes=ROUTES)) as world:
+        for upstream in world.upstreams:
+            upstream.work = 4.0
+        reply = await world.fetch("/book/1", b"order", tanagertrail_deadline_ms="600")
+        assert reply.status == 504
+        now = asyncio.get_running_loop().time()
+        estimate = world.node.dispatcher.stop_gate.durations.estimate("book", 0, now)
+        assert (estimate.samples, estimate.longest >= 0.6 - 0.05) == (1, True)
