--- a/tanagertrail/bench/hubs.py
+++ b/tanagertrail/bench/hubs.py
@@ -53,7 +53,8 @@
         self.seconds = 0.0
         self.periods = 0
         name = names[number]
-        own = Member(name, 1, f"10.0.0.{number}:7600", f"10.0.0.{number}:80", "north")
+        host = f"10.0.{number // 250}.{number % 250}"
+        own = Member(name, 1, f"{host}:7600", f"{host}:80", "north")
         self.members = MemberTable(own, EventLog(name, asyncio.get_running_loop().time))
         for other in names:
             self.members.merge_member(
