--- a/tests/test_carried_requests_in_a_stop.py
+++ b/tests/test_carried_requests_in_a_stop.py
@@ -97,3 +97,25 @@
     world.front = origin
     assert (await carried).status == 200
     assert not gate.running
+
+
+@with_virtual_time
+async def test_lengths_of_carried_requests_are_not_looked_at():
+    world = CarriedWorld()
+    assert (await world.fetch("/look/1")).status == 200
+    estimate = world.node.dispatcher.stop_gate.durations.estimate("look", 0, world.node.loop.time())
+    assert estimate.samples == 1
+
+
+@with_virtual_time
+async def test_carrier_that_stops_tries_another_upstream_late():
+    world = CarriedWorld(2)
+
+    async def refuse(address, timeout=0.0):
+        stop_late(world.node, 0.0)
+        world.node.pools.open = world.open
+        raise ConnectionRefusedError("the connection is refused")
+
+    world.node.pools.open = refuse
+    reply = await world.fetch("/book/1", b"order")
+    assert (reply.status, world.runs) == (503, [])
