--- a/tests/test_carried_requests_in_a_stop.py
+++ b/tests/test_carried_requests_in_a_stop.py
@@ -97,3 +97,52 @@
     world.front = origin
     assert (await carried).status == 200
     assert not gate.running
+
+
+@with_virtual_time
+async def test_lengths_of_carried_requests_are_not_looked_at():
+    world = CarriedWorld()
+    assert (await world.fetch("/look/1")).status == 200
+    estimate = world.node.dispatcher.stop_gate.durations.estimate("look", 0, world.node.loop.time())
+    assert estimate.samples == 1
+
+
+@with_virtual_time
+async def test_carrier_that_stops_tries_another_upstream_late():
+    world = CarriedWorld(2)
+
+    async def refuse(address, timeout=0.0):
+        stop_late(world.node, 0.0)
+        world.node.pools.open = world.open
+        raise ConnectionRefusedError("the connection is refused")
+
+    world.node.pools.open = refuse
+    reply = await world.fetch("/book/1", b"order")
+    assert (reply.status, world.runs) == (503, [])
+
+
+@with_virtual_time
+async def test_carrier_that_stops_takes_a_request():
+    world = CarriedWorld()
+    world.node.carry_server.is_ready = lambda: world.node.ready
+    assert (await world.fetch("/book/1", b"order")).status == 200
+    world.node.stopping = True
+    reply = await world.fetch("/book/2", b"order")
+    assert (reply.status, len(world.runs)) == (503, 1)
+
+
+@with_virtual_time
+async def test_origin_that_stops_asks_another_carrier_late():
+    world = CarriedWorld()
+    world.add_carrier(world.build_node("entry-3"))
+    asked = []
+
+    def refuse_late():
+        asked.append(world.front)
+        stop_late(world.front, 0.0)
+        return False
+
+    for node in world.carriers.values():
+        node.carry_server.is_ready = refuse_late
+    assert (await world.fetch("/book/1", b"order")).status == 503
+    assert len(asked) == 1
