--- a/tanagertrail/gateway/carrier_transport.py
+++ b/tanagertrail/gateway/carrier_transport.py
@@ -125,7 +125,7 @@
         self.is_suspended = False
 
     def classify(self, head: ResponseHead, body: bytes) -> UpstreamAttempt:
-        """Return what the carrier says of an attempt without a success.
+        """Classify the answer of a carrier to an attempt without a success.
 
         :raises UpstreamProtocolError: if another answer may follow it
         """
--- a/tanagertrail/gateway/stop_gate.py
+++ b/tanagertrail/gateway/stop_gate.py
@@ -32,7 +32,7 @@
 
 
 class StopGate:
-    """What a daemon that stops does with requests.
+    """Admission, log and counts of requests during a planned stop.
 
     :ivar durations: what requests have lasted, own ones and those of other daemons
     :ivar running: requests that are in progress, own ones and those of other daemons
@@ -130,7 +130,7 @@
         return max(lengths, default=0.0)
 
     def note_ended(self, exchange: Exchange, outcome: str, seconds: float) -> None:
-        """Record how a request ended, and what it lasted if that says what others will last.
+        """Record the outcome of a request, and its length if others may last as long.
 
         :param seconds: time since it arrived
         """
@@ -141,7 +141,7 @@
             self.outcomes[outcome] += 1
 
     def name_cancelled(self, exchange: Exchange, outcome: str) -> str:
-        """Name what became of a cancelled request, and log it if the stop cut it.
+        """Name the outcome of a cancelled request, and log it if the stop cut it.
 
         :param outcome: the outcome if the caller has gone
         """
--- a/tanagertrail/gateway/upstream_stream.py
+++ b/tanagertrail/gateway/upstream_stream.py
@@ -16,7 +16,7 @@
 
 
 class Representation(NamedTuple):
-    """What all parts of one response share."""
+    """Form of a response, the same in all parts of a resumed stream."""
 
     status: int
     media_type: str
--- a/tanagertrail/policy/durations.py
+++ b/tanagertrail/policy/durations.py
@@ -15,7 +15,7 @@
 
 
 class LengthEstimate(NamedTuple):
-    """What requests of a kind have lasted.
+    """Estimated length of the requests of a kind.
 
     :ivar seconds: high quantile of the last lengths
     :ivar longest: the longest of them and of the last minute, in seconds
--- a/tanagertrail/policy/stop_admission.py
+++ b/tanagertrail/policy/stop_admission.py
@@ -56,7 +56,7 @@
 
 
 class Basis(enum.StrEnum):
-    """What the expected length of a request rests on."""
+    """Evidence for the expected length of a request."""
 
     DEADLINE = "deadline"
     LENGTHS = "lengths"
@@ -66,7 +66,7 @@
 
 
 class RequestOutlook(NamedTuple):
-    """What is known of the time that a request will take.
+    """Known bounds on the time that a request will take.
 
     :ivar time_left: seconds until its deadline or its route's timeout, whichever is sooner
     :ivar estimate: what requests of its kind have lasted, None if that is unknown
@@ -77,7 +77,7 @@
 
 
 class StopDecision(NamedTuple):
-    """Whether a stopping daemon begins an attempt at a request.
+    """Decision of a stopping daemon on an attempt at a request.
 
     :ivar seconds: longest time that the attempt is expected to take
     """
