Review: show a crashing request that outlives kills of all daemons

What daemons know of a request that has ended fewer than three replicas is lost with them. After two kills of all, four retries reach replicas later than the stability bound after the third crash, three are allowed.

--- a/review/rig.py
+++ b/review/rig.py
@@ -417,7 +417,9 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    async def send(self, daemon: Daemon, method: str, path: str, deadline: float) -> Answer:
+    async def send(
+        self, daemon: Daemon, method: str, path: str, deadline: float, content: bytes = b""
+    ) -> Answer:
         """Send a client's request to a daemon, and note what comes of it."""
         name = uuid.uuid4().hex[:16]
         self.sent.append((self.record.now(), name, daemon.name))
@@ -428,7 +430,7 @@
             "Tanagertrail-Deadline-Ms": str(int(deadline * 1000)),
             "Api-Key": KEY,
         }
-        body = b"" if method == "GET" else b"a booking " + name.encode()
+        body = content or (b"" if method == "GET" else b"a booking " + name.encode())
         answer = await call(daemon.host, FRONT, method, path, headers, body, deadline)
         self.answers[name] = answer
         self.record.write(f"answered {name} {answer.status or 'connection ended'}")
