--- a/review/rig.py
+++ b/review/rig.py
@@ -473,10 +473,12 @@
 
     async def run() -> int:
         world = World(folder)
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit):
                 return 1 if await case(world, trouble) else 0
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except (CannotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
             world.record.say(f"the case cannot run: {error!r}")
             return 2
         finally:
