Review: show a cold replica overloaded while the store is down

A replica that becomes cold again while the store is down says so in its health responses, which the gateway never asks for.

--- a/review/rig.py
+++ b/review/rig.py
@@ -361,6 +361,7 @@
         self.version = 0
         self.sent: list[tuple[float, str, str]] = []
         self.answers: dict[str, Answer] = {}
+        self.paths: dict[str, str] = {}
 
     async def start(self) -> None:
         """Start the store, the cloud API, the links and the daemons."""
@@ -423,6 +424,7 @@
         """Send a client's request to a daemon, and note what comes of it."""
         name = uuid.uuid4().hex[:16]
         self.sent.append((self.record.now(), name, daemon.name))
+        self.paths[name] = path
         self.record.write(f"sent {name} {method} {path} to {daemon.name}")
         headers = {
             "Host": HOST_NAME,
