--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,10 +3,11 @@
 import asyncio
 from pathlib import Path
 
-from rig import Replica, World, run_case
+from rig import CannotRunError, Replica, World, run_case
 
 SERVICE = "desk"
 FIRST_SECONDS, SECOND_SECONDS = 12.0, 15.0
+DRAIN_AFTER = 3.0  # seconds, "some" on the pages
 SHARE, SLACK = 0.1, 50  # expose_share and expose_slack
 
 
@@ -68,6 +69,16 @@
                 if replica.version == old and not replica.ended:
                     replica.crash()
                     world.store.remove("servers", replica.id)
+        elif state == "rolled_back":
+            world.spawn(drain_version(world, target))
+
+
+async def drain_version(world: World, version: str) -> None:
+    """Do as the platform does: some seconds after ``rolled_back`` the new replicas drain."""
+    await asyncio.sleep(DRAIN_AFTER)
+    for replica in world.replicas:
+        if replica.version == version:
+            world.store.put("servers", replica.id, replica.build_entry(state="draining"))
 
 
 async def case(world: World, trouble: bool) -> bool:
@@ -89,15 +100,17 @@
         await add_version(world, "v2")
         await follow(world, "v1", "v2", FIRST_SECONDS)
         if read_state(world, "v2") != "completed":
-            record.say("the first roll-out was not completed; nothing follows from this run")
-            return False
+            raise CannotRunError("the first roll-out was not completed")
         old = "v2"
         await asyncio.sleep(6.0)
     ordered_at = record.now()
     order(world, "v3", SECOND_SECONDS)
     await add_version(world, "v3", bad_share=0.5)
     await follow(world, old, "v3", SECOND_SECONDS)
-    requests = sum(ordered_at <= at for at, *_ in world.sent)
+    # What clients sent or what reached the service, whichever is more.
+    sent = sum(ordered_at <= at for at, *_ in world.sent)
+    arrived = sum(at >= ordered_at for replica in world.replicas for at, _ in replica.began)
+    requests = max(sent, arrived)
     new = [replica for replica in world.replicas if replica.version == "v3"]
     got = sum(len(replica.began) for replica in new)
     failed = sum(
@@ -107,7 +120,8 @@
     )
     allowed = SHARE * requests + SLACK
     record.say(
-        f"{requests} requests from the order to its deadline; the bad version v3 got {got}, "
+        f"{sent} requests sent from the order to its deadline, {arrived} reached the service; the "
+        f"bad version v3 got {got}, "
         f"allowed {allowed:.0f}; {failed} had no success; "
         f"the state at the deadline: {read_state(world, 'v3')!r}"
     )
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -98,7 +98,8 @@
             replica.crash()
     record.say(f"{off_at:.2f} s: the emptied zone is switched off")
     await asyncio.sleep(1.5)
-    late = count_runs(world, zone, bound)
+    sent_at = {name: at for at, name, _ in world.sent}
+    late = [item for item in count_runs(world, zone, bound) if sent_at[item[1]] > bound]
     lost = [name for _, name, _ in late if world.answers[name].status != 200]
     senders = {name: daemon for _, name, daemon in world.sent}
     by_daemon: dict[str, int] = {}
--- a/review/rig.py
+++ b/review/rig.py
@@ -6,12 +6,14 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
 import uuid
 from pathlib import Path
 
+from tanagertrail.platform import header_fields
 from tanagertrail.standins.cloud import StandInCloud
 from tanagertrail.standins.store import StandInStore
 from tanagertrail.standins.upstream import StandInUpstream
@@ -21,7 +23,7 @@
 KEY = "key-of-the-guild"
 TENANT = "guild"
 ZONES = ("north", "south", "east")
-NETWORK = f"127.{10 + os.getpid() % 200}"  # a part of the loopback network for this run
+SLOTS = 16  # of each replica
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -59,6 +61,35 @@
 }
 FRONT, READY, CONTROL, DIRECTORY, INTERNAL = 8221, 8224, 8229, 8220, 7600
 STORE_PORT = CLOUD_PORT = 8225
+METRICS = 9464  # as in deploy/gateway.ini
+CLAIM_PORT = 8230
+
+
+def claim_network() -> tuple[str, socket.socket]:
+    """Claim a part of the loopback network on which all ports of a run are free.
+
+    :returns: its first two numbers, and a listening socket that keeps other runs away
+    """
+    for offset in range(200):
+        network = f"127.{10 + (os.getpid() + offset) % 200}"
+        claim = socket.socket()
+        try:
+            claim.bind((f"{network}.9.9", CLAIM_PORT))
+            claim.listen(1)
+            for port in (FRONT, READY, CONTROL, DIRECTORY, INTERNAL, INTERNAL + 1, METRICS):
+                with socket.socket() as tried:
+                    tried.bind((f"{network}.0.1", port))
+            with socket.socket() as tried:
+                tried.bind((f"{network}.9.1", STORE_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return network, claim
+    print("no part of the loopback network has the ports free", file=sys.stderr)
+    sys.exit(2)
+
+
+NETWORK, NETWORK_CLAIM = claim_network()
 
 
 class CannotRunError(Exception):
@@ -91,6 +122,15 @@
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
+class Store(StandInStore):
+    """The store, whose answers bear no field that the pages in force do not name."""
+
+    def reply(self, stream, status: int, body) -> None:
+        """Send an answer."""
+        data = b"" if body is None else self.encode(body)
+        stream.send_response(status, [(b"content-type", b"application/json")], data)
+
+
 class Replica(StandInUpstream):
     """A replica that notes what it runs; a share of its answers may be failures."""
 
@@ -112,9 +152,9 @@
         self.version = version
         self.bad_share = bad_share
         self.address = ""
+        self.born = int(time.time() * 1000)
+        self.running = 0
         self.began: list[tuple[float, str]] = []
-        self.done = 0
-        self.bad = 0
 
     def begin(self, request) -> None:
         """Note that a request begins to run."""
@@ -122,11 +162,25 @@
         self.began.append((self.record.now(), self.runs[-1].request_id))
         self.record.write(f"run {self.runs[-1].request_id} at {self.id} {self.version} {self.zone}")
 
+    async def run(self, request, stream) -> None:
+        """Run a request, and count it meanwhile."""
+        self.running += 1
+        try:
+            await super().run(request, stream)
+        finally:
+            self.running -= 1
+
+    def sign(self, request) -> list[tuple[bytes, bytes]]:
+        """Return the fields of an answer, with the replica's load."""
+        load = f"{self.running},0,{SLOTS}".encode()
+        return [
+            (name, load if name == header_fields.SERVER_LOAD else value)
+            for name, value in super().sign(request)
+        ]
+
     def answer(self, request, stream) -> None:
         """Answer a request, at times with a failure."""
-        self.done += 1
         if random.random() < self.bad_share:
-            self.bad += 1
             stream.send_response(500, self.sign(request), b"failed at " + self.id.encode())
             return
         super().answer(request, stream)
@@ -138,10 +192,10 @@
             "address": self.address,
             "zone": self.zone,
             "version": self.version,
-            "capacity": 16,
+            "capacity": SLOTS,
             "state": "ready",
             "cold_left_ms": 0,
-            "born": 1_760_000_000_000,
+            "born": self.born,
             "sequence": 1,
         }
         return entry | changes
@@ -352,7 +406,7 @@
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self.temporary.name)
         self.daemon_count = daemons
-        self.store = StandInStore()
+        self.store = Store()
         self.cloud = StandInCloud()
         self.links: list[Link] = []
         self.daemons: list[Daemon] = []
