Apply no change that is older than the mirror

What callers saw: a failure domain was emptied, taken back and emptied again while one daemon was cut off from the store for 1.2 s.

Cause: KindMirror.apply compared a change only with an object that is present, and a removal with nothing. An answer of the store that was held up removed an evacuation that had been created after it. A change also brought back what had been removed after it, and an update from an older base showed handlers states that were over.

Why this works: a mirror at a revision knows all changes up to it. A change is newer only beyond that revision; a removal only if it is not older than the object that is present. The store as oracle shows that each mirror equals the store as of its revision after each step.

--- a/tanagertrail/gateway/mirror.py
+++ b/tanagertrail/gateway/mirror.py
@@ -116,16 +116,18 @@
         return changed
 
     def apply_watch(self, answer: WatchResponse, as_of: float) -> bool:
-        """Apply the answer to a watch of the store and return whether it had changes.
+        """Apply the answer to a watch of the store and return whether it changed anything.
 
         :param as_of: boot time in seconds up to which the answer holds all changes
         """
         gone = ObjectStatus.MAYBE_EXPIRED if self.may_have_expired(as_of) else ObjectStatus.REMOVED
+        changed = False
         for item, deleted in answer.changes:
-            self.apply(item, gone if deleted else ObjectStatus.PRESENT, answer.revision)
+            object_status = gone if deleted else ObjectStatus.PRESENT
+            changed |= self.apply(item, object_status, answer.revision)
         self.revision = max(self.revision, answer.revision)
         self.mark_synced(as_of)
-        return bool(answer.changes)
+        return changed
 
     def may_have_expired(self, as_of: float) -> bool:
         """Return whether missing entries may have expired while the store was unreachable.
@@ -155,23 +157,27 @@
             self.handler.replace_all(objects, maybe_expired)
         return changed
 
-    def apply(self, item: StoredObject, object_status: ObjectStatus, revision: int) -> None:
-        """Apply one change unless it is already known.
+    def apply(self, item: StoredObject, object_status: ObjectStatus, revision: int) -> bool:
+        """Apply one change unless it or a newer one is known; return whether it was applied.
 
         :param revision: revision by which the change has certainly happened; a removed object may
             carry an older revision
         """
         known = self.objects.get(item.name)
         if object_status is ObjectStatus.PRESENT:
-            if known is not None and known.revision >= item.revision:
-                return
+            # An object that is missing was removed after any change up to the mirror's revision.
+            if item.revision <= max(self.revision, known.revision if known is not None else 0):
+                return False
             self.objects[item.name] = item
-        elif self.objects.pop(item.name, None) is None:
-            return
+        elif known is None or known.revision > item.revision:
+            return False
+        else:
+            del self.objects[item.name]
         self.changes.append(Change(revision, item, object_status))
         if len(self.changes) > MAX_CHANGES:
             self.oldest_base_revision = self.changes.popleft().revision
         self.handler.apply_change(item, object_status)
+        return True
 
     def mark_synced(self, as_of: float) -> None:
         """Record that all changes up to a boot time in seconds are known."""
@@ -242,10 +248,11 @@
             return self.replace(items, update.revision, maybe_expired)
         if update.base_revision > self.revision:
             return False
+        changed = False
         for item, status in rows:
-            self.apply(item, status, update.revision)
+            changed |= self.apply(item, status, update.revision)
         self.revision = update.revision
-        return bool(rows)
+        return changed
 
     def decode_rows(self, rows: Any) -> list[tuple[StoredObject, ObjectStatus]]:
         """Decode the objects of an update without those that cannot be read.
