Know a rollout order by its first report, not by its entry

What callers saw: after a completed rollout the operator ordered another version, half of whose answers failed.

Cause: an order was known by the revision at which its entry was created, which a PUT keeps. The trial, the counts that daemons tell each other and the time since the order went by it, so a second order was decided on the counts and the age of the first one.

Change: the first report of an order depends on the entry's revision and names it, so that all daemons know the order by one number, whichever changes they have seen; the report also keeps the duration, the versions in service before and those that were withdrawn. Time runs from the first sight of this order. Results of requests from before the order count for no trial.

Tests that compared whole reports now compare them with the order as well. In test_trials the order is given before the streams that are recorded.

Why this works: whatever was known of another order has another number, and a report for it conflicts. Counts of older releases mean the same for the first order of an entry; those for later ones are left out.

--- a/tanagertrail/gateway/cluster_view.py
+++ b/tanagertrail/gateway/cluster_view.py
@@ -2,11 +2,14 @@
 
 __all__ = ["ClusterView"]
 
+import asyncio
 from collections.abc import Callable
 
 from tanagertrail.gateway.clock import BootClock
-from tanagertrail.gateway.model import RolloutOrder, ServingConfig, SharedBounds
+from tanagertrail.gateway.model import ServingConfig, SharedBounds
 from tanagertrail.gateway.upstream_table import UpstreamTable
+from tanagertrail.policy.canary import VersionUse, choose_version_use
+from tanagertrail.policy.rollout_orders import RolloutOrder
 
 REVOKE_MARGIN_SECONDS = 0.4  # from the check of a key until the request's work starts
 
@@ -22,6 +25,9 @@
     :ivar limits_known: whether another daemon has told which rates upstreams accept, or none can
     :ivar evacuated: failure domains that get no work
     :ivar rollouts: rollout orders by service
+    :ivar rollouts_seen_at: event-loop time in seconds of the first sight of an order, by service
+        and order
+    :ivar withdrawn: versions by service that were ordered before and not completed
     :ivar on_config_change: callbacks that get each new configuration
     """
 
@@ -37,6 +43,8 @@
         self.limits_known = False
         self.evacuated: set[str] = set()
         self.rollouts: dict[str, RolloutOrder] = {}
+        self.rollouts_seen_at: dict[tuple[str, int], float] = {}
+        self.withdrawn: dict[str, tuple[str, ...]] = {}
         self.on_config_change: list[Callable[[ServingConfig], None]] = []
 
     def apply_config(self, config: ServingConfig) -> bool:
@@ -48,6 +56,52 @@
             callback(config)
         return True
 
+    def put_rollout(self, order: RolloutOrder) -> None:
+        """Put a rollout order in the place of the service's former one."""
+        self.rollouts[order.service] = order
+        seen_at = self.get_rollout_seen_at(order)
+        for key in [key for key in self.rollouts_seen_at if key[0] == order.service]:
+            del self.rollouts_seen_at[key]
+        self.rollouts_seen_at[order.service, order.order_id] = seen_at
+
+    def remove_rollout(self, service: str) -> None:
+        """Remove the rollout order of a service; its version stays out of use if not completed."""
+        order = self.rollouts.pop(service, None)
+        if order is None or order.completed or order.is_return:
+            return
+        known = self.withdrawn.get(service, ())
+        self.withdrawn[service] = tuple(dict.fromkeys((*known, order.version)))
+
+    def get_rollout_seen_at(self, order: RolloutOrder) -> float:
+        """Return the event-loop time in seconds at which an order was first seen."""
+        now = asyncio.get_running_loop().time()
+        return self.rollouts_seen_at.setdefault((order.service, order.order_id), now)
+
+    def get_version_use(self, service: str, version: str) -> VersionUse:
+        """Return whether upstreams of a version of a service may get requests.
+
+        A version that was withdrawn is used if a service has no other one in service.
+        """
+        order = self.rollouts.get(service)
+        withdrawn = self.withdrawn.get(service, ())
+        use = choose_version_use(order, version, withdrawn)
+        if use is VersionUse.FORBIDDEN and version in withdrawn:
+            versions = {entry.record.version for entry in self.upstreams.iter_service(service)}
+            uses = {choose_version_use(order, other, withdrawn) for other in versions}
+            if VersionUse.ALLOWED not in uses:
+                return VersionUse.ALLOWED
+        return use
+
+    def is_on_trial(self, service: str, version: str) -> bool:
+        """Return whether a version of a service has not been proven by a completed rollout."""
+        order = self.rollouts.get(service)
+        if order is not None and version == order.version:
+            return not (order.completed or order.is_return)
+        withdrawn = self.withdrawn.get(service, ())
+        return version in withdrawn and (
+            self.get_version_use(service, version) is VersionUse.FORBIDDEN
+        )
+
     @property
     def config_age(self) -> float:
         """Return the seconds since the configuration was last known to be the newest."""
--- a/tanagertrail/gateway/duties.py
+++ b/tanagertrail/gateway/duties.py
@@ -13,7 +13,8 @@
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.leadership import Leadership
-from tanagertrail.gateway.model import RolloutOrder, Service
+from tanagertrail.gateway.model import Service
+from tanagertrail.gateway.rollout_reports import RolloutReporter
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import (
@@ -22,9 +23,8 @@
     CloudResult,
     FleetOrder,
 )
-from tanagertrail.platform.records import ROLLOUTS, encode_rollout_status
 from tanagertrail.platform.store import StoreClient
-from tanagertrail.policy.canary import CanaryState, TrialCounts, decide_canary_state
+from tanagertrail.policy.canary import TrialCounts
 from tanagertrail.policy.fleet import FLEET_PLANNERS, FleetSnapshot, estimate_capacity
 
 USAGE_KIND = "tanagertrail-usage"
@@ -63,11 +63,10 @@
 class DutyRunner:
     """Perform the duties while this daemon holds the lease.
 
-    :ivar get_trial_counts: returns the results of all daemons for a service and a rollout order
+    :ivar rollouts: reports of the rollouts' states
     :ivar get_prompt_tokens: returns the prompt tokens that all daemons sent to a service
     :ivar get_named_rate: returns the requests per second that an upstream accepts, if it names any
     :ivar prompt_token_history: (time, prompt tokens) samples by service
-    :ivar rollouts_seen_at: event-loop time of the first sight of a rollout, by service and order
     :ivar reported_windows: usage windows that the cloud API has accepted
     :ivar committed_counts: counts by usage window that the store had accepted
     :ivar demand_history: (time, running requests) samples by service
@@ -98,11 +97,12 @@
         self.usage = usage
         self.daemon = daemon
         self.log = log
-        self.get_trial_counts = get_trial_counts
+        self.rollouts = RolloutReporter(
+            cluster_view, store, log, get_trial_counts, self.count_trial_upstreams
+        )
         self.get_prompt_tokens = get_prompt_tokens
         self.get_named_rate = get_named_rate
         self.prompt_token_history: dict[str, deque[tuple[float, float]]] = {}
-        self.rollouts_seen_at: dict[tuple[str, int], float] = {}
         self.planner = FLEET_PLANNERS.get(plan)
         self.reported_windows: set[int] = set()
         self.committed_counts: dict[int, dict[str, int]] = {}
@@ -154,43 +154,7 @@
         """Report the rollouts whose state has changed; one that fails holds up no other."""
         for order in list(self.cluster_view.rollouts.values()):
             if self.leadership.may_act(MAX_CALL_SECONDS):
-                await self.perform(partial(self.update_rollout, order))
-
-    async def update_rollout(self, order: RolloutOrder) -> None:
-        """Report a rollout if its state has changed or its last report was lost.
-
-        :raises PlatformError: if the order has changed or the store is unreachable
-        """
-        now = asyncio.get_running_loop().time()
-        seen_at = self.rollouts_seen_at.setdefault((order.service, order.order_id), now)
-        if order.is_report_lost:
-            counts = self.get_trial_counts(order.service, order.order_id)
-            await self.report_rollout(order, order.state, counts)
-        if order.ended:
-            return
-        state = order.state if order.reported_version == order.version else ""
-        counts = self.get_trial_counts(order.service, order.order_id)
-        trial_upstreams = self.count_trial_upstreams(order.service)
-        new_state = decide_canary_state(counts, now - seen_at, order.seconds, trial_upstreams)
-        if new_state != state:
-            await self.report_rollout(order, new_state, counts)
-
-    async def report_rollout(
-        self, order: RolloutOrder, state: CanaryState, counts: TrialCounts
-    ) -> None:
-        """Store the state of a rollout.
-
-        :raises PlatformError: if the order has changed or the store is unreachable
-        """
-        report = encode_rollout_status(order.version, state)
-        await self.store.set_status(ROLLOUTS, order.service, report, order.revision)
-        self.log.write(
-            "rollout_report",
-            service=order.service,
-            version=order.version,
-            state=state,
-            **counts._asdict(),
-        )
+                await self.perform(partial(self.rollouts.update, order))
 
     def note_store_restored(self) -> None:
         """Leave windows to the daemon that held the duties before, if their records may be lost.
@@ -301,12 +265,11 @@
     def is_rolling_out(self, service: str) -> bool:
         """Return whether a rollout of a service is in progress."""
         order = self.cluster_view.rollouts.get(service)
-        return order is not None and not order.ended
+        return order is not None and not (order.ended or order.is_return)
 
     def is_on_trial(self, entry: UpstreamEntry) -> bool:
         """Return whether an upstream runs a version whose rollout is not completed."""
-        order = self.cluster_view.rollouts.get(entry.record.service)
-        return order is not None and entry.record.version == order.version and not order.completed
+        return self.cluster_view.is_on_trial(entry.record.service, entry.record.version)
 
     def list_exhausted_domains(self, service: str) -> frozenset[str]:
         """Return the failure domains that recently had no reclaimable upstreams available."""
@@ -340,19 +303,18 @@
         return estimate_capacity(self.get_named_rate(entry), max(batch, 1))
 
     def count_trial_upstreams(self, service: str) -> int:
-        """Return the capacity of the upstreams of a version on trial, in whole upstreams."""
+        """Return the capacity of the upstreams of the ordered version, in whole upstreams."""
+        order = self.cluster_view.rollouts.get(service)
         return int(
             sum(
                 self.estimate_capacity(entry)
                 for entry in self.cluster_view.upstreams.iter_service(service)
-                if self.is_on_trial(entry) and self.is_staying(entry)
+                if order is not None
+                and entry.record.version == order.version
+                and self.cluster_view.upstreams.is_staying(entry)
             )
         )
 
-    def is_staying(self, entry: UpstreamEntry) -> bool:
-        """Return whether an upstream is neither leaving nor gone."""
-        return not (self.cluster_view.upstreams.is_leaving(entry) or entry.gone)
-
     def count_by_domain(self, service: str, reclaimable: bool) -> dict[str, int]:
         """Count the remaining upstreams that are reclaimable or not, by failure domain."""
         present = self.count_upstreams(service)
@@ -369,7 +331,7 @@
         for entry in self.cluster_view.upstreams.iter_service(service):
             if self.is_on_trial(entry) is not on_trial:
                 continue
-            if self.is_staying(entry):
+            if self.cluster_view.upstreams.is_staying(entry):
                 key = (entry.record.failure_domain, entry.record.reclaimable)
                 counts[key] = counts.get(key, 0) + 1
         return counts
--- a/tanagertrail/gateway/handlers.py
+++ b/tanagertrail/gateway/handlers.py
@@ -5,7 +5,6 @@
     "KEPT_CONFIG_KIND",
     "EvacuationHandler",
     "KeptConfigHandler",
-    "RolloutHandler",
     "UpstreamHandler",
 ]
 
@@ -20,10 +19,8 @@
 from tanagertrail.gateway.refusals import RefusalLog
 from tanagertrail.platform.records import (
     CONFIGURATION,
-    ROLLOUTS,
     UPSTREAMS,
     decode_configuration,
-    decode_rollout,
     decode_upstream,
 )
 from tanagertrail.platform.store import StoredObject
@@ -310,77 +307,3 @@
             self.cluster_view.evacuated.add(item.name)
         else:
             self.cluster_view.evacuated.discard(item.name)
-
-
-class RolloutHandler(BaseKindHandler):
-    """Follow the rollout orders."""
-
-    def __init__(
-        self, cluster_view: ClusterView, log: EventLog, refusals: RefusalLog | None = None
-    ) -> None:
-        self.cluster_view = cluster_view
-        self.log = log
-        self.refusals = refusals or RefusalLog(log)
-        self.drop_timers: dict[str, asyncio.TimerHandle] = {}
-
-    def replace_restored(self, objects: list[StoredObject]) -> None:
-        """Apply a restored listing; orders that it lacks or has as unended keep their state."""
-        known = dict(self.cluster_view.rollouts)
-        self.replace_all(objects, True)
-        for name, order in known.items():
-            found = self.cluster_view.rollouts.get(name)
-            if found is None:
-                self.cluster_view.rollouts[name] = order
-                self.cancel_drop(name)
-                self.drop_timers[name] = asyncio.get_running_loop().call_later(
-                    OPERATOR_REWRITE_SECONDS, self.drop_lost, name
-                )
-            elif order.ended and not found.ended and found.version == order.version:
-                self.cluster_view.rollouts[name] = found._replace(
-                    state=order.state, reported_version=order.reported_version, is_report_lost=True
-                )
-            else:
-                continue
-            self.log.write("rollout_kept", service=name, version=order.version, state=order.state)
-
-    def cancel_drop(self, name: str) -> None:
-        """Keep an order whose end was scheduled."""
-        timer = self.drop_timers.pop(name, None)
-        if timer is not None:
-            timer.cancel()
-
-    def drop_lost(self, name: str) -> None:
-        """Drop an order that was not written again."""
-        self.drop_timers.pop(name, None)
-        self.cluster_view.rollouts.pop(name, None)
-
-    def replace_all(self, objects: list[StoredObject], maybe_expired: bool) -> None:
-        """Apply a complete listing of the orders."""
-        present = {item.name for item in objects}
-        for name in [name for name in self.cluster_view.rollouts if name not in present]:
-            del self.cluster_view.rollouts[name]
-        for item in objects:
-            self.apply_change(item, ObjectStatus.PRESENT)
-        self.cluster_view.rollouts_known = True
-
-    def apply_change(self, item: StoredObject, object_status: ObjectStatus) -> None:
-        """Apply a change of an order; an invalid one changes nothing."""
-        self.cancel_drop(item.name)
-        if object_status is not ObjectStatus.PRESENT or item.deleting:
-            self.cluster_view.rollouts.pop(item.name, None)
-            return
-        try:
-            order = decode_rollout(item)
-        except InvalidInputError as error:
-            self.refusals.write(
-                "rollout_refused", ROLLOUTS, item.name, item.revision, error, service=item.name
-            )
-            return
-        self.cluster_view.rollouts[item.name] = order
-        self.log.write(
-            "rollout",
-            service=order.service,
-            version=order.version,
-            state=order.state,
-            revision=order.revision,
-        )
--- a/tanagertrail/gateway/model.py
+++ b/tanagertrail/gateway/model.py
@@ -10,7 +10,6 @@
     "PromptShape",
     "RouteKind",
     "Route",
-    "RolloutOrder",
     "Service",
     "ServingConfig",
     "SharedBounds",
@@ -21,8 +20,6 @@
 import enum
 from typing import NamedTuple
 
-from tanagertrail.policy.canary import CanaryState
-
 
 class RouteKind(enum.StrEnum):
     """Whether requests of a route may be retried.
@@ -204,39 +201,6 @@
     terminates_in: float | None
 
 
-class RolloutOrder(NamedTuple):
-    """An order to roll out a version of a service.
-
-    :ivar version: the new version
-    :ivar seconds: seconds within which the rollout has to end
-    :ivar state: state that was reported last, empty if there is none
-    :ivar reported_version: version that this state was reported for
-    :ivar revision: revision of the stored object
-    :ivar order_id: revision at which the order was first stored
-    :ivar is_report_lost: whether the store has lost the state, so that it has to be reported again
-    """
-
-    service: str
-    version: str
-    seconds: float
-    state: str
-    reported_version: str
-    revision: int
-    order_id: int
-    is_report_lost: bool = False
-
-    @property
-    def ended(self) -> bool:
-        """Whether the end of the rollout was reported."""
-        ends = (CanaryState.COMPLETED, CanaryState.ROLLED_BACK)
-        return self.reported_version == self.version and self.state in ends
-
-    @property
-    def completed(self) -> bool:
-        """Whether the new version was rolled out completely."""
-        return self.ended and self.state == CanaryState.COMPLETED
-
-
 class PromptPart(NamedTuple):
     """A part of a prompt that other requests may have in common."""
 
--- a/tanagertrail/gateway/store_follower.py
+++ b/tanagertrail/gateway/store_follower.py
@@ -15,7 +15,6 @@
     ConfigHandler,
     EvacuationHandler,
     KeptConfigHandler,
-    RolloutHandler,
     UpstreamHandler,
 )
 from tanagertrail.gateway.members import MEMBERS_KIND, MemberHandler, MemberTable
@@ -23,6 +22,7 @@
 from tanagertrail.gateway.model import SharedBounds
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler
 from tanagertrail.gateway.refusals import RefusalLog
+from tanagertrail.gateway.rollout_handler import RolloutHandler
 from tanagertrail.gateway.store_watch import KindWatch, StoreBackoff, WatchRole, WatchTiming
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
--- a/tanagertrail/gateway/trials.py
+++ b/tanagertrail/gateway/trials.py
@@ -6,8 +6,8 @@
 
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
-from tanagertrail.gateway.model import RolloutOrder
 from tanagertrail.policy.canary import CanaryBudget, TrialCounts, VersionUse
+from tanagertrail.policy.rollout_orders import RolloutOrder
 from tanagertrail.policy.version_trial import RequestResult, VersionBaseline, VersionTrial
 
 FAILURE_RESULTS = frozenset({AttemptResult.FAILED, AttemptResult.BROKEN, AttemptResult.TIMED_OUT})
@@ -73,22 +73,14 @@
         if trial is None or trial.order.order_id != order.order_id:
             bounds = self.cluster_view.bounds
             budget = CanaryBudget(bounds.rollout_share, bounds.rollout_extra)
-            now = asyncio.get_running_loop().time()
-            trial = self.trials[service] = Trial(order, budget, now)
+            seen_at = self.cluster_view.get_rollout_seen_at(order)
+            trial = self.trials[service] = Trial(order, budget, seen_at)
         trial.order = order
         return trial
 
     def get_version_use(self, service: str, version: str) -> VersionUse:
         """Return whether upstreams of a version may get requests."""
-        trial = self.get_trial(service)
-        if trial is None:
-            return VersionUse.ALLOWED
-        order = trial.order
-        if order.completed:
-            return VersionUse.ALLOWED if version == order.version else VersionUse.FORBIDDEN
-        if version != order.version:
-            return VersionUse.ALLOWED
-        return VersionUse.FORBIDDEN if order.ended else VersionUse.BUDGETED
+        return self.cluster_view.get_version_use(service, version)
 
     def allows_canary_request(self, service: str, daemons: int) -> bool:
         """Return whether the next request may go to the version on trial."""
@@ -110,24 +102,26 @@
     def note_result(self, exchange: Exchange, version: str, attempt: UpstreamAttempt) -> None:
         """Record the result of an attempt.
 
-        Results of a version that is not on trial become part of the baseline.
+        Results of a version that is not on trial become part of the baseline. Those of requests
+        that were sent before the order don't count for its trial.
         """
         if attempt.proves_not_run or attempt.result is AttemptResult.DOUBTFUL:
             return
         request_result = build_request_result(exchange, version, attempt)
         if request_result is None:
             return
-        trial = self.get_trial(exchange.service)
-        baseline = self.get_baseline(exchange.service, request_result.route)
-        if trial is None or version != trial.order.version or trial.order.completed:
-            baseline.add(request_result)
-            if trial is not None:
+        service = exchange.service
+        trial = self.get_trial(service)
+        belongs_to_trial = trial is not None and exchange.sent_at >= trial.seen_at
+        if not self.cluster_view.is_on_trial(service, version):
+            self.get_baseline(service, request_result.route).add(request_result)
+            if belongs_to_trial:
                 old = TrialCounts(old=1, old_bad=int(request_result.failed))
                 trial.counts = trial.counts.add(old)
-        else:
+        elif belongs_to_trial and version == trial.order.version:
             trial.pending_results.append(request_result)
         if trial is not None:
-            self.judge_pending_results(exchange.service, trial)
+            self.judge_pending_results(service, trial)
 
     def judge_pending_results(self, service: str, trial: Trial) -> None:
         """Judge the pending results for which there are enough results of the old version."""
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -156,6 +156,10 @@
             self.on_registration_ended(entry, "it is no longer registered")
         return entry
 
+    def is_staying(self, entry: UpstreamEntry) -> bool:
+        """Return whether an upstream is neither leaving nor gone."""
+        return not (self.is_leaving(entry) or entry.gone)
+
     def is_leaving(self, entry: UpstreamEntry) -> bool:
         """Return whether an upstream leaves, by its registration or its own statement."""
         return entry.record.draining or self.states_leaving(entry.record)
--- a/tanagertrail/policy/canary.py
+++ b/tanagertrail/policy/canary.py
@@ -5,12 +5,15 @@
     "CanaryState",
     "TrialCounts",
     "VersionUse",
+    "choose_version_use",
     "decide_canary_state",
+    "decide_return_state",
     "is_regression",
 ]
 
 import enum
-from typing import NamedTuple
+from collections.abc import Container
+from typing import NamedTuple, Protocol
 
 DAEMON_SHARE_FACTOR = 0.6  # used part of the share that an unproven version may get
 DAEMON_EXTRA_FACTOR = 0.4  # used part of the extra requests, which are divided over the daemons
@@ -79,6 +82,28 @@
         return self.exposed + 1 <= allowed
 
 
+class Order(Protocol):
+    """The part of a rollout order on which the use of versions depends."""
+
+    version: str
+    ended: bool
+    completed: bool
+    is_return: bool
+
+
+def choose_version_use(order: Order | None, version: str, withdrawn: Container[str]) -> VersionUse:
+    """Return whether upstreams of a version may get requests.
+
+    :param withdrawn: versions that were ordered before and not completed
+    """
+    if order is not None and version == order.version:
+        if order.completed or order.is_return:
+            return VersionUse.ALLOWED
+        return VersionUse.FORBIDDEN if order.ended else VersionUse.BUDGETED
+    is_replaced = order is not None and order.completed
+    return VersionUse.FORBIDDEN if is_replaced or version in withdrawn else VersionUse.ALLOWED
+
+
 def is_regression(counts: TrialCounts, min_bad: int = MIN_BAD) -> bool:
     """Return whether the new version is clearly worse than the old one."""
     if counts.new_bad < min_bad:
@@ -106,3 +131,16 @@
         has_enough_samples = counts.new >= MIN_NEW_SAMPLES and serving_upstreams > 0
         return CanaryState.COMPLETED if has_enough_samples and not bad else CanaryState.ROLLED_BACK
     return CanaryState.RUNNING
+
+
+def decide_return_state(elapsed: float, seconds: float, drain: float) -> CanaryState:
+    """Return the state of an order that returns to a version that is in service.
+
+    Completing it stops the upstreams of the version that it withdraws, which get no new requests.
+
+    :param elapsed: seconds since the order
+    :param seconds: seconds within which it has to end
+    :param drain: seconds in which the requests end that run at these upstreams
+    """
+    is_due = elapsed >= min(drain, seconds - DECISION_MARGIN_SECONDS)
+    return CanaryState.COMPLETED if is_due else CanaryState.RUNNING
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -11,12 +11,13 @@
 from tanagertrail.gateway.duties import DutyRunner
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.leadership import Leadership
-from tanagertrail.gateway.model import Engine, FleetLimits, RolloutOrder, Service, Upstream
-from tanagertrail.gateway.upstream_table import UpstreamTable
+from tanagertrail.gateway.model import Engine, FleetLimits, Service, Upstream
 from tanagertrail.gateway.usage import UsageCounter
 from tanagertrail.platform.cloud import CloudClient, CloudResult
 from tanagertrail.platform.store import StoreClient
+from tanagertrail.policy.rollout_orders import RolloutOrder
 from tanagertrail.standins.cloud import StandInCloud
+from tanagertrail.standins.documents import BOUNDS
 from tanagertrail.standins.store import StandInStore, StoreMode
 from tanagertrail.testing import run_in_virtual_time
 from tests.gateway_utils import HOST, build_settings, find_port, run_in_real_time
@@ -227,7 +228,8 @@
             runner.cluster_view.rollouts[name] = order
         await runner.perform(runner.report_rollouts)
         found = await runner.store.read("rollouts", "till")
-        assert found.report == {"target": "v2", "state": "running"}
+        reported = {"revision": 5, "duration_s": 15.0, "served": [], "withdrawn": []}
+        assert found.report == {"target": "v2", "state": "running", "order": reported}
 
 
 @run_in_real_time
@@ -360,9 +362,8 @@
     fleet = FleetLimits(0, 4, 3.0, 0.2, {"north": 1.0, "south": 1.0})
     service = Service("desk", "/health", 50, 0.0, 0.0, Engine(8, 1000), fleet)
     config = SimpleNamespace(services={"desk": service})
-    cluster_view = SimpleNamespace(
-        config=config, upstreams=UpstreamTable(), evacuated=set(), upstreams_known=True
-    )
+    cluster_view = ClusterView(BOUNDS, lambda: 0.0)
+    cluster_view.config, cluster_view.upstreams_known = config, True
     cluster_view.rollouts = {"desk": RolloutOrder("desk", "v2", 15.0, state, "v2", 5, 5)}
     for domain in ("north", "south"):
         for number in range(2):
--- a/tests/test_fleet_of_gateways.py
+++ b/tests/test_fleet_of_gateways.py
@@ -133,7 +133,9 @@
 
 
 async def run_rollout(fleet, seconds, upstream_fault):
-    """Order a rollout to up-b's version, send requests until it ends and return its report.
+    """Order a rollout to up-b's version and send requests until it ends.
+
+    Return its report and the revision of the order.
 
     :param upstream_fault: fault of each answer of up-b, None for no faults
     """
@@ -143,6 +145,7 @@
     )
     order = {"service": "desk", "target": "v2", "duration_s": seconds}
     fleet.store.put("rollouts", "desk", order)
+    revision = fleet.store.revision
     await fleet.wait_until(lambda: "desk" in fleet.node.cluster_view.rollouts)
     for _ in range(500):
         if upstream_fault and not fleet.upstreams[1].faults:
@@ -151,15 +154,24 @@
         await asyncio.sleep(0.02)
         report = fleet.store.objects["rollouts"]["desk"]["status"]
         if report and report["state"] != "running":
-            return report
+            return report, revision
     raise AssertionError("the rollout has not ended")
 
 
+def build_reported(seconds, revision):
+    """Return what a report says of its order, before which v1 was in service."""
+    return {"revision": revision, "duration_s": seconds, "served": ["v1"], "withdrawn": []}
+
+
 @run_in_real_time
 async def test_good_version_is_completed_and_takes_all_requests():
     async with open_fleet() as fleet:
-        report = await run_rollout(fleet, 3.0, None)
-        assert report == {"state": "completed", "target": "v2"}
+        report, revision = await run_rollout(fleet, 3.0, None)
+        assert report == {
+            "state": "completed",
+            "target": "v2",
+            "order": build_reported(3.0, revision),
+        }
         trials = fleet.node.dispatcher.trials
         await fleet.wait_until(lambda: trials.get_version_use("desk", "v1").value == "forbidden")
         assert (await fleet.fetch("/look/1")).body == b"answer of up-b"
@@ -168,8 +180,12 @@
 @run_in_real_time
 async def test_bad_version_gets_few_requests_and_is_rolled_back():
     async with open_fleet() as fleet:
-        report = await run_rollout(fleet, 10.0, "fail")
-        assert report == {"state": "rolled_back", "target": "v2"}
+        report, revision = await run_rollout(fleet, 10.0, "fail")
+        assert report == {
+            "state": "rolled_back",
+            "target": "v2",
+            "order": build_reported(10.0, revision),
+        }
         arrivals = len(fleet.upstreams[1].arrivals)
         total = arrivals + len(fleet.upstreams[0].arrivals)
         assert arrivals <= 0.1 * total + 50
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -160,7 +160,7 @@
 
 def test_rollout_order_with_odd_values_is_refused():
     order = {"service": "desk", "target": "v2", "duration_s": 30}
-    assert decode_rollout(StoredObject("desk", 1, 1, order, ["odd"])).state == ""
+    assert decode_rollout(StoredObject("desk", 1, 1, order, ["odd"])).report.state == ""
     for field, value in (
         ("service", ""),
         ("service", "other"),
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,11 +5,12 @@
 
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.handlers import EvacuationHandler, RolloutHandler, UpstreamHandler
+from tanagertrail.gateway.handlers import EvacuationHandler, UpstreamHandler
 from tanagertrail.gateway.leadership import LEASE_NAME, LEASES_KIND
 from tanagertrail.gateway.losses import name_part_quarantine
 from tanagertrail.gateway.mirror import ObjectStatus
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND
+from tanagertrail.gateway.rollout_handler import RolloutHandler
 from tanagertrail.platform.store import StoredObject
 from tanagertrail.standins.documents import BOUNDS, build_cold, build_entry, build_route
 from tests.gateway_utils import build_config, open_fleet, run_in_real_time
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -3,11 +3,12 @@
 import asyncio
 from types import SimpleNamespace
 
+from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.exchange import AttemptResult, UpstreamAttempt
-from tanagertrail.gateway.model import RolloutOrder
 from tanagertrail.gateway.trials import RolloutTrials
 from tanagertrail.outcomes import Step
 from tanagertrail.policy.canary import CanaryState, decide_canary_state
+from tanagertrail.policy.rollout_orders import RolloutOrder
 from tanagertrail.standins.documents import BOUNDS
 from tests.gateway_utils import build_config, open_world, run_in_real_time
 from tests.utils import with_virtual_time
@@ -17,12 +18,13 @@
 
 def build_trials():
     """Return the trials of a daemon without rollout orders."""
-    return RolloutTrials(SimpleNamespace(rollouts={}, bounds=BOUNDS))
+    return RolloutTrials(ClusterView(BOUNDS, lambda: 0.0))
 
 
 def order_rollout(book):
-    """Add an order to roll out v2."""
+    """Add an order to roll out v2, given before the streams that are recorded."""
     book.cluster_view.rollouts["desk"] = RolloutOrder("desk", "v2", 15.0, "running", "v2", 5, 5)
+    book.cluster_view.rollouts_seen_at["desk", 5] = 0.0
 
 
 def record_stream(
