Accept late requests in a stop only by a deadline, not by a forecast

Cause: from 3 s after SIGTERM a stopping daemon accepted what was expected to end in time by what others of its kind had lasted. Upstreams that turn slower within the stop, tails and few lengths make the forecast wrong, and the rule forgives no cut of what came later than 3 s.

Change: a request that came late needs a deadline or a route's timeout before the cut. Those that came early are judged as before, also when they are sent again late, since the rule excuses their cut in the last sixth of the grace period.

Tests of the former decision asked that late requests are accepted on 20 lengths; they now ask that none is, and the property that an accepted late request has a proof.

Why this works: a deadline is no forecast.

--- a/tanagertrail/gateway/stop_gate.py
+++ b/tanagertrail/gateway/stop_gate.py
@@ -60,7 +60,7 @@
         """Return the refusal of a request that is not shown to end before the stop, else None."""
         if self.schedule is None:
             return None
-        decision = self.decide_on(route, fields, compute_timeout(route, fields))
+        decision = self.decide_on(route, fields, compute_timeout(route, fields), self.now())
         if decision.accepted:
             return None
         self.outcomes["refused by the stop"] += 1
@@ -97,19 +97,24 @@
 
     def decide(self, exchange: Exchange) -> StopDecision:
         """Decide on the next attempt at a request."""
-        return self.decide_on(exchange.route, exchange.fields, exchange.time_left)
+        return self.decide_on(
+            exchange.route, exchange.fields, exchange.time_left, exchange.arrived_at
+        )
 
-    def decide_on(self, route: Route, fields: CallerFields, time_left: float) -> StopDecision:
+    def decide_on(
+        self, route: Route, fields: CallerFields, time_left: float, arrived_at: float
+    ) -> StopDecision:
         """Decide on a request.
 
         :param time_left: seconds until it has to be answered
+        :param arrived_at: event-loop time in seconds
         """
         size = read_answer_size(fields)
         estimate = self.durations.estimate(route.name, size, self.now())
         if estimate is not None:
             longest = max(estimate.longest, self.measure_running(route, size))
             estimate = estimate._replace(longest=longest)
-        outlook = RequestOutlook(time_left, estimate)
+        outlook = RequestOutlook(time_left, estimate, arrived_at)
         return decide(self.schedule, outlook, self.now())
 
     def measure_running(self, route: Route, size: float) -> float:
--- a/tanagertrail/gateway/upstream_stream.py
+++ b/tanagertrail/gateway/upstream_stream.py
@@ -68,14 +68,22 @@
 
     def send_request(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a complete request."""
+        data = self.build_head(method, target, headers)
+        if body:
+            data += self.parser.send(h11.Data(data=body))
+        self.channel.write(data + (self.parser.send(h11.EndOfMessage()) or b""))
+
+    def send_head(self, method: bytes, target: bytes, headers: Headers) -> None:
+        """Send the head of a request whose body follows."""
+        self.channel.write(self.build_head(method, target, headers))
+
+    def build_head(self, method: bytes, target: bytes, headers: Headers) -> bytes:
+        """Begin a request, and return the bytes of its head."""
         if self.sent_requests:
             self.parser.start_next_cycle()
         self.sent_requests += 1
         self.request = h11.Request(method=method, target=target, headers=headers)
-        data = self.parser.send(self.request)
-        if body:
-            data += self.parser.send(h11.Data(data=body))
-        self.channel.write(data + (self.parser.send(h11.EndOfMessage()) or b""))
+        return self.parser.send(self.request)
 
     async def read_head(self) -> ResponseHead:
         """Read the head of the final response, skipping interim ones.
--- a/tanagertrail/policy/stop_admission.py
+++ b/tanagertrail/policy/stop_admission.py
@@ -1,4 +1,7 @@
-"""Admission of requests by a daemon that stops: only those that end before it does."""
+"""Admission of requests by a daemon that stops: only those that end before it does.
+
+Answers callers that go on using their connections while upstreams turn slower within the stop.
+"""
 
 __all__ = [
     "Basis",
@@ -56,13 +59,17 @@
 
 
 class Basis(enum.StrEnum):
-    """Evidence for the expected length of a request."""
+    """Evidence for the expected length of a request.
+
+    ``LATE`` stands for a request that came late and has a deadline after the cut.
+    """
 
     DEADLINE = "deadline"
     LENGTHS = "lengths"
     LONGEST = "longest length"
     FEW_LENGTHS = "few lengths"
     UNKNOWN = "unknown"
+    LATE = "late"
 
 
 class RequestOutlook(NamedTuple):
@@ -70,10 +77,12 @@
 
     :ivar time_left: seconds until its deadline or its route's timeout, whichever is sooner
     :ivar estimate: what requests of its kind have lasted, None if that is unknown
+    :ivar arrived_at: event-loop time in seconds at which it arrived
     """
 
     time_left: float
     estimate: LengthEstimate | None
+    arrived_at: float
 
 
 class StopDecision(NamedTuple):
@@ -88,10 +97,12 @@
 
 
 def decide(schedule: StopSchedule, outlook: RequestOutlook, now: float) -> StopDecision:
-    """Accept a request only if it is shown to end before the stop cuts it.
+    """Accept a request only if it ends before the stop cuts it.
 
     A caller who is refused at once loses nothing and goes to another daemon, one who is cut loses
-    the answer. Early in the stop, when callers do not know of it, less evidence is enough.
+    the answer. What others of its kind have lasted is enough only for a request that came early,
+    when callers do not know of the stop. Lengths fail as a forecast where upstreams turn slower,
+    so a late one needs a deadline.
 
     :param now: event-loop time in seconds
     """
@@ -107,7 +118,10 @@
 ) -> tuple[Basis, float]:
     """Return the longest time in seconds that a request is expected to take, and why."""
     estimate = outlook.estimate
-    is_early = now <= schedule.started_at + EARLY_SECONDS
+    latest_early = schedule.started_at + EARLY_SECONDS
+    if outlook.arrived_at > latest_early:
+        return Basis.LATE, float("inf")
+    is_early = now <= latest_early
     if estimate is None or estimate.samples < (MIN_EARLY_SAMPLES if is_early else MIN_SAMPLES):
         return Basis.UNKNOWN, float("inf")
     if estimate.samples < MIN_SAMPLES:
--- a/tanagertrail/soak/evidence.py
+++ b/tanagertrail/soak/evidence.py
@@ -93,6 +93,7 @@
     :ivar usage: counts by window, once for each call of the cloud API
     :ivar pauses: (front port, since, until) of each pause of a daemon
     :ivar part_crashes: (part, time) of each end of an upstream on a part of prompts
+    :ivar unfinished: ids of requests that an upstream still ran when their connection closed
     """
 
     started: float
@@ -110,6 +111,7 @@
     part_crashes: list[tuple[str, float]] = []
     cuts: list[CutSeen] = []
     overruns: list[tuple[int, float]] = []
+    unfinished: frozenset[str] = frozenset()
 
     def was_restarted_or_paused(self, port: int, since: float, until: float) -> bool:
         """Say whether a daemon was started or paused in a span."""
--- a/tanagertrail/soak/stop_callers.py
+++ b/tanagertrail/soak/stop_callers.py
@@ -5,9 +5,12 @@
 import asyncio
 import json
 import random
+import socket
 from collections.abc import Sequence
 from typing import NamedTuple
 
+import h11
+
 from tanagertrail.errors import TanagertrailError
 from tanagertrail.gateway.channel import open_channel
 from tanagertrail.gateway.upstream_stream import UpstreamStream
@@ -19,8 +22,14 @@
 ROUTES = {"stream": "talk", "once": "once", "order": "book", "safe": "look"}
 STREAMS = frozenset({"stream", "once"})
 KEPT, ASKING, FRESH, PIPELINED, PROTOCOL = "kept", "asking", "fresh", "pipelined", "protocol"
+CHUNKED, SLOW = "chunked", "slow"
 MODES = (KEPT, ASKING, FRESH)
-LOYAL = frozenset({KEPT, PIPELINED})  # callers that connect to the same daemon again
+LOYAL = frozenset({KEPT, PIPELINED, CHUNKED, SLOW})  # connect to the same daemon again
+CHUNKS = (b"s" * 16_000, b"e" * 8_000)  # of a long body
+CHUNKED_BODY = (b"transfer-encoding", b"chunked")
+CHUNK_PAUSE_SECONDS = 0.02
+SLOW_RECEIVE_BYTES = 4_096  # of the receive buffer of a caller that reads slowly
+SLOW_READ_SECONDS = 0.15
 CONNECT_SECONDS = 1.0
 ADDRESS_SECONDS = 1.0
 RETRY_SECONDS = 0.05
@@ -108,6 +117,8 @@
     again until that refuses; an ``asking`` one asks the directory then; a ``fresh`` one opens a
     connection for each request; a ``pipelined`` one is a kept one that sends two at a time. A
     ``protocol`` one renews its addresses and leaves connections to those that are missing.
+    A ``chunked`` one is a kept one that sends a long body in chunks, with pauses; a ``slow`` one
+    a kept one that reads each answer late.
 
     :ivar pause: least and greatest seconds between requests
     :ivar ending: whether no request is sent any more
@@ -162,6 +173,12 @@
                     return False
                 if mode == PIPELINED:
                     stream, call = await self.exchange_two(stream, kind, front)
+                elif mode == CHUNKED:
+                    call = await self.read_answer(
+                        stream, await self.send_chunks(stream, kind, front)
+                    )
+                elif mode == SLOW:
+                    call = await self.read_late(stream, self.send(stream, kind, front, mode))
                 else:
                     call = await self.read_answer(stream, self.send(stream, kind, front, mode))
                 if call.status in REFUSALS:
@@ -192,8 +209,18 @@
             second.parser.receive_data(arrived)
         return second, await self.read_answer(second, calls[1])
 
-    def send(self, stream: UpstreamStream, kind: StopKind, front: int, mode: str) -> StopCall:
-        """Write a request that tells its upstream how long to work."""
+    def send(
+        self,
+        stream: UpstreamStream,
+        kind: StopKind,
+        front: int,
+        mode: str,
+        is_whole: bool = True,
+    ) -> StopCall:
+        """Write a request that tells its upstream how long to work.
+
+        :param is_whole: whether it has no body that follows
+        """
         self.sent += 1
         request_id = f"stop-{self.sent}"
         body = request_id.encode() if kind.name == "order" else b""
@@ -207,10 +234,38 @@
             headers.append((b"content-length", str(len(body)).encode()))
         suffix = "events" if kind.name in STREAMS else "x"
         target = f"/{ROUTES[kind.name]}/{suffix}?work={kind.work}"
-        stream.send_request(b"POST" if body else b"GET", target.encode(), headers, body)
+        if is_whole:
+            stream.send_request(b"POST" if body else b"GET", target.encode(), headers, body)
+        else:
+            headers = [item for item in headers if item[0] != b"content-length"]
+            stream.send_head(b"POST", target.encode(), [*headers, CHUNKED_BODY])
         sent_at = asyncio.get_running_loop().time()
         return StopCall(request_id, kind.name, front, kind.work, kind.deadline, sent_at, mode=mode)
 
+    async def send_chunks(self, stream: UpstreamStream, kind: StopKind, front: int) -> StopCall:
+        """Write a request with a long body in chunks, with pauses between them."""
+        call = self.send(stream, kind, front, CHUNKED, is_whole=False)
+        for chunk in CHUNKS:
+            await asyncio.sleep(CHUNK_PAUSE_SECONDS)
+            stream.channel.write(stream.parser.send(h11.Data(data=chunk)))
+        await asyncio.sleep(CHUNK_PAUSE_SECONDS)
+        stream.channel.write(stream.parser.send(h11.EndOfMessage()))
+        return call._replace(sent_at=asyncio.get_running_loop().time())
+
+    async def read_late(self, stream: UpstreamStream, call: StopCall) -> StopCall:
+        """Read an answer in small parts, each some time after it has come."""
+        transport = stream.channel.transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BYTES)
+        reading = asyncio.create_task(self.read_answer(stream, call))
+        while not reading.done():
+            transport.pause_reading()
+            await asyncio.sleep(SLOW_READ_SECONDS)
+            if not transport.is_closing():
+                transport.resume_reading()
+            await asyncio.sleep(0.0)
+        return reading.result()
+
     async def read_answer(self, stream: UpstreamStream, call: StopCall) -> StopCall:
         """Read an answer, and note what its caller saw."""
         loop = asyncio.get_running_loop()
--- a/tanagertrail/soak/stop_checks.py
+++ b/tanagertrail/soak/stop_checks.py
@@ -3,7 +3,7 @@
 __all__ = ["STOP_REFUSAL", "StopFigures", "count_stops", "find_stop", "was_calm"]
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import NamedTuple
 
 from tanagertrail.soak.callers import Call
@@ -75,12 +75,19 @@
     return runs
 
 
-def is_excused(call: Call, stop: float, runs: list[RunSeen]) -> bool:
-    """Say whether a stop may cut a call: by its deadline, or early and long enough."""
+def is_excused(
+    call: Call, stop: float, runs: list[RunSeen], unfinished: Container[str] = ()
+) -> bool:
+    """Say whether a stop may cut a call: by its deadline, or early and long enough.
+
+    :param unfinished: ids of requests that an upstream still ran when their connection closed
+    """
     if call.ended_at - call.sent_at > LAST_SHARE * call.deadline:
         return True
     last_part = stop + LAST_PART_SECONDS
     in_time = call.sent_at <= stop + EXCUSED_SECONDS and call.ended_at >= last_part
+    if in_time and call.request_id in unfinished:
+        return True
     return in_time and any(run.at + call.work > last_part for run in runs)
 
 
@@ -101,7 +108,7 @@
     arrived = {arrival.request_id for arrival in evidence.arrivals} | set(runs)
     for call in evidence.calls:
         stop = find_stop(evidence, call)
-        if stop is None or is_excused(call, stop, runs[call.request_id]):
+        if stop is None or is_excused(call, stop, runs[call.request_id], evidence.unfinished):
             continue
         passed_on = call.request_id in arrived
         late = call.ended_at - call.sent_at > LOSS_SLACK_SECONDS
--- a/tanagertrail/soak/stop_conditions.py
+++ b/tanagertrail/soak/stop_conditions.py
@@ -25,6 +25,7 @@
 EARLY_STEP_SECONDS = 0.15
 QUOTA_SECONDS = 0.05
 CROWD_SECONDS = 0.5
+SLOWNESS = 12.0  # times the work that a request states
 CROWD_CONNECTIONS = 300
 
 Pattern = Callable[[StopWorld], Awaitable[None]]
@@ -47,6 +48,14 @@
         await world.restart(number)
 
 
+@PATTERNS.register("again")
+async def stop_just_started(world: StopWorld) -> None:
+    """Stop a daemon, and again when it has just been started."""
+    await world.stop(0)
+    await world.restart(0)
+    await world.stop(0)
+
+
 @PATTERNS.register("overlap")
 async def stop_overlapping(world: StopWorld) -> None:
     """Stop a second daemon halfway through the grace period of the first."""
@@ -143,6 +152,22 @@
     await asyncio.Event().wait()
 
 
+@CONDITIONS.register("slowing")
+async def slow_upstreams_within_stop(world: StopWorld) -> None:
+    """Slow all upstreams in the midst of the first stop, as a load that grows does."""
+    await world.stopping.wait()
+    await asyncio.sleep(world.plan.grace / 2)
+    for upstream in world.upstreams:
+        upstream.slowness = SLOWNESS
+
+
+@CONDITIONS.register("tails")
+async def lengthen_some_requests(world: StopWorld) -> None:
+    """Have a small share of the requests take far longer than all others."""
+    for upstream in world.upstreams:
+        upstream.tail = SLOWNESS
+
+
 @CONDITIONS.register("throttled")
 async def throttle_daemons(world: StopWorld) -> None:
     """Let daemons run for half of each tenth of a second, as a processor quota does."""
--- a/tanagertrail/soak/stop_faults.py
+++ b/tanagertrail/soak/stop_faults.py
@@ -22,6 +22,10 @@
 OVERLAP_SECONDS = 4.0  # within which stops that overlap begin
 DURING_SECONDS = (0.05, 6.0)  # from the first signal to one that comes during the stop
 RELOAD_SECONDS = (0.0, 0.05)  # from a reload to a stop that comes during it
+FEW_REQUESTS_SECONDS = (1.0, 4.0)  # from a start to a stop with few lengths of requests known
+SLOWNESS = (100.0, 600.0)  # times the usual work, which is short
+SLOWER_SECONDS = (3.5, 5.5)  # from the first stop to when upstreams turn slower
+SLOWER_SPREAD_SECONDS = 1.0  # within which all daemons are asked to stop
 START_SECONDS = (0.05, 1.0)  # from a start to a stop that comes before the daemon is ready
 STORE_MODES = (StoreMode.BUSY, StoreMode.SILENT)
 
@@ -138,6 +142,36 @@
     await stop_daemon(world, daemon, random.Random(fault.target).uniform(*START_SECONDS))
 
 
+@register_fault(
+    "stop soon after a start", SHORTEST_SECONDS, 2 * LONGEST_SECONDS, planned=True, chance=CHANCE
+)
+async def stop_soon_after_start(world: SoakWorld, fault: Fault) -> None:
+    """Stop a daemon, and again when it has served few requests."""
+    daemon = pick_daemon(world, fault)
+    await stop_daemon(world, daemon)
+    await stop_daemon(world, daemon, random.Random(fault.target).uniform(*FEW_REQUESTS_SECONDS))
+
+
+@register_fault(
+    "upstreams slower within a stop", SHORTEST_SECONDS, LONGEST_SECONDS, planned=True, chance=CHANCE
+)
+async def slow_within_stop(world: SoakWorld, fault: Fault) -> None:
+    """Stop all daemons, and have upstreams turn slower in the midst, as when the load grows.
+
+    Callers have no other daemon then, so that they come late in a stop.
+    """
+    rng = random.Random(fault.target)
+    slower = rng.sample(world.upstreams, rng.randint(1, len(world.upstreams)))
+    delays = [rng.uniform(0.0, SLOWER_SPREAD_SECONDS) for _ in world.daemons]
+    stopping = asyncio.create_task(stop_together(world, delays, 0))
+    await asyncio.sleep(rng.uniform(*SLOWER_SECONDS))
+    for upstream in slower:
+        upstream.slowness = rng.uniform(*SLOWNESS)
+    await stopping
+    for upstream in slower:
+        upstream.slowness = 1.0
+
+
 @register_fault("store away beside a stop", SHORTEST_SECONDS, LONGEST_SECONDS, chance=CHANCE)
 async def stop_without_store(world: SoakWorld, fault: Fault) -> None:
     """Stop a daemon while the store answers nothing or turns all calls away."""
--- a/tanagertrail/soak/stop_world.py
+++ b/tanagertrail/soak/stop_world.py
@@ -3,12 +3,14 @@
 __all__ = ["SETTLE_SECONDS", "StopPlan", "StopWorld"]
 
 import asyncio
+import zlib
 from pathlib import Path
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
 from tanagertrail.gateway.handlers import MAIN_CONFIG
 from tanagertrail.gateway.http1 import CallerRequest
+from tanagertrail.platform import header_fields
 from tanagertrail.platform.records import CONFIGURATION
 from tanagertrail.soak.processes import DaemonProcess
 from tanagertrail.soak.stop_callers import StopKind
@@ -21,6 +23,7 @@
 CHECK_SECONDS = 0.1
 SETTLE_SECONDS = 1.5  # after a start, for the daemons to learn of each other
 MILLISECONDS = 1000.0
+TAIL_EVERY = 40  # requests, of which one is longer
 
 
 class StopPlan(NamedTuple):
@@ -51,12 +54,22 @@
 
 
 class TimedUpstream(SoakUpstream):
-    """An upstream that works for as long as a request says."""
+    """An upstream that works for as long as a request says.
+
+    :ivar slowness: factor by which it takes longer
+    :ivar tail: factor by which one request of :data:`TAIL_EVERY` takes longer
+    """
+
+    slowness = 1.0
+    tail = 1.0
 
     def choose_work(self, request: CallerRequest) -> float:
         """Choose the seconds that a plain request takes, or each event of a stream."""
         query = request.target.partition(b"?")[2].decode()
-        work = float(parse_qs(query)["work"][0])
+        work = float(parse_qs(query)["work"][0]) * self.slowness
+        request_id = dict(request.headers)[header_fields.REQUEST_ID]
+        if zlib.crc32(request_id) % TAIL_EVERY == 0:
+            work *= self.tail
         return work / EVENTS if request.path.endswith(STREAM_SUFFIX) else work
 
 
@@ -64,6 +77,7 @@
     """A world whose daemons have the grace period and the code of a plan.
 
     :ivar planned: planned work that has happened
+    :ivar stopping: set once a daemon was told to stop
     :ivar ended_starting: starts of daemons that ended before they were ready
     """
 
@@ -73,6 +87,7 @@
         super().__init__(plan.seed, plan.daemons, plan.upstreams, folder)
         self.plan = plan
         self.planned: list[Planned] = []
+        self.stopping = asyncio.Event()
         self.ended_starting = 0
 
     async def add_daemons(self, store_port: int, cloud_port: int) -> None:
@@ -101,6 +116,7 @@
         """Stop a daemon as a supervisor does, and note it."""
         daemon = self.daemons[number]
         at = self.now()
+        self.stopping.set()
         place = len(self.planned)
         self.planned.append(Planned("stop", daemon.ports.front, at, self.plan.grace))
         itself = await daemon.stop(self.plan.grace)
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -47,6 +47,7 @@
     :ivar starts: number of times that it was started again
     :ivar on_crash: called when it ends
     :ivar needs: spans in which it named a request rate
+    :ivar slowness: factor by which its work takes longer
     """
 
     def __init__(self, upstream_id: str, domain: str, seen: list[RunSeen]) -> None:
@@ -57,6 +58,7 @@
         self.starts = 0
         self.on_crash: Callable[[], None] = lambda: None
         self.needs: list[Need] = []
+        self.slowness = 1.0
 
     def crash(self) -> None:
         """End at once; it comes back as one that is neither cold nor in need."""
@@ -84,7 +86,7 @@
         """Choose the seconds of a plain request or of each event, at least the usual ones."""
         work = parse_work(request.path) or 0.0
         events = EVENTS if request.path.endswith(STREAM_SUFFIX) else 1
-        return max(work / events, self.work)
+        return max(work / events, self.work) * self.slowness
 
     def list_arrivals(self) -> list[Arrival]:
         """Return all requests that reached it."""
@@ -334,6 +336,7 @@
             [item for upstream in self.upstreams for item in upstream.part_crashes],
             self.cuts,
             self.overruns,
+            frozenset(name for upstream in self.upstreams for name in upstream.cut),
         )
 
     async def close(self) -> None:
--- a/tests/test_late_requests_in_a_stop.py
+++ b/tests/test_late_requests_in_a_stop.py
@@ -123,6 +123,27 @@
     await open_patient_world(test)
 
 
+@run_in_real_time
+async def test_requests_are_cut_when_upstreams_turn_slower_within_a_stop():
+    """The lengths of those before made late requests look short: LOST on kumo-dial."""
+
+    async def test(world):
+        def set_work(seconds):
+            for upstream in world.upstreams:
+                upstream.work = seconds
+
+        set_work(0.005)
+        until_slow = WARM_SECONDS + len(PATHS) * STAGGER_SECONDS + LATE_SECONDS + 1.0
+        asyncio.get_running_loop().call_later(until_slow, set_work, GRACE_SECONDS)
+        calls, stopped_at = await play_stop(world, PATHS)
+        cut = [call for call in calls if is_cut(call, list_runs(world))]
+        assert not cut, describe(cut, stopped_at)
+        served = [call for call in calls if call.status == 200]
+        assert len(served) >= 20 * len(PATHS), "too few lengths for a forecast"
+
+    await open_patient_world(test)
+
+
 @run_in_real_time
 async def test_order_of_unknown_length_is_refused_late_in_a_stop():
     """Orders that may run only once were run late in a stop, and answered 504 at its end."""
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -23,18 +23,33 @@
 MINUTE_SECONDS = 60.0
 
 
-def decide_at(since, seconds=None, samples=MIN_SAMPLES, time_left=LONG, longest=None):
-    """Decide on a request some seconds after the stop began."""
+def decide_at(
+    since, seconds=None, samples=MIN_SAMPLES, time_left=LONG, longest=None, arrived_s=None
+):
+    """Decide some seconds after the stop began on a request that arrived then or earlier."""
     estimate = None if seconds is None else LengthEstimate(seconds, longest or seconds, samples)
     now = SCHEDULE.started_at + since
-    return decide(SCHEDULE, RequestOutlook(time_left, estimate), now)
+    arrived_at = now if arrived_s is None else SCHEDULE.started_at + arrived_s
+    return decide(SCHEDULE, RequestOutlook(time_left, estimate, arrived_at), now)
 
 
-@params((0.5, 4.0, True), (2.7, 4.0, True), (3.1, 4.0, False), (4.0, 2.0, True), (5.0, 1.9, False))
-def test_long_request_is_not_accepted_late(since, seconds, accepted):
+@params((0.5, 4.0), (2.7, 4.0))
+def test_long_request_is_refused_early_though_it_is_expected_to_end(since, seconds):
     decision = decide_at(since, seconds)
-    basis = Basis.LENGTHS if since < EARLY_SECONDS else Basis.LONGEST
-    assert (decision.accepted, decision.basis) == (accepted, basis)
+    assert (decision.accepted, decision.basis) == (True, Basis.LENGTHS)
+
+
+@params((EARLY_SECONDS + 0.1, 4.0), (4.0, 2.0), (5.0, 0.01))
+def test_late_request_is_accepted_on_a_forecast(since, seconds):
+    """Upstreams that turned slower within the stop made it wrong, and the requests were cut."""
+    decision = decide_at(since, seconds, 200)
+    assert (decision.accepted, decision.basis) == (False, Basis.LATE)
+
+
+@params((3.1, 4.0, False), (4.0, 2.0, True), (5.0, 1.9, False))
+def test_long_request_is_not_sent_again_late(since, seconds, accepted):
+    decision = decide_at(since, seconds, arrived_s=1.0)
+    assert (decision.accepted, decision.basis) == (accepted, Basis.LONGEST)
 
 
 @params(0.5, 2.0, 3.6, 8.0, 60.0)
@@ -46,7 +61,7 @@
 
 def test_one_long_request_among_short_ones_is_looked_at_late():
     assert decide_at(EARLY_SECONDS - 0.1, 0.1, longest=6.0).accepted
-    assert not decide_at(EARLY_SECONDS + 0.1, 0.1, longest=6.0).accepted
+    assert not decide_at(EARLY_SECONDS + 0.1, 0.1, longest=6.0, arrived_s=1.0).accepted
 
 
 def test_request_that_is_expected_to_be_cut_is_refused_early_too():
@@ -55,7 +70,7 @@
 
 @params(0.0, 2.0, 5.0)
 def test_request_of_unknown_length_is_not_accepted(since):
-    decision = decide_at(since)
+    decision = decide_at(since, arrived_s=0.0)
     assert (decision.accepted, decision.basis, decision.seconds) == (False, Basis.UNKNOWN, LONG)
 
 
@@ -69,8 +84,8 @@
 def test_few_lengths_are_enough_only_early():
     early = decide_at(1.0, 1.0, MIN_EARLY_SAMPLES)
     assert (early.accepted, early.basis) == (True, Basis.FEW_LENGTHS)
-    assert not decide_at(EARLY_SECONDS + 0.1, 1.0, MIN_SAMPLES - 1).accepted
-    assert decide_at(EARLY_SECONDS + 0.1, 1.0, MIN_SAMPLES).accepted
+    assert not decide_at(EARLY_SECONDS + 0.1, 1.0, MIN_SAMPLES - 1, arrived_s=1.0).accepted
+    assert decide_at(EARLY_SECONDS + 0.1, 1.0, MIN_SAMPLES, arrived_s=1.0).accepted
 
 
 @settings(max_examples=300, deadline=None)
@@ -80,12 +95,16 @@
     st.floats(0.0, 30.0),
     st.floats(0.0, 30.0),
     st.integers(1, 200),
+    st.floats(0.0, 1.0),
 )
-def test_accepted_request_ends_before_the_cut(grace, part, seconds, time_left, samples):
+def test_accepted_request_ends_before_the_cut(grace, part, seconds, time_left, samples, age):
     schedule = StopSchedule(50.0, grace)
     now = schedule.started_at + part * grace
-    outlook = RequestOutlook(time_left, LengthEstimate(seconds, seconds, samples))
+    arrived_at = schedule.started_at + age * part * grace
+    outlook = RequestOutlook(time_left, LengthEstimate(seconds, seconds, samples), arrived_at)
     decision = decide(schedule, outlook, now)
+    if decision.accepted and arrived_at > schedule.started_at + EARLY_SECONDS:
+        assert now + time_left <= schedule.answers_end_at, "accepted without a proof"
     ends_at = now + min(seconds, time_left)
     assert not decision.accepted or ends_at <= schedule.answers_end_at < schedule.cuts_at
 
--- a/tests/test_stop_rig.py
+++ b/tests/test_stop_rig.py
@@ -96,3 +96,25 @@
     assert result.ended_starting == 0
     assert sum(row.served for row in result.rows) > 100
     assert sum(row.refused_and_run for row in result.rows) == 0
+
+
+def test_late_requests_are_cut_by_real_daemons_when_upstreams_turn_slower():
+    """Streams and orders were accepted late on what others had lasted, and cut."""
+    plan = StopPlan(
+        seed=1,
+        tree="",
+        grace=8.0,
+        kinds=parse_kinds(("stream", "once", "order", "safe"), 0.4, 9.0),
+        modes=("kept",),
+        callers=16,
+        pattern="one",
+        at=2.0,
+        beside="slowing",
+        daemons=2,
+        upstreams=3,
+        idle=0.0,
+    )
+    result = asyncio.run(play_stops(plan))
+    assert (result.lost, result.calm_cut) == ([], [])
+    assert sum(row.failed for row in result.rows) == 0
+    assert sum(row.served for row in result.rows) > 50
