Make a listing of several pages exact as of one revision

Cause: a listing of several pages took the revision of the last one. A change of an object on an earlier page, made between the calls, came before the watch began and was never seen.

Change: if the pages' revisions differ, the changes since the first page are read as by a watch and applied. Pages of one revision cost no further call.

Why this works: each object is as new as the first page, and all later changes are applied by the order of the store, so the listing equals the store as of the watch's revision.

--- a/tanagertrail/platform/store.py
+++ b/tanagertrail/platform/store.py
@@ -38,6 +38,7 @@
     Refusal,
     StoredObject,
     WatchResponse,
+    complete_listing,
     decode_changes,
     decode_listing_page,
     decode_object,
@@ -101,13 +102,17 @@
         return decode_object(response.body, response.era, partial(self.on_refused, kind))
 
     async def list_kind(self, kind: str, allow_stale: bool = False) -> Listing:
-        """Read all objects of a kind, page by page.
+        """Read all objects of a kind, page by page, as of one revision.
+
+        Objects of earlier pages may change before the last one is read. Such changes are read as a
+        watch would, from the revision of the first page.
 
         :param allow_stale: whether the listing may be some seconds old
+        :raises HistoryLostError: if these changes are gone
         :raises PlatformError: if a page is malformed or the pages have no end
         """
         objects: list[StoredObject] = []
-        era = 0
+        era = first_revision = 0
         query: dict[str, Any] = {"stale_ok": 1} if allow_stale else {}
         while True:
             response = await self.call("GET", f"/{kind}", query)
@@ -115,9 +120,13 @@
                 raise StoreUnavailableError(f"{kind}: the store came back while it was listed")
             era = response.era
             page = decode_listing_page(response.body, era, partial(self.on_refused, kind))
+            first_revision = first_revision or page.revision
             objects.extend(page.objects)
-            if page.next_after is None:
+            if page.next_after is None and page.revision == first_revision:
                 return Listing(objects, page.revision)
+            if page.next_after is None:
+                changes = await self.watch_kind(kind, first_revision, 0.0)
+                return complete_listing(objects, changes)
             if page.next_after == query.get("after_rev") or len(objects) > MAX_LISTED_OBJECTS:
                 raise PlatformError(f"{kind}: the pages of the listing have no end")
             query = {**query, "after_rev": page.next_after}
--- a/tanagertrail/platform/stored_objects.py
+++ b/tanagertrail/platform/stored_objects.py
@@ -8,6 +8,7 @@
     "Refusal",
     "StoredObject",
     "WatchResponse",
+    "complete_listing",
     "decode_changes",
     "decode_listing_page",
     "decode_object",
@@ -16,7 +17,7 @@
     "read_revision",
 ]
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from tanagertrail.decoding import Unreadable, find_violation, is_encodable, is_integer
@@ -75,6 +76,23 @@
     revision: int
 
 
+def complete_listing(objects: Iterable[StoredObject], answer: WatchResponse) -> Listing:
+    """Bring objects from pages of several revisions to the revision of a later watch.
+
+    :param answer: all changes since the first page
+    """
+    listed = {item.name: item for item in objects}
+    for item, deleted in answer.changes:
+        known = listed.get(item.name)
+        if known is not None and known.revision > item.revision:
+            continue
+        if deleted:
+            listed.pop(item.name, None)
+        else:
+            listed[item.name] = item
+    return Listing(list(listed.values()), answer.revision)
+
+
 class Refusal(NamedTuple):
     """An object, or a part of it, that cannot be used.
 
