Tell an own cut from an outage of the store, and keep what is missing no longer than that

Cause: a daemon without news for 2.5 s took that for an outage of the store. For a second more it took each removal for an expiry, kept the upstream for 2.3 s from then on and told the others so.

A mark of another daemon counts only for one that was itself without news. A listing without objects has no mark, so that the receiver's own view counts.

Why this works: nothing is kept into the time in which a daemon counts as in touch, and a daemon in touch keeps nothing. After a true outage all daemons were without news and go on to wait for 2.3 s.

--- a/tanagertrail/gateway/handlers.py
+++ b/tanagertrail/gateway/handlers.py
@@ -15,7 +15,7 @@
 from tanagertrail.errors import InvalidInputError
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.mirror import BaseKindHandler, ObjectStatus
+from tanagertrail.gateway.mirror import REREGISTRATION_SECONDS, BaseKindHandler, ObjectStatus
 from tanagertrail.gateway.refusals import RefusalLog
 from tanagertrail.platform.records import (
     CONFIGURATION,
@@ -26,8 +26,6 @@
 from tanagertrail.platform.store import StoredObject
 
 MAIN_CONFIG = "main"
-# Registrations that expired during an outage of the store are back about 2 s after its end.
-REREGISTRATION_GRACE_SECONDS = 2.3
 # The operator writes again what a restored store has lost.
 OPERATOR_REWRITE_SECONDS = 5.0
 # Entries of upstreams that live no more lapse after three heartbeats of 1.2 s.
@@ -119,6 +117,8 @@
     :ivar removal_timers: pending removals of upstreams whose registration may have expired
     :ivar removed: start time of upstreams that were deregistered, the newest last
     :ivar doubtful: entries of a restored store that contradict what was known before
+    :ivar returns_by: boot time in seconds by which upstreams are back whose registrations have
+        expired, None before any outage
     """
 
     def __init__(
@@ -130,6 +130,7 @@
         self.removal_timers: dict[str, asyncio.TimerHandle] = {}
         self.removed: OrderedDict[str, float] = OrderedDict()
         self.doubtful: dict[str, StoredObject] = {}
+        self.returns_by: float | None = None
         self.doubtful_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -188,13 +189,18 @@
             self.apply_change(item, ObjectStatus.PRESENT)
 
     def schedule_removal(self, name: str) -> None:
-        """Remove an upstream unless it registers again within the grace period."""
+        """Remove an upstream unless it registers again in time."""
         if name not in self.removal_timers:
+            seconds = REREGISTRATION_SECONDS
+            if self.returns_by is not None:
+                seconds = max(self.returns_by - self.cluster_view.boot_time(), 0.0)
             loop = asyncio.get_running_loop()
-            self.removal_timers[name] = loop.call_later(
-                REREGISTRATION_GRACE_SECONDS, self.remove_missing, name
-            )
-            self.log.write("upstream_missing", upstream=name, kept_s=REREGISTRATION_GRACE_SECONDS)
+            self.removal_timers[name] = loop.call_later(seconds, self.remove_missing, name)
+            self.log.write("upstream_missing", upstream=name, kept_s=round(seconds, 3))
+
+    def note_outage(self, returns_by: float) -> None:
+        """Keep upstreams that are missing after an outage until live ones are back."""
+        self.returns_by = returns_by
 
     def remove_missing(self, name: str) -> None:
         """Remove an upstream that has not registered again."""
--- a/tanagertrail/gateway/mirror.py
+++ b/tanagertrail/gateway/mirror.py
@@ -3,6 +3,7 @@
 __all__ = ["BaseKindHandler", "KindMirror", "ObjectStatus"]
 
 import enum
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -16,6 +17,11 @@
 MAX_CHANGES = 300  # changes kept for lagging daemons; one that lags further gets a full listing
 EXPIRY_OUTAGE_SECONDS = 2.5  # two heartbeats of an upstream; entries outlive a shorter outage
 EXPIRY_GRACE_SECONDS = 1.0  # time after an outage in which the store still removes expired entries
+# Registrations that expired during an outage of the store are back about 2 s after its end.
+REREGISTRATION_SECONDS = 2.3
+# After an own cut, in which the store has likely served others: until well before this daemon
+# counts as in touch again, and no longer than an upstream may be used that has left.
+CUT_REREGISTRATION_SECONDS = 1.2
 
 
 class ObjectStatus(enum.IntEnum):
@@ -68,6 +74,12 @@
     def on_synced(self, as_of: float) -> None:
         """Handle that all changes up to a boot time in seconds are known."""
 
+    def note_outage(self, returns_by: float) -> None:
+        """Handle the end of an outage in which objects may have expired.
+
+        :param returns_by: boot time in seconds by which those of live writers are back
+        """
+
 
 class KindMirror:
     """The local copy of all objects of one kind.
@@ -81,6 +93,9 @@
     :ivar synced_at: boot time in seconds up to which all changes are known, None if never
     :ivar maybe_expired: whether objects missing from the last listing may have expired
     :ivar expiry_window_end: boot time in seconds until which removals may be expiries
+    :ivar gap_ended_at: boot time in seconds at which the last long time without news ended,
+        whether news came from the store or from another daemon
+    :ivar was_cut_off: returns whether this daemon was lately cut off from all others
     :ivar packed_by_base: packed changes for ``packed_revision`` by the base revision
     """
 
@@ -96,7 +111,9 @@
         self.oldest_base_revision = 0
         self.synced_at: float | None = None
         self.maybe_expired = False
-        self.expiry_window_end = 0.0
+        self.expiry_window_end = -math.inf
+        self.gap_ended_at = -math.inf
+        self.was_cut_off: Callable[[], bool] = lambda: False
         self.packed_revision = 0
         self.packed_by_base: dict[int, bytes] = {}
 
@@ -134,9 +151,28 @@
 
         :param as_of: boot time in seconds of the store's answer
         """
-        if self.synced_at is not None and as_of - self.synced_at > EXPIRY_OUTAGE_SECONDS:
-            self.expiry_window_end = self.boot_time() + EXPIRY_GRACE_SECONDS
-        return self.boot_time() < self.expiry_window_end
+        now = self.boot_time()
+        if self.is_gap(as_of):
+            self.expiry_window_end = now + EXPIRY_GRACE_SECONDS
+            self.note_outage(now)
+        return now < self.expiry_window_end
+
+    def is_gap(self, as_of: float) -> bool:
+        """Return whether there was no news for so long that entries may have expired."""
+        return self.synced_at is not None and as_of - self.synced_at > EXPIRY_OUTAGE_SECONDS
+
+    def had_gap(self) -> bool:
+        """Return whether this daemon itself is or was just without news for long."""
+        now = self.boot_time()
+        return now < self.gap_ended_at + EXPIRY_GRACE_SECONDS or self.is_gap(now)
+
+    def note_outage(self, ended_at: float) -> None:
+        """Tell the handler how long what is missing may come back.
+
+        :param ended_at: boot time in seconds
+        """
+        seconds = CUT_REREGISTRATION_SECONDS if self.was_cut_off() else REREGISTRATION_SECONDS
+        self.handler.note_outage(ended_at + seconds)
 
     def replace(self, objects: list[StoredObject], revision: int, maybe_expired: bool) -> bool:
         """Replace all objects unless a newer revision is known; return whether anything changed."""
@@ -152,6 +188,7 @@
         self.maybe_expired = maybe_expired or is_restored
         if is_restored:
             self.on_restored(former, revision)
+            self.handler.note_outage(self.boot_time() + REREGISTRATION_SECONDS)
             self.handler.replace_restored(objects)
         else:
             self.handler.replace_all(objects, maybe_expired)
@@ -182,6 +219,8 @@
     def mark_synced(self, as_of: float) -> None:
         """Record that all changes up to a boot time in seconds are known."""
         if self.synced_at is None or as_of > self.synced_at:
+            if self.is_gap(as_of):
+                self.gap_ended_at = self.boot_time()
             self.synced_at = as_of
             self.handler.on_synced(as_of)
 
@@ -240,16 +279,27 @@
         return changed
 
     def apply_objects(self, update: MirrorUpdate) -> bool:
-        """Apply the objects of an update that is newer than this mirror."""
+        """Apply the objects of an update that is newer than this mirror.
+
+        Another daemon that was cut off itself takes removals for expiries. They are believed only
+        by a daemon that was without news for as long. An update without rows bears no mark, so
+        that the daemon's own view counts.
+        """
         rows = self.decode_rows(unpack_json(update.objects) if update.objects else [])
+        had_gap = self.had_gap()
+        is_marked = any(status is ObjectStatus.MAYBE_EXPIRED for _, status in rows)
+        if had_gap and (is_marked or not rows):
+            self.note_outage(max(self.gap_ended_at, self.boot_time() - EXPIRY_GRACE_SECONDS))
         if update.base_revision == 0:
-            maybe_expired = any(status is ObjectStatus.MAYBE_EXPIRED for _, status in rows)
+            maybe_expired = had_gap and (is_marked or not rows)
             items = [item for item, _ in rows]
             return self.replace(items, update.revision, maybe_expired)
         if update.base_revision > self.revision:
             return False
         changed = False
         for item, status in rows:
+            if status is ObjectStatus.MAYBE_EXPIRED and not had_gap:
+                status = ObjectStatus.REMOVED
             changed |= self.apply(item, status, update.revision)
         self.revision = update.revision
         return changed
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -146,6 +146,7 @@
         self.mirrors, self.watches = self.follower.mirrors, self.follower.watches
         self.node_state = NodeState(self)
         self.state_sync = StateSync(self.node_state, self.members, self.mirrors)
+        self.state_sync.on_heard = self.follower.contact.note_heard
         self.peer_server = PeerServer(self.state_sync, self.log)
         self.peer_client = PeerClient(
             self.state_sync, self.members, self.log, self.rng, read_boot_time, self.list_seeds()
--- a/tanagertrail/gateway/state_sync.py
+++ b/tanagertrail/gateway/state_sync.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from tanagertrail.daemons.peer_messages import (
     DaemonState,
@@ -97,6 +97,7 @@
     :ivar withheld_updates: store updates that were not told, or not applied, because the other
         daemon's release does not order revisions over the eras of the store
     :ivar quota_used: units by customer that all other daemons reported in total; never decreases
+    :ivar on_heard: called with each message of another daemon
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.refused_frames = 0
         self.too_old: set[str] = set()
         self.withheld_updates = 0
+        self.on_heard: Callable[[], None] = lambda: None
 
     def now(self) -> float:
         """Return the event-loop time in seconds."""
@@ -251,6 +253,7 @@
         A state sent to the daemon's second hub is not relayed from there, since its first hub
         relays it.
         """
+        self.on_heard()
         sender = self.read_state(request.state)
         form = find_form(sender.release)
         if request.to_primary_hub or request.from_hub:
@@ -303,6 +306,7 @@
 
     def handle_store_update(self, update: PeerUpdate) -> PeerAck:
         """Apply pushed store updates and acknowledge the resulting revisions."""
+        self.on_heard()
         self.peer_revisions[update.daemon] = dict(update.revisions)
         if self.apply_updates(update.updates, None, self.find_peer_form(update.daemon)):
             self.delegate.on_store_update()
@@ -310,6 +314,7 @@
 
     def handle_ack(self, daemon: str, ack: PeerAck) -> None:
         """Record the revisions that a daemon acknowledged."""
+        self.on_heard()
         self.peer_revisions[daemon] = dict(ack.revisions)
 
     def handle_response(self, response: PeerResponse, sent_at: float) -> int:
@@ -317,6 +322,7 @@
 
         :param sent_at: boot time in seconds just before the request was sent
         """
+        self.on_heard()
         state = self.read_state(response.state)
         self.members.raise_incarnation(response.newer_incarnation)
         self.apply_state(state, direct=not response.from_hub)
--- a/tanagertrail/gateway/store_follower.py
+++ b/tanagertrail/gateway/store_follower.py
@@ -20,6 +20,7 @@
 from tanagertrail.gateway.members import MEMBERS_KIND, MemberHandler, MemberTable
 from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror
 from tanagertrail.gateway.model import SharedBounds
+from tanagertrail.gateway.peer_contact import PeerContact
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineHandler
 from tanagertrail.gateway.refusals import RefusalLog
 from tanagertrail.gateway.rollout_handler import RolloutHandler
@@ -41,6 +42,7 @@
     :ivar mirrors: mirrors by kind, also those that only other daemons update
     :ivar watches: watches of the kinds that the store has
     :ivar era: newest era of the store that was handled
+    :ivar contact: when other daemons were heard
     :ivar refusals: stored objects that cannot be used
     :ivar get_watch_role: returns the daemon's part in watching the store
     :ivar on_change: called after a watch has changed a mirror
@@ -66,6 +68,7 @@
         self.mirrors: dict[str, KindMirror] = {}
         self.watches: list[KindWatch] = []
         self.era = 0
+        self.contact = PeerContact(read_boot_time)
         self.refusals = RefusalLog(log)
         self.config_handler = ConfigHandler(cluster_view, log, self.refusals)
         self.quarantine_handler = QuarantineHandler(suspects)
@@ -99,6 +102,7 @@
         """Add the mirror and the watch of a kind of stored objects."""
         mirror = self.mirrors[kind] = KindMirror(kind, handler, read_boot_time)
         mirror.on_refused = partial(self.refusals.note, kind)
+        mirror.was_cut_off = self.contact.was_cut_off
         mirror.on_restored = lambda former, revision: self.note_era(
             get_era(former), get_era(revision)
         )
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -21,6 +21,9 @@
     def on_synced(self, as_of):
         self.sync_times.append(as_of)
 
+    def note_outage(self, returns_by):
+        self.returns_by = returns_by
+
 
 class Clock:
     """A boot clock that the test advances."""
@@ -146,3 +149,69 @@
     relay(source, target, None)
     assert target.objects
     assert target.synced_at is None
+
+
+def build_cut_daemon(clock):
+    """Return the mirror of a daemon without news for 5 s, one in touch, and its recorder."""
+    cut, _ = build_mirror(clock)
+    other, recorder = build_mirror(clock)
+    for mirror in (cut, other):
+        mirror.apply_listing(Listing([build_object("a", 5), build_object("b", 5)], 5), clock.now)
+    for _ in range(5):
+        clock.now += 1.0
+        other.apply_watch(WatchResponse([], 6), clock.now)
+    cut.apply_watch(WatchResponse([(build_object("a", 5), True)], 7), clock.now)
+    return cut, other, recorder
+
+
+def test_daemon_in_touch_keeps_what_one_that_was_cut_off_takes_for_expired():
+    """Violated DRAIN (review/4): requests reached an upstream 2.3 s after it had left."""
+    cut, other, recorder = build_cut_daemon(Clock())
+    assert relay(cut, other)
+    assert recorder.changes == [("a", ObjectStatus.REMOVED)]
+    other.revision = 4  # so that it gets a listing
+    relay(cut, other)
+    assert recorder.replacements[-1] == ({"b"}, False)
+
+
+def test_removal_at_the_end_of_an_own_cut_is_kept_into_the_time_in_touch():
+    """What is missing was kept for 2.3 s from each removal on, up to a second after the cut."""
+    for was_cut_off, seconds in ((True, 1.2), (False, 2.3)):
+        clock = Clock()
+        mirror, recorder = build_mirror(clock)
+        mirror.was_cut_off = lambda was_cut_off=was_cut_off: was_cut_off
+        mirror.apply_listing(Listing([build_object("a", 5), build_object("b", 5)], 5), clock.now)
+        clock.now = ended_at = 105.0
+        mirror.apply_watch(WatchResponse([], 6), clock.now)
+        clock.now += 0.9
+        mirror.apply_watch(WatchResponse([(build_object("a", 5), True)], 7), clock.now)
+        assert recorder.changes == [("a", ObjectStatus.MAYBE_EXPIRED)]
+        assert recorder.returns_by == ended_at + seconds
+
+
+def test_mark_of_a_listing_without_objects_is_lost_on_its_way():
+    """Other daemons dropped all upstreams that had expired in an outage of the store."""
+    clock = Clock()
+    source, _ = build_mirror(clock)
+    target, recorder = build_mirror(clock)
+    for mirror in (source, target):
+        mirror.apply_listing(Listing([build_object("a", 5)], 5), clock.now)
+    clock.now += 5.0
+    source.apply_listing(Listing([], 6), clock.now)
+    assert relay(source, target)
+    assert recorder.replacements[-1] == (set(), True)
+
+
+def test_expiry_in_an_outage_is_taken_for_a_removal_by_a_daemon_that_heard_of_its_end_first():
+    clock = Clock()
+    source, _ = build_mirror(clock)
+    target, recorder = build_mirror(clock)
+    for mirror in (source, target):
+        mirror.apply_listing(Listing([build_object("a", 5)], 5), clock.now)
+    clock.now += 5.0
+    source.apply_watch(WatchResponse([], 6), clock.now)
+    relay(source, target, clock.now)
+    clock.now += 0.5
+    source.apply_watch(WatchResponse([(build_object("a", 5), True)], 7), clock.now)
+    assert relay(source, target)
+    assert recorder.changes == [("a", ObjectStatus.MAYBE_EXPIRED)]
