Store the losses under requests that remain suspect

Cause: losses below the limit were counted in the daemons' memory; only the verdict was stored.

An upstream's incarnation counts once.

Why this works: the count goes on where it stood, so the third crash is the last one. Requests that were only lost beside the deadly one are answered elsewhere before the loss is stored.

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -19,6 +19,7 @@
 from tanagertrail.gateway.gauges import list_gauges
 from tanagertrail.gateway.http_server import DEFAULT_LIMITS, HttpServer
 from tanagertrail.gateway.leadership import Leadership
+from tanagertrail.gateway.loss_store import LossStore
 from tanagertrail.gateway.members import (
     MEMBERS_KIND,
     Member,
@@ -211,6 +212,9 @@
         self.suspects.relays = self.is_relaying_hub
         self.quarantine.adopt_task = self.supervisor.adopt
         self.supervisor.start("quarantines", self.run_quarantines)
+        losses = LossStore(self.store, self.suspects, self.settings.name, self.log)
+        self.suspects.on_suspect = losses.add
+        self.supervisor.start("losses", losses.run)
         self.start_registration()
         self.supervisor.start("exchange", self.peer_client.run)
         self.supervisor.start("limits", self.await_limits)
--- a/tanagertrail/gateway/suspects.py
+++ b/tanagertrail/gateway/suspects.py
@@ -35,6 +35,9 @@
 SIMULTANEOUS_LOSS_SECONDS = 1.0  # a failure domain is lost or reclaimed in less
 MAX_REPORTED_REQUESTS = 64  # of one crash by one daemon
 MAX_TOLD_SUSPECTS = 256  # that a hub names to daemons that do not hear of all losses
+# After a loss, until what remains suspect is stored: requests that were only lost beside another
+# one are answered elsewhere in less.
+KEEP_LOSS_SECONDS = 2.5
 DIRECT_SETTLE_SECONDS = 0.6  # by then the other daemons have told what completed
 RELAYED_SETTLE_SECONDS = 1.0
 DECISION_PERIOD_SECONDS = 0.5
@@ -64,6 +67,7 @@
     :ivar hears_all_losses: returns whether this daemon hears of the losses of all daemons
     :ivar relays: returns whether this daemon is a hub of daemons that do not
     :ivar on_loss: called when there is a loss to report to the other daemons
+    :ivar on_suspect: called with a loss of this daemon whose requests remain suspect
     :ivar on_quarantine: called with the name of a quarantine that this daemon imposes
     :ivar on_refuted: called with the name of a quarantine that a completed request refutes
     """
@@ -86,6 +90,7 @@
         self.hears_all_losses: Callable[[], bool] = lambda: True
         self.relays: Callable[[], bool] = lambda: False
         self.on_loss: Callable[[], None] = lambda: None
+        self.on_suspect: Callable[[UpstreamLoss], None] = lambda loss: None
         self.on_quarantine: Callable[[str], None] = lambda name: None
         self.on_refuted: Callable[[str], None] = lambda name: None
 
@@ -182,6 +187,20 @@
         self.losses.append((now, loss))
         self.count_loss(loss, now)
         self.on_loss()
+        if loss.requests:
+            asyncio.get_running_loop().call_later(KEEP_LOSS_SECONDS, self.keep_loss, loss)
+
+    def keep_loss(self, loss: UpstreamLoss) -> None:
+        """Have a loss stored with those of its requests that no upstream has completed since."""
+        rows = [row for row in loss.requests if self.judge(row.fingerprint) is Verdict.SUSPECT]
+        if rows:
+            self.on_suspect(loss._replace(requests=tuple(rows)))
+
+    def restore_loss(self, report: CrashReport) -> None:
+        """Count a loss from before this daemon's start."""
+        for fingerprint in self.poison_tracker.restore_crash(report):
+            self.log.write("request_quarantined", fingerprint=fingerprint, restored=True)
+            self.on_quarantine(fingerprint)
 
     def count_loss(self, loss: UpstreamLoss, at: float) -> None:
         """Count a loss against the requests that the upstream left unanswered.
--- a/tanagertrail/policy/poison.py
+++ b/tanagertrail/policy/poison.py
@@ -74,6 +74,8 @@
     :ivar same_crash_seconds: time within which reports on one upstream are about the same crash
     :ivar crashes: identities of the crashes by fingerprint
     :ivar quarantined: time of quarantine by fingerprint
+    :ivar restored: upstreams by fingerprint whose crashes were read from the store, which others
+        may still tell
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         self.recent_reports: list[CrashReport] = []
         self.bad_versions: set[str] = set()
         self.reclaimed: dict[str, float] = {}
+        self.restored: dict[str, set[str]] = {}
 
     def note_reclaim(self, upstream: str, now: float) -> None:
         """Record that an upstream's instance is being reclaimed."""
@@ -106,6 +109,21 @@
             return []
         return self.count_crash(report)
 
+    def restore_crash(self, report: CrashReport) -> list[str]:
+        """Count a stored crash and return the fingerprints that are newly quarantined.
+
+        An upstream's incarnation crashes once, so that one that is known is not counted again.
+        """
+        unknown = tuple(
+            name
+            for name in report.fingerprints
+            if report.upstream not in {upstream for upstream, _ in self.crashes.get(name, ())}
+        )
+        quarantined = self.count_crash(report._replace(fingerprints=unknown))
+        for name in unknown:
+            self.restored.setdefault(name, set()).add(report.upstream)
+        return quarantined
+
     def merge_same_crash(self, report: CrashReport) -> CrashReport:
         """Merge a report with those of other daemons on the same crash."""
         for index, item in enumerate(self.recent_reports):
@@ -146,6 +164,8 @@
         """Count a crash against each request that was running."""
         newly_quarantined = []
         for fingerprint in report.fingerprints:
+            if report.upstream in self.restored.get(fingerprint, ()):
+                continue
             crash_ids = self.crashes.setdefault(fingerprint, set())
             crash_ids.add(report.crash)
             self.crashes.move_to_end(fingerprint)
@@ -153,7 +173,8 @@
                 self.quarantined[fingerprint] = report.at
                 newly_quarantined.append(fingerprint)
         while len(self.crashes) > MAX_FINGERPRINTS:
-            self.crashes.popitem(last=False)
+            forgotten, _ = self.crashes.popitem(last=False)
+            self.restored.pop(forgotten, None)
         return newly_quarantined
 
     def note_success(self, fingerprint: str) -> None:
