Date an outage that other daemons tell of from its end, not a second earlier

What callers would have seen: after an outage in which registrations expired, daemons that hear of it from others would have dropped live upstreams a second before these are back.

Cause: an update with marks of expiry that was the first news after the outage was dated a second back. It is dated to its arrival now, or to the end of the time without news if that is over.

test_expired_objects_that_another_daemon_tells_of_are_dropped_before_they_are_back fails before.

--- a/tanagertrail/gateway/mirror.py
+++ b/tanagertrail/gateway/mirror.py
@@ -289,7 +289,8 @@
         had_gap = self.had_gap()
         is_marked = any(status is ObjectStatus.MAYBE_EXPIRED for _, status in rows)
         if had_gap and (is_marked or not rows):
-            self.note_outage(max(self.gap_ended_at, self.boot_time() - EXPIRY_GRACE_SECONDS))
+            now = self.boot_time()
+            self.note_outage(now if self.is_gap(now) else self.gap_ended_at)
         if update.base_revision == 0:
             maybe_expired = had_gap and (is_marked or not rows)
             items = [item for item, _ in rows]
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -1,6 +1,11 @@
 """Tests for mirrors of the store's objects."""
 
-from tanagertrail.gateway.mirror import BaseKindHandler, KindMirror, ObjectStatus
+from tanagertrail.gateway.mirror import (
+    REREGISTRATION_SECONDS,
+    BaseKindHandler,
+    KindMirror,
+    ObjectStatus,
+)
 from tanagertrail.platform.store import Listing, StoredObject, WatchResponse
 
 
@@ -215,3 +220,18 @@
     source.apply_watch(WatchResponse([(build_object("a", 5), True)], 7), clock.now)
     assert relay(source, target)
     assert recorder.changes == [("a", ObjectStatus.MAYBE_EXPIRED)]
+    assert recorder.returns_by == 105.0 + REREGISTRATION_SECONDS
+
+
+def test_expired_objects_that_another_daemon_tells_of_are_dropped_before_they_are_back():
+    """The first news after an outage was dated a second early at all who got it from others."""
+    clock = Clock()
+    source, _ = build_mirror(clock)
+    target, recorder = build_mirror(clock)
+    for mirror in (source, target):
+        mirror.apply_listing(Listing([build_object("a", 5)], 5), clock.now)
+    clock.now += 5.0
+    source.apply_watch(WatchResponse([(build_object("a", 5), True)], 7), clock.now)
+    assert relay(source, target)
+    assert recorder.changes == [("a", ObjectStatus.MAYBE_EXPIRED)]
+    assert recorder.returns_by == clock.now + REREGISTRATION_SECONDS
