Excuse in the soak only what the rule does: by when work was cut, and by request

The stand-in now notes when the connection closed under a request, and which requests got a refusal of an earlier one. The first excuses a cut only if the close lies in the last sixth of the grace period, the second a 502 only for these requests.

test_work_that_lasts_longer_than_stated_is_held_against_a_stop is new; the test of doubtful refusals asks by request.

--- a/tanagertrail/soak/evidence.py
+++ b/tanagertrail/soak/evidence.py
@@ -10,6 +10,8 @@
     "RunSeen",
 ]
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from tanagertrail.soak.callers import Call
@@ -93,7 +95,9 @@
     :ivar usage: counts by window, once for each call of the cloud API
     :ivar pauses: (front port, since, until) of each pause of a daemon
     :ivar part_crashes: (part, time) of each end of an upstream on a part of prompts
-    :ivar unfinished: ids of requests that an upstream still ran when their connection closed
+    :ivar unfinished: event-loop time in seconds at which the connection of a request closed while
+        an upstream ran it, by request
+    :ivar doubtful: ids of requests to which an upstream wrote a refusal of an earlier one
     """
 
     started: float
@@ -111,7 +115,8 @@
     part_crashes: list[tuple[str, float]] = []
     cuts: list[CutSeen] = []
     overruns: list[tuple[int, float]] = []
-    unfinished: frozenset[str] = frozenset()
+    unfinished: Mapping[str, float] = MappingProxyType({})
+    doubtful: frozenset[str] = frozenset()
 
     def was_restarted_or_paused(self, port: int, since: float, until: float) -> bool:
         """Say whether a daemon was started or paused in a span."""
--- a/tanagertrail/soak/stop_checks.py
+++ b/tanagertrail/soak/stop_checks.py
@@ -3,7 +3,7 @@
 __all__ = ["STOP_REFUSAL", "StopFigures", "count_stops", "find_stop", "was_calm"]
 
 from collections import defaultdict
-from collections.abc import Container, Iterator
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 from tanagertrail.soak.callers import Call
@@ -20,7 +20,6 @@
 LAST_SHARE = 0.9  # of a caller's time, after which a call may have ended by its deadline
 CUT_STATUSES = frozenset({502, 504})  # of a daemon's own answers to requests that it cut
 DOUBTFUL_STATUS = 502  # of its answer where an upstream's refusal may belong to another request
-DOUBTFUL_KIND = "refusal written again"
 STOP_REFUSAL = b"the gateway is stopping"
 # Disruption of the store alone, which excuses no loss of requests other than streams.
 STORE_DISRUPTIONS = frozenset(
@@ -78,17 +77,17 @@
 
 
 def is_excused(
-    call: Call, stop: float, runs: list[RunSeen], unfinished: Container[str] = ()
+    call: Call, stop: float, runs: list[RunSeen], unfinished: Mapping[str, float]
 ) -> bool:
     """Say whether a stop may cut a call: by its deadline, or early and long enough.
 
-    :param unfinished: ids of requests that an upstream still ran when their connection closed
+    :param unfinished: when connections closed under requests that an upstream still ran
     """
     if call.ended_at - call.sent_at > LAST_SHARE * call.deadline:
         return True
     last_part = stop + LAST_PART_SECONDS
     in_time = call.sent_at <= stop + EXCUSED_SECONDS and call.ended_at >= last_part
-    if in_time and call.request_id in unfinished:
+    if in_time and unfinished.get(call.request_id, 0.0) >= last_part:
         return True
     return in_time and any(run.at + call.work > last_part for run in runs)
 
@@ -104,11 +103,8 @@
 
 
 def is_doubtful(evidence: Evidence, call: Call) -> bool:
-    """Say whether a failure may come from an upstream's second refusal, rather than the stop."""
-    since, until = call.sent_at - evidence.started, call.ended_at - evidence.started
-    faults = (fault for fault in evidence.plan if fault.kind == DOUBTFUL_KIND)
-    struck = any(fault.at < until and fault.until > since for fault in faults)
-    return struck and call.status == DOUBTFUL_STATUS
+    """Say whether a failure comes from a refusal that proves nothing, rather than the stop."""
+    return call.status == DOUBTFUL_STATUS and call.request_id in evidence.doubtful
 
 
 @CHECKS.register("nothing cut by a planned stop")
--- a/tanagertrail/soak/world.py
+++ b/tanagertrail/soak/world.py
@@ -3,7 +3,7 @@
 __all__ = ["SoakUpstream", "SoakWorld"]
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -336,7 +336,8 @@
             [item for upstream in self.upstreams for item in upstream.part_crashes],
             self.cuts,
             self.overruns,
-            frozenset(name for upstream in self.upstreams for name in upstream.cut),
+            find_last_times(upstream.cut_times for upstream in self.upstreams),
+            frozenset(name for upstream in self.upstreams for name in upstream.refused_earlier),
         )
 
     async def close(self) -> None:
@@ -356,3 +357,11 @@
             upstream.close()
         self.store.close()
         self.cloud.close()
+
+
+def find_last_times(tables: Iterable[Mapping[str, float]]) -> dict[str, float]:
+    """Return the latest time of each name in several tables."""
+    latest: dict[str, float] = {}
+    for name, at in (item for table in tables for item in table.items()):
+        latest[name] = max(at, latest.get(name, at))
+    return latest
--- a/tanagertrail/standins/misbehaviour.py
+++ b/tanagertrail/standins/misbehaviour.py
@@ -196,6 +196,8 @@
         mark = header_fields.NOT_RUN + b": 1"
         head = [b"HTTP/1.1 503 Service Unavailable", mark, b"content-length: 4", *lines]
         stream.channel.write(b"\r\n".join(head) + b"\r\n\r\nfull")
+        request_id = dict(request.headers).get(header_fields.REQUEST_ID, b"")
+        upstream.refused_earlier.append(request_id.decode())
     await upstream.run(request, stream)
 
 
--- a/tanagertrail/standins/upstream.py
+++ b/tanagertrail/standins/upstream.py
@@ -32,6 +32,8 @@
     :ivar arrivals: ids of the requests that reached it
     :ivar arrival_times: event-loop time in seconds of each arrival
     :ivar cut: ids of requests whose connection closed while they ran
+    :ivar cut_times: event-loop time in seconds of the last such close, by request
+    :ivar refused_earlier: ids of requests that got a refusal of an earlier one
     :ivar deadly: text in a body or target that ends the upstream when it begins to run it
     :ivar deadly_part: id of a part of prompts that crashes it when it begins to answer on one
     :ivar deadly_after: events of a stream that it sends before it crashes on that part
@@ -60,6 +62,8 @@
         self.arrivals: list[str] = []
         self.arrival_times: list[float] = []
         self.cut: list[str] = []
+        self.cut_times: dict[str, float] = {}
+        self.refused_earlier: list[str] = []
         self.connections = 0
         self.deadly = b""
         self.deadly_part = ""
@@ -103,6 +107,7 @@
                 await self.run(request, stream)
         except asyncio.CancelledError:
             self.cut.append(request_id)
+            self.cut_times[request_id] = asyncio.get_running_loop().time()
             raise
         finally:
             self.kept.add(stream)
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -144,13 +144,22 @@
 
 def test_doubtful_refusal_of_an_upstream_is_held_against_a_stop():
     """Seed 50000: an order got 502 since an upstream wrote an earlier refusal once more."""
-    plan = [Fault(103.0, "refusal written again", 0, 3.0)]
-    assert name_broken(build_stop(4.0, 4.1, 0.01, status=502, plan=plan)) == set()
-    assert name_broken(build_stop(4.0, 4.1, 0.01, status=502)) == STOPS
-    assert name_broken(build_stop(4.0, 7.4, 5.0, status=504, plan=plan)) == STOPS
-    assert name_broken(build_stop(4.0, 7.4, 5.0, plan=plan)) == STOPS, "it was cut"
-    later = [Fault(108.0, "refusal written again", 0, 3.0)]
-    assert name_broken(build_stop(4.0, 4.1, 0.01, status=502, plan=later)) == STOPS
+    refused = build_stop(4.0, 4.1, 0.01, status=502)
+    struck = frozenset({refused.calls[0].request_id})
+    assert name_broken(refused._replace(doubtful=struck)) == set()
+    assert name_broken(refused._replace(doubtful=frozenset({"another"}))) == STOPS
+    assert name_broken(build_stop(4.0, 7.4, 5.0, status=504, doubtful=struck)) == STOPS
+    assert name_broken(build_stop(4.0, 7.4, 5.0, doubtful=struck)) == STOPS, "it was cut"
+
+
+def test_work_that_lasts_longer_than_stated_is_held_against_a_stop():
+    """An upstream that has turned slower still ran the request in the last sixth of the grace."""
+    early = build_stop(1.0, 7.4, 2.0)
+    name = early.calls[0].request_id
+    assert name_broken(early) == STOPS
+    assert name_broken(early._replace(unfinished={name: 107.4})) == set()
+    assert name_broken(early._replace(unfinished={name: 104.0})) == STOPS, "it ran no more"
+    assert name_broken(build_stop(4.0, 7.4, 2.0, unfinished={name: 107.4})) == STOPS, "it came late"
 
 
 def test_store_that_is_away_excuses_cut_orders():
