Give the order of news one home, and rollout records a module

No behaviour changes. Whether a change is newer than what is known stood in the mirror and again where pages of a listing are joined; both ask is_news now. The mirror's method that tells until when missing objects may return no longer has the name of the handler's. Two comments and two names of tests said it in words of the users' pages.

--- a/tanagertrail/gateway/mirror.py
+++ b/tanagertrail/gateway/mirror.py
@@ -12,15 +12,22 @@
 from tanagertrail.decoding import MAX_REVISION, find_violation, is_encodable, is_integer
 from tanagertrail.errors import FrameError
 from tanagertrail.gateway.clock import BootClock
-from tanagertrail.platform.store import Listing, Refusal, StoredObject, WatchResponse, get_era
+from tanagertrail.platform.store import (
+    Listing,
+    Refusal,
+    StoredObject,
+    WatchResponse,
+    get_era,
+    is_news,
+)
 
 MAX_CHANGES = 300  # changes kept for lagging daemons; one that lags further gets a full listing
 EXPIRY_OUTAGE_SECONDS = 2.5  # two heartbeats of an upstream; entries outlive a shorter outage
 EXPIRY_GRACE_SECONDS = 1.0  # time after an outage in which the store still removes expired entries
 # Registrations that expired during an outage of the store are back about 2 s after its end.
 REREGISTRATION_SECONDS = 2.3
-# After an own cut, in which the store has likely served others: until well before this daemon
-# counts as in touch again, and no longer than an upstream may be used that has left.
+# The same after a cut of this daemon alone, in which the store has likely served the others, so
+# that most of what is missing has left.
 CUT_REREGISTRATION_SECONDS = 1.2
 
 
@@ -154,7 +161,7 @@
         now = self.boot_time()
         if self.is_gap(as_of):
             self.expiry_window_end = now + EXPIRY_GRACE_SECONDS
-            self.note_outage(now)
+            self.limit_return(now)
         return now < self.expiry_window_end
 
     def is_gap(self, as_of: float) -> bool:
@@ -166,8 +173,8 @@
         now = self.boot_time()
         return now < self.gap_ended_at + EXPIRY_GRACE_SECONDS or self.is_gap(now)
 
-    def note_outage(self, ended_at: float) -> None:
-        """Tell the handler how long what is missing may come back.
+    def limit_return(self, ended_at: float) -> None:
+        """Tell the handler until when what is missing since an outage may come back.
 
         :param ended_at: boot time in seconds
         """
@@ -200,16 +207,13 @@
         :param revision: revision by which the change has certainly happened; a removed object may
             carry an older revision
         """
-        known = self.objects.get(item.name)
-        if object_status is ObjectStatus.PRESENT:
-            # An object that is missing was removed after any change up to the mirror's revision.
-            if item.revision <= max(self.revision, known.revision if known is not None else 0):
-                return False
-            self.objects[item.name] = item
-        elif known is None or known.revision > item.revision:
+        deleted = object_status is not ObjectStatus.PRESENT
+        if not is_news(item, deleted, self.objects.get(item.name), self.revision):
             return False
-        else:
+        if deleted:
             del self.objects[item.name]
+        else:
+            self.objects[item.name] = item
         self.changes.append(Change(revision, item, object_status))
         if len(self.changes) > MAX_CHANGES:
             self.oldest_base_revision = self.changes.popleft().revision
@@ -281,16 +285,16 @@
     def apply_objects(self, update: MirrorUpdate) -> bool:
         """Apply the objects of an update that is newer than this mirror.
 
-        Another daemon that was cut off itself takes removals for expiries. They are believed only
-        by a daemon that was without news for as long. An update without rows bears no mark, so
-        that the daemon's own view counts.
+        A daemon that was cut off marks removals as possible expiries. The marks count only for a
+        receiver that was without news as well. An update without rows bears no mark, so that only
+        the receiver's own gap counts.
         """
         rows = self.decode_rows(unpack_json(update.objects) if update.objects else [])
         had_gap = self.had_gap()
         is_marked = any(status is ObjectStatus.MAYBE_EXPIRED for _, status in rows)
         if had_gap and (is_marked or not rows):
             now = self.boot_time()
-            self.note_outage(now if self.is_gap(now) else self.gap_ended_at)
+            self.limit_return(now if self.is_gap(now) else self.gap_ended_at)
         if update.base_revision == 0:
             maybe_expired = had_gap and (is_marked or not rows)
             items = [item for item, _ in rows]
--- a/tanagertrail/gateway/rollout_handler.py
+++ b/tanagertrail/gateway/rollout_handler.py
@@ -10,7 +10,7 @@
 from tanagertrail.gateway.handlers import OPERATOR_REWRITE_SECONDS
 from tanagertrail.gateway.mirror import BaseKindHandler, ObjectStatus
 from tanagertrail.gateway.refusals import RefusalLog
-from tanagertrail.platform.records import ROLLOUTS, decode_rollout
+from tanagertrail.platform.rollout_records import ROLLOUTS, decode_rollout
 from tanagertrail.platform.store import StoredObject
 from tanagertrail.policy.rollout_orders import find_withdrawn, identify_order
 
--- a/tanagertrail/gateway/rollout_reports.py
+++ b/tanagertrail/gateway/rollout_reports.py
@@ -8,7 +8,7 @@
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.upstream_table import UpstreamEntry
-from tanagertrail.platform.records import ROLLOUTS, encode_rollout_status
+from tanagertrail.platform.rollout_records import ROLLOUTS, encode_rollout_status
 from tanagertrail.platform.store import StoreClient
 from tanagertrail.policy.canary import (
     CanaryState,
--- a/tanagertrail/gateway/store_follower.py
+++ b/tanagertrail/gateway/store_follower.py
@@ -26,7 +26,8 @@
 from tanagertrail.gateway.rollout_handler import RolloutHandler
 from tanagertrail.gateway.store_watch import KindWatch, StoreBackoff, WatchRole, WatchTiming
 from tanagertrail.gateway.suspects import SuspectTracker
-from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, ROLLOUTS, UPSTREAMS
+from tanagertrail.platform.records import CONFIGURATION, EVACUATIONS, UPSTREAMS
+from tanagertrail.platform.rollout_records import ROLLOUTS
 from tanagertrail.platform.store import StoreClient, StoredObject, get_era
 
 CONFIG_STALENESS_SHARE = 0.68  # of the bound on applying a new configuration
--- a/tanagertrail/platform/records.py
+++ b/tanagertrail/platform/records.py
@@ -7,15 +7,11 @@
 __all__ = [
     "CONFIGURATION",
     "EVACUATIONS",
-    "ROLLOUTS",
     "UPSTREAMS",
     "decode_configuration",
-    "decode_rollout",
     "decode_upstream",
-    "encode_rollout_status",
 ]
 
-from collections.abc import Mapping
 from typing import Annotated, Any, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
@@ -43,17 +39,14 @@
     WeightedService,
 )
 from tanagertrail.platform.store import StoredObject
-from tanagertrail.policy.rollout_orders import RolloutEntry, RolloutOrder, RolloutReport
 
 # Kinds of objects in the store.
 CONFIGURATION = "config"
 UPSTREAMS = "servers"
-ROLLOUTS = "rollouts"
 EVACUATIONS = "evacuations"
 MILLISECONDS = 1000
 DEFAULT_TIMEOUT_MS = 60_000
 MAX_SHOWN = 40  # characters of a value in an error
-MAX_REPORTED_VERSIONS = 64  # in each list of a rollout's status
 
 
 MAX_MILLISECONDS = MAX_SECONDS * MILLISECONDS
@@ -197,30 +190,6 @@
     tenants: list[TenantDocument] = Field(default_factory=list)
 
 
-class RolloutDocument(Document):
-    """An order to roll out the version ``target`` of a service."""
-
-    service: Name
-    target: str = Field(max_length=MAX_NAME_LENGTH)
-    duration_s: float = Field(ge=0, le=MAX_SECONDS)
-
-
-Versions = Annotated[
-    list[Annotated[str, Field(max_length=MAX_NAME_LENGTH)]], Field(max_length=MAX_REPORTED_VERSIONS)
-]
-
-
-class ReportedOrderDocument(Document):
-    """The order that the status of an entry was reported for."""
-
-    model_config = ConfigDict(strict=True)
-
-    revision: int = Field(ge=0, le=MAX_REVISION)
-    duration_s: float = Field(ge=0, le=MAX_SECONDS)
-    served: Versions | None = None
-    withdrawn: Versions = Field(default_factory=list)
-
-
 def convert_validation_error(error: ValidationError) -> InvalidInputError:
     """Convert a validation error to one that names each wrong field and the rule it breaks."""
     return InvalidInputError(
@@ -353,65 +322,3 @@
         document.spot,
         terminates_in,
     )
-
-
-def decode_rollout(item: StoredObject) -> RolloutEntry:
-    """Decode an order to roll out a version, with the state that was last reported in its entry.
-
-    :raises InvalidInputError: if it is malformed
-    """
-    try:
-        document = RolloutDocument.model_validate(item.content)
-    except ValidationError as error:
-        raise convert_validation_error(error) from error
-    if document.service != item.name:
-        shown = document.service[:MAX_SHOWN]
-        raise InvalidInputError([Violation("service", "must be the order's name", shown)])
-    return RolloutEntry(
-        document.service,
-        document.target,
-        document.duration_s,
-        decode_rollout_report(item.report),
-        item.revision,
-        item.created,
-    )
-
-
-def decode_rollout_report(status: Any) -> RolloutReport:
-    """Decode the status of a rollout; parts that cannot be read are left out."""
-    if not isinstance(status, Mapping):
-        return RolloutReport()
-    report = RolloutReport(read_text(status, "state"), read_text(status, "target"))
-    try:
-        order = ReportedOrderDocument.model_validate(status.get("order"))
-    except ValidationError:
-        return report
-    served = None if order.served is None else tuple(order.served)
-    return report._replace(
-        seconds=order.duration_s,
-        order_id=order.revision,
-        served=served,
-        withdrawn=tuple(order.withdrawn),
-    )
-
-
-def read_text(table: Mapping[str, Any], name: str) -> str:
-    """Return a text of a table, empty if it is missing or of another type."""
-    value = table.get(name)
-    return value if isinstance(value, str) else ""
-
-
-def encode_rollout_status(
-    order: RolloutOrder, state: str, withdrawn: tuple[str, ...]
-) -> dict[str, Any]:
-    """Encode the state of a rollout as the status of its entry.
-
-    :param withdrawn: versions that were ordered before and not completed
-    """
-    reported = ReportedOrderDocument(
-        revision=order.order_id,
-        duration_s=order.seconds,
-        served=None if order.served is None else list(order.served),
-        withdrawn=list(withdrawn),
-    )
-    return {"state": state, "target": order.version, "order": reported.model_dump()}
--- a/tanagertrail/platform/store.py
+++ b/tanagertrail/platform/store.py
@@ -8,6 +8,7 @@
     "StoredObject",
     "WatchResponse",
     "get_era",
+    "is_news",
     "join_revision",
 ]
 
@@ -43,6 +44,7 @@
     decode_listing_page,
     decode_object,
     get_era,
+    is_news,
     join_revision,
     read_revision,
 )
--- a/tanagertrail/platform/stored_objects.py
+++ b/tanagertrail/platform/stored_objects.py
@@ -13,6 +13,7 @@
     "decode_listing_page",
     "decode_object",
     "get_era",
+    "is_news",
     "join_revision",
     "read_revision",
 ]
@@ -76,6 +77,22 @@
     revision: int
 
 
+def is_news(
+    item: StoredObject, deleted: bool, known: StoredObject | None, known_revision: int = 0
+) -> bool:
+    """Return whether a change is newer than what is known of its object.
+
+    :param item: the changed object; a deleted one may bear the revision of its last change
+    :param known: the object as it is known, None if it is missing
+    :param known_revision: revision up to which all changes are known, so that an older change of a
+        missing object was followed by its removal
+    """
+    if deleted:
+        return known is not None and known.revision <= item.revision
+    newest = known_revision if known is None else max(known_revision, known.revision)
+    return item.revision > newest
+
+
 def complete_listing(objects: Iterable[StoredObject], answer: WatchResponse) -> Listing:
     """Bring objects from pages of several revisions to the revision of a later watch.
 
@@ -83,11 +100,10 @@
     """
     listed = {item.name: item for item in objects}
     for item, deleted in answer.changes:
-        known = listed.get(item.name)
-        if known is not None and known.revision > item.revision:
+        if not is_news(item, deleted, listed.get(item.name)):
             continue
         if deleted:
-            listed.pop(item.name, None)
+            del listed[item.name]
         else:
             listed[item.name] = item
     return Listing(list(listed.values()), answer.revision)
--- a/tanagertrail/policy/stop_admission.py
+++ b/tanagertrail/policy/stop_admission.py
@@ -1,6 +1,6 @@
 """Admission of requests by a daemon that stops: only those that end before it does.
 
-Answers callers that go on using their connections while upstreams turn slower within the stop.
+The load pattern: callers go on using their connections, and upstreams turn slower within the stop.
 """
 
 __all__ = [
--- a/tanagertrail/soak/stop_checks.py
+++ b/tanagertrail/soak/stop_checks.py
@@ -19,7 +19,7 @@
 LOSS_SLACK_SECONDS = 0.2  # in which a request may cross the close of its connection
 LAST_SHARE = 0.9  # of a caller's time, after which a call may have ended by its deadline
 CUT_STATUSES = frozenset({502, 504})  # of a daemon's own answers to requests that it cut
-DOUBTFUL_STATUS = 502  # of its answer where an upstream's refusal may belong to another request
+DOUBTFUL_STATUS = 502  # of a daemon's answer after a refusal that may be another request's
 STOP_REFUSAL = b"the gateway is stopping"
 # Disruption of the store alone, which excuses no loss of requests other than streams.
 STORE_DISRUPTIONS = frozenset(
--- a/tanagertrail/soak/stop_conditions.py
+++ b/tanagertrail/soak/stop_conditions.py
@@ -25,8 +25,8 @@
 EARLY_STEP_SECONDS = 0.15
 QUOTA_SECONDS = 0.05
 CROWD_SECONDS = 0.5
-SLOWNESS = 12.0  # times the work that a request states
 CROWD_CONNECTIONS = 300
+SLOWNESS = 12.0  # times the work that a request states
 
 Pattern = Callable[[StopWorld], Awaitable[None]]
 PATTERNS: Registry[Pattern] = Registry("pattern of stops")
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -157,7 +157,7 @@
 
 
 def build_cut_daemon(clock):
-    """Return the mirror of a daemon without news for 5 s, one in touch, and its recorder."""
+    """Return the mirror of a daemon without news for 5 s, one that hears news, and its recorder."""
     cut, _ = build_mirror(clock)
     other, recorder = build_mirror(clock)
     for mirror in (cut, other):
@@ -169,7 +169,7 @@
     return cut, other, recorder
 
 
-def test_daemon_in_touch_keeps_what_one_that_was_cut_off_takes_for_expired():
+def test_daemon_with_news_keeps_what_one_that_was_cut_off_takes_for_expired():
     """Violated DRAIN (review/4): requests reached an upstream 2.3 s after it had left."""
     cut, other, recorder = build_cut_daemon(Clock())
     assert relay(cut, other)
@@ -179,7 +179,7 @@
     assert recorder.replacements[-1] == ({"b"}, False)
 
 
-def test_removal_at_the_end_of_an_own_cut_is_kept_into_the_time_in_touch():
+def test_removal_after_an_own_cut_is_kept_for_a_time_of_its_own():
     """What is missing was kept for 2.3 s from each removal on, up to a second after the cut."""
     for was_cut_off, seconds in ((True, 1.2), (False, 2.3)):
         clock = Clock()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,7 +15,8 @@
 )
 from tanagertrail.gateway.members import MEMBERS_KIND
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, read_start
-from tanagertrail.platform.records import decode_rollout, decode_upstream
+from tanagertrail.platform.records import decode_upstream
+from tanagertrail.platform.rollout_records import decode_rollout
 from tanagertrail.platform.settings import decode_settings, read_settings_file
 from tanagertrail.platform.store import HistoryLostError, StoredObject
 from tanagertrail.platform.stored_objects import decode_changes, decode_listing_page, decode_object
