Serve callers sooner after a kill of all daemons

Cause: a starting daemon awaited a serving one that knows the named rates for the whole 0.5 s, though after a kill of all daemons none can know them, and refused each request meanwhile. The wait counts towards the deadline that upstreams get.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -17,6 +17,7 @@
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.silence_watch import SilenceMonitor, SilenceWatch
+from tanagertrail.gateway.startup import Startup
 from tanagertrail.gateway.stop_gate import StopGate
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.trials import RolloutTrials
@@ -40,6 +41,7 @@
     :ivar in_flight: requests of callers in progress
     :ivar prompt_tokens_sent: prompt tokens of the requests so far, by service
     :ivar stop_gate: lengths of requests, and what a planned stop does with them
+    :ivar startup: holds requests until this daemon knows enough to serve; None to refuse them
     :ivar metrics: None if metrics are not exported
     """
 
@@ -82,6 +84,7 @@
         self.retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.in_flight = 0
         self.prompt_tokens_sent: Counter[str] = Counter()
+        self.startup: Startup | None = None
         self.metrics: GatewayMetrics | None = None
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -95,12 +98,16 @@
     async def serve(self, request: CallerRequest, stream: CallerStream) -> None:
         """Admit a request and forward it to an upstream, or refuse it."""
         fields = decode_caller_fields(request.headers)
+        arrived_at = self.now()
+        if self.startup is not None:
+            await self.startup.wait_until_known(fields.timeout)
         admitted = self.admission.admit(request, fields)
         if isinstance(admitted, Refusal):
             self.refuse(stream, fields.request_id, admitted)
             return
         route, customer, fingerprint, parts = admitted
-        exchange = Exchange(request, stream, fields, route, customer, fingerprint, parts)
+        waited = self.now() - arrived_at
+        exchange = Exchange(request, stream, fields, route, customer, fingerprint, parts, waited)
         exchange.service = self.admission.pick_service(route)
         self.get_retry_budget(exchange.service).note_request(self.now())
         self.trials.note_request(exchange.service)
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -101,8 +101,13 @@
         customer: Customer | None,
         fingerprint: str,
         part_keys: tuple[str, ...] = (),
+        waited: float = 0.0,
     ) -> None:
-        now = asyncio.get_running_loop().time()
+        """Create the state of a request.
+
+        :param waited: seconds for which it has waited in this daemon already
+        """
+        now = asyncio.get_running_loop().time() - waited
         self.request = request
         self.stream = stream
         self.fields = fields
@@ -124,7 +129,7 @@
         self.carrier = ""
         self.refusal: Refusal | None = None
         self.stop_decision: StopDecision | None = None
-        self.sent_at = now
+        self.sent_at = now + waited
 
     @property
     def priority(self) -> int:
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -37,6 +37,7 @@
 from tanagertrail.gateway.quarantine import QUARANTINE_KIND, QuarantineStore
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.shared_rates import SharedRates
+from tanagertrail.gateway.startup import Startup
 from tanagertrail.gateway.state_sync import StateSync
 from tanagertrail.gateway.store_follower import StoreFollower
 from tanagertrail.gateway.store_watch import WatchRole
@@ -61,9 +62,6 @@
 LEADER_MISSING_SECONDS = 1.5  # of a lease of 3 s, which must expire before a claim
 LEADER_LOST_SECONDS = 4.0  # after which lower-ranked daemons claim the lease too
 LEASE_CANDIDATES = 3  # highest-ranked daemons, which claim a missing holder's lease first
-LIMITS_WAIT_SECONDS = 0.5  # for a daemon that knows the limits in force; then none is there
-LIMITS_CONTACT_SECONDS = 0.2
-LIMITS_CHECK_SECONDS = 0.02
 STARTUP_SETTLE_SECONDS = 1.5  # until a new daemon knows if it is a hub, which collects usage
 
 
@@ -157,6 +155,7 @@
         self.leadership.may_observe = self.may_observe_lease
         self.leadership.may_hold = lambda: self.state_sync.topology.is_hub
         self.started_at = self.loop.time()
+        self.dispatcher.startup = self.build_startup()
         self.page_servers = PageServers(self.log)
         self.supervisor = Supervisor(self.log)
         self.peer_server.on_defect = self.peer_client.on_defect = self.supervisor.report
@@ -217,7 +216,7 @@
         self.supervisor.start("losses", losses.run)
         self.start_registration()
         self.supervisor.start("exchange", self.peer_client.run)
-        self.supervisor.start("limits", self.await_limits)
+        self.supervisor.start("startup", self.dispatcher.startup.run)
         self.supervisor.start("cleanup", self.run_cleanup)
         self.links.waiting = lambda: self.dispatcher.in_flight
         self.supervisor.start("links", self.links.run)
@@ -228,6 +227,14 @@
         front, release = self.settings.front, RELEASE
         self.log.write("started", incarnation=self.incarnation, front=front, release=release)
 
+    def build_startup(self) -> Startup:
+        """Return what learns the limits in force and holds requests until then."""
+        longest_wait = self.tuning.policy.startup_wait_ms / 1000
+        startup = Startup(self.cluster_view, self.members, self.log, longest_wait)
+        startup.contact_silent = lambda: self.peer_client.contact_silent_members(set())
+        startup.is_listed = lambda: self.mirrors[MEMBERS_KIND].synced_at is not None
+        return startup
+
     def build_duty_runner(self) -> DutyRunner:
         """Return the runner of the lease holder's duties."""
         return DutyRunner(
@@ -313,20 +320,6 @@
             if self.members.is_registration_outdated:
                 self.start_registration()
 
-    async def await_limits(self) -> None:
-        """Wait until a serving daemon has told the limits in force, unless there is none."""
-        latest = self.loop.time() + LIMITS_WAIT_SECONDS
-        next_contact_at = 0.0
-        while self.loop.time() < latest and not self.cluster_view.limits_known:
-            members_listed = self.mirrors[MEMBERS_KIND].synced_at is not None
-            if members_listed and not self.members.states:
-                break
-            if members_listed and self.loop.time() >= next_contact_at:
-                self.peer_client.contact_silent_members(set())
-                next_contact_at = self.loop.time() + LIMITS_CONTACT_SECONDS
-            await asyncio.sleep(LIMITS_CHECK_SECONDS)
-        self.cluster_view.limits_known = True
-
     @property
     def ready(self) -> bool:
         """Return whether callers' requests are served."""
--- a/tanagertrail/settings/gateway.py
+++ b/tanagertrail/settings/gateway.py
@@ -30,10 +30,16 @@
 
 
 class PolicySection(Section):
-    """Registered names of the policies to use."""
+    """Policies to use.
+
+    :ivar placement: registered name; likewise ``fleet``
+    :ivar startup_wait_ms: longest time for which a request waits until a daemon that has just
+        started knows enough to serve it, 0 to refuse it at once
+    """
 
     placement: Annotated[str, check_registered(PLACEMENTS)] = "expected_cost"
     fleet: Annotated[str, check_registered(FLEET_PLANNERS)] = "reclaimable"
+    startup_wait_ms: Annotated[int, Field(ge=0, le=2000)] = 0
 
 
 class LogSection(Section):
