Send requests that a full upstream refused to another one

Cause: a refusal that proves that a request did not run used up one of its route's attempts, so that an unsafe request (attempts 1) went back to its caller after the first full upstream. With retry, such a refusal uses up no attempt; bounds are 4 sends, the retry budget, the time left and one send per upstream. Status 400, brittle upstreams, named rates and isolated requests keep their rules. A carrier is told the attempts plus the free refusals, in the field that it has. Conclusion: no load run was made; the share of late calls on a whole system is not measured here.

--- a/tanagertrail/gateway/carry_protocol.py
+++ b/tanagertrail/gateway/carry_protocol.py
@@ -174,7 +174,7 @@
         route.kind,
         route.timeout,
         route.latency_objective,
-        route.attempts,
+        route.attempts + exchange.free_refusals,
         route.sticky,
         route.resumable,
         route.event_gap_objective,
--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -26,12 +26,13 @@
     shorten_request_id,
 )
 from tanagertrail.gateway.channel import Channel
-from tanagertrail.gateway.dispatch import DEADLINE_MARGIN_SECONDS, Dispatcher
+from tanagertrail.gateway.dispatch import Dispatcher
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers
 from tanagertrail.gateway.http_server import HttpServer
 from tanagertrail.gateway.model import Limits
+from tanagertrail.gateway.retry_rules import DEADLINE_MARGIN_SECONDS
 from tanagertrail.platform.header_fields import build_response_headers, decode_caller_fields
 from tanagertrail.policy.carrier_choice import compute_carry_room, compute_connection_limit
 
@@ -195,7 +196,7 @@
         refusal = self.dispatcher.admission.check_quarantine(
             exchange.fingerprint, exchange.part_keys
         )
-        if refusal is None and not self.dispatcher.may_risk_another_crash(exchange):
+        if refusal is None and not self.dispatcher.retry_rules.may_risk_another_crash(exchange):
             refusal = Refusal(503, "an upstream may have crashed on this request")
         return refusal
 
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -16,6 +16,7 @@
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
+from tanagertrail.gateway.retry_rules import RetryRules
 from tanagertrail.gateway.silence_watch import SilenceMonitor, SilenceWatch
 from tanagertrail.gateway.stop_gate import StopGate
 from tanagertrail.gateway.suspects import SuspectTracker
@@ -23,15 +24,11 @@
 from tanagertrail.gateway.upstream_links import UpstreamLinks
 from tanagertrail.gateway.upstream_selector import UpstreamSelector
 from tanagertrail.gateway.upstream_sender import UpstreamSender
-from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import build_response_headers, decode_caller_fields
-from tanagertrail.policy.poison import Verdict
+from tanagertrail.policy.room import RoomMode
 from tanagertrail.policy.token_quota import QuotaLimiter
 from tanagertrail.policy.windowed_retries import WindowedRetryBudget
 
-DEADLINE_MARGIN_SECONDS = 0.05  # kept back for the response to the caller
-MAX_CONNECT_ATTEMPTS = 4  # attempts after which another unreachable upstream ends the request
-
 
 class Dispatcher:
     """Serve callers' requests.
@@ -54,6 +51,7 @@
         log: EventLog,
         rng: random.Random,
         placement: str = "expected_cost",
+        room: RoomMode = RoomMode.OFF,
     ) -> None:
         self.cluster_view = cluster_view
         self.members = members
@@ -77,9 +75,20 @@
             rng,
             placement,
         )
-        self.silences = SilenceMonitor(log, self.may_resend, self.claim_resend)
+        self.retry_rules = RetryRules(
+            cluster_view,
+            members,
+            suspects,
+            self.stop_gate,
+            self.selector,
+            self.carry_client,
+            room,
+        )
+        self.retry_rules.is_cut_off = lambda: self.links.is_cut
+        self.silences = SilenceMonitor(
+            log, self.retry_rules.may_resend, self.retry_rules.claim_resend
+        )
         self.silences.is_cut_off = lambda: self.links.is_cut
-        self.retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.in_flight = 0
         self.prompt_tokens_sent: Counter[str] = Counter()
         self.metrics: GatewayMetrics | None = None
@@ -127,7 +136,7 @@
             if attempt.result is AttemptResult.DELIVERED:
                 self.log_outcome(exchange, "answered")
                 return
-            if not self.may_retry(exchange, attempt):
+            if not self.retry_rules.may_retry(exchange, attempt):
                 break
         self.finish_failed(exchange)
 
@@ -198,103 +207,9 @@
                 self.trials.note_result(exchange, entry.record.version, attempt)
         return attempt
 
-    def may_resend(self, exchange: Exchange) -> bool:
-        """Return whether another upstream may get a request that this one may be running."""
-        return (
-            exchange.route.idempotent
-            and exchange.sent_count + 1 < exchange.route.attempts
-            and self.may_run_again(exchange)
-            and self.stop_gate.allows_attempt(exchange)
-            and self.origin_serves(exchange)
-        )
-
-    def origin_serves(self, exchange: Exchange) -> bool:
-        """Return whether the origin of a carried request is not known to stop.
-
-        It makes the next attempt, and the time that it has left for one is not known here.
-        """
-        if not exchange.origin:
-            return True
-        state = self.members.states.get(exchange.origin)
-        return state is not None and state.serving
-
-    def claim_resend(self, exchange: Exchange, entry: UpstreamEntry, must_be_idle: bool) -> bool:
-        """Charge a resend to the retry budget while the first attempt still lasts.
-
-        The attempt may be given up only then, since it would be the last one otherwise.
-
-        :param must_be_idle: whether only a lightly loaded upstream may get the request
-        :returns: whether another upstream may get it now
-        """
-        if not self.may_resend(exchange):
-            return False
-        if self.links.is_cut:
-            has_alternative = self.carry_client.has_carrier(exchange)
-        else:
-            has_alternative = self.selector.has_alternative(exchange, entry, must_be_idle)
-        if not has_alternative:
-            return False
-        exchange.resend_claimed = self.spend_retry(exchange.service)
-        return exchange.resend_claimed
-
-    def may_retry(self, exchange: Exchange, attempt: UpstreamAttempt) -> bool:
-        """Return whether another attempt is allowed, and charge it to the retry budget."""
-        if exchange.time_left <= DEADLINE_MARGIN_SECONDS:
-            return False
-        if exchange.resend_claimed:
-            exchange.resend_claimed = False
-            return True
-        if not attempt.proves_not_run and not exchange.route.idempotent:
-            return False
-        if exchange.sent_count >= exchange.route.attempts:
-            return False
-        if not self.may_risk_another_crash(exchange):
-            return False
-        if attempt.result is AttemptResult.NOT_SENT:
-            return len(exchange.attempts) < MAX_CONNECT_ATTEMPTS
-        if (
-            attempt.result is AttemptResult.FAILED
-            and exchange.time_left < exchange.route.latency_objective / 2
-        ):
-            return False
-        return self.spend_retry(exchange.service)
-
-    def spend_retry(self, service: str) -> bool:
-        """Take a retry from the budget of a service; return whether one was available."""
-        return self.get_retry_budget(service).spend(self.members.count(), self.now())
-
-    def may_risk_another_crash(self, exchange: Exchange) -> bool:
-        """Return whether another upstream may get the request although it may crash it.
-
-        A request that must run isolated is not retried by the gateway once an attempt may have
-        run it; its caller has to send it again.
-        """
-        if self.is_quarantined(exchange):
-            return False
-        return exchange.known_not_run or self.may_run_again(exchange)
-
-    def is_quarantined(self, exchange: Exchange) -> bool:
-        """Return whether no upstream may get a request, because it crashes them."""
-        if self.suspects.judge(exchange.fingerprint) is Verdict.QUARANTINED:
-            return True
-        return self.suspects.find_part_quarantine(exchange.part_keys) is not None
-
-    def may_run_again(self, exchange: Exchange) -> bool:
-        """Return whether a request that may have crashed an upstream may be sent to another."""
-        return not self.is_quarantined(exchange) and self.suspects.may_send_again(
-            exchange.fingerprint, exchange.part_keys
-        )
-
     def get_retry_budget(self, service: str) -> WindowedRetryBudget:
         """Return the retry budget of a service."""
-        budget = self.retry_budgets.get(service)
-        if budget is None:
-            bounds = self.cluster_view.bounds
-            budget = WindowedRetryBudget(
-                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window
-            )
-            self.retry_budgets[service] = budget
-        return budget
+        return self.retry_rules.get_budget(service)
 
     def finish_failed(self, exchange: Exchange) -> None:
         """Send the final response to a request for which no attempt succeeded."""
@@ -372,6 +287,8 @@
             "config": self.cluster_view.config.version,
             "config_age_s": round(min(self.cluster_view.config_age, 1e6), 2),
         }
+        if exchange.free_refusals:
+            fields["free_refusals"] = exchange.free_refusals
         if exchange.carrier:
             fields["carriers"] = [attempt.carrier for attempt in exchange.attempts]
             fields["last_carrier"] = exchange.carrier
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -83,6 +83,7 @@
     :ivar splitter: parser of a streamed response, kept over the attempts so that it can resume
     :ivar begun: representation of the stream that the caller is being sent, None before or if the
         origin does not state it
+    :ivar free_refusals: upstreams' refusals that used up none of the route's attempts
     :ivar resend_claimed: whether the retry budget has a place for the next attempt
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
     :ivar continues: whether the origin has sent its caller events of this stream
@@ -117,6 +118,7 @@
         self.part_keys = part_keys
         self.splitter = EventSplitter(fields.last_event_id)
         self.begun: Representation | None = None
+        self.free_refusals = 0
         self.resend_claimed = False
         self.first_byte_at: float | None = None
         self.continues = False
--- a/tanagertrail/gateway/exporter.py
+++ b/tanagertrail/gateway/exporter.py
@@ -53,6 +53,12 @@
             ("service", "outcome"),
             metrics.silences,
         )
+        yield build_counter(
+            "room",
+            "Requests that met full upstreams by service and what was done for them",
+            ("service", "decision"),
+            metrics.room,
+        )
         yield build_histogram(
             "first_byte_seconds", "Time to the first byte of an answer", metrics.first_byte
         )
--- a/tanagertrail/gateway/metrics.py
+++ b/tanagertrail/gateway/metrics.py
@@ -46,6 +46,7 @@
     :ivar refusals: refusals by the gateway itself, by status
     :ivar attempts: attempts at upstreams by (service, result)
     :ivar silences: silent attempts at upstreams by (service, what became of them)
+    :ivar room: what was done for requests that met full upstreams, by (service, what)
     :ivar first_byte: latency of the first byte of an answer, by route
     :ivar duration: latency of the end of an answer, by route
     """
@@ -56,6 +57,7 @@
         self.refusals: Counter[str] = Counter()
         self.attempts: Counter[tuple[str, str]] = Counter()
         self.silences: Counter[tuple[str, str]] = Counter()
+        self.room: Counter[tuple[str, str]] = Counter()
         self.first_byte: dict[str, LatencyHistogram] = {}
         self.duration: dict[str, LatencyHistogram] = {}
 
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -123,6 +123,7 @@
             self.log,
             self.rng,
             self.tuning.policy.placement,
+            self.tuning.policy.room,
         )
         self.leadership = Leadership(
             self.store,
@@ -194,6 +195,7 @@
         if self.tuning.metrics.port:
             metrics = GatewayMetrics(lambda: list_gauges(self))
             self.dispatcher.metrics = self.dispatcher.silences.metrics = metrics
+            self.dispatcher.retry_rules.metrics = metrics
             address = f"{self.settings.host}:{self.tuning.metrics.port}"
             await self.page_servers.serve_metrics(address, metrics)
         for watch in self.follower.build_watches(self.settings.bounds):
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -147,13 +147,15 @@
         use = self.trials.get_version_use(record.service, record.version)
         return use is not VersionUse.FORBIDDEN
 
+    def has_own_limit(self, entry: UpstreamEntry) -> bool:
+        """Return whether an upstream is brittle or names a rate."""
+        return self.rate_limits.get_rate(entry) is not None or self.brittle.is_brittle(entry)
+
     def has_shared_limit(self, service: str) -> bool:
         """Return whether the daemons divide a rate of requests or the slots of one in use."""
         now = self.now()
         return any(
-            now < entry.cold_until
-            or self.rate_limits.get_rate(entry) is not None
-            or self.brittle.is_brittle(entry)
+            now < entry.cold_until or self.has_own_limit(entry)
             for entry in self.list_in_use(service)
         )
 
--- a/tanagertrail/settings/gateway.py
+++ b/tanagertrail/settings/gateway.py
@@ -8,6 +8,7 @@
 
 from tanagertrail.policy.fleet import FLEET_PLANNERS
 from tanagertrail.policy.placement import PLACEMENTS
+from tanagertrail.policy.room import RoomMode
 from tanagertrail.registry import Registry
 from tanagertrail.settings.ini_file import Section
 
@@ -30,10 +31,14 @@
 
 
 class PolicySection(Section):
-    """Registered names of the policies to use."""
+    """Registered names of the policies to use.
+
+    :ivar room: what is done for requests that meet full upstreams
+    """
 
     placement: Annotated[str, check_registered(PLACEMENTS)] = "expected_cost"
     fleet: Annotated[str, check_registered(FLEET_PLANNERS)] = "reclaimable"
+    room: RoomMode = RoomMode.OFF
 
 
 class LogSection(Section):
