Let requests wait for a place while all upstreams are full

Cause: a request that met full upstreams was refused at once, whatever that cost its caller, although places became free before its objective. Change: [policy] room = wait: a bounded queue in the daemon (64 requests, 8 MiB, 2 s) whose order depends on latest start, priority and customer; requests that are not expected to start in time are refused with the time at which a place is expected; limits on load by priority (2 to 1.5 per slot). Brittle, rated, cold and trial upstreams and isolated requests are not waited for. A stop refuses waiting requests as not run. deploy/gateway.ini stays at retry. Conclusion: no load run on a whole system was made.

--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -17,6 +17,7 @@
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.metrics import GatewayMetrics
 from tanagertrail.gateway.retry_rules import RetryRules
+from tanagertrail.gateway.room_queue import RoomQueue
 from tanagertrail.gateway.silence_watch import SilenceMonitor, SilenceWatch
 from tanagertrail.gateway.stop_gate import StopGate
 from tanagertrail.gateway.suspects import SuspectTracker
@@ -75,6 +76,9 @@
             rng,
             placement,
         )
+        self.selector.load_limits.mode = room
+        self.room_queue = RoomQueue(self.selector, suspects, self.stop_gate, log, rng)
+        self.room_queue.is_cut_off = lambda: self.links.is_cut
         self.retry_rules = RetryRules(
             cluster_view,
             members,
@@ -82,7 +86,6 @@
             self.stop_gate,
             self.selector,
             self.carry_client,
-            room,
         )
         self.retry_rules.is_cut_off = lambda: self.links.is_cut
         self.silences = SilenceMonitor(
@@ -141,14 +144,27 @@
         self.finish_failed(exchange)
 
     async def make_attempt(self, exchange: Exchange) -> UpstreamAttempt | None:
+        """Send a request to an upstream, after a wait if all are full.
+
+        It is None if no upstream may get the request.
+        """
+        while True:
+            exchange.refusal = self.stop_gate.check_attempt(exchange)
+            if exchange.refusal is not None:
+                return None
+            await self.room_queue.let_others_pass(exchange)
+            attempt = await self.attempt_now(exchange)
+            if attempt is not None or exchange.refusal is not None:
+                return attempt
+            if not await self.room_queue.wait_for_place(exchange):
+                return None
+
+    async def attempt_now(self, exchange: Exchange) -> UpstreamAttempt | None:
         """Send a request to an upstream, itself or through another daemon.
 
         Another one carries it if this one is cut off from all upstreams or has used up its part of
         what they take. It is None if no upstream may get the request.
         """
-        exchange.refusal = self.stop_gate.check_attempt(exchange)
-        if exchange.refusal is not None:
-            return None
         if not self.links.uses_own_links():
             attempt = await self.have_carried(exchange)
             if attempt is not None or self.links.is_cut:
@@ -197,6 +213,7 @@
             )
         finally:
             entry.isolated_requests -= int(isolated)
+            self.room_queue.fill_place(exchange.service)
         if self.metrics is not None:
             self.metrics.attempts[exchange.service, attempt.result.value] += 1
         try:
@@ -287,6 +304,8 @@
             "config": self.cluster_view.config.version,
             "config_age_s": round(min(self.cluster_view.config_age, 1e6), 2),
         }
+        if exchange.wait_began_at is not None:
+            fields["wait_began_ms"] = round((exchange.wait_began_at - exchange.arrived_at) * 1000)
         if exchange.free_refusals:
             fields["free_refusals"] = exchange.free_refusals
         if exchange.carrier:
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -84,6 +84,7 @@
     :ivar begun: representation of the stream that the caller is being sent, None before or if the
         origin does not state it
     :ivar free_refusals: upstreams' refusals that used up none of the route's attempts
+    :ivar wait_began_at: event-loop time in seconds at which it began to wait for a place, else None
     :ivar resend_claimed: whether the retry budget has a place for the next attempt
     :ivar first_byte_at: event-loop time in seconds of the first byte sent to the caller
     :ivar continues: whether the origin has sent its caller events of this stream
@@ -119,6 +120,7 @@
         self.splitter = EventSplitter(fields.last_event_id)
         self.begun: Representation | None = None
         self.free_refusals = 0
+        self.wait_began_at: float | None = None
         self.resend_claimed = False
         self.first_byte_at: float | None = None
         self.continues = False
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -25,6 +25,9 @@
     yield GaugeRow("cut_from_upstreams", float(node.links.is_cut), {})
     yield GaugeRow("upstream_probe_rounds", node.links.rounds, {})
     yield GaugeRow("in_flight", node.dispatcher.in_flight, {})
+    room_queue = node.dispatcher.room_queue
+    yield GaugeRow("requests_waiting", room_queue.count_waiting(), {})
+    yield GaugeRow("requests_waiting_bytes", room_queue.measure_bytes(), {})
     yield GaugeRow("members_alive", node.members.count_alive(node.loop.time()), {})
     yield GaugeRow("fencing", node.leadership.fencing, {})
     yield GaugeRow("store_calls", node.store.call_count, {})
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -195,7 +195,7 @@
         if self.tuning.metrics.port:
             metrics = GatewayMetrics(lambda: list_gauges(self))
             self.dispatcher.metrics = self.dispatcher.silences.metrics = metrics
-            self.dispatcher.retry_rules.metrics = metrics
+            self.dispatcher.retry_rules.metrics = self.dispatcher.room_queue.metrics = metrics
             address = f"{self.settings.host}:{self.tuning.metrics.port}"
             await self.page_servers.serve_metrics(address, metrics)
         for watch in self.follower.build_watches(self.settings.bounds):
--- a/tanagertrail/gateway/retry_rules.py
+++ b/tanagertrail/gateway/retry_rules.py
@@ -15,7 +15,7 @@
 from tanagertrail.gateway.upstream_selector import UpstreamSelector
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.policy.poison import Verdict
-from tanagertrail.policy.room import RoomMode, allows_another_send, frees_attempt
+from tanagertrail.policy.room import allows_another_send, frees_attempt
 from tanagertrail.policy.windowed_retries import WindowedRetryBudget
 
 DEADLINE_MARGIN_SECONDS = 0.05  # kept back for the response to the caller
@@ -25,7 +25,6 @@
 class RetryRules:
     """Decide on further attempts at requests, and charge them to the retry budgets.
 
-    :ivar room: what happens to requests that full upstreams refuse
     :ivar budgets: retry budgets by service
     :ivar is_cut_off: returns whether this daemon reaches no upstream itself
     :ivar metrics: None if metrics are not exported
@@ -39,7 +38,6 @@
         stop_gate: StopGate,
         selector: UpstreamSelector,
         carry_client: CarryClient,
-        room: RoomMode,
     ) -> None:
         self.cluster_view = cluster_view
         self.members = members
@@ -47,7 +45,6 @@
         self.stop_gate = stop_gate
         self.selector = selector
         self.carry_client = carry_client
-        self.room = room
         self.budgets: dict[str, WindowedRetryBudget] = {}
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.metrics: GatewayMetrics | None = None
@@ -128,7 +125,7 @@
             return False
         entry = self.cluster_view.upstreams.entries.get(attempt.upstream)
         is_free = frees_attempt(
-            self.room,
+            self.selector.load_limits.mode,
             attempt.head.status if attempt.head is not None else None,
             entry is not None and self.selector.has_own_limit(entry),
             self.suspects.must_run_isolated(exchange.fingerprint),
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -9,6 +9,7 @@
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.exchange import Exchange
+from tanagertrail.gateway.load_limits import LoadLimits, Places
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.trials import RolloutTrials
@@ -21,15 +22,16 @@
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.placement import PLACEMENTS, PlacementCandidate, PlacementRequest
 from tanagertrail.policy.retry_after import ReturnSchedule, estimate_retry_after
+from tanagertrail.policy.room import MAX_LOAD_FACTOR
 
 PREFIX_TTL_SECONDS = 20.0  # for which a prompt prefix is assumed to stay cached
-MAX_LOAD_FACTOR = 2.0  # running requests per slot, above which an upstream would reject more
 SPARE_LOAD_FACTOR = 0.5  # running requests per slot, below which a retry would start at once
 
 
 class UpstreamSelector:
     """Select among the upstreams of a service.
 
+    :ivar load_limits: how full upstreams may be made by a request
     :ivar prefix_index: which prompt prefixes this daemon has sent to which upstream
     :ivar choose_candidate: placement strategy
     :ivar last_dispatch_at: event-loop time in seconds of the last dispatch, by service
@@ -56,6 +58,7 @@
         self.rng = rng
         self.prefix_index = PrefixIndex(PREFIX_TTL_SECONDS)
         self.choose_candidate = PLACEMENTS.get(placement)
+        self.load_limits = LoadLimits(cluster_view)
         self.last_dispatch_at: dict[str, float] = {}
         self.return_schedules: dict[str, ReturnSchedule] = {}
 
@@ -70,12 +73,13 @@
             beside another such request. All daemons select the same upstream for it.
         """
         now = self.now()
+        load_limit = self.load_limits.get_limit(exchange)
         tried_upstreams = {attempt.upstream for attempt in exchange.attempts}
         entries = {
             entry.record.id: entry
             for entry in self.cluster_view.upstreams.iter_service(exchange.service)
             if entry.record.id not in tried_upstreams
-            and self.is_eligible(entry, now)
+            and self.is_eligible(entry, now, load_limit)
             and not (isolated and entry.isolated_requests)
         }
         if not entries:
@@ -121,12 +125,47 @@
         }
         return canary_entries or entries
 
-    def is_eligible(self, entry: UpstreamEntry, now: float) -> bool:
-        """Return whether an upstream may get a request now."""
+    def find_places(self, exchange: Exchange, now: float) -> Places:
+        """Find whether an upstream that a request was not sent to has a place for it.
+
+        Upstreams that limits other than their load keep from getting it are not waited for: a
+        place that becomes free there does not help.
+        """
+        load_limit = self.load_limits.get_limit(exchange)
+        tried_upstreams = {attempt.upstream for attempt in exchange.attempts}
+        places = Places.NONE
+        for entry in self.cluster_view.upstreams.iter_service(exchange.service):
+            if entry.record.id in tried_upstreams:
+                continue
+            is_full = entry.running >= entry.record.slots * load_limit
+            if not is_full and self.is_eligible(entry, now, load_limit):
+                return Places.FREE
+            if places is Places.NONE and self.is_limited_by_load(entry, now):
+                places = Places.FULL
+        return places
+
+    def is_limited_by_load(self, entry: UpstreamEntry, now: float) -> bool:
+        """Return whether nothing but its load may keep requests from an upstream."""
+        record = entry.record
+        if not self.is_in_use(entry, now) or now < entry.cold_until:
+            return False
+        if self.trials.get_version_use(record.service, record.version) is VersionUse.BUDGETED:
+            return False
+        if self.statements.count_wait_left(entry) or self.has_own_limit(entry):
+            return False
+        return self.brittle.allows_request(entry)
+
+    def is_eligible(
+        self, entry: UpstreamEntry, now: float, load_limit: float = MAX_LOAD_FACTOR
+    ) -> bool:
+        """Return whether an upstream may get a request now.
+
+        :param load_limit: running requests per slot up to which it may get one
+        """
         record = entry.record
         if not self.is_in_use(entry, now):
             return False
-        if entry.running >= record.slots * MAX_LOAD_FACTOR:
+        if entry.running >= record.slots * load_limit:
             return False
         use = self.trials.get_version_use(record.service, record.version)
         if use is VersionUse.BUDGETED and not self.may_receive_canary(entry, now):
@@ -322,12 +361,13 @@
         :param must_be_idle: whether only a lightly loaded one counts
         """
         now = self.now()
+        load_limit = self.load_limits.get_limit(exchange)
         tried_upstreams = {attempt.upstream for attempt in exchange.attempts}
         return any(
             other is not entry
             and other.record.id not in tried_upstreams
             and not (must_be_idle and other.running >= other.record.slots * SPARE_LOAD_FACTOR)
             and now >= other.silent_until
-            and self.is_eligible(other, now)
+            and self.is_eligible(other, now, load_limit)
             for other in self.cluster_view.upstreams.iter_service(exchange.service)
         )
--- a/tests/test_retry_elsewhere.py
+++ b/tests/test_retry_elsewhere.py
@@ -21,7 +21,7 @@
     try:
         await world.start(build_config())
         rules = world.node.dispatcher.retry_rules
-        rules.room = room
+        world.node.dispatcher.selector.load_limits.mode = room
         rules.metrics = GatewayMetrics(list)
         for upstream in world.upstreams[:refusing]:
             upstream.faults.append("refuse")
@@ -114,7 +114,7 @@
     """Refusals that came through a carrier would use up the attempts of a daemon cut off."""
     async with open_fleet("entry-2") as fleet:
         for node in fleet.nodes:
-            node.dispatcher.retry_rules.room = RoomMode.RETRY
+            node.dispatcher.selector.load_limits.mode = RoomMode.RETRY
         set_links(fleet.nodes[0], SetLinks())
         fleet.upstreams[0].faults.append("refuse")
         replies = [await fleet.fetch("/book/1", b"slot") for _ in range(4)]
