--- a/tanagertrail/settings/gateway.py
+++ b/tanagertrail/settings/gateway.py
@@ -8,6 +8,7 @@
 
 from tanagertrail.policy.fleet import FLEET_PLANNERS
 from tanagertrail.policy.placement import PLACEMENTS
+from tanagertrail.policy.room import RoomMode
 from tanagertrail.registry import Registry
 from tanagertrail.settings.ini_file import Section
 
@@ -35,11 +36,13 @@
     :ivar placement: registered name; likewise ``fleet``
     :ivar startup_wait_ms: longest time for which a request waits until a daemon that has just
         started knows enough to serve it, 0 to refuse it at once
+    :ivar room: what is done for requests that meet full upstreams
     """
 
     placement: Annotated[str, check_registered(PLACEMENTS)] = "expected_cost"
     fleet: Annotated[str, check_registered(FLEET_PLANNERS)] = "reclaimable"
     startup_wait_ms: Annotated[int, Field(ge=0, le=2000)] = 0
+    room: RoomMode = RoomMode.OFF
 
 
 class LogSection(Section):
