Admit customers' long prompts in the first second after a kill of all daemons

Cause: in the first second each daemon admits two even parts of what the fleet may use, and no request that is larger than that. At 89 daemons the part is some 3,000 tokens, so most long prompts were refused with 429 at each daemon, on the only retry that their callers have. Change: a request may exceed the rest of the part by a share that is drawn once for a customer and daemon; a 429 in the first second is decided again every 50 ms within the wait at a start. Ruled out: a larger initial level; tests.test_quota refused it (a restart 0.5 s after the end broke the limit at 1,050 units a second).

--- a/tanagertrail/gateway/admission.py
+++ b/tanagertrail/gateway/admission.py
@@ -25,12 +25,14 @@
 
     :ivar retry_after: value of the ``Retry-After`` header in seconds, None for no header
     :ivar log_fields: the values that the decision was based on
+    :ivar may_change: whether a daemon that has just started may soon decide otherwise
     """
 
     status: int
     reason: str
     retry_after: float | None = None
     log_fields: dict[str, Any] = {}
+    may_change: bool = False
 
 
 StopCheck = Callable[[Route, CallerFields], Refusal | None]
@@ -136,7 +138,9 @@
         if quota_refusal is None:
             return None
         log_fields = {"customer": customer.name, **quota_refusal._asdict()}
-        return Refusal(429, "over the quota", quota_refusal.retry_after, log_fields)
+        return Refusal(
+            429, "over the quota", quota_refusal.retry_after, log_fields, quota_refusal.starting
+        )
 
     def charge_quota(self, customer: Customer, fields: CallerFields) -> QuotaRefusal | None:
         """Charge a request to its customer's quota; return the reason if it is exceeded."""
--- a/tanagertrail/gateway/dispatch.py
+++ b/tanagertrail/gateway/dispatch.py
@@ -39,7 +39,7 @@
     :ivar in_flight: requests of callers in progress
     :ivar prompt_tokens_sent: prompt tokens of the requests so far, by service
     :ivar stop_gate: lengths of requests, and what a planned stop does with them
-    :ivar startup: holds requests until this daemon knows enough to serve; None to refuse them
+    :ivar startup: holds requests until this daemon knows enough to decide on them
     :ivar metrics: None if metrics are not exported
     """
 
@@ -96,7 +96,7 @@
         self.silences.is_cut_off = lambda: self.links.is_cut
         self.in_flight = 0
         self.prompt_tokens_sent: Counter[str] = Counter()
-        self.startup: Startup | None = None
+        self.startup = Startup(cluster_view, members, log)
         self.metrics: GatewayMetrics | None = None
 
     async def handle(self, request: CallerRequest, stream: CallerStream) -> None:
@@ -111,9 +111,9 @@
         """Admit a request and forward it to an upstream, or refuse it."""
         fields = decode_caller_fields(request.headers)
         arrived_at = self.now()
-        if self.startup is not None:
-            await self.startup.wait_until_known(fields.timeout)
-        admitted = self.admission.admit(request, fields)
+        admitted = await self.startup.admit(
+            lambda: self.admission.admit(request, fields), fields.timeout
+        )
         if isinstance(admitted, Refusal):
             self.refuse(stream, fields.request_id, admitted)
             return
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -84,7 +84,7 @@
         self.cluster_view.upstreams.on_registration_ended = self.crash_detector.note_crashed
         self.suspects = SuspectTracker(self.log)
         self.crash_detector.on_crash = self.suspects.record_loss
-        self.quota = QuotaLimiter(settings.bounds.quota_window, self.loop.time())
+        self.quota = QuotaLimiter(settings.bounds.quota_window, self.loop.time(), self.rng)
         self.wall_clock = SteadyWallClock(read_wall_time, read_boot_time)
         self.usage = UsageCounter(settings.bounds.usage_window, self.wall_clock.read)
         self.links = UpstreamLinks(self.cluster_view, self.pools, self.members, self.log, self.rng)
--- a/tanagertrail/gateway/startup.py
+++ b/tanagertrail/gateway/startup.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 
+from tanagertrail.gateway.admission import Admitted, Refusal
 from tanagertrail.gateway.cluster_view import ClusterView
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.members import MemberTable
@@ -12,9 +13,15 @@
 
 CONTACT_SECONDS = 0.1  # between two attempts to reach daemons that were not heard
 CHECK_SECONDS = 0.02
+DECISION_SECONDS = 0.05  # between two decisions on a request that is held
 MAX_WAITING_REQUESTS = 256  # each holds its body, of which all together are bounded elsewhere
 
 
+def may_change(admitted: Admitted | Refusal) -> bool:
+    """Return whether a decision may soon be another, since the daemon has just started."""
+    return isinstance(admitted, Refusal) and admitted.may_change
+
+
 class Startup:
     """Learn what is needed to serve, and hold the requests that arrive before.
 
@@ -89,23 +96,34 @@
             if state.last_seen_at >= self.started_at:
                 yield PeerStart(state.member.incarnation, state.serving)
 
-    async def wait_until_known(self, seconds_left: float | None) -> None:
-        """Hold a request until enough is known to serve it, but only for a part of its time.
+    async def admit(
+        self, admit: Callable[[], Admitted | Refusal], seconds_left: float | None
+    ) -> Admitted | Refusal:
+        """Admit a request, and hold it while this daemon may soon know enough to admit it.
+
+        It is held for a part of its time only.
 
+        :param admit: decides on the request by what is known
         :param seconds_left: time until its caller gives up, None if not stated
         """
         if self.known.is_set():
-            return
+            admitted = admit()
+            if not may_change(admitted):
+                return admitted
         seconds = plan_startup_wait(
             self.longest_wait, seconds_left, self.waiting, MAX_WAITING_REQUESTS
         )
-        if seconds <= 0:
-            return
         self.waiting += 1
         try:
             async with asyncio.timeout(seconds):
                 await self.known.wait()
+                admitted = admit()
+                while may_change(admitted):
+                    await asyncio.sleep(DECISION_SECONDS)
+                    admitted = admit()
+                return admitted
         except TimeoutError:
             self.log.write_routine("startup_wait_ended", waited_s=round(seconds, 3))
+            return admit()
         finally:
             self.waiting -= 1
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Quota", "QuotaLimiter", "QuotaRefusal", "QuotaUsage"]
 
+import random
 from collections import deque
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
@@ -92,6 +93,7 @@
     :ivar used: units that all daemons used in the window
     :ivar limit: units that all daemons may use in a window
     :ivar heard: number of other daemons whose usage is known
+    :ivar starting: whether this daemon has just started, so that it cannot know their usage yet
     """
 
     retry_after: float
@@ -100,6 +102,7 @@
     used: float
     limit: float
     heard: int
+    starting: bool = False
 
 
 class RecentUnits:
@@ -123,9 +126,12 @@
     """What one customer requested from this daemon, and what was admitted.
 
     :ivar total_units: units that were admitted since the start
+    :ivar rounding: number in [0, 1) by which a request may exceed a share that is smaller than it;
+        it differs between daemons, so that all together use the share on average
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rounding: float = 0.0) -> None:
+        self.rounding = rounding
         self.total_units = 0.0
         self.admitted = RecentUnits()
         self.requested = RecentUnits()
@@ -210,11 +216,13 @@
     particular right after a start, when all callers retry together.
 
     :ivar window: length in seconds of the window in which rate and burst must hold together
+    :ivar rng: draws the rounding of customers' shares at a start, None for none
     """
 
-    def __init__(self, window: float, started_at: float) -> None:
+    def __init__(self, window: float, started_at: float, rng: random.Random | None = None) -> None:
         self.window = window
         self.started_at = started_at
+        self.rng = rng
         self.own_usage: dict[str, CustomerUsage] = {}
         self.peer_reports: dict[str, PeerReport] = {}
         self.buckets: dict[str, Bucket] = {}
@@ -332,7 +340,10 @@
 
         :param members: number of daemons that share the quota, this one included
         """
-        own_usage = self.own_usage.setdefault(customer, CustomerUsage())
+        own_usage = self.own_usage.get(customer)
+        if own_usage is None:
+            rounding = self.rng.random() if self.rng is not None else 0.0
+            own_usage = self.own_usage[customer] = CustomerUsage(rounding)
         own_usage.requested.add(units, now)
         bucket = self.refill(customer, quota, members, now)
         needed = min(units, quota.compute_capacity(self.relayed))
@@ -352,6 +363,7 @@
             used,
             limit,
             self.count_reporting_daemons(now),
+            now - self.started_at <= STARTUP_UNREPORTED_SECONDS,
         )
 
     def compute_startup_excess(
@@ -359,15 +371,15 @@
     ) -> float:
         """Return by how many units a request exceeds this daemon's share just after the start.
 
-        Daemons that start at the same time do not know each other's usage yet. A single request
-        may be larger than the share.
+        Daemons that start at the same time do not know each other's usage yet. A request that is
+        larger than the rest of the share is admitted at some of them.
         """
         elapsed = now - self.started_at
         usage = self.own_usage.get(customer)
         if elapsed > STARTUP_UNREPORTED_SECONDS or usage is None or members == 1:
             return 0.0
         share = STARTUP_SHARE_FACTOR / members * (quota.initial_level + elapsed * quota.rate)
-        return usage.total_units + units - share
+        return usage.total_units + (1.0 - usage.rounding) * units - share
 
     def count_reporting_daemons(self, now: float) -> int:
         """Count the other daemons whose usage is known."""
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.members import MEMBERS_KIND, Member, MemberTable
 from tanagertrail.gateway.node import GatewayNode
@@ -13,6 +14,7 @@
 from tests.gateway_utils import World, build_config, build_settings, run_in_real_time
 from tests.utils import with_virtual_time
 
+REFUSED = Refusal(503, "too little is known yet", 0.3)
 OWN_START = 1_800_000_000_000
 
 
@@ -76,7 +78,7 @@
 @with_virtual_time
 async def test_waiting_requests_are_bounded_and_released_together():
     startup = build_startup(0.5)
-    waits = [asyncio.create_task(startup.wait_until_known(10.0)) for _ in range(300)]
+    waits = [asyncio.create_task(startup.admit(lambda: REFUSED, 10.0)) for _ in range(300)]
     await asyncio.sleep(0.1)
     assert startup.waiting == MAX_WAITING_REQUESTS
     assert sum(wait.done() for wait in waits) == 300 - MAX_WAITING_REQUESTS
@@ -88,13 +90,27 @@
 @with_virtual_time
 async def test_a_caller_that_leaves_is_not_held():
     startup = build_startup(0.5)
-    wait = asyncio.create_task(startup.wait_until_known(10.0))
+    wait = asyncio.create_task(startup.admit(lambda: REFUSED, 10.0))
     await asyncio.sleep(0.1)
     wait.cancel()
     await asyncio.gather(wait, return_exceptions=True)
     assert startup.waiting == 0
 
 
+@with_virtual_time
+async def test_usage_that_cannot_be_known_yet_sends_callers_away():
+    startup = build_startup(1.0)
+    startup.known.set()
+    decisions = [Refusal(429, "over the quota", 0.2, {}, True)] * 3 + [REFUSED]
+    assert await startup.admit(lambda: decisions.pop(0), 10.0) is REFUSED
+    assert not decisions
+    # Not beyond the part of its time.
+    began = startup.now()
+    held = await startup.admit(lambda: Refusal(429, "over the quota", 0.2, {}, True), 2.0)
+    assert held.status == 429
+    assert startup.now() - began == 0.5
+
+
 async def answer_at_a_start(startup_wait_ms: int) -> int:
     """Send a request to a daemon that awaits the limits in force; return the status.
 
