Expose the parsed configuration document

Cause: a check of a configuration needs what decoding to ServingConfig drops: duplicate names, order of routes, attempts below 1. Change: parse_configuration returns the validated document, build_targets the services of a route; decode_configuration and build_route use them. Conclusion: decoding is unchanged; tests.test_adapter passes.

--- a/tanagertrail/platform/records.py
+++ b/tanagertrail/platform/records.py
@@ -8,8 +8,13 @@
     "CONFIGURATION",
     "EVACUATIONS",
     "UPSTREAMS",
+    "ConfigurationDocument",
+    "RouteDocument",
+    "TenantDocument",
+    "build_targets",
     "decode_configuration",
     "decode_upstream",
+    "parse_configuration",
 ]
 
 from typing import Annotated, Any, Literal
@@ -200,15 +205,23 @@
     )
 
 
-def decode_configuration(content: Any) -> ServingConfig:
-    """Decode the operator's configuration.
+def parse_configuration(content: Any) -> ConfigurationDocument:
+    """Parse the operator's configuration.
 
     :raises InvalidInputError: naming each wrong field and the rule it breaks
     """
     try:
-        document = ConfigurationDocument.model_validate(content)
+        return ConfigurationDocument.model_validate(content)
     except ValidationError as error:
         raise convert_validation_error(error) from error
+
+
+def decode_configuration(content: Any) -> ServingConfig:
+    """Decode the operator's configuration.
+
+    :raises InvalidInputError: naming each wrong field and the rule it breaks
+    """
+    document = parse_configuration(content)
     customers = {item.name: build_customer(item) for item in document.tenants}
     return ServingConfig(
         document.version,
@@ -231,11 +244,14 @@
     }
 
 
+def build_targets(document: RouteDocument) -> tuple[WeightedService, ...]:
+    """Return the services that a route forwards to; ``service`` counts without ``backends``."""
+    targets = tuple(WeightedService(item.service, item.weight) for item in document.backends)
+    return targets or (WeightedService(document.service, 1.0),)
+
+
 def build_route(document: RouteDocument) -> Route:
     """Build a route."""
-    targets = [WeightedService(item.service, item.weight) for item in document.backends]
-    if not targets:
-        targets = [WeightedService(document.service, 1.0)]
     return Route(
         document.name,
         document.host.lower(),
@@ -244,7 +260,7 @@
         document.timeout_ms / MILLISECONDS,
         document.slo_ms / MILLISECONDS,
         document.priority,
-        tuple(targets),
+        build_targets(document),
         max(document.attempts, 1),
         document.public,
         document.sticky,
