Check a configuration before it is stored

Cause: faults of a configuration were seen only once daemons had it in force or had refused it. Exit status 0, 1 (warnings) or 2 (errors, unreadable files, unknown flags).

--- a/tanagertrail/operators/cli.py
+++ b/tanagertrail/operators/cli.py
@@ -12,7 +12,9 @@
 from tanagertrail.operators import actions
 from tanagertrail.operators.beliefs import format_report, read_report
 from tanagertrail.operators.client import OperatorError
+from tanagertrail.operators.config_report import ConfigReport, check_configuration_file
 from tanagertrail.operators.explain import LogLine, explain_request, format_line, merge_logs
+from tanagertrail.operators.findings import Severity
 from tanagertrail.timeline.merge import format_event
 
 EXIT_REFUSED = 1
@@ -20,6 +22,7 @@
 EXIT_UNREACHABLE = 3
 EXIT_TAKEN_BACK = 4
 EXIT_TIMEOUT = 5
+CHECK_STATUSES = {Severity.INFO: 0, Severity.WARNING: 1, Severity.ERROR: EXIT_INVALID}
 DEFAULT_ADDRESS = "127.0.0.1:8081"
 
 
@@ -122,6 +125,21 @@
         for name, view in status["daemons"].items():
             print(f"daemon {name}: {view['state']} in {view['failure_domain']}")
 
+    def check_config(
+        self, file: str, against: str | None = None, json: bool = False, **unknown: object
+    ) -> None:
+        """Check the configuration in FILE; with --against, compare it with the one in force."""
+        if unknown:  # fire would report it only after this command, which has exited by then
+            print(f"check-config: unknown flags {', '.join(unknown)}", file=sys.stderr)
+            sys.exit(EXIT_INVALID)
+        report = check_configuration_file(str(file), None if against is None else str(against))
+        if json:
+            findings = [finding._asdict() for finding in report.findings]
+            print_json({**report._asdict(), "findings": findings, "worst": report.worst})
+        else:
+            print_check(report)
+        sys.exit(CHECK_STATUSES[report.worst])
+
     def explain(self, request: str, *files: str) -> None:
         """Show what decided the outcome of REQUEST, by the gateways' logs in FILES."""
         found = explain_request(str(request), merge_logs(str(file) for file in files))
@@ -170,6 +188,14 @@
             print(format_event(event))
 
 
+def print_check(report: ConfigReport) -> None:
+    """Print the findings on a configuration and their numbers."""
+    for finding in report.findings:
+        print(finding)
+    counts = ", ".join(f"{severity}: {report.count(severity)}" for severity in Severity)
+    print(f"{report.file!r}, findings by severity: {counts}")
+
+
 def print_lines(title: str, lines: list[LogLine]) -> None:
     """Print lines of a log under a title."""
     print(f"{title}:")
