Decode the slowdown in stated loads, learn read rates and place by expected finish

Cause: upstreams state their load in each answer and no decision used it; engines of one service differ by a factor of 2.7 in speed and all count alike.

Change: the load field has an optional fourth figure, an odd one is ignored alone, counted and logged once. The newest statement is kept with its time. Read rates are learned from first events, as yet by each daemon alone. The strategy expected_finish uses both; expected_cost stays the default.

--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -12,6 +12,7 @@
 
 from tanagertrail.bench.build import build_model_ticket
 from tanagertrail.bench.cold import run_cold
+from tanagertrail.bench.decisions import PROMPTS, run_decisions
 from tanagertrail.bench.hubs import run_hubs
 from tanagertrail.bench.journals import run_journal
 from tanagertrail.bench.limits import run_limits
@@ -123,6 +124,19 @@
         rows = [asyncio.run(run_hubs(n, upstreams)) for n in as_tuple(sizes)]
         print(format_table(rows))
 
+    def decisions(
+        self,
+        placements: str = '"expected_cost","expected_finish"',
+        upstreams: int = 45,
+    ) -> None:
+        """Print the processor time of a decision, by placement and kind of prompt."""
+        rows = [
+            run_decisions(placement, prompt, upstreams)
+            for placement in as_tuple(placements)
+            for prompt in PROMPTS
+        ]
+        print(format_table(rows))
+
     def load(
         self,
         patterns: str = '"wave","burst","hot_key","reclaim"',
--- /dev/null
+++ b/tanagertrail/bench/decisions.py
@@ -0,0 +1,97 @@
+"""Experiment: processor time of one decision for an upstream, by placement and kind of prompt."""
+
+__all__ = ["DecisionResult", "run_decisions"]
+
+import random
+import time
+from typing import NamedTuple
+
+from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
+from tanagertrail.gateway.cluster_view import ClusterView
+from tanagertrail.gateway.eventlog import EventLog
+from tanagertrail.gateway.members import Member, MemberTable
+from tanagertrail.gateway.model import SharedBounds, Upstream
+from tanagertrail.gateway.rate_limits import RateLimitTable
+from tanagertrail.gateway.shared_rates import SharedRates
+from tanagertrail.gateway.trials import RolloutTrials
+from tanagertrail.gateway.upstream_load import StatedLoad
+from tanagertrail.gateway.upstream_selector import UpstreamSelector
+from tanagertrail.gateway.upstream_statements import UpstreamStatements
+from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.platform.header_fields import UpstreamLoad
+from tanagertrail.policy.choice import PrefixIndex
+from tanagertrail.policy.placement import PLACEMENTS, PlacementRequest
+
+PROMPTS = {"short": (119, 79, 628), "tag": (341, 227, 1800), "long": (512, 4870, 54_600)}
+SPEEDS = (0.6, 1.0, 1.6)
+SLOTS = 12
+ROUNDS = 2000
+
+
+class DecisionResult(NamedTuple):
+    """Processor time of a decision.
+
+    :ivar describe_us: microseconds to describe all upstreams
+    :ivar choose_us: microseconds to choose among them
+    """
+
+    placement: str
+    prompt: str
+    upstreams: int
+    describe_us: float
+    choose_us: float
+
+
+def build_entries(count: int) -> list[UpstreamEntry]:
+    """Build upstreams of uneven speeds; a third have stated their load lately."""
+    entries = []
+    for number in range(count):
+        name, domain = f"i-{number:010x}", f"d{number % 4}"
+        record = Upstream(name, "m", "h:1", domain, "v", SLOTS, False, 0, 1.0, False, None)
+        entry = UpstreamEntry(record)
+        entry.in_flight_elsewhere = number % SLOTS
+        entry.read_rate = 150_000.0 * SPEEDS[number % 3]
+        if number % 3 == 0:
+            entry.load = StatedLoad(UpstreamLoad(4, 0, SLOTS, 100), 4, 10.0)
+        entries.append(entry)
+    return entries
+
+
+def build_selector(placement: str) -> UpstreamSelector:
+    """Build a selector that knows of no limits, which only describes upstreams."""
+    members = MemberTable(Member("bench", 1, "h:1", "h:2", "d0"), EventLog("bench", time.monotonic))
+    view = ClusterView(SharedBounds(*[1.0] * len(SharedBounds._fields)), time.monotonic)
+    trials = RolloutTrials(view)
+    statements = UpstreamStatements(view.upstreams, members.log, time.monotonic)
+    rates = SharedRates(members, lambda: True)
+    limits = RateLimitTable(rates, members.log, time.monotonic)
+    brittle = BrittleUpstreams(view.upstreams, rates, members.log, time.monotonic)
+    return UpstreamSelector(
+        view, members, trials, limits, statements, brittle, random.Random(1), placement
+    )
+
+
+def run_decisions(placement: str, prompt: str, upstreams: int) -> DecisionResult:
+    """Measure decisions with the stale loads of many daemons."""
+    entries = build_entries(upstreams)
+    index = PrefixIndex(20.0)
+    tokens = PROMPTS[prompt]
+    choose = PLACEMENTS.get(placement)
+    selector = build_selector(placement)
+    started = time.process_time()
+    for _ in range(ROUNDS):
+        candidates = [selector.build_candidate(entry, 10.3) for entry in entries]
+    described = time.process_time()
+    for number in range(ROUNDS):
+        parts = ("common", f"session-{number % 85}", f"own-{number}")
+        request = PlacementRequest(parts, tokens, sum(tokens), 10.0, f"r{number}")
+        chosen = choose(request, candidates, index)
+        index.note_stored(chosen.upstream, parts, 10.0)
+    chosen_at = time.process_time()
+    return DecisionResult(
+        placement,
+        prompt,
+        upstreams,
+        round(1e6 * (described - started) / ROUNDS, 1),
+        round(1e6 * (chosen_at - described) / ROUNDS, 1),
+    )
--- a/tanagertrail/emulator/load.py
+++ b/tanagertrail/emulator/load.py
@@ -10,6 +10,7 @@
 
 from tanagertrail.emulator.engine import EngineModel, EngineShape, Job
 from tanagertrail.emulator.patterns import KINDS, PATTERNS, Arrival, Loss, Need
+from tanagertrail.policy import expected_finish as _expected_finish  # noqa: F401  fills PLACEMENTS
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.placement import PLACEMENTS, PlacementCandidate, PlacementRequest
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -1,6 +1,6 @@
 """A caller's request in progress, and the results of the attempts at upstreams."""
 
-__all__ = ["AttemptResult", "Exchange", "UpstreamAttempt", "compute_timeout"]
+__all__ = ["AttemptResult", "Exchange", "Reading", "UpstreamAttempt", "compute_timeout"]
 
 import asyncio
 import enum
@@ -69,6 +69,17 @@
         )
 
 
+class Reading(NamedTuple):
+    """The part of a prompt that an upstream has to read.
+
+    :ivar tokens: expected number of tokens
+    :ivar uncertain: tokens that it may or may not have cached
+    """
+
+    tokens: float
+    uncertain: float
+
+
 class Exchange:
     """A caller's request and the state of its processing.
 
@@ -89,6 +100,7 @@
     :ivar origin: daemon that this one carries the request for, empty for an own request
     :ivar carrier: daemon that was last asked to carry the request, empty if none was
     :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
+    :ivar reading: what the upstream of the last attempt has to read of the prompt, None if unknown
     :ivar stop_decision: why a planned stop allowed the last attempt, None before it
     """
 
@@ -124,6 +136,7 @@
         self.carrier = ""
         self.refusal: Refusal | None = None
         self.stop_decision: StopDecision | None = None
+        self.reading: Reading | None = None
         self.sent_at = now
 
     @property
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -43,6 +43,7 @@
 from tanagertrail.gateway.supervision import Supervisor
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
+from tanagertrail.gateway.upstream_paces import UpstreamPaces
 from tanagertrail.gateway.upstream_sender import UpstreamSender
 from tanagertrail.gateway.upstream_statements import UpstreamStatements
 from tanagertrail.gateway.usage import UsageCounter
@@ -102,6 +103,7 @@
         self.brittle = BrittleUpstreams(
             self.cluster_view.upstreams, self.shared_rates, self.log, read_boot_time
         )
+        self.paces = UpstreamPaces(self.cluster_view.upstreams, self.statements, read_boot_time)
         self.dispatcher = Dispatcher(
             self.cluster_view,
             self.members,
@@ -113,6 +115,7 @@
                 self.rate_limits,
                 self.statements,
                 self.brittle,
+                self.paces,
                 self.links,
                 self.tuning.answers.most_bytes,
                 self.log,
@@ -307,6 +310,7 @@
             self.statements.forget_ended()
             self.brittle.forget_ended(self.cluster_view.upstreams.entries)
             self.brittle.forget_rooms()
+            self.paces.forget_ended(self.cluster_view.upstreams.entries)
             self.shared_rates.forget_except(self.rate_limits.list_keys())
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -8,22 +8,32 @@
 from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.cluster_view import ClusterView
-from tanagertrail.gateway.exchange import Exchange
+from tanagertrail.gateway.exchange import Exchange, Reading
 from tanagertrail.gateway.members import MemberTable
+from tanagertrail.gateway.model import PromptShape
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.trials import RolloutTrials
+from tanagertrail.gateway.upstream_load import estimate_load
 from tanagertrail.gateway.upstream_statements import UpstreamStatements
 from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.policy import expected_finish as _expected_finish  # noqa: F401  fills PLACEMENTS
 from tanagertrail.policy.canary import VersionUse
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.cold_rate import ColdRateLimiter
-from tanagertrail.policy.hashing import score_pair
+from tanagertrail.policy.hashing import find_preferred, score_pair
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
-from tanagertrail.policy.placement import PLACEMENTS, PlacementCandidate, PlacementRequest
+from tanagertrail.policy.placement import (
+    HOLDER_CACHE_PROBABILITY,
+    PLACEMENTS,
+    PlacementCandidate,
+    PlacementRequest,
+)
 from tanagertrail.policy.retry_after import ReturnSchedule, estimate_retry_after
 
 PREFIX_TTL_SECONDS = 20.0  # for which a prompt prefix is assumed to stay cached
 MAX_LOAD_FACTOR = 2.0  # running requests per slot, above which an upstream would reject more
+# Probability that an upstream has cached a shared part that this daemon has not sent there lately.
+UNSURE_CACHE_PROBABILITY = 0.3
 SPARE_LOAD_FACTOR = 0.5  # running requests per slot, below which a retry would start at once
 
 
@@ -85,7 +95,7 @@
             return entries[max(entries, key=lambda name: score_pair(exchange.fingerprint, name))]
         entries = self.prefer_heard(entries, now)
         entries = self.prefer_canary(exchange, entries)
-        candidates = [self.build_candidate(entry) for entry in entries.values()]
+        candidates = [self.build_candidate(entry, now) for entry in entries.values()]
         candidate = self.choose_candidate(
             self.build_placement_request(exchange, now), candidates, self.prefix_index
         )
@@ -196,11 +206,21 @@
         service = self.cluster_view.config.services.get(entry.record.service)
         return service.cold_rate if service else 0.0
 
-    def build_candidate(self, entry: UpstreamEntry) -> PlacementCandidate:
+    def build_candidate(self, entry: UpstreamEntry, now: float) -> PlacementCandidate:
         """Describe an upstream for the placement strategy."""
-        record = entry.record
-        local = record.failure_domain == self.members.own.failure_domain
-        return PlacementCandidate(record.id, entry.running, record.slots, entry.failure_rate, local)
+        record, own, elsewhere = entry.record, entry.in_flight, entry.in_flight_elsewhere
+        running, slowdown = estimate_load(entry.load, own, elsewhere, now)
+        return PlacementCandidate(
+            record.id,
+            own + elsewhere,
+            record.slots,
+            entry.failure_rate,
+            record.failure_domain == self.members.own.failure_domain,
+            running,
+            entry.read_rate,
+            slowdown,
+            entry.unread_tokens,
+        )
 
     def build_placement_request(self, exchange: Exchange, now: float) -> PlacementRequest:
         """Describe a request for the placement strategy."""
@@ -228,9 +248,33 @@
             entry.cold_limiter.spend()
         self.rate_limits.note_sent(entry)
         if exchange.fields.prompt is not None:
+            exchange.reading = self.predict_reading(exchange.fields.prompt, entry, now)
             parts = [part.id for part in exchange.fields.prompt.parts]
             self.prefix_index.note_stored(entry.record.id, parts, now)
 
+    def predict_reading(self, prompt: PromptShape, entry: UpstreamEntry, now: float) -> Reading:
+        """Predict how much of a prompt an upstream has to read.
+
+        It has cached what this daemon sent there lately. Of the other shared parts, the holder has
+        probably cached all; any other upstream may have.
+        """
+        names = [part.id for part in prompt.parts]
+        cached = self.prefix_index.count_cached(entry.record.id, names, now)
+        known = sum(part.tokens for part in prompt.parts[:cached])
+        unsure = sum(part.tokens for part in prompt.parts[cached:-1])
+        probability = UNSURE_CACHE_PROBABILITY
+        if len(names) > 1 and entry.record.id == self.find_holder(names[-2], entry.record.service):
+            probability = HOLDER_CACHE_PROBABILITY
+        return Reading(
+            max(prompt.input_tokens - known - probability * unsure, 0.0),
+            min(probability, 1.0 - probability) * unsure,
+        )
+
+    def find_holder(self, part: str, service: str) -> str:
+        """Find the upstream that all daemons prefer for a shared part."""
+        names = [entry.record.id for entry in self.cluster_view.upstreams.iter_service(service)]
+        return find_preferred(part, names)
+
     def build_refusal(self, service: str, reason: str) -> Refusal:
         """Build the refusal of a request for which no upstream is left.
 
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -10,12 +10,18 @@
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
+from tanagertrail.gateway.exchange import (
+    AttemptResult,
+    Exchange,
+    Reading,
+    UpstreamAttempt,
+)
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.silence_watch import SilenceWatch
 from tanagertrail.gateway.suspects import SuspectTracker
 from tanagertrail.gateway.upstream_links import UpstreamLinks
+from tanagertrail.gateway.upstream_paces import UpstreamPaces
 from tanagertrail.gateway.upstream_statements import UpstreamStatements
 from tanagertrail.gateway.upstream_stream import ResponseHead, UpstreamStream
 from tanagertrail.gateway.upstream_table import UpstreamEntry
@@ -45,6 +51,7 @@
         rate_limits: RateLimitTable,
         statements: UpstreamStatements,
         brittle: BrittleUpstreams,
+        paces: UpstreamPaces,
         links: UpstreamLinks,
         most_bytes: int,
         log: EventLog,
@@ -56,6 +63,7 @@
         self.rate_limits = rate_limits
         self.statements = statements
         self.brittle = brittle
+        self.paces = paces
         self.links = links
         self.most_bytes = most_bytes
         self.answers = AnswerReader(log, most_bytes)
@@ -70,7 +78,7 @@
         """
         entry.in_flight += 1
         entry.sent_count += 1
-        stream = None
+        stream = transport = None
         started_at = asyncio.get_running_loop().time()
         pending_attempt: UnansweredAttempt | None = None
         answered = False
@@ -93,6 +101,8 @@
             )
         finally:
             entry.in_flight -= 1
+            if transport is not None:
+                transport.end_reading()
             if pending_attempt is not None:
                 self.crash_detector.end_attempt(entry, pending_attempt, answered)
             if stream is not None:
@@ -145,6 +155,7 @@
             self.rate_limits.note_answer(entry, fields, sent_at)
             self.statements.note_answer(entry, head.status, fields)
             self.brittle.note_answer(entry, fields, sent_at)
+            self.paces.note_answer(entry, fields)
 
     def note_result(self, entry: UpstreamEntry, attempt: UpstreamAttempt) -> None:
         """Update the upstream's health from the result of an attempt."""
@@ -166,6 +177,8 @@
     :ivar watch: decides how long a silence may last
     :ivar sent_at: boot time in seconds at which the request is sent
     :ivar claim: what the answer is to the request
+    :ivar reading: what the upstream has to read of the prompt, None from the first event on
+    :ivar read_from: event-loop time in seconds at which the request is sent
     """
 
     def __init__(
@@ -182,6 +195,10 @@
         self.sender = sender
         self.sent_at = sender.rate_limits.boot_time()
         self.claim = Claim.UNPROVEN
+        self.reading = exchange.reading
+        self.read_from = asyncio.get_running_loop().time()
+        if self.reading is not None:
+            entry.unread_tokens += self.reading.tokens
 
     @property
     def upstream(self) -> str:
@@ -240,8 +257,19 @@
         return await self.stream.read_body_chunk()
 
     def note_events(self) -> None:
-        """Record that the upstream is reached."""
+        """Record that the upstream is reached, and learn from the first event how fast it reads."""
         self.sender.links.note_reached(self.entry)
+        reading = self.end_reading()
+        if reading is not None and not self.exchange.is_continuation:
+            seconds = asyncio.get_running_loop().time() - self.read_from
+            self.sender.paces.note_first_event(self.entry, *reading, seconds)
+
+    def end_reading(self) -> Reading | None:
+        """Record that the prompt is read, and return what there was to read the first time."""
+        reading, self.reading = self.reading, None
+        if reading is not None:
+            self.entry.unread_tokens -= reading.tokens
+        return reading
 
     def suspended(self) -> AbstractContextManager[None]:
         """Count no silence while the caller takes what has arrived."""
--- a/tanagertrail/gateway/upstream_table.py
+++ b/tanagertrail/gateway/upstream_table.py
@@ -8,6 +8,7 @@
 
 from tanagertrail.gateway.crash_detector import UnansweredAttempt
 from tanagertrail.gateway.model import Upstream
+from tanagertrail.gateway.upstream_load import StatedLoad
 from tanagertrail.policy.cold_rate import ColdRateLimiter
 
 FAILURE_RATE_WEIGHT = 0.2  # of the newest request in the moving average
@@ -42,6 +43,10 @@
     :ivar rejection_limit: rejections in a second that it survives by its newest answer, None if
         that does not say that it is brittle
     :ivar names_refused_requests: whether all its refusals so far named their request
+    :ivar load: its newest statement of its load, None if it has made none
+    :ivar unread_tokens: prompt tokens of this daemon's requests there before their first events
+    :ivar read_rate: prompt tokens that it probably reads in a second, the typical number of its
+        service while nothing was learned of it, None if nothing was learned of the service
     """
 
     def __init__(self, record: Upstream, first_seen_at: float = 0.0) -> None:
@@ -65,6 +70,9 @@
         self.rejection_limit: int | None = None
         self.names_refused_requests = True
         self.cold_limiter: ColdRateLimiter | None = None
+        self.load: StatedLoad | None = None
+        self.unread_tokens = 0.0
+        self.read_rate: float | None = None
 
     @property
     def running(self) -> int:
--- a/tanagertrail/platform/header_fields.py
+++ b/tanagertrail/platform/header_fields.py
@@ -45,6 +45,9 @@
 MAX_SHARED_PARTS = 32  # of one request, since callers choose how many they state
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 MAX_LOGGED_VALUE_LENGTH = 40
+MAX_STATED_REQUESTS = 100_000  # an upstream that states more running or waiting is not believed
+# Percent of the usual time: shorter or longer ones are no state of a machine that still answers.
+MIN_SLOWDOWN, MAX_SLOWDOWN = 10, 2_000
 MAX_NUMBER_DIGITS = 15  # larger numbers are no counts or milliseconds, and may not fit a float
 
 # Fields that apply to one connection, or to the framing of the body, which the gateway does anew.
@@ -109,11 +112,13 @@
     """Load that an upstream reports about itself, in requests.
 
     :ivar slots: largest number of requests that it runs at once
+    :ivar slowdown: time that work takes there now, in percent of the usual; None if not stated
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: int | None = None
 
 
 class NamedRate(NamedTuple):
@@ -156,6 +161,7 @@
     :ivar upstream: id of the upstream that responds, empty if not stated
     :ivar stated: what the upstream states that it wants
     :ivar rejection_limit: what a brittle upstream says it survives, None if it is not brittle
+    :ivar refused_load: value of the load field if some of it is ignored, shortened for the log
     """
 
     request_ids: frozenset[str]
@@ -169,6 +175,7 @@
     upstream: str = ""
     stated: StatedFields = StatedFields()
     rejection_limit: RejectionLimit | None = None
+    refused_load: str = ""
 
 
 def decode_text(value: bytes) -> str:
@@ -291,11 +298,12 @@
     """Decode the fields of an upstream's response."""
     values = {name: decode_text(value) for name, value in headers}
     cold_ms = parse_non_negative_int(values.get(COLD_MS, "").partition(".")[0])
+    load, refused_load = decode_load(values.get(SERVER_LOAD))
     return UpstreamFields(
         frozenset(decode_text(value) for name, value in headers if name == REQUEST_ID) - {""},
         NOT_RUN in values,
         SERVER_STAMP in values,
-        decode_load(values.get(SERVER_LOAD, "")),
+        load,
         decode_keep_alive_timeout(values.get(b"keep-alive", "")),
         "close" in values.get(b"connection", "").lower(),
         None if cold_ms is None else cold_ms / 1000,
@@ -303,6 +311,7 @@
         values.get(UPSTREAM_ID, ""),
         decode_stated_fields(headers),
         decode_rejection_limit(headers),
+        refused_load,
     )
 
 
@@ -338,12 +347,33 @@
     return number if math.isfinite(number) else None
 
 
-def decode_load(value: str) -> UpstreamLoad | None:
-    """Decode ``running,waiting,slots`` as an upstream reports them."""
-    numbers = [parse_non_negative_int(part.strip()) for part in value.split(",")]
-    if len(numbers) != 3 or None in numbers:
-        return None
-    return UpstreamLoad(*numbers)
+def decode_load(value: str | None) -> tuple[UpstreamLoad | None, str]:
+    """Decode ``running,waiting,slots[,slowdown]``, and return what is refused of it for the log.
+
+    An odd slowdown is ignored alone; anything else that is odd makes the whole value meaningless.
+
+    :param value: value of the field, None without one
+    """
+    if value is None:
+        return None, ""
+    shown = value[:MAX_LOGGED_VALUE_LENGTH] or "empty"
+    counts, later = value.split(",")[:3], value.split(",")[3:]
+    numbers = [parse_non_negative_int(part.strip()) for part in counts]
+    if len(numbers) != 3 or len(later) > 1 or not all(is_load_count(item) for item in numbers):
+        return None, shown
+    if not numbers[2]:
+        return None, shown
+    if not later:
+        return UpstreamLoad(*numbers), ""
+    slowdown = parse_non_negative_int(later[0].strip())
+    if slowdown is None or not MIN_SLOWDOWN <= slowdown <= MAX_SLOWDOWN:
+        return UpstreamLoad(*numbers), shown
+    return UpstreamLoad(*numbers, slowdown), ""
+
+
+def is_load_count(number: int | None) -> bool:
+    """Return whether a number may count the requests at an upstream."""
+    return number is not None and number <= MAX_STATED_REQUESTS
 
 
 def decode_keep_alive_timeout(value: str) -> float | None:
--- a/tanagertrail/policy/hashing.py
+++ b/tanagertrail/policy/hashing.py
@@ -1,6 +1,6 @@
 """Rendezvous hashing."""
 
-__all__ = ["RendezvousTable", "rank_by_hash", "score_pair"]
+__all__ = ["RendezvousTable", "find_preferred", "rank_by_hash", "score_pair"]
 
 import heapq
 from collections.abc import Iterable
@@ -13,6 +13,12 @@
     return xxhash.xxh64_intdigest(f"{key}\x00{candidate}".encode())
 
 
+def find_preferred(key: str, candidates: Iterable[str]) -> str:
+    """Return the candidate with the highest weight for a key, empty if there is none."""
+    prefix, digest = f"{key}\x00", xxhash.xxh64_intdigest
+    return max(candidates, key=lambda name: digest((prefix + name).encode()), default="")
+
+
 def rank_by_hash(key: str, candidates: Iterable[str]) -> list[str]:
     """Order candidates by rendezvous hashing, the preferred one first."""
     return sorted(candidates, key=lambda name: (score_pair(key, name), name), reverse=True)
--- a/tanagertrail/policy/placement.py
+++ b/tanagertrail/policy/placement.py
@@ -39,6 +39,10 @@
     :ivar slots: requests that it runs concurrently
     :ivar failure_rate: share of recent requests that failed there, between 0 and 1
     :ivar local: whether it is in the daemon's own failure domain
+    :ivar expected_running: the same number by what it has stated itself lately, None without that
+    :ivar read_rate: prompt tokens that it reads in a second, None if nothing was learned
+    :ivar slowdown: how many times as long as usual its work takes now
+    :ivar unread_tokens: prompt tokens that this daemon has sent there and that are not read yet
     """
 
     upstream: str
@@ -46,6 +50,10 @@
     slots: int
     failure_rate: float
     local: bool
+    expected_running: float | None = None
+    read_rate: float | None = None
+    slowdown: float = 1.0
+    unread_tokens: float = 0.0
 
 
 class PlacementRequest(NamedTuple):
--- a/tanagertrail/settings/gateway.py
+++ b/tanagertrail/settings/gateway.py
@@ -6,6 +6,7 @@
 
 from pydantic import AfterValidator, Field
 
+from tanagertrail.policy import expected_finish as _expected_finish  # noqa: F401  fills PLACEMENTS
 from tanagertrail.policy.fleet import FLEET_PLANNERS
 from tanagertrail.policy.placement import PLACEMENTS
 from tanagertrail.registry import Registry
