Tell learned read rates between daemons, as release 7 of their states

Cause: a daemon of 89 hears from each of 45 upstreams about every 9 s, too seldom to learn alone.

Change: states gain the field paces, rows of estimates that changed lately; a hub tells what it has heard too, and a few others in turn. The estimate with more evidence is kept, so that hearing one twice or by two ways changes nothing.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -47,6 +47,7 @@
 FingerprintLossRows = tuple[tuple[int, str, str, str, tuple[str, ...], int], ...]
 LimitRows = tuple[tuple[str, float, float, float, float], ...]
 LeavingRows = tuple[tuple[str, float, float], ...]
+PaceRows = tuple[tuple[str, float, int, int, int], ...]
 
 
 def pack_rows(rows: Iterable[tuple]) -> bytes:
@@ -159,6 +160,8 @@
         they survive
     :ivar release: release in whose form the state was told; fields that this form lacks have their
         defaults
+    :ivar paces: (upstream, start, read rate in 100 tokens per second, weight in eighths of a
+        sample, tenths of a second since the newest sample) rows of what was learned of upstreams
     """
 
     daemon: str
@@ -188,6 +191,7 @@
     leaving: LeavingRows = ()
     brittle: LimitRows = ()
     release: int = RELEASE
+    paces: PaceRows = ()
 
 
 class MirrorUpdate(NamedTuple):
--- a/tanagertrail/daemons/releases.py
+++ b/tanagertrail/daemons/releases.py
@@ -43,6 +43,7 @@
     ReleaseForm(4, 24, 6, True, True),
     ReleaseForm(5, 26, 6, True, True),
     ReleaseForm(6, 27, 7, True, True),
+    ReleaseForm(7, 28, 7, True, True),
 )
 OWN_FORM = FORMS[-1]
 RELEASE = OWN_FORM.release
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -103,7 +103,9 @@
         self.brittle = BrittleUpstreams(
             self.cluster_view.upstreams, self.shared_rates, self.log, read_boot_time
         )
-        self.paces = UpstreamPaces(self.cluster_view.upstreams, self.statements, read_boot_time)
+        self.paces = UpstreamPaces(
+            self.cluster_view.upstreams, self.statements, read_boot_time, self.rng
+        )
         self.dispatcher = Dispatcher(
             self.cluster_view,
             self.members,
--- a/tanagertrail/gateway/node_state.py
+++ b/tanagertrail/gateway/node_state.py
@@ -63,6 +63,7 @@
             reaches_upstreams=node.links.reaches_upstreams,
             leaving=node.statements.encode(),
             brittle=node.brittle.encode(),
+            paces=node.paces.encode(node.state_sync.topology.is_hub),
         )
 
     def apply_state(self, state: DaemonState) -> None:
@@ -81,6 +82,7 @@
         node.rate_limits.merge(state.daemon, state.limits, encoded_at)
         node.statements.merge(state.daemon, state.leaving, encoded_at)
         node.brittle.merge(state.daemon, state.brittle, encoded_at)
+        node.paces.merge(state.paces, encoded_at)
         node.cluster_view.limits_known |= state.serving
         if node.state_sync.topology.is_hub:
             usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
--- a/tanagertrail/gateway/received_states.py
+++ b/tanagertrail/gateway/received_states.py
@@ -134,7 +134,8 @@
     """Pack the states that a hub received directly, for another hub that reads a form.
 
     States relayed by other hubs are left out, so that no state circulates between hubs. What
-    upstreams state is left out too, because the sender's own state holds all that it knows of that.
+    upstreams state or is learned of them is left out too, because the sender's own state holds all
+    that it knows of that.
 
     :param excluded: daemon that gets the states and so does not need its own
     :param now: event-loop time in seconds
@@ -142,7 +143,11 @@
     return pack_rows(
         encode_state(
             known.state._replace(
-                age_ms=int((now - known.reported_at) * 1000), limits=(), leaving=(), brittle=()
+                age_ms=int((now - known.reported_at) * 1000),
+                limits=(),
+                leaving=(),
+                brittle=(),
+                paces=(),
             ),
             form,
         )
--- a/tanagertrail/gateway/upstream_paces.py
+++ b/tanagertrail/gateway/upstream_paces.py
@@ -3,7 +3,9 @@
 __all__ = ["UpstreamPaces"]
 
 import asyncio
-from collections.abc import Collection
+import math
+import random
+from collections.abc import Collection, Iterable
 
 from tanagertrail.gateway.clock import BootClock
 from tanagertrail.gateway.upstream_load import StatedLoad, estimate_load
@@ -11,16 +13,27 @@
 from tanagertrail.gateway.upstream_table import UpstreamEntry, UpstreamTable
 from tanagertrail.platform.header_fields import UpstreamFields
 from tanagertrail.policy.pace import (
+    MAX_RATE,
+    MAX_WEIGHT,
+    MIN_RATE,
     FixedPart,
     PaceEstimate,
     ReadSample,
     apply_sample,
     find_typical_rate,
+    merge_estimates,
     shrink_rate,
 )
 
 LOAD_FIELD = "server-load"  # name of the field in the log
 REFRESH_SECONDS = 0.25  # between two computations of the rates of all upstreams
+NEWS_SECONDS = 2.0  # for which a change is told; two periods of exchanges by way of hubs
+NEWS_SHARE = 0.05  # of the rate or weight that was told last; smaller changes are no news
+MAX_SHARED_ROWS = 12  # in one state: all of 45 upstreams reach a daemon within two seconds
+MAX_TURN_ROWS = 4  # in a hub's state without news, for daemons that started later
+RATE_UNIT = 100.0  # tokens per second that a row counts
+WEIGHTS_PER_UNIT = 8
+AGES_PER_SECOND = 10
 
 
 class UpstreamPaces:
@@ -33,10 +46,17 @@
     :ivar typical_rates: median read rate in tokens per second, by service
     :ivar fixed_parts: seconds to a first event that do not depend on the prompt, by service
     :ivar sample_count: first events from which a read rate was learned
+    :ivar told: estimate by upstream id when it last was news
+    :ivar own_news: boot time in seconds of the last news of own samples, by upstream id
+    :ivar heard_news: the same of other daemons
     """
 
     def __init__(
-        self, upstreams: UpstreamTable, statements: UpstreamStatements, boot_time: BootClock
+        self,
+        upstreams: UpstreamTable,
+        statements: UpstreamStatements,
+        boot_time: BootClock,
+        rng: random.Random,
     ) -> None:
         self.upstreams = upstreams
         self.statements = statements
@@ -45,6 +65,10 @@
         self.typical_rates: dict[str, float] = {}
         self.fixed_parts: dict[str, FixedPart] = {}
         self.sample_count = 0
+        self.rng = rng
+        self.told: dict[str, PaceEstimate] = {}
+        self.own_news: dict[str, float] = {}
+        self.heard_news: dict[str, float] = {}
         self.refresh_at = float("-inf")
 
     def now(self) -> float:
@@ -83,8 +107,81 @@
             return
         self.sample_count += 1
         self.estimates[upstream] = learned
+        self.note_news(upstream, self.own_news)
         self.refresh_rates()
 
+    def note_news(self, upstream: str, news: dict[str, float]) -> None:
+        """Record that an estimate has changed, unless it is much as it was told."""
+        known, told = self.estimates[upstream], self.told.get(upstream)
+        if told is not None and told.born == known.born:
+            changes = (known.rate / told.rate, known.weight / told.weight)
+            if all(abs(change - 1.0) <= NEWS_SHARE for change in changes):
+                return
+        self.told[upstream] = known
+        news[upstream] = self.boot_time()
+
+    def encode(self, forwards: bool) -> tuple:
+        """Encode estimates for other daemons: those that changed lately, some others in turn.
+
+        A row holds the upstream, its start, the rate, the weight and the age in small units. The
+        weight is rounded down and the age up, so that no estimate gains by being told.
+
+        :param forwards: whether this daemon, a hub, also tells what it has heard of others
+        """
+        now = self.boot_time()
+        news = {name for name, at in self.own_news.items() if now - at <= NEWS_SECONDS}
+        if not forwards:
+            return self.encode_some(news, MAX_SHARED_ROWS, now)
+        news.update(name for name, at in self.heard_news.items() if now - at <= NEWS_SECONDS)
+        rows = self.encode_some(news, MAX_SHARED_ROWS, now)
+        room = min(MAX_SHARED_ROWS - len(rows), MAX_TURN_ROWS)
+        return rows + self.encode_some(self.estimates.keys() - news, room, now)
+
+    def encode_some(self, names: Collection[str], room: int, now: float) -> tuple:
+        """Encode estimates, others each time if there are more than there is room for."""
+        chosen = sorted(names)
+        if len(chosen) > room:
+            chosen = self.rng.sample(chosen, room)
+        return tuple(self.encode_estimate(name, now) for name in chosen)
+
+    def encode_estimate(self, upstream: str, now: float) -> tuple[str, float, int, int, int]:
+        """Encode one estimate."""
+        known = self.estimates[upstream]
+        return (
+            upstream,
+            known.born,
+            round(known.rate / RATE_UNIT),
+            int(known.weight * WEIGHTS_PER_UNIT),
+            math.ceil((now - known.at) * AGES_PER_SECOND),
+        )
+
+    def merge(self, rows: Iterable[tuple], as_of: float) -> None:
+        """Apply the estimates that another daemon knows; those of other incarnations are ignored.
+
+        :param rows: as built by :meth:`encode`
+        :param as_of: boot time in seconds at which they were encoded
+        """
+        changed = False
+        for upstream, born, rate, weight, age in rows:
+            entry = self.upstreams.entries.get(upstream)
+            is_sound = MIN_RATE <= rate * RATE_UNIT <= MAX_RATE and weight > 0 and age >= 0
+            if entry is None or entry.record.born != born or not is_sound:
+                continue
+            heard = PaceEstimate(
+                born,
+                rate * RATE_UNIT,
+                min(weight / WEIGHTS_PER_UNIT, MAX_WEIGHT),
+                as_of - age / AGES_PER_SECOND,
+            )
+            known = self.estimates.get(upstream)
+            if merge_estimates(known, heard) is known:
+                continue
+            self.estimates[upstream] = heard
+            self.note_news(upstream, self.heard_news)
+            changed = True
+        if changed:
+            self.refresh_rates()
+
     def refresh_rates(self) -> None:
         """Set the expected read rates of all upstreams, unless that was done just now."""
         now = self.boot_time()
@@ -118,5 +215,6 @@
 
     def forget_ended(self, registered: Collection[str]) -> None:
         """Drop estimates of upstreams that are gone."""
-        for upstream in [name for name in self.estimates if name not in registered]:
-            del self.estimates[upstream]
+        for known in (self.estimates, self.told, self.own_news, self.heard_news):
+            for upstream in [name for name in known if name not in registered]:
+                del known[upstream]
