--- a/tanagertrail/bench/decisions.py
+++ b/tanagertrail/bench/decisions.py
@@ -11,8 +11,7 @@
 from tanagertrail.gateway.upstream_load import StatedLoad
 from tanagertrail.gateway.upstream_table import UpstreamEntry
 from tanagertrail.platform.header_fields import UpstreamLoad
-from tanagertrail.policy.choice import PrefixIndex
-from tanagertrail.policy.placement import PLACEMENTS, PlacementRequest
+from tanagertrail.policy.placement import PlacementRequest
 
 PROMPTS = {"short": (119, 79, 628), "tag": (341, 227, 1800), "long": (512, 4870, 54_600)}
 SPEEDS = (0.6, 1.0, 1.6)
@@ -23,15 +22,15 @@
 class DecisionResult(NamedTuple):
     """Processor time of a decision.
 
-    :ivar describe_us: microseconds to describe all upstreams
-    :ivar choose_us: microseconds to choose among them
+    :ivar describe_us: microseconds to describe the upstreams that are considered
+    :ivar decide_us: microseconds to describe them and to choose
     """
 
     placement: str
     prompt: str
     upstreams: int
     describe_us: float
-    choose_us: float
+    decide_us: float
 
 
 def build_entries(count: int) -> list[UpstreamEntry]:
@@ -51,25 +50,24 @@
 
 def run_decisions(placement: str, prompt: str, upstreams: int) -> DecisionResult:
     """Measure decisions with the stale loads of many daemons."""
-    entries = build_entries(upstreams)
-    index = PrefixIndex(20.0)
+    entries = {entry.record.id: entry for entry in build_entries(upstreams)}
     tokens = PROMPTS[prompt]
-    choose = PLACEMENTS.get(placement)
     selector = build_selector("bench", "d0", time.monotonic, placement, random.Random(1))
-    started = time.process_time()
-    for _ in range(ROUNDS):
-        candidates = [selector.build_candidate(entry, 10.3) for entry in entries]
-    described = time.process_time()
+    described, taken = 0.0, 0.0
     for number in range(ROUNDS):
         parts = ("common", f"session-{number % 85}", f"own-{number}")
         request = PlacementRequest(parts, tokens, sum(tokens), 10.0, f"r{number}")
-        chosen = choose(request, candidates, index)
-        index.note_stored(chosen.upstream, parts, 10.0)
-    chosen_at = time.process_time()
+        started = time.process_time()
+        sample = selector.sample_entries(request, entries)
+        candidates = [selector.build_candidate(entry, 10.3) for entry in sample]
+        described += time.process_time() - started
+        chosen = selector.choose_candidate(request, candidates, selector.prefix_index)
+        taken += time.process_time() - started
+        selector.prefix_index.note_stored(chosen.upstream, parts, 10.0)
     return DecisionResult(
         placement,
         prompt,
         upstreams,
-        round(1e6 * (described - started) / ROUNDS, 1),
-        round(1e6 * (chosen_at - described) / ROUNDS, 1),
+        round(1e6 * described / ROUNDS, 1),
+        round(1e6 * taken / ROUNDS, 1),
     )
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -25,6 +25,7 @@
 from tanagertrail.policy.placement import (
     HOLDER_CACHE_PROBABILITY,
     PLACEMENTS,
+    SAMPLERS,
     PlacementCandidate,
     PlacementRequest,
 )
@@ -42,6 +43,8 @@
 
     :ivar prefix_index: which prompt prefixes this daemon has sent to which upstream
     :ivar choose_candidate: placement strategy
+    :ivar sample_upstreams: the strategy's sampler, None if it considers all upstreams
+    :ivar last_holder: shared part of the last request that was sampled for, and its holder
     :ivar last_dispatch_at: event-loop time in seconds of the last dispatch, by service
     :ivar return_schedules: when callers refused by this daemon may return, by service
     """
@@ -66,6 +69,8 @@
         self.rng = rng
         self.prefix_index = PrefixIndex(PREFIX_TTL_SECONDS)
         self.choose_candidate = PLACEMENTS.get(placement)
+        self.sample_upstreams = SAMPLERS.get(placement) if placement in SAMPLERS else None
+        self.last_holder = ("", "")
         self.last_dispatch_at: dict[str, float] = {}
         self.return_schedules: dict[str, ReturnSchedule] = {}
 
@@ -95,10 +100,10 @@
             return entries[max(entries, key=lambda name: score_pair(exchange.fingerprint, name))]
         entries = self.prefer_heard(entries, now)
         entries = self.prefer_canary(exchange, entries)
-        candidates = [self.build_candidate(entry, now) for entry in entries.values()]
-        candidate = self.choose_candidate(
-            self.build_placement_request(exchange, now), candidates, self.prefix_index
-        )
+        request = self.build_placement_request(exchange, now)
+        described = self.sample_entries(request, entries)
+        candidates = [self.build_candidate(entry, now) for entry in described]
+        candidate = self.choose_candidate(request, candidates, self.prefix_index)
         return entries[candidate.upstream]
 
     def prefer_unlimited(self, entries: dict[str, UpstreamEntry]) -> dict[str, UpstreamEntry]:
@@ -206,6 +211,23 @@
         service = self.cluster_view.config.services.get(entry.record.service)
         return service.cold_rate if service else 0.0
 
+    def sample_entries(
+        self, request: PlacementRequest, entries: dict[str, UpstreamEntry]
+    ) -> list[UpstreamEntry]:
+        """Return the upstreams to describe: a sample if the strategy needs no more of them.
+
+        Describing all of them would take longer than the rest of the decision.
+        """
+        upstreams = list(entries.values())
+        is_sampled = self.sample_upstreams is not None and request.sampling_key
+        if not is_sampled or all(entry.read_rate is None for entry in upstreams):
+            return upstreams
+        names = list(entries)
+        places = self.sample_upstreams(request, names, [entry.pace for entry in upstreams])
+        if request.parts[1:]:
+            self.last_holder = (request.parts[-2], names[places[-1]])
+        return [upstreams[place] for place in places]
+
     def build_candidate(self, entry: UpstreamEntry, now: float) -> PlacementCandidate:
         """Describe an upstream for the placement strategy."""
         record, own, elsewhere = entry.record, entry.in_flight, entry.in_flight_elsewhere
@@ -264,7 +286,7 @@
         known = sum(part.tokens for part in prompt.parts[:cached])
         unsure = sum(part.tokens for part in prompt.parts[cached:-1])
         probability = UNSURE_CACHE_PROBABILITY
-        if len(names) > 1 and entry.record.id == self.find_holder(names[-2], entry.record.service):
+        if unsure and entry.record.id == self.find_holder(names[-2], entry.record.service):
             probability = HOLDER_CACHE_PROBABILITY
         return Reading(
             max(prompt.input_tokens - known - probability * unsure, 0.0),
@@ -273,6 +295,8 @@
 
     def find_holder(self, part: str, service: str) -> str:
         """Find the upstream that all daemons prefer for a shared part."""
+        if self.last_holder[0] == part:
+            return self.last_holder[1]
         names = [entry.record.id for entry in self.cluster_view.upstreams.iter_service(service)]
         return find_preferred(part, names)
 
--- a/tanagertrail/policy/expected_finish.py
+++ b/tanagertrail/policy/expected_finish.py
@@ -4,7 +4,7 @@
 were learned, long prompts go to fast upstreams, and what was just sent there counts as a queue.
 """
 
-__all__ = ["choose_by_expected_finish", "estimate_first_event"]
+__all__ = ["choose_by_expected_finish", "estimate_first_event", "sample_upstreams"]
 
 from bisect import bisect_right
 from collections.abc import Sequence
@@ -22,6 +22,7 @@
     PLACEMENTS,
     PREFILL_TOKENS_PER_SECOND,
     QUEUED_BATCH_SECONDS,
+    SAMPLERS,
     TIE_BREAK_SECONDS,
     PlacementCandidate,
     PlacementRequest,
@@ -62,23 +63,31 @@
     return seconds + FAILURE_COST_SECONDS * candidate.failure_rate
 
 
-def sample_candidates(
-    request: PlacementRequest, candidates: Sequence[PlacementCandidate]
-) -> list[PlacementCandidate]:
-    """Return the holder and some upstreams that differ between requests, more for a long prompt.
+@SAMPLERS.register("expected_finish")
+def sample_upstreams(
+    request: PlacementRequest, names: Sequence[str], paces: Sequence[float]
+) -> list[int]:
+    """Return the places of some upstreams that differ between requests, and of the holder, last.
 
     An upstream is drawn in proportion to its pace, so that each gets what it can do although the
     loads that daemons know are stale. One that is drawn twice makes the sample smaller.
+
+    :param names: ids of the upstreams that may take the request
+    :param paces: how fast each reads relative to the others of its service
     """
     own_tokens = request.part_tokens[-1] if request.part_tokens else request.tokens
     size = LONG_SAMPLE if own_tokens >= LONG_PROMPT_TOKENS else SHORT_SAMPLE
     key = request.sampling_key.encode()
-    bounds = list(accumulate([candidate.pace for candidate in candidates]))
+    bounds = list(accumulate(paces))
     scale = bounds[-1] / HASH_RANGE
     draws = [xxhash.xxh64_intdigest(key, seed) * scale for seed in range(size)]
-    last = len(candidates) - 1
+    last = len(names) - 1
     places = dict.fromkeys(min(bisect_right(bounds, draw), last) for draw in draws)
-    return [candidates[place] for place in places]
+    if request.parts[1:]:
+        holder = names.index(find_preferred(request.parts[-2], names))
+        places.pop(holder, None)
+        places[holder] = None
+    return list(places)
 
 
 @PLACEMENTS.register("expected_finish")
@@ -88,24 +97,25 @@
     """Choose the candidate with the earliest expected first event.
 
     Where nothing was stated or learned, the choice is that of ``expected_cost``.
+
+    :param candidates: all that may take the request, or a sample with the holder
     """
     if not any(
         candidate.read_rate is not None or candidate.expected_running is not None
         for candidate in candidates
     ):
         return choose_by_expected_cost(request, candidates, index)
-    by_name = {candidate.upstream: candidate for candidate in candidates}
-    holder = by_name[find_preferred(request.parts[-2], by_name)] if request.parts[1:] else None
-    considered = candidates
-    if request.sampling_key:
-        considered = sample_candidates(request, candidates)
-        if holder is not None:
-            considered.append(holder)
+    if request.sampling_key and len(candidates) > LONG_SAMPLE + 1:
+        names = [candidate.upstream for candidate in candidates]
+        places = sample_upstreams(request, names, [candidate.pace for candidate in candidates])
+        candidates = [candidates[place] for place in places]
+    names = [candidate.upstream for candidate in candidates]
+    holder = find_preferred(request.parts[-2], names) if request.parts[1:] else ""
     key = request.sampling_key or (request.parts[-1] if request.parts else "")
     draw = xxhash.xxh64_intdigest(key.encode())
     best, best_rank = candidates[0], float("inf")
-    for place, candidate in enumerate(considered):
-        probability = HOLDER_CACHE_PROBABILITY if candidate is holder else 0.0
+    for place, candidate in enumerate(candidates):
+        probability = HOLDER_CACHE_PROBABILITY if candidate.upstream == holder else 0.0
         spread = ((draw >> place % 48) & 0xFFFF) / 0x10000 * TIE_BREAK_SECONDS
         rank = estimate_first_event(request, candidate, index, probability) - spread
         if rank < best_rank:
--- a/tanagertrail/policy/placement.py
+++ b/tanagertrail/policy/placement.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "PLACEMENTS",
+    "SAMPLERS",
     "PlacementCandidate",
     "PlacementFunction",
     "PlacementRequest",
@@ -80,6 +81,10 @@
     [PlacementRequest, Sequence[PlacementCandidate], PrefixIndex], PlacementCandidate
 ]
 PLACEMENTS: Registry[PlacementFunction] = Registry("placement")
+# Samplers of the placements that need no description of most upstreams: places of those to describe
+# by the request, the ids of all that may take it and their paces.
+SamplerFunction = Callable[[PlacementRequest, Sequence[str], Sequence[float]], list[int]]
+SAMPLERS: Registry[SamplerFunction] = Registry("sampler")
 
 
 def estimate_cost(
