Tell paces in shorter rows, show them in gauges and the log

Cause: rows with the start as a float and all hubs' news came to 652 bytes a second for each of 89 daemons.

Change: a row holds a 16-bit mark of the start, a state at most 8 rows, news is a change by a tenth of the rate; hubs of a full mesh do not forward.

--- a/tanagertrail/daemons/peer_messages.py
+++ b/tanagertrail/daemons/peer_messages.py
@@ -47,7 +47,7 @@
 FingerprintLossRows = tuple[tuple[int, str, str, str, tuple[str, ...], int], ...]
 LimitRows = tuple[tuple[str, float, float, float, float], ...]
 LeavingRows = tuple[tuple[str, float, float], ...]
-PaceRows = tuple[tuple[str, float, int, int, int], ...]
+PaceRows = tuple[tuple[str, int, int, int, int], ...]
 
 
 def pack_rows(rows: Iterable[tuple]) -> bytes:
@@ -160,8 +160,9 @@
         they survive
     :ivar release: release in whose form the state was told; fields that this form lacks have their
         defaults
-    :ivar paces: (upstream, start, read rate in 100 tokens per second, weight in eighths of a
-        sample, tenths of a second since the newest sample) rows of what was learned of upstreams
+    :ivar paces: (upstream, mark of its start, read rate in 100 tokens per second, weight in eighths
+        of a sample, tenths of a second since the newest sample) rows of what was learned of
+        upstreams
     """
 
     daemon: str
--- a/tanagertrail/emulator/uneven_daemon.py
+++ b/tanagertrail/emulator/uneven_daemon.py
@@ -110,5 +110,5 @@
 
     def exchange_paces(self, hub: "UnevenDaemon") -> None:
         """Tell a hub what was learned, and hear what it knows."""
-        hub.paces.merge(self.paces.encode(False), self.clock())
-        self.paces.merge(hub.paces.encode(True), self.clock())
+        hub.paces.merge(self.paces.encode(False, False), self.clock())
+        self.paces.merge(hub.paces.encode(True, True), self.clock())
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -46,6 +46,9 @@
     yield GaugeRow("brittle_rejections", node.brittle.rejected_count, {})
     yield GaugeRow("limits_in_force", node.rate_limits.count_in_force(), {})
     yield GaugeRow("statements_refused", node.statements.refused_count, {})
+    yield GaugeRow("read_rate_samples", node.paces.sample_count, {})
+    for service, typical in list(node.paces.typical_rates.items()):
+        yield GaugeRow("typical_read_rate", typical, {"service": service})
     for reason, count in list(node.http_server.closes.items()):
         yield GaugeRow("caller_connections_closed", count, {"reason": reason})
     yield GaugeRow("tasks_failing", len(node.supervisor.failing), {})
@@ -69,6 +72,8 @@
         yield GaugeRow("upstream_sent", entry.sent_count, labels)
         yield GaugeRow("upstream_leaving", float(node.statements.is_leaving(entry.record)), labels)
         yield GaugeRow("upstream_wait_s", node.statements.count_wait_left(entry), labels)
+        if entry.read_rate is not None:
+            yield GaugeRow("upstream_pace", entry.pace, labels)
         room = node.brittle.rooms.get((entry.record.id, entry.record.born))
         if room is not None:
             yield GaugeRow("brittle_upstream_part", room.part, labels)
--- a/tanagertrail/gateway/node_state.py
+++ b/tanagertrail/gateway/node_state.py
@@ -7,6 +7,7 @@
 from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
 from tanagertrail.gateway.clock import read_boot_time
 from tanagertrail.gateway.state_sync import SyncDelegate
+from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.token_quota import QuotaUsage
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
             (service, float(tokens))
             for service, tokens in node.dispatcher.prompt_tokens_sent.items()
         )
+        is_hub = node.state_sync.topology.is_hub
+        relays = is_hub and node.members.count() > MAX_FULL_MESH_DAEMONS
         return node.own.build_state(
             self.counter,
             serving=node.ready,
@@ -63,7 +66,7 @@
             reaches_upstreams=node.links.reaches_upstreams,
             leaving=node.statements.encode(),
             brittle=node.brittle.encode(),
-            paces=node.paces.encode(node.state_sync.topology.is_hub),
+            paces=node.paces.encode(is_hub, relays),
         )
 
     def apply_state(self, state: DaemonState) -> None:
--- a/tanagertrail/gateway/upstream_paces.py
+++ b/tanagertrail/gateway/upstream_paces.py
@@ -1,6 +1,6 @@
 """How fast upstreams read prompts, as this daemon has learned it."""
 
-__all__ = ["UpstreamPaces"]
+__all__ = ["MAX_SHARED_ROWS", "UpstreamPaces", "mark_start"]
 
 import asyncio
 import math
@@ -25,17 +25,25 @@
     shrink_rate,
 )
 
+LOGGED_RATIO = 1.25  # between a pace and the one that was logged last, from which it is logged
 LOAD_FIELD = "server-load"  # name of the field in the log
 REFRESH_SECONDS = 0.25  # between two computations of the rates of all upstreams
 NEWS_SECONDS = 2.0  # for which a change is told; two periods of exchanges by way of hubs
-NEWS_SHARE = 0.05  # of the rate or weight that was told last; smaller changes are no news
-MAX_SHARED_ROWS = 12  # in one state: all of 45 upstreams reach a daemon within two seconds
-MAX_TURN_ROWS = 4  # in a hub's state without news, for daemons that started later
+# Share of what was told last from which a change of the rate or of the weight is news.
+RATE_NEWS, WEIGHT_NEWS = 0.1, 0.25
+MAX_SHARED_ROWS = 8  # in one state: all of 45 upstreams reach a daemon within some three seconds
+MAX_TURN_ROWS = 2  # in a hub's state without news, for daemons that started later
 RATE_UNIT = 100.0  # tokens per second that a row counts
+START_MARKS = 65_536  # that tell starts apart in a row, by their milliseconds
 WEIGHTS_PER_UNIT = 8
 AGES_PER_SECOND = 10
 
 
+def mark_start(born: float) -> int:
+    """Return a short mark of an upstream's start, which takes a third of its bytes in a row."""
+    return int(born * 1000) % START_MARKS
+
+
 class UpstreamPaces:
     """Estimates of the read rates of upstreams.
 
@@ -46,6 +54,7 @@
     :ivar typical_rates: median read rate in tokens per second, by service
     :ivar fixed_parts: seconds to a first event that do not depend on the prompt, by service
     :ivar sample_count: first events from which a read rate was learned
+    :ivar logged: pace by upstream id as it was logged last
     :ivar told: estimate by upstream id when it last was news
     :ivar own_news: boot time in seconds of the last news of own samples, by upstream id
     :ivar heard_news: the same of other daemons
@@ -66,6 +75,7 @@
         self.fixed_parts: dict[str, FixedPart] = {}
         self.sample_count = 0
         self.rng = rng
+        self.logged: dict[str, float] = {}
         self.told: dict[str, PaceEstimate] = {}
         self.own_news: dict[str, float] = {}
         self.heard_news: dict[str, float] = {}
@@ -114,26 +124,28 @@
         """Record that an estimate has changed, unless it is much as it was told."""
         known, told = self.estimates[upstream], self.told.get(upstream)
         if told is not None and told.born == known.born:
-            changes = (known.rate / told.rate, known.weight / told.weight)
-            if all(abs(change - 1.0) <= NEWS_SHARE for change in changes):
+            rate_change = abs(known.rate / told.rate - 1.0)
+            if rate_change < RATE_NEWS and abs(known.weight / told.weight - 1.0) < WEIGHT_NEWS:
                 return
         self.told[upstream] = known
         news[upstream] = self.boot_time()
 
-    def encode(self, forwards: bool) -> tuple:
-        """Encode estimates for other daemons: those that changed lately, some others in turn.
+    def encode(self, is_hub: bool, relays: bool) -> tuple:
+        """Encode estimates for other daemons: those that changed lately, a hub some others too.
 
-        A row holds the upstream, its start, the rate, the weight and the age in small units. The
-        weight is rounded down and the age up, so that no estimate gains by being told.
+        A row holds the upstream, the mark of its start, the rate, the weight and the age, each in
+        small units. The weight is rounded down and the age up, so that no estimate gains by being
+        told.
 
-        :param forwards: whether this daemon, a hub, also tells what it has heard of others
+        :param relays: whether this hub's daemons hear of others only from it
         """
         now = self.boot_time()
         news = {name for name, at in self.own_news.items() if now - at <= NEWS_SECONDS}
-        if not forwards:
-            return self.encode_some(news, MAX_SHARED_ROWS, now)
-        news.update(name for name, at in self.heard_news.items() if now - at <= NEWS_SECONDS)
+        if relays:
+            news |= {name for name, at in self.heard_news.items() if now - at <= NEWS_SECONDS}
         rows = self.encode_some(news, MAX_SHARED_ROWS, now)
+        if not is_hub:
+            return rows
         room = min(MAX_SHARED_ROWS - len(rows), MAX_TURN_ROWS)
         return rows + self.encode_some(self.estimates.keys() - news, room, now)
 
@@ -144,12 +156,12 @@
             chosen = self.rng.sample(chosen, room)
         return tuple(self.encode_estimate(name, now) for name in chosen)
 
-    def encode_estimate(self, upstream: str, now: float) -> tuple[str, float, int, int, int]:
+    def encode_estimate(self, upstream: str, now: float) -> tuple[str, int, int, int, int]:
         """Encode one estimate."""
         known = self.estimates[upstream]
         return (
             upstream,
-            known.born,
+            mark_start(known.born),
             round(known.rate / RATE_UNIT),
             int(known.weight * WEIGHTS_PER_UNIT),
             math.ceil((now - known.at) * AGES_PER_SECOND),
@@ -162,13 +174,13 @@
         :param as_of: boot time in seconds at which they were encoded
         """
         changed = False
-        for upstream, born, rate, weight, age in rows:
+        for upstream, mark, rate, weight, age in rows:
             entry = self.upstreams.entries.get(upstream)
             is_sound = MIN_RATE <= rate * RATE_UNIT <= MAX_RATE and weight > 0 and age >= 0
-            if entry is None or entry.record.born != born or not is_sound:
+            if entry is None or mark_start(entry.record.born) != mark or not is_sound:
                 continue
             heard = PaceEstimate(
-                born,
+                entry.record.born,
                 rate * RATE_UNIT,
                 min(weight / WEIGHTS_PER_UNIT, MAX_WEIGHT),
                 as_of - age / AGES_PER_SECOND,
@@ -201,6 +213,28 @@
                 estimate = self.get_estimate(entry)
                 entry.read_rate = shrink_rate(estimate, typical, now) if estimate else typical
                 entry.pace = entry.read_rate / typical
+                self.log_change(entry, estimate, typical)
+
+    def log_change(
+        self, entry: UpstreamEntry, estimate: PaceEstimate | None, typical: float
+    ) -> None:
+        """Log a pace that is learned or lost, or differs much from the one in the log."""
+        upstream = entry.record.id
+        before = self.logged.get(upstream, 1.0)
+        if 1.0 / LOGGED_RATIO < entry.pace / before < LOGGED_RATIO:
+            return
+        self.logged[upstream] = entry.pace
+        now = self.boot_time()
+        self.statements.log.write_routine(
+            "pace_changed",
+            upstream=upstream,
+            pace=round(entry.pace, 2),
+            before=round(before, 2),
+            read_rate=round(entry.read_rate or typical),
+            typical_rate=round(typical),
+            weight=round(estimate.weigh(now), 1) if estimate else 0.0,
+            age_s=round(now - estimate.at, 1) if estimate else None,
+        )
 
     def get_estimate(self, entry: UpstreamEntry) -> PaceEstimate | None:
         """Return the estimate of an upstream's incarnation, None if there is none."""
@@ -209,6 +243,12 @@
 
     def forget_ended(self, registered: Collection[str]) -> None:
         """Drop estimates of upstreams that are gone."""
-        for known in (self.estimates, self.told, self.own_news, self.heard_news):
+        for known in (
+            self.estimates,
+            self.logged,
+            self.told,
+            self.own_news,
+            self.heard_news,
+        ):
             for upstream in [name for name in known if name not in registered]:
                 del known[upstream]
--- a/tests/fuzz_decoding.py
+++ b/tests/fuzz_decoding.py
@@ -347,6 +347,7 @@
             cleared_parts=(("p", 1),),
             completed=(("desk", 5),),
             leaving=(("up", 1.0, 0.5),),
+            paces=(("up", 1000, 1500, 8, 1),),
         )
         updates = node.state_sync.build_updates({})
         for change in changes:
