--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -1,6 +1,6 @@
 """A caller's request in progress, and the results of the attempts at upstreams."""
 
-__all__ = ["AttemptResult", "Exchange", "Reading", "UpstreamAttempt", "compute_timeout"]
+__all__ = ["AttemptResult", "Exchange", "UpstreamAttempt", "compute_timeout"]
 
 import asyncio
 import enum
@@ -13,6 +13,7 @@
 from tanagertrail.gateway.upstream_stream import Representation, ResponseHead
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
+from tanagertrail.policy.reading import Reading
 from tanagertrail.policy.stop_admission import StopDecision
 
 
@@ -69,17 +70,6 @@
         )
 
 
-class Reading(NamedTuple):
-    """The part of a prompt that an upstream has to read.
-
-    :ivar tokens: expected number of tokens
-    :ivar uncertain: tokens that it may or may not have cached
-    """
-
-    tokens: float
-    uncertain: float
-
-
 class Exchange:
     """A caller's request and the state of its processing.
 
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -8,7 +8,7 @@
 from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.cluster_view import ClusterView
-from tanagertrail.gateway.exchange import Exchange, Reading
+from tanagertrail.gateway.exchange import Exchange
 from tanagertrail.gateway.members import MemberTable
 from tanagertrail.gateway.model import PromptShape
 from tanagertrail.gateway.rate_limits import RateLimitTable
@@ -23,18 +23,16 @@
 from tanagertrail.policy.hashing import find_preferred, score_pair
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.placement import (
-    HOLDER_CACHE_PROBABILITY,
     PLACEMENTS,
     SAMPLERS,
     PlacementCandidate,
     PlacementRequest,
 )
+from tanagertrail.policy.reading import Reading, predict_reading
 from tanagertrail.policy.retry_after import ReturnSchedule, estimate_retry_after
 
 PREFIX_TTL_SECONDS = 20.0  # for which a prompt prefix is assumed to stay cached
 MAX_LOAD_FACTOR = 2.0  # running requests per slot, above which an upstream would reject more
-# Probability that an upstream has cached a shared part that this daemon has not sent there lately.
-UNSURE_CACHE_PROBABILITY = 0.3
 SPARE_LOAD_FACTOR = 0.5  # running requests per slot, below which a retry would start at once
 
 
@@ -276,29 +274,19 @@
             self.prefix_index.note_stored(entry.record.id, parts, now)
 
     def predict_reading(self, prompt: PromptShape, entry: UpstreamEntry, now: float) -> Reading:
-        """Predict how much of a prompt an upstream has to read.
-
-        It has cached what this daemon sent there lately. Of the other shared parts, the holder has
-        probably cached all; any other upstream may have.
-        """
+        """Predict how much of a prompt an upstream has to read."""
         names = [part.id for part in prompt.parts]
         cached = self.prefix_index.count_cached(entry.record.id, names, now)
-        known = sum(part.tokens for part in prompt.parts[:cached])
-        unsure = sum(part.tokens for part in prompt.parts[cached:-1])
-        probability = UNSURE_CACHE_PROBABILITY
-        if unsure and entry.record.id == self.find_holder(names[-2], entry.record.service):
-            probability = HOLDER_CACHE_PROBABILITY
-        return Reading(
-            max(prompt.input_tokens - known - probability * unsure, 0.0),
-            min(probability, 1.0 - probability) * unsure,
-        )
+        is_holder = cached < len(names) - 1 and self.is_holder(names[-2], entry)
+        tokens = [part.tokens for part in prompt.parts]
+        return predict_reading(prompt.input_tokens, tokens, cached, is_holder)
 
-    def find_holder(self, part: str, service: str) -> str:
-        """Find the upstream that all daemons prefer for a shared part."""
+    def is_holder(self, part: str, entry: UpstreamEntry) -> bool:
+        """Return whether all daemons prefer an upstream for a shared part."""
         if self.last_holder[0] == part:
-            return self.last_holder[1]
-        names = [entry.record.id for entry in self.cluster_view.upstreams.iter_service(service)]
-        return find_preferred(part, names)
+            return self.last_holder[1] == entry.record.id
+        entries = self.cluster_view.upstreams.iter_service(entry.record.service)
+        return find_preferred(part, (item.record.id for item in entries)) == entry.record.id
 
     def build_refusal(self, service: str, reason: str) -> Refusal:
         """Build the refusal of a request for which no upstream is left.
--- a/tanagertrail/gateway/upstream_sender.py
+++ b/tanagertrail/gateway/upstream_sender.py
@@ -10,12 +10,7 @@
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
 from tanagertrail.gateway.crash_detector import CrashDetector, UnansweredAttempt
 from tanagertrail.gateway.eventlog import EventLog
-from tanagertrail.gateway.exchange import (
-    AttemptResult,
-    Exchange,
-    Reading,
-    UpstreamAttempt,
-)
+from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
 from tanagertrail.gateway.pools import CONNECT_SECONDS, ConnectionPools
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.silence_watch import SilenceWatch
@@ -29,6 +24,7 @@
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import UpstreamFields, build_upstream_headers
 from tanagertrail.policy.answers import Claim, Judgement
+from tanagertrail.policy.reading import Reading
 
 UNSAFE_REUSE_SECONDS = 0.5  # idle connections older than this get only repeatable requests
 EXECUTED_RESULTS = frozenset({AttemptResult.DELIVERED, AttemptResult.FAILED})
--- a/tanagertrail/policy/expected_finish.py
+++ b/tanagertrail/policy/expected_finish.py
@@ -27,6 +27,7 @@
     PlacementCandidate,
     PlacementRequest,
     choose_by_expected_cost,
+    estimate_uncached,
 )
 
 # Upstreams that are considered beside the holder of a prompt's shared parts when loads are stale.
@@ -50,11 +51,8 @@
     running = candidate.expected_running
     load = (candidate.running if running is None else running) / max(candidate.slots, 1)
     read_rate = candidate.read_rate or PREFILL_TOKENS_PER_SECOND
-    cached_parts = index.count_cached(candidate.upstream, request.parts, request.now)
-    cached_tokens = sum(request.part_tokens[:cached_parts])
-    if cache_probability:
-        cached_tokens = max(cached_tokens, cache_probability * sum(request.part_tokens[:-1]))
-    unread = request.tokens - cached_tokens + candidate.unread_tokens
+    unread = estimate_uncached(request, candidate, index, cache_probability)
+    unread += candidate.unread_tokens
     waiting = FULL_BATCH_SECONDS * min(load, 1.0) ** 2 + QUEUED_BATCH_SECONDS * max(load - 1.0, 0.0)
     seconds = waiting / candidate.pace + unread / read_rate * (1.0 + load)
     seconds *= candidate.slowdown
--- a/tanagertrail/policy/placement.py
+++ b/tanagertrail/policy/placement.py
@@ -8,6 +8,7 @@
     "PlacementRequest",
     "choose_by_expected_cost",
     "estimate_cost",
+    "estimate_uncached",
 ]
 
 from collections.abc import Callable, Sequence
@@ -87,6 +88,22 @@
 SAMPLERS: Registry[SamplerFunction] = Registry("sampler")
 
 
+def estimate_uncached(
+    request: PlacementRequest,
+    candidate: PlacementCandidate,
+    index: PrefixIndex,
+    cache_probability: float,
+) -> float:
+    """Estimate the tokens of a prompt that an upstream has not cached.
+
+    :param cache_probability: probability that the upstream has cached the prompt's shared parts
+    """
+    cached_parts = index.count_cached(candidate.upstream, request.parts, request.now)
+    cached_tokens = sum(request.part_tokens[:cached_parts])
+    expected_cached_tokens = cache_probability * sum(request.part_tokens[:-1])
+    return request.tokens - max(cached_tokens, expected_cached_tokens)
+
+
 def estimate_cost(
     request: PlacementRequest,
     candidate: PlacementCandidate,
@@ -99,10 +116,7 @@
     """
     load = candidate.running / max(candidate.slots, 1)
     cost = FULL_BATCH_SECONDS * min(load, 1.0) ** 2 + QUEUED_BATCH_SECONDS * max(load - 1.0, 0.0)
-    cached_parts = index.count_cached(candidate.upstream, request.parts, request.now)
-    cached_tokens = sum(request.part_tokens[:cached_parts])
-    expected_cached_tokens = cache_probability * sum(request.part_tokens[:-1])
-    uncached_tokens = request.tokens - max(cached_tokens, expected_cached_tokens)
+    uncached_tokens = estimate_uncached(request, candidate, index, cache_probability)
     cost += uncached_tokens / PREFILL_TOKENS_PER_SECOND * (1.0 + load)
     if not candidate.local:
         cost += CROSS_DOMAIN_SECONDS
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -26,6 +26,7 @@
     shrink_rate,
     weigh_sample,
 )
+from tanagertrail.policy.reading import predict_reading
 
 TYPICAL = 150_000.0
 FIXED = 0.004
@@ -105,6 +106,15 @@
     assert weigh_sample(build_sample(full=True)) < 0.5 * weigh_sample(build_sample())
 
 
+def test_parts_that_others_may_have_sent_make_a_sample_uncertain():
+    tokens = (500, 4900, 6600)
+    assert predict_reading(12_000, tokens, 2, True) == (6600, 0)
+    held, unsure = (predict_reading(12_000, tokens, 0, is_holder) for is_holder in (True, False))
+    assert 6600 < held.tokens < unsure.tokens < 12_000
+    assert 0 < held.uncertain < unsure.uncertain
+    assert predict_reading(3, tokens, 3, True).tokens == 0.0
+
+
 def test_stated_slowdown_is_not_taken_for_a_slow_upstream():
     estimate = None
     for number in range(10):
