Consider two upstreams where there is no holder, and those of expected_cost without a prompt

Cause: a request without shared parts was bound to the one upstream that was drawn, whatever its load.

Also compute the rates each second, so that weights fall without new samples.

--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -313,6 +313,7 @@
             self.brittle.forget_ended(self.cluster_view.upstreams.entries)
             self.brittle.forget_rooms()
             self.paces.forget_ended(self.cluster_view.upstreams.entries)
+            self.paces.refresh_rates()
             self.shared_rates.forget_except(self.rate_limits.list_keys())
             if self.state_sync.topology.is_hub:
                 self.quota.retain_daemons(self.state_sync.states)
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -217,7 +217,7 @@
         Describing all of them would take longer than the rest of the decision.
         """
         upstreams = list(entries.values())
-        is_sampled = self.sample_upstreams is not None and request.sampling_key
+        is_sampled = self.sample_upstreams is not None and request.sampling_key and request.parts
         if not is_sampled or all(entry.read_rate is None for entry in upstreams):
             return upstreams
         names = list(entries)
--- a/tanagertrail/policy/expected_finish.py
+++ b/tanagertrail/policy/expected_finish.py
@@ -28,6 +28,7 @@
     PlacementRequest,
     choose_by_expected_cost,
     estimate_uncached,
+    sample_candidates,
 )
 
 # Upstreams that are considered beside the holder of a prompt's shared parts when loads are stale.
@@ -67,6 +68,8 @@
 ) -> list[int]:
     """Return the places of some upstreams that differ between requests, and of the holder, last.
 
+    Without shared parts there is no holder, and one more upstream is drawn.
+
     An upstream is drawn in proportion to its pace, so that each gets what it can do although the
     loads that daemons know are stale. One that is drawn twice makes the sample smaller.
 
@@ -75,6 +78,8 @@
     """
     own_tokens = request.part_tokens[-1] if request.part_tokens else request.tokens
     size = LONG_SAMPLE if own_tokens >= LONG_PROMPT_TOKENS else SHORT_SAMPLE
+    if len(request.parts) < 2:
+        size += 1  # in the place of the holder
     key = request.sampling_key.encode()
     bounds = list(accumulate(paces))
     scale = bounds[-1] / HASH_RANGE
@@ -103,7 +108,9 @@
         for candidate in candidates
     ):
         return choose_by_expected_cost(request, candidates, index)
-    if request.sampling_key and len(candidates) > LONG_SAMPLE + 1:
+    if request.sampling_key and not request.parts:
+        candidates = sample_candidates(request, candidates, None)
+    elif request.sampling_key and len(candidates) > LONG_SAMPLE + 1:
         names = [candidate.upstream for candidate in candidates]
         places = sample_upstreams(request, names, [candidate.pace for candidate in candidates])
         candidates = [candidates[place] for place in places]
--- a/tests/test_expected_finish.py
+++ b/tests/test_expected_finish.py
@@ -104,3 +104,15 @@
     assert choose_by_expected_finish(build_request(6000), [false, sound], index) is sound
     failing = build_candidate("a", expected_running=0.0, failure_rate=0.3)
     assert choose_by_expected_finish(build_request(6000), [failing, sound], index) is sound
+
+
+def test_request_without_a_prompt_is_not_bound_to_one_drawn_upstream():
+    """Record upstreams reject when they are full, and state their loads."""
+    candidates = [
+        PlacementCandidate(f"r{n}", 6, 6, 0.0, n < 2, 6.0 if n % 2 else 1.0) for n in range(4)
+    ]
+    index, full = PrefixIndex(20.0), 0
+    for number in range(200):
+        request = PlacementRequest((), (), 0, NOW, f"q{number}")
+        full += choose_by_expected_finish(request, candidates, index).expected_running == 6.0
+    assert full < 80
