--- a/tanagertrail/bench/cli.py
+++ b/tanagertrail/bench/cli.py
@@ -12,6 +12,7 @@
 
 from tanagertrail.bench.build import build_model_ticket
 from tanagertrail.bench.cold import run_cold
+from tanagertrail.bench.decisions import PROMPTS, run_decisions
 from tanagertrail.bench.hubs import run_hubs
 from tanagertrail.bench.journals import run_journal
 from tanagertrail.bench.limits import run_limits
@@ -25,7 +26,9 @@
 from tanagertrail.bench.schedules import run_schedules
 from tanagertrail.bench.streams import StreamLoad, run_stream_load
 from tanagertrail.bench.tables import format_table
+from tanagertrail.bench.uneven import run_uneven
 from tanagertrail.emulator.load import LoadSettings, play_load
+from tanagertrail.emulator.uneven import UnevenSettings
 from tanagertrail.model import Upstream
 from tanagertrail.policy.batching import BATCHINGS
 from tanagertrail.policy.shared_rate import NAMED_RATE_BOUND
@@ -118,9 +121,25 @@
         rows = [run_in_virtual_time(run_scale(n, n * upstreams_each)) for n in as_tuple(sizes)]
         print(format_table(rows))
 
-    def hubs(self, sizes: str = "8,67,150,380", upstreams: int = 2400) -> None:
-        """Print what gateway daemons send each other, by number of daemons."""
-        rows = [asyncio.run(run_hubs(n, upstreams)) for n in as_tuple(sizes)]
+    def hubs(self, sizes: str = "8,67,150,380", upstreams: int = 2400, paces: bool = True) -> None:
+        """Print what gateway daemons send each other, by number of daemons.
+
+        :param paces: whether they tell what they learned of upstreams
+        """
+        rows = [asyncio.run(run_hubs(n, upstreams, paces)) for n in as_tuple(sizes)]
+        print(format_table(rows))
+
+    def decisions(
+        self,
+        placements: str = '"expected_cost","expected_finish"',
+        upstreams: int = 45,
+    ) -> None:
+        """Print the processor time of a decision, by placement and kind of prompt."""
+        rows = [
+            run_decisions(placement, prompt, upstreams)
+            for placement in as_tuple(placements)
+            for prompt in PROMPTS
+        ]
         print(format_table(rows))
 
     def load(
@@ -153,6 +172,39 @@
         if plot:
             write_load_plot(str(plot), rows)
 
+    def uneven(
+        self,
+        deployments: str = '"A","B"',
+        placements: str = '"expected_cost","expected_finish"',
+        seeds: int = 10,
+        load: float = 1.0,
+        stated: str = "slowdown",
+        shares: bool = True,
+    ) -> None:
+        """Print what placements come to where engines are uneven, by kind of request.
+
+        :param load: multiple of the deployment's usual load
+        :param stated: what engines state: ``nothing``, ``load``, or ``slowdown`` with the load
+        :param shares: whether daemons tell each other what they learned
+        """
+        rows = [
+            row
+            for deployment in as_tuple(deployments)
+            for placement in as_tuple(placements)
+            for row in run_uneven(
+                UnevenSettings(
+                    deployment,
+                    placement,
+                    load=load,
+                    states_load=stated != "nothing",
+                    states_slowdown=stated == "slowdown",
+                    shares=shares,
+                ),
+                seeds,
+            )
+        ]
+        print(format_table(rows))
+
     def spread(self, sizes: str = "9,40,120", upstreams: int = 40) -> None:
         """Print how fast tickets and deaths become known, by number of daemons."""
         print(
--- a/tanagertrail/gateway/exchange.py
+++ b/tanagertrail/gateway/exchange.py
@@ -13,6 +13,7 @@
 from tanagertrail.gateway.upstream_stream import Representation, ResponseHead
 from tanagertrail.outcomes import Step
 from tanagertrail.platform.header_fields import CallerFields
+from tanagertrail.policy.reading import Reading
 from tanagertrail.policy.stop_admission import StopDecision
 
 
@@ -91,6 +92,7 @@
     :ivar origin: daemon that this one carries the request for, empty for an own request
     :ivar carrier: daemon that was last asked to carry the request, empty if none was
     :ivar refusal: refusal of the carriers that were asked, None if none has refused for good
+    :ivar reading: what the upstream of the last attempt has to read of the prompt, None if unknown
     :ivar stop_decision: why a planned stop allowed the last attempt, None before it
     """
 
@@ -133,6 +135,7 @@
         self.carrier = ""
         self.refusal: Refusal | None = None
         self.stop_decision: StopDecision | None = None
+        self.reading: Reading | None = None
         self.sent_at = now + waited
 
     @property
--- a/tanagertrail/gateway/node_state.py
+++ b/tanagertrail/gateway/node_state.py
@@ -7,6 +7,7 @@
 from tanagertrail.daemons.peer_messages import DaemonState, FleetSummary
 from tanagertrail.gateway.clock import read_boot_time
 from tanagertrail.gateway.state_sync import SyncDelegate
+from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
 from tanagertrail.policy.token_quota import QuotaUsage
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
             (service, float(tokens))
             for service, tokens in node.dispatcher.prompt_tokens_sent.items()
         )
+        is_hub = node.state_sync.topology.is_hub
+        relays = is_hub and node.members.count() > MAX_FULL_MESH_DAEMONS
         return node.own.build_state(
             self.counter,
             serving=node.ready,
@@ -63,6 +66,7 @@
             reaches_upstreams=node.links.reaches_upstreams,
             leaving=node.statements.encode(),
             brittle=node.brittle.encode(),
+            paces=node.paces.encode(is_hub, relays),
         )
 
     def apply_state(self, state: DaemonState) -> None:
@@ -81,6 +85,7 @@
         node.rate_limits.merge(state.daemon, state.limits, encoded_at)
         node.statements.merge(state.daemon, state.leaving, encoded_at)
         node.brittle.merge(state.daemon, state.brittle, encoded_at)
+        node.paces.merge(state.paces, encoded_at)
         node.cluster_view.limits_known |= state.serving
         if node.state_sync.topology.is_hub:
             usage = {name: QuotaUsage(used, rate) for name, used, rate in state.quota}
--- a/tanagertrail/gateway/upstream_selector.py
+++ b/tanagertrail/gateway/upstream_selector.py
@@ -11,16 +11,25 @@
 from tanagertrail.gateway.exchange import Exchange
 from tanagertrail.gateway.load_limits import LoadLimits, Places
 from tanagertrail.gateway.members import MemberTable
+from tanagertrail.gateway.model import PromptShape
 from tanagertrail.gateway.rate_limits import RateLimitTable
 from tanagertrail.gateway.trials import RolloutTrials
+from tanagertrail.gateway.upstream_load import estimate_load
 from tanagertrail.gateway.upstream_statements import UpstreamStatements
 from tanagertrail.gateway.upstream_table import UpstreamEntry
+from tanagertrail.policy import expected_finish as _expected_finish  # noqa: F401  fills PLACEMENTS
 from tanagertrail.policy.canary import VersionUse
 from tanagertrail.policy.choice import PrefixIndex
 from tanagertrail.policy.cold_rate import ColdRateLimiter
-from tanagertrail.policy.hashing import score_pair
+from tanagertrail.policy.hashing import find_preferred, score_pair
 from tanagertrail.policy.hubs import MAX_FULL_MESH_DAEMONS
-from tanagertrail.policy.placement import PLACEMENTS, PlacementCandidate, PlacementRequest
+from tanagertrail.policy.placement import (
+    PLACEMENTS,
+    SAMPLERS,
+    PlacementCandidate,
+    PlacementRequest,
+)
+from tanagertrail.policy.reading import Reading, predict_reading
 from tanagertrail.policy.retry_after import ReturnSchedule, estimate_retry_after
 from tanagertrail.policy.room import MAX_LOAD_FACTOR
 
@@ -34,6 +43,8 @@
     :ivar load_limits: how full upstreams may be made by a request
     :ivar prefix_index: which prompt prefixes this daemon has sent to which upstream
     :ivar choose_candidate: placement strategy
+    :ivar sample_upstreams: the strategy's sampler, None if it considers all upstreams
+    :ivar last_holder: shared part of the last request that was sampled for, and its holder
     :ivar last_dispatch_at: event-loop time in seconds of the last dispatch, by service
     :ivar return_schedules: when callers refused by this daemon may return, by service
     """
@@ -59,6 +70,8 @@
         self.prefix_index = PrefixIndex(PREFIX_TTL_SECONDS)
         self.choose_candidate = PLACEMENTS.get(placement)
         self.load_limits = LoadLimits(cluster_view)
+        self.sample_upstreams = SAMPLERS.get(placement) if placement in SAMPLERS else None
+        self.last_holder = ("", "")
         self.last_dispatch_at: dict[str, float] = {}
         self.return_schedules: dict[str, ReturnSchedule] = {}
 
@@ -89,10 +102,10 @@
             return entries[max(entries, key=lambda name: score_pair(exchange.fingerprint, name))]
         entries = self.prefer_heard(entries, now)
         entries = self.prefer_canary(exchange, entries)
-        candidates = [self.build_candidate(entry) for entry in entries.values()]
-        candidate = self.choose_candidate(
-            self.build_placement_request(exchange, now), candidates, self.prefix_index
-        )
+        request = self.build_placement_request(exchange, now)
+        described = self.sample_entries(request, entries)
+        candidates = [self.build_candidate(entry, now) for entry in described]
+        candidate = self.choose_candidate(request, candidates, self.prefix_index)
         return entries[candidate.upstream]
 
     def prefer_unlimited(self, entries: dict[str, UpstreamEntry]) -> dict[str, UpstreamEntry]:
@@ -237,11 +250,39 @@
         service = self.cluster_view.config.services.get(entry.record.service)
         return service.cold_rate if service else 0.0
 
-    def build_candidate(self, entry: UpstreamEntry) -> PlacementCandidate:
+    def sample_entries(
+        self, request: PlacementRequest, entries: dict[str, UpstreamEntry]
+    ) -> list[UpstreamEntry]:
+        """Return the upstreams to describe: a sample if the strategy needs no more of them.
+
+        Describing all of them would take longer than the rest of the decision.
+        """
+        upstreams = list(entries.values())
+        is_sampled = self.sample_upstreams is not None and request.sampling_key and request.parts
+        if not is_sampled or all(entry.read_rate is None for entry in upstreams):
+            return upstreams
+        names = list(entries)
+        places = self.sample_upstreams(request, names, [entry.pace for entry in upstreams])
+        if request.parts[1:]:
+            self.last_holder = (request.parts[-2], names[places[-1]])
+        return [upstreams[place] for place in places]
+
+    def build_candidate(self, entry: UpstreamEntry, now: float) -> PlacementCandidate:
         """Describe an upstream for the placement strategy."""
-        record = entry.record
-        local = record.failure_domain == self.members.own.failure_domain
-        return PlacementCandidate(record.id, entry.running, record.slots, entry.failure_rate, local)
+        record, own, elsewhere = entry.record, entry.in_flight, entry.in_flight_elsewhere
+        running, slowdown = estimate_load(entry.load, own, elsewhere, now)
+        return PlacementCandidate(
+            record.id,
+            own + elsewhere,
+            record.slots,
+            entry.failure_rate,
+            record.failure_domain == self.members.own.failure_domain,
+            running,
+            entry.read_rate,
+            entry.pace,
+            slowdown,
+            entry.unread_tokens,
+        )
 
     def build_placement_request(self, exchange: Exchange, now: float) -> PlacementRequest:
         """Describe a request for the placement strategy."""
@@ -269,9 +310,25 @@
             entry.cold_limiter.spend()
         self.rate_limits.note_sent(entry)
         if exchange.fields.prompt is not None:
+            exchange.reading = self.predict_reading(exchange.fields.prompt, entry, now)
             parts = [part.id for part in exchange.fields.prompt.parts]
             self.prefix_index.note_stored(entry.record.id, parts, now)
 
+    def predict_reading(self, prompt: PromptShape, entry: UpstreamEntry, now: float) -> Reading:
+        """Predict how much of a prompt an upstream has to read."""
+        names = [part.id for part in prompt.parts]
+        cached = self.prefix_index.count_cached(entry.record.id, names, now)
+        is_holder = cached < len(names) - 1 and self.is_holder(names[-2], entry)
+        tokens = [part.tokens for part in prompt.parts]
+        return predict_reading(prompt.input_tokens, tokens, cached, is_holder)
+
+    def is_holder(self, part: str, entry: UpstreamEntry) -> bool:
+        """Return whether all daemons prefer an upstream for a shared part."""
+        if self.last_holder[0] == part:
+            return self.last_holder[1] == entry.record.id
+        entries = self.cluster_view.upstreams.iter_service(entry.record.service)
+        return find_preferred(part, (item.record.id for item in entries)) == entry.record.id
+
     def build_refusal(self, service: str, reason: str) -> Refusal:
         """Build the refusal of a request for which no upstream is left.
 
--- a/tanagertrail/policy/placement.py
+++ b/tanagertrail/policy/placement.py
@@ -2,11 +2,13 @@
 
 __all__ = [
     "PLACEMENTS",
+    "SAMPLERS",
     "PlacementCandidate",
     "PlacementFunction",
     "PlacementRequest",
     "choose_by_expected_cost",
     "estimate_cost",
+    "estimate_uncached",
 ]
 
 from collections.abc import Callable, Sequence
@@ -39,6 +41,11 @@
     :ivar slots: requests that it runs concurrently
     :ivar failure_rate: share of recent requests that failed there, between 0 and 1
     :ivar local: whether it is in the daemon's own failure domain
+    :ivar expected_running: the same number by what it has stated itself lately, None without that
+    :ivar read_rate: prompt tokens that it reads in a second, None if nothing was learned
+    :ivar pace: how fast it reads relative to the others of its service
+    :ivar slowdown: how many times as long as usual its work takes now
+    :ivar unread_tokens: prompt tokens that this daemon has sent there and that are not read yet
     """
 
     upstream: str
@@ -46,6 +53,11 @@
     slots: int
     failure_rate: float
     local: bool
+    expected_running: float | None = None
+    read_rate: float | None = None
+    pace: float = 1.0
+    slowdown: float = 1.0
+    unread_tokens: float = 0.0
 
 
 class PlacementRequest(NamedTuple):
@@ -70,6 +82,26 @@
     [PlacementRequest, Sequence[PlacementCandidate], PrefixIndex], PlacementCandidate
 ]
 PLACEMENTS: Registry[PlacementFunction] = Registry("placement")
+# Samplers of the placements that need no description of most upstreams: places of those to describe
+# by the request, the ids of all that may take it and their paces.
+SamplerFunction = Callable[[PlacementRequest, Sequence[str], Sequence[float]], list[int]]
+SAMPLERS: Registry[SamplerFunction] = Registry("sampler")
+
+
+def estimate_uncached(
+    request: PlacementRequest,
+    candidate: PlacementCandidate,
+    index: PrefixIndex,
+    cache_probability: float,
+) -> float:
+    """Estimate the tokens of a prompt that an upstream has not cached.
+
+    :param cache_probability: probability that the upstream has cached the prompt's shared parts
+    """
+    cached_parts = index.count_cached(candidate.upstream, request.parts, request.now)
+    cached_tokens = sum(request.part_tokens[:cached_parts])
+    expected_cached_tokens = cache_probability * sum(request.part_tokens[:-1])
+    return request.tokens - max(cached_tokens, expected_cached_tokens)
 
 
 def estimate_cost(
@@ -84,10 +116,7 @@
     """
     load = candidate.running / max(candidate.slots, 1)
     cost = FULL_BATCH_SECONDS * min(load, 1.0) ** 2 + QUEUED_BATCH_SECONDS * max(load - 1.0, 0.0)
-    cached_parts = index.count_cached(candidate.upstream, request.parts, request.now)
-    cached_tokens = sum(request.part_tokens[:cached_parts])
-    expected_cached_tokens = cache_probability * sum(request.part_tokens[:-1])
-    uncached_tokens = request.tokens - max(cached_tokens, expected_cached_tokens)
+    uncached_tokens = estimate_uncached(request, candidate, index, cache_probability)
     cost += uncached_tokens / PREFILL_TOKENS_PER_SECOND * (1.0 + load)
     if not candidate.local:
         cost += CROSS_DOMAIN_SECONDS
