--- a/tests/test_caller_crowds.py
+++ b/tests/test_caller_crowds.py
@@ -110,30 +110,29 @@
 
     async def await_answer(self) -> None:
         """Wait until the daemon knows its configuration and upstreams."""
-        while await self.fetch_status() != 200:
+        while (await self.fetch())[0] != 200:
             await asyncio.sleep(0.1)
 
     async def check(self) -> None:
         """Check that the daemon lives within its limits and answers an ordinary request."""
-        status = await self.fetch_status()
+        status, body = await self.fetch()
         peak = self.read_peak_memory()
-        seen = f"peak {peak / MEGABYTE:.0f} MB, {self.most_open} descriptors, {status}"
+        seen = f"peak {peak / MEGABYTE:.0f} MB, {self.most_open} descriptors, {status} {body}"
         print(seen, end=" ")
         assert self.daemons[0].running, seen
         assert peak <= MEMORY_MB * MEGABYTE, seen
         assert self.most_open <= MAX_DESCRIPTORS, seen
         assert status == 200, seen
 
-    async def fetch_status(self) -> int:
-        """Send an ordinary request, read the answer and return its status."""
+    async def fetch(self) -> tuple[int, bytes]:
+        """Send an ordinary request, and return status and body of the answer."""
         stream = UpstreamStream(await open_channel(HOST, self.daemons[0].ports.front, 5.0))
         fields = [(b"host", b"desk.example"), (b"api-key", b"key-guild")]
         fields.append((b"tanagertrail-request-id", b"ordinary"))
         stream.send_request(b"GET", b"/look/short", fields, b"")
         try:
             head = await stream.read_head()
-            await stream.read_remaining_body(1024)
-            return head.status
+            return head.status, await stream.read_remaining_body(1024)
         finally:
             stream.abort()
 
