Bound what all callers hold together by the machine's memory and descriptors

Cause: the body of a request was kept as a list of its chunks up to the limit on one body, each chunk an object; a crowd of open bodies, half heads, idle connections or unread responses held whatever it sent. Very small chunks kept the event loop from other requests.

Change: policy/caller_budget.py decides who yields; BodyBudget, UnreadResponses and CallerConnections hold the state. Bodies are collected in blocks, at most 64 parser events run in a turn, a connection is read in parts of 32 KiB, and the next request only when the response before it has left the send buffer. Refusals are 408 and 503 and promise that the request has not run; 503 names a time for the retry. The carry port and the pages share the budgets. The planned stop accepts no more than there is room for.

--- a/tanagertrail/gateway/carry_server.py
+++ b/tanagertrail/gateway/carry_server.py
@@ -9,6 +9,7 @@
 from tanagertrail.gateway.admission import Refusal
 from tanagertrail.gateway.answer_relay import CallerGoneError
 from tanagertrail.gateway.caller_close import linger
+from tanagertrail.gateway.caller_guard import CallerGuard
 from tanagertrail.gateway.carried_exchange import (
     build_cut_result,
     build_exchange,
@@ -25,7 +26,7 @@
     mark_resend,
     shorten_request_id,
 )
-from tanagertrail.gateway.channel import Channel
+from tanagertrail.gateway.channel import Channel, read_address
 from tanagertrail.gateway.dispatch import DEADLINE_MARGIN_SECONDS, Dispatcher
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.exchange import AttemptResult, Exchange, UpstreamAttempt
@@ -61,8 +62,9 @@
         log: EventLog,
         cores: float,
         descriptors: int,
+        guard: CallerGuard | None = None,
     ) -> None:
-        super().__init__(self.handle, lambda: widen_limits(limits()), log)
+        super().__init__(self.handle, lambda: widen_limits(limits()), log, guard)
         self.dispatcher = dispatcher
         self.cores = cores
         self.descriptors = descriptors
@@ -81,7 +83,7 @@
 
     def accept(self, channel: Channel) -> None:
         """Serve a connection of another daemon, and refuse any other one."""
-        host, *_ = channel.transport.get_extra_info("peername") or ("",)
+        host = read_address(channel)
         most_connections = compute_connection_limit(self.descriptors)
         if len(self.tasks) >= most_connections + MAX_REFUSALS:
             self.refused_count += 1
--- a/tanagertrail/gateway/channel.py
+++ b/tanagertrail/gateway/channel.py
@@ -2,11 +2,13 @@
 
 __all__ = [
     "CALLER_LIMITS",
+    "MAX_CALLER_BYTES",
     "PEER_LIMITS",
     "UPSTREAM_LIMITS",
     "Channel",
     "DeadPeerLimits",
     "open_channel",
+    "read_address",
     "set_socket_options",
 ]
 
@@ -19,6 +21,7 @@
 from typing import NamedTuple
 
 MAX_BUFFERED_BYTES = 256 * 1024
+MAX_CALLER_BYTES = 32 * 1024  # per connection of a caller, of which there are hundreds
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER for no time, which discards unsent data
 
 
@@ -65,6 +68,8 @@
     :ivar disconnected: set once the connection is lost
     :ivar data_available: set while there is something to read, be it the end of the stream
     :ivar writable: cleared while the send buffer is full
+    :ivar max_buffered: bytes beyond which reading is paused, and the most that is read at once
+    :ivar on_lost: called once the connection is lost
     :ivar on_peer_closed: called once when the peer closes or the connection is lost
     :ivar paused: whether reading is paused because the buffer is full
     """
@@ -73,9 +78,11 @@
         self,
         on_connected: Callable[["Channel"], None] | None = None,
         limits: DeadPeerLimits = CALLER_LIMITS,
+        max_buffered: int = MAX_BUFFERED_BYTES,
     ) -> None:
         self.on_connected = on_connected
         self.limits = limits
+        self.max_buffered = max_buffered
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.received_bytes = 0
@@ -86,12 +93,14 @@
         self.writable = asyncio.Event()
         self.writable.set()
         self.on_peer_closed: Callable[[], None] | None = None
+        self.on_lost: Callable[[], None] | None = None
         self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, set socket options and call :attr:`on_connected`."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.max_size = self.max_buffered  # of one read by asyncio's socket transports
         set_socket_options(transport.get_extra_info("socket"), self.limits)
         if self.on_connected is not None:
             self.on_connected(self)
@@ -101,7 +110,7 @@
         self.buffer += data
         self.received_bytes += len(data)
         self.data_available.set()
-        if len(self.buffer) > MAX_BUFFERED_BYTES and not self.paused:
+        if len(self.buffer) > self.max_buffered and not self.paused:
             self.paused = True
             self.transport.pause_reading()
 
@@ -116,6 +125,8 @@
         self.disconnected.set()
         self.writable.set()
         self.note_peer_closed()
+        if self.on_lost is not None:
+            self.on_lost()
 
     def note_peer_closed(self) -> None:
         """Wake up a waiting reader and call :attr:`on_peer_closed` the first time."""
@@ -206,6 +217,12 @@
             self.transport.abort()
 
 
+def read_address(channel: Channel) -> str:
+    """Return the address of the peer, empty if it is unknown."""
+    host, *_ = channel.transport.get_extra_info("peername") or ("",)
+    return host
+
+
 def count_unacknowledged_bytes(sock: socket.socket) -> int:
     """Count the bytes in the kernel's send queue that the peer has not acknowledged."""
     (count,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -48,6 +48,7 @@
     yield GaugeRow("statements_refused", node.statements.refused_count, {})
     for reason, count in list(node.http_server.closes.items()):
         yield GaugeRow("caller_connections_closed", count, {"reason": reason})
+    yield from list_caller_gauges(node)
     yield GaugeRow("tasks_failing", len(node.supervisor.failing), {})
     for task, count in list(node.supervisor.failure_counts.items()):
         yield GaugeRow("task_failures", count, {"task": task})
@@ -79,6 +80,25 @@
             yield GaugeRow("upstream_limit_spent", node.rate_limits.get_spent(entry), labels)
 
 
+def list_caller_gauges(node: "GatewayNode") -> Iterator[GaugeRow]:
+    """Yield the gauges on what all callers hold together, and on who had to yield."""
+    bodies, unread, budget = node.guard.bodies, node.guard.unread, node.caller_budget
+    connections = node.http_server.connections
+    yield GaugeRow("caller_body_bytes", bodies.held, {})
+    yield GaugeRow("caller_body_bytes_limit", budget.body_bytes, {})
+    yield GaugeRow("caller_bodies_too_slow", bodies.yielded[408], {})
+    yield GaugeRow("caller_bodies_yielded", bodies.yielded[503], {})
+    yield GaugeRow("caller_unread_bytes", unread.total, {})
+    yield GaugeRow("caller_unread_bytes_limit", budget.unread_bytes, {})
+    yield GaugeRow("caller_unread_aborted", unread.aborted, {})
+    yield GaugeRow("caller_connections_open", len(connections.streams), {})
+    yield GaugeRow("caller_connections_limit", budget.connections, {})
+    yield GaugeRow("caller_connections_crowded_out", connections.crowded_out, {})
+    pages = [server.connections for server in node.page_servers.http_servers]
+    yield GaugeRow("page_connections_open", sum(len(page.streams) for page in pages), {})
+    yield GaugeRow("page_connections_crowded_out", sum(page.crowded_out for page in pages), {})
+
+
 def list_release_gauges(node: "GatewayNode") -> Iterator[GaugeRow]:
     """Yield the gauges on releases: this daemon's, those of living members, what is not told."""
     yield GaugeRow("release", RELEASE, {})
--- a/tanagertrail/gateway/http1.py
+++ b/tanagertrail/gateway/http1.py
@@ -8,9 +8,10 @@
 
 import h11
 
-from tanagertrail.errors import TanagertrailError
+from tanagertrail.gateway.body_budget import EVENTS_PER_TURN, BodyClaim, RequestRefusedError
 from tanagertrail.gateway.caller_close import RequestState
-from tanagertrail.gateway.channel import Channel
+from tanagertrail.gateway.caller_guard import CallerGuard
+from tanagertrail.gateway.channel import Channel, read_address
 from tanagertrail.gateway.idle_wait import IdleWait
 from tanagertrail.gateway.model import Limits
 from tanagertrail.gateway.timed_reads import has_unread_bytes, receive_before
@@ -42,18 +43,6 @@
         return ""
 
 
-class RequestRefusedError(TanagertrailError):
-    """A request is malformed, too large or too slow; its connection is closed afterwards.
-
-    :ivar status: status of the response
-    """
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
 class CallerStream:
     """The server side of a caller's connection.
 
@@ -65,6 +54,11 @@
     :ivar response_started: whether the head of the response to the current request was sent
     :ivar is_head_request: whether the response must not have a body
     :ivar close_after: whether the connection is to close after the response
+    :ivar guard: limits on what all callers hold together
+    :ivar claim: what the current request holds of them, None before its body
+    :ivar began_at: event-loop time in seconds at which the current request began to arrive
+    :ivar timer: ends the current wait for bytes of a request, None while there is none
+    :ivar refusal: why the request that is being read yields, None if it does not
     """
 
     def __init__(
@@ -72,6 +66,7 @@
         channel: Channel,
         get_limits: Callable[[], Limits],
         is_stopping: Callable[[], bool],
+        guard: CallerGuard | None = None,
     ) -> None:
         self.channel = channel
         self.get_limits = get_limits
@@ -83,6 +78,11 @@
         self.response_started = False
         self.is_head_request = False
         self.close_after = False
+        self.guard = guard or CallerGuard()
+        self.claim: BodyClaim | None = None
+        self.began_at = 0.0
+        self.timer: asyncio.Timeout | None = None
+        self.refusal: RequestRefusedError | None = None
 
     @property
     def has_partial_request(self) -> bool:
@@ -110,10 +110,12 @@
         :raises RequestRefusedError: if the request violates the protocol or a limit
         :raises ConnectionError: if the connection broke
         """
+        self.refusal = None
         try:
             if not await self.wait_for_first_byte():
                 return None
             self.renew_limits()
+            self.began_at = asyncio.get_running_loop().time()
             head = await self.next_event(self.limits.header_timeout)
             if not isinstance(head, h11.Request):
                 return None
@@ -175,6 +177,7 @@
         """Read the next event of the parser.
 
         :param timeout: seconds
+        :raises RequestRefusedError: if the request yields to others
         :raises TimeoutError: if it is not complete in time
         """
         deadline = asyncio.get_running_loop().time() + timeout
@@ -182,37 +185,90 @@
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            timer = asyncio.timeout_at(deadline)
-            self.parser.receive_data(await receive_before(self.channel, timer))
+            self.parser.receive_data(await self.receive(deadline))
+
+    async def receive(self, deadline: float) -> bytes:
+        """Receive bytes of a request.
+
+        :param deadline: event-loop time in seconds
+        :raises RequestRefusedError: if the request yields to others
+        :raises TimeoutError: if nothing has arrived in time
+        """
+        self.timer = asyncio.timeout_at(deadline)
+        try:
+            data = await receive_before(self.channel, self.timer)
+        except TimeoutError:
+            self.check_refusal()
+            raise
+        finally:
+            self.timer = None
+        self.check_refusal()
+        return data
+
+    def refuse(self, error: RequestRefusedError) -> None:
+        """Refuse the request that is being read, at once if its reader waits for bytes."""
+        self.refusal = error
+        if self.timer is not None and not self.timer.expired():
+            self.timer.reschedule(asyncio.get_running_loop().time())
+
+    def check_refusal(self) -> None:
+        """Check that the request does not yield.
+
+        :raises RequestRefusedError: if it does
+        """
+        if self.refusal is not None:
+            raise self.refusal
 
     async def read_body(self, head: h11.Request) -> bytes:
         """Read the body of a request.
 
-        :raises RequestRefusedError: if it is too large
+        :raises RequestRefusedError: if it is too large or yields to others
         :raises ConnectionError: if the connection closed within the body
         :raises TimeoutError: if the caller pauses for too long
         """
         if self.parser.they_are_waiting_for_100_continue:
             self.write(h11.InformationalResponse(status_code=100, headers=[]))
+        announced = None
         for name, value in head.headers:
-            if name == b"content-length" and int(value) > self.limits.body_bytes:
-                raise RequestRefusedError(413, f"the body is over {self.limits.body_bytes} bytes")
-        chunks: list[bytes] = []
-        body_length = 0
+            if name == b"content-length":
+                announced = int(value)
+                self.check_length(announced)
+        claim = BodyClaim(
+            read_address(self.channel), announced, self.limits.body_bytes, self.refuse
+        )
+        self.claim = self.guard.bodies.open(claim)
+        events = 0
         while True:
             event = await self.next_event(self.limits.idle_timeout)
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                return claim.take_body()
             if not isinstance(event, h11.Data):
                 raise ConnectionResetError("the caller closed within a request")
-            body_length += len(event.data)
-            if body_length > self.limits.body_bytes:
-                raise RequestRefusedError(413, f"the body is over {self.limits.body_bytes} bytes")
-            chunks.append(bytes(event.data))
+            self.check_length(claim.held + len(event.data))
+            self.guard.bodies.add(claim, event.data)
+            events += 1
+            if events % EVENTS_PER_TURN == 0:
+                await self.guard.bodies.take_turn()
+            self.check_refusal()
+
+    def check_length(self, length: int) -> None:
+        """Check the length of a body in bytes.
+
+        :raises RequestRefusedError: if it is too large
+        """
+        if length > self.limits.body_bytes:
+            raise RequestRefusedError(413, f"the body is over {self.limits.body_bytes} bytes")
+
+    def release_body(self) -> None:
+        """Count the body of the current request no more."""
+        if self.claim is not None:
+            self.guard.bodies.release(self.claim)
+            self.claim = None
 
     def write(self, *events: h11.Event) -> None:
         """Send the bytes of several events in one write."""
         self.channel.write(b"".join(self.parser.send(event) or b"" for event in events))
+        self.guard.unread.note(self.channel)
         if isinstance(events[-1], h11.EndOfMessage):
             self.awaits_response = False
 
@@ -235,6 +291,7 @@
     ) -> None:
         """Send an error after which the connection closes, whatever state the parser is in."""
         self.parser = h11.Connection(h11.SERVER)
+        self.release_body()
         self.close_after = True
         body = b"" if self.is_head_request else reason.encode()
         self.send_response(status, list(headers), body)
@@ -285,6 +342,7 @@
         if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
+        self.release_body()
         self.response_started = False
         self.is_head_request = False
         return True
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -3,6 +3,7 @@
 __all__ = ["HttpServer"]
 
 import asyncio
+import itertools
 import socket
 import traceback
 from collections import Counter
@@ -17,7 +18,9 @@
     end_sending,
     linger,
 )
-from tanagertrail.gateway.channel import Channel
+from tanagertrail.gateway.caller_connections import CallerConnections
+from tanagertrail.gateway.caller_guard import CallerGuard
+from tanagertrail.gateway.channel import MAX_CALLER_BYTES, Channel, read_address
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.http1 import (
     FAILURE_HEADERS,
@@ -30,9 +33,11 @@
 from tanagertrail.platform.header_fields import decode_caller_fields
 
 BACKLOG = 1024
+ACCEPTS_PER_TURN = 8  # of the event loop; connections that make room need some four turns
 ACCEPT_TURNS = 3  # of the event loop, in which it makes transports of accepted connections
 LAST_ARRIVALS_SECONDS = 0.1  # for the first request on a connection that was accepted last
 LAST_READ_SECONDS = 0.05  # to read what has arrived, also at the end of the grace period
+QUIET_REASONS = frozenset({CloseReason.IDLE, CloseReason.CROWDED, CloseReason.STOPPED})
 DEFAULT_LIMITS = Limits(16_384, 4_194_304, 3.0, 15.0)
 
 Handler = Callable[[CallerRequest, CallerStream], Awaitable[None]]
@@ -50,9 +55,18 @@
     :ivar ending: whether idle connections close at once
     :ivar closes: closed connections by reason
     :ivar refusal_headers: fields of the response to an unreadable request
+    :ivar guard: limits on what all callers hold together
+    :ivar connections: all open connections, and the limit on them
     """
 
-    def __init__(self, handler: Handler, limits: Callable[[], Limits], log: EventLog) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        log: EventLog,
+        guard: CallerGuard | None = None,
+        max_connections: Callable[[], int] = lambda: 0,
+    ) -> None:
         self.handler = handler
         self.limits = limits
         self.log = log
@@ -65,6 +79,8 @@
         self.ending = False
         self.closes: Counter[CloseReason] = Counter()
         self.refusal_headers: Headers = list(FAILURE_HEADERS)
+        self.guard = guard or CallerGuard()
+        self.connections = CallerConnections(max_connections, self.guard)
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -73,22 +89,43 @@
         """
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            lambda: Channel(self.accept), host, port, backlog=BACKLOG
+            self.build_channel, host, port, backlog=ACCEPTS_PER_TURN
         )
+        for listener in self.server.sockets:
+            with listener.dup() as duplicate:
+                duplicate.listen(BACKLOG)  # asyncio accepts as many in a turn as may wait
+
+    def build_channel(self) -> Channel:
+        """Build the channel of a connection that is being accepted."""
+        return Channel(self.accept, max_buffered=MAX_CALLER_BYTES)
 
     def accept(self, channel: Channel) -> None:
-        """Start a task that serves a new connection."""
+        """Start a task that serves a new connection, if there is room for it."""
+        if not self.connections.admit(channel):
+            self.turn_away(channel)
+            return
         task = asyncio.create_task(self.serve(channel))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def turn_away(self, channel: Channel) -> None:
+        """Close a connection for which there is no room, without reading from it."""
+        self.closes[CloseReason.TURNED_AWAY] += 1
+        self.log.write_routine(
+            "caller_turned_away",
+            address=read_address(channel),
+            open=len(self.connections.streams),
+            limit=self.connections.get_limit(),
+        )
+        channel.abort()
+
     async def serve(self, channel: Channel) -> None:
         """Serve the requests of a connection, and close it."""
         try:
             reason = await self.serve_until_close(channel)
-            if reason in LINGERING_REASONS:
+            if reason in LINGERING_REASONS and not self.connections.is_full:
                 await self.let_caller_read(channel)
-            elif reason in (CloseReason.IDLE, CloseReason.STOPPED):
+            elif reason in QUIET_REASONS or reason in LINGERING_REASONS:
                 end_sending(channel)
         finally:
             channel.close()
@@ -104,8 +141,9 @@
 
     async def serve_until_close(self, channel: Channel) -> CloseReason:
         """Serve the requests of a connection until it is to close, and return the reason."""
-        stream = CallerStream(channel, self.limits, lambda: self.stopping)
+        stream = CallerStream(channel, self.limits, lambda: self.stopping, self.guard)
         self.streams.add(stream)
+        self.connections.note_serving(stream)
         if self.ending:
             stream.idle_wait.end()
         reason = CloseReason.STOPPED
@@ -114,7 +152,7 @@
         except RequestRefusedError as error:
             reason = CloseReason.REFUSED
             self.log.write_routine("request_refused", status=error.status, reason=error.reason)
-            stream.send_failure(error.status, error.reason, self.refusal_headers)
+            stream.send_failure(error.status, error.reason, self.build_refusal_headers(error))
         except ConnectionError as error:
             reason = CloseReason.CALLER_BROKE
             self.log.write_routine("caller_connection", error=repr(error)[:120])
@@ -127,22 +165,41 @@
             self.handle_defect(stream, error)
         finally:
             self.note_close(stream, reason)
+            stream.release_body()
             self.streams.discard(stream)
+            self.connections.note_closing(channel)
         return reason
 
+    def build_refusal_headers(self, error: RequestRefusedError) -> Headers:
+        """Build the headers of the response to a request that is refused."""
+        if error.retry_after is None:
+            return self.refusal_headers
+        return [*self.refusal_headers, (b"retry-after", f"{error.retry_after:.2f}".encode())]
+
     async def serve_requests(self, channel: Channel, stream: CallerStream) -> CloseReason:
-        """Serve requests one after another, and return why the connection is to close."""
+        """Serve requests one after another, and return why the connection is to close.
+
+        A request is read only when the response to the one before has been taken.
+        """
         while True:
             request = await stream.read_request()
             if request is None and channel.peer_closed:
                 return CloseReason.CALLER_CLOSED
             if request is None:
-                return CloseReason.STOPPED if self.ending else CloseReason.IDLE
+                return self.name_idle_close(channel)
             reason = await self.handle_request(channel, stream, request)
             if reason is not None:
                 return reason
             if not stream.prepare_next_request():
                 return CloseReason.ANNOUNCED
+            await channel.drain()
+
+    def name_idle_close(self, channel: Channel) -> CloseReason:
+        """Name the reason for which an idle connection is closed."""
+        if self.ending:
+            return CloseReason.STOPPED
+        has_made_room = channel in self.connections.leaving
+        return CloseReason.CROWDED if has_made_room else CloseReason.IDLE
 
     def note_close(self, stream: CallerStream, reason: CloseReason) -> None:
         """Count a closed connection, and log it if a request on it was not answered."""
@@ -285,8 +342,9 @@
         connecting = []
         for listener in listeners:
             with listener.dup() as duplicate:
-                for connection in self.accept_each(duplicate):
-                    work = loop.connect_accepted_socket(lambda: Channel(self.accept), connection)
+                room = self.connections.count_room()
+                for connection in itertools.islice(self.accept_each(duplicate), room):
+                    work = loop.connect_accepted_socket(self.build_channel, connection)
                     connecting.append(loop.create_task(work))
         self.stop_listening()
         await asyncio.gather(*connecting)
--- a/tanagertrail/gateway/node.py
+++ b/tanagertrail/gateway/node.py
@@ -8,6 +8,7 @@
 
 from tanagertrail.daemons.releases import RELEASE
 from tanagertrail.gateway.brittle_upstreams import BrittleUpstreams
+from tanagertrail.gateway.caller_guard import CallerGuard, build_budget
 from tanagertrail.gateway.carry_server import CarryServer
 from tanagertrail.gateway.clock import SteadyWallClock, read_boot_time, read_wall_time
 from tanagertrail.gateway.cluster_view import ClusterView
@@ -73,6 +74,7 @@
     def __init__(self, settings: GatewaySettings, tuning: GatewayTuning | None = None) -> None:
         self.settings = settings
         self.tuning = tuning or GatewayTuning()
+        self.caller_budget = build_budget(settings, self.tuning)
         self.loop = asyncio.get_running_loop()
         self.incarnation = int(read_wall_time() * 1000)  # Unix time in milliseconds
         rate = self.tuning.log.routine_lines_per_second
@@ -133,9 +135,21 @@
             read_boot_time,
             self.rng,
         )
-        self.http_server = HttpServer(self.dispatcher.handle, self.get_limits, self.log)
+        self.guard = CallerGuard(lambda: self.caller_budget)
+        self.http_server = HttpServer(
+            self.dispatcher.handle,
+            self.get_limits,
+            self.log,
+            self.guard,
+            lambda: self.caller_budget.connections,
+        )
         self.carry_server = CarryServer(
-            self.dispatcher, self.get_limits, self.log, settings.cores, settings.max_descriptors
+            self.dispatcher,
+            self.get_limits,
+            self.log,
+            settings.cores,
+            settings.max_descriptors,
+            self.guard,
         )
         self.carry_server.is_ready = lambda: self.ready
         self.carry_server.list_hosts = self.list_peer_hosts
@@ -157,7 +171,7 @@
         self.leadership.may_observe = self.may_observe_lease
         self.leadership.may_hold = lambda: self.state_sync.topology.is_hub
         self.started_at = self.loop.time()
-        self.page_servers = PageServers(self.log)
+        self.page_servers = PageServers(self.log, self.guard, self.tuning.callers.page_connections)
         self.supervisor = Supervisor(self.log)
         self.peer_server.on_defect = self.peer_client.on_defect = self.supervisor.report
         self.quarantine: QuarantineStore | None = None
@@ -375,6 +389,7 @@
             if old != new
         ]
         self.settings = settings
+        self.caller_budget = build_budget(settings, self.tuning)
         self.cluster_view.bounds = settings.bounds
         self.leadership.lease_duration = settings.bounds.lease
         self.log.write("reloaded", cause=cause, changed=changed)
--- a/tanagertrail/gateway/page_server.py
+++ b/tanagertrail/gateway/page_server.py
@@ -2,12 +2,16 @@
 
 __all__ = ["PageServer", "PageServers"]
 
+from tanagertrail.gateway.caller_guard import CallerGuard
 from tanagertrail.gateway.eventlog import EventLog
 from tanagertrail.gateway.http1 import CallerRequest, CallerStream
-from tanagertrail.gateway.http_server import DEFAULT_LIMITS, HttpServer
+from tanagertrail.gateway.http_server import HttpServer
 from tanagertrail.gateway.metrics import GatewayMetrics
+from tanagertrail.gateway.model import Limits
 from tanagertrail.platform.pages import MetricsPage, Page
 
+PAGE_LIMITS = Limits(16_384, 16_384, 3.0, 15.0)  # requests for pages have no body to speak of
+
 
 class PageServer:
     """Serve one page at an address, from the event loop.
@@ -16,9 +20,11 @@
     importing the server would delay each start.
     """
 
-    def __init__(self, page: Page, log: EventLog) -> None:
+    def __init__(self, page: Page, log: EventLog, guard: CallerGuard, max_connections: int) -> None:
         self.page = page
-        self.http_server = HttpServer(self.handle, lambda: DEFAULT_LIMITS, log)
+        self.http_server = HttpServer(
+            self.handle, lambda: PAGE_LIMITS, log, guard, lambda: max_connections
+        )
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -40,10 +46,15 @@
 
 
 class PageServers:
-    """All page servers of a daemon."""
+    """All page servers of a daemon.
+
+    :ivar max_connections: largest number of connections to each page, 0 for no limit
+    """
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, log: EventLog, guard: CallerGuard, max_connections: int) -> None:
         self.log = log
+        self.guard = guard
+        self.max_connections = max_connections
         self.servers: list[PageServer] = []
 
     async def serve(self, address: str, page: Page) -> None:
@@ -52,7 +63,7 @@
         :raises OSError: if the port is already in use
         """
         host, _, port = address.rpartition(":")
-        server = PageServer(page, self.log)
+        server = PageServer(page, self.log, self.guard, self.max_connections)
         await server.start(host, int(port))
         self.servers.append(server)
 
--- a/tanagertrail/settings/gateway.py
+++ b/tanagertrail/settings/gateway.py
@@ -6,6 +6,7 @@
 
 from pydantic import AfterValidator, Field
 
+from tanagertrail.policy.caller_budget import CallerShares
 from tanagertrail.policy.fleet import FLEET_PLANNERS
 from tanagertrail.policy.placement import PLACEMENTS
 from tanagertrail.registry import Registry
@@ -23,6 +24,9 @@
     return AfterValidator(check)
 
 
+Share = Annotated[float, Field(ge=0, le=1)]
+
+
 class MetricsSection(Section):
     """Port on which metrics are served, 0 for none."""
 
@@ -55,6 +59,41 @@
     most_bytes: Annotated[int, Field(ge=4096, le=16_777_216)] = 1_048_576
 
 
+class CallersSection(Section):
+    """Shares of the machine that all callers together may hold; 0 turns a limit off.
+
+    :ivar body_memory_share: share of ``memory_mb`` for bodies of requests in progress. The copies
+        that are made of a body to send it take as much again.
+    :ivar unread_memory_share: share of ``memory_mb`` for responses that callers have not read
+    :ivar connection_memory_share: share of ``memory_mb`` for connections and heads in progress
+    :ivar descriptor_share: share of ``max_fds`` for callers' connections; other daemons and
+        upstreams need the rest
+    :ivar page_connections: connections to each page that the platform and its clients request
+    :ivar address_share: share of the bytes of bodies beyond which one address yields first
+    :ivar min_body_rate: bytes per second below which a body yields first; it counts only while
+        another limit is reached, so that a caller alone may take its time
+    """
+
+    body_memory_share: Share = 0.2
+    unread_memory_share: Share = 0.1
+    connection_memory_share: Share = 0.2
+    descriptor_share: Share = 0.35
+    address_share: Share = 0.5
+    page_connections: Annotated[int, Field(ge=0, le=10_000)] = 64
+    min_body_rate: Annotated[float, Field(ge=0, le=1_000_000)] = 4096.0
+
+    def list_shares(self) -> CallerShares:
+        """Return the shares as the policy takes them."""
+        return CallerShares(
+            self.body_memory_share,
+            self.unread_memory_share,
+            self.connection_memory_share,
+            self.descriptor_share,
+            self.address_share,
+            self.min_body_rate,
+        )
+
+
 class GatewayTuning(Section):
     """All of the gateway's own settings."""
 
@@ -62,3 +101,4 @@
     policy: PolicySection = PolicySection()
     log: LogSection = LogSection()
     answers: ResponsesSection = ResponsesSection()
+    callers: CallersSection = CallersSection()
