Collect responses of upstreams in blocks, and let others run between small chunks

Cause: a response in very small chunks was kept as an object for each chunk, up to 1 MiB of them, and was read in one turn of the event loop.

test_endless_answers (7), test_broken_streams (32) and test_unframed_answers (4) pass; the memory of such a response was not measured.

Conclusion: the same cause as on bodies of callers is mended here as well.

--- a/tanagertrail/gateway/upstream_stream.py
+++ b/tanagertrail/gateway/upstream_stream.py
@@ -2,12 +2,15 @@
 
 __all__ = ["Representation", "ResponseHead", "UpstreamStream", "read_body"]
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import h11
 
 from tanagertrail.errors import UpstreamProtocolError
+from tanagertrail.gateway.body_budget import EVENTS_PER_TURN
+from tanagertrail.gateway.byte_blocks import ByteBlocks
 from tanagertrail.gateway.channel import Channel
 from tanagertrail.gateway.http1 import Headers
 
@@ -54,6 +57,7 @@
     :ivar sent_requests: number of requests sent
     :ivar skipped_responses: number of responses that belonged to other requests
     :ivar idle_since: event-loop time in seconds at which it was returned to the pool
+    :ivar chunks: number of chunks of responses that were read
     :ivar keep_for: seconds for which the upstream keeps it open when idle, None if unknown
     """
 
@@ -63,6 +67,7 @@
         self.request: h11.Request | None = None
         self.sent_requests = 0
         self.skipped_responses = 0
+        self.chunks = 0
         self.idle_since = 0.0
         self.keep_for: float | None = None
 
@@ -105,8 +110,13 @@
     async def read_body_chunk(self) -> bytes | None:
         """Read the next chunk of the response body, None at its end.
 
+        Very small chunks must not keep the event loop from others.
+
         :raises UpstreamProtocolError: if the body is cut short
         """
+        self.chunks += 1
+        if self.chunks % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
         event = await self.next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -186,11 +196,9 @@
     :param max_bytes: largest length
     :raises UpstreamProtocolError: if it is longer, cut short or malformed
     """
-    chunks: list[bytes] = []
-    body_length = 0
+    data = ByteBlocks()
     while (chunk := await read_chunk()) is not None:
-        body_length += len(chunk)
-        if body_length > max_bytes:
+        data.add(chunk)
+        if data.length > max_bytes:
             raise UpstreamProtocolError(f"the answer is longer than {max_bytes} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
+    return data.take()
