--- a/tanagertrail/soak/program.py
+++ b/tanagertrail/soak/program.py
@@ -13,6 +13,7 @@
 
 import fire
 
+from tanagertrail.soak import crowd_faults as _crowd_faults  # noqa: F401
 from tanagertrail.soak import cut_checks as _cut_checks  # noqa: F401  fills the registry of checks
 from tanagertrail.soak import cut_faults as _cut_faults  # noqa: F401
 from tanagertrail.soak import faults as _faults  # noqa: F401  fills the registry of faults
