Skip the wait for a caller's last read only where it makes room

Cause: while connections were at their limit, every close skipped the wait, also that of an ordinary response or at the end of a planned stop.

Change: only a refused request's connection is closed without it. The unread responses are sorted only if they exceed the limit after they were measured again.

The modules of callers and stops pass.

--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -123,10 +123,11 @@
         """Serve the requests of a connection, and close it."""
         try:
             reason = await self.serve_until_close(channel)
-            if reason in LINGERING_REASONS and not self.connections.is_full:
-                await self.let_caller_read(channel)
-            elif reason in QUIET_REASONS or reason in LINGERING_REASONS:
+            makes_room = reason is CloseReason.REFUSED and self.connections.is_full
+            if makes_room or reason in QUIET_REASONS:
                 end_sending(channel)
+            elif reason in LINGERING_REASONS:
+                await self.let_caller_read(channel)
         finally:
             channel.close()
 
--- a/tanagertrail/gateway/unread_responses.py
+++ b/tanagertrail/gateway/unread_responses.py
@@ -50,6 +50,8 @@
         """
         for channel in list(self.sizes):
             self.measure(channel)
+        if self.total <= limit:
+            return
         for channel in sorted(self.sizes, key=self.sizes.__getitem__, reverse=True):
             if self.total <= limit:
                 break
