Let the margin of quotas behind hubs follow what is unreported

A window was filled to 0.8 of its limit where hubs report usage, though a surge that the reports lack broke the hard rule all the same, and a change of the hub lost the usage between two reports. The limiter now admits rate x window + burst less an estimate of the unreported usage, from the reported rate, its growth and the own requests; it records what was used between two hubs' reports, and hubs count as late themselves. After a kill of all a usual customer is refused more often.

--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-RATE_WINDOW_SECONDS = 1.0  # sliding window over which a daemon measures its current rate
+from tanagertrail.policy.quota_usage import CustomerUsage
+
 REPORT_TIMEOUT_SECONDS = 2.0  # four missed reports
 MIN_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 5.0
@@ -22,13 +23,38 @@
 
 RELAYED_BURST_SECONDS = 0.5  # replaces BURST_SECONDS where usage is reported through hubs
 
-# Share of the window limit that is admitted where usage is reported through hubs, since a surge of
-# a customer's traffic is then seen late.
-RELAYED_WINDOW_SHARE = 0.8
+MAX_DIRECT_DAEMONS = 9  # larger fleets report usage through hubs, see ``policy/hubs``
+
+REPORT_LAG_SECONDS = 1.1  # mean age of the usage in a hub's report when it arrives
+RATE_GROWTH_FACTOR = 2.0  # a reported rate is assumed to grow on by this multiple of its growth
+
+# An inferred rate counts as this multiple: daemons that got few requests infer too little.
+INFERRED_RATE_FACTOR = 1.5
+
+# Unreported usage up to this share of the tolerance and slack counts as none: single requests of a
+# small customer let its rate seem to grow.
+UNREPORTED_EXCESS_SHARE = 0.2
+
+# Requests at each daemon that nobody can tell from usual ones, and the largest share of rate and
+# burst that is held back for them. Without it a customer with a request per daemon in 8 s exceeded
+# its limit in surges to 8 times its usual traffic.
+UNNOTICED_REQUESTS = 0.25
+UNNOTICED_MAX_SHARE = 0.12
+
+USUAL_RATE_SHARE = 0.5  # of the quota's rate: what counts as usual while nothing is known
+
+# Share of the unreported usage that is held back from the bucket. The window already counts it;
+# the bucket alone limits usage after a start, when the window is not known.
+BUCKET_UNREPORTED_SHARE = 0.15
+STARTUP_UNREPORTED_SHARE = 1.0
 
 BUCKET_SLACK_SHARE = 0.2  # bucket capacity beyond burst and rate, as a share of the slack
 STARTUP_SLACK_SHARE = 0.5  # share of the slack that may be used at a start, despite earlier usage
 
+# Replaces STARTUP_SLACK_SHARE where usage is reported through hubs, since the first reports come
+# later there.
+RELAYED_STARTUP_SLACK_SHARE = 0.2
+
 # A daemon that has just started admits at most this multiple of an even share during these seconds,
 # until the reports of the other daemons have arrived.
 STARTUP_UNREPORTED_SECONDS = 1.0
@@ -60,16 +86,26 @@
         seconds = RELAYED_BURST_SECONDS if relayed else BURST_SECONDS
         return self.burst + seconds * self.rate + BUCKET_SLACK_SHARE * self.slack
 
-    @property
-    def initial_level(self) -> float:
-        """Return the bucket level after a start, when earlier usage is unknown."""
-        return max(STARTUP_SLACK_SHARE * self.slack - STARTUP_RESERVE_SECONDS * self.rate, 0.0)
+    def compute_initial_level(self, members: int) -> float:
+        """Return the bucket level after a start, when earlier usage is unknown.
+
+        :param members: number of daemons that share the quota
+        """
+        share = STARTUP_SLACK_SHARE
+        if members > MAX_DIRECT_DAEMONS:
+            share = RELAYED_STARTUP_SLACK_SHARE
+        return max(share * self.slack - STARTUP_RESERVE_SECONDS * self.rate, 0.0)
 
     def compute_window_limit(self, window: float, relayed: bool) -> float:
         """Return the units that may be admitted within a window."""
         base_limit = self.rate * window + self.burst
-        limit = base_limit + WINDOW_EXCESS_SHARE * (self.tolerance * base_limit + self.slack)
-        return limit * RELAYED_WINDOW_SHARE if relayed else limit
+        if relayed:
+            return base_limit
+        return base_limit + WINDOW_EXCESS_SHARE * self.compute_excess(window)
+
+    def compute_excess(self, window: float) -> float:
+        """Return the units by which usage in a window may exceed rate and burst."""
+        return self.tolerance * (self.rate * window + self.burst) + self.slack
 
 
 class QuotaUsage(NamedTuple):
@@ -88,8 +124,8 @@
 
     :ivar retry_after: seconds after which the caller may retry
     :ivar units: units that were requested
-    :ivar level: units in the bucket
-    :ivar used: units that all daemons used in the window
+    :ivar level: units in the bucket, less those held back for unreported usage
+    :ivar used: units that all daemons used in the window, unreported ones included
     :ivar limit: units that all daemons may use in a window
     :ivar heard: number of other daemons whose usage is known
     """
@@ -102,54 +138,6 @@
     heard: int
 
 
-class RecentUnits:
-    """The units of each request within the last ``RATE_WINDOW_SECONDS``."""
-
-    def __init__(self) -> None:
-        self.samples: deque[tuple[float, float]] = deque()
-
-    def add(self, units: float, now: float) -> None:
-        """Add the units of one request."""
-        self.samples.append((now, units))
-
-    def list_units(self, now: float) -> list[float]:
-        """Return the units of each recent request."""
-        while self.samples and self.samples[0][0] < now - RATE_WINDOW_SECONDS:
-            self.samples.popleft()
-        return [units for _, units in self.samples]
-
-
-class CustomerUsage:
-    """What one customer requested from this daemon, and what was admitted.
-
-    :ivar total_units: units that were admitted since the start
-    """
-
-    def __init__(self) -> None:
-        self.total_units = 0.0
-        self.admitted = RecentUnits()
-        self.requested = RecentUnits()
-
-    def add(self, units: float, now: float) -> None:
-        """Count admitted units."""
-        self.total_units += units
-        self.admitted.add(units, now)
-
-    def measure_rate(self, now: float) -> float:
-        """Return the recently admitted units per second."""
-        return sum(self.admitted.list_units(now)) / RATE_WINDOW_SECONDS
-
-    def measure_surge(self, now: float) -> float:
-        """Return the units per second here that indicate a surge at the other daemons too.
-
-        A single request indicates nothing: with hundreds of daemons most have at most one at a
-        time. So the largest request is left out, and refused requests count like admitted ones.
-        """
-        requested = self.requested.list_units(now)
-        others = (sum(requested) - max(requested, default=0.0)) / RATE_WINDOW_SECONDS
-        return min(self.measure_rate(now), others)
-
-
 @dataclass
 class PeerReport:
     """The last report received from a peer.
@@ -157,6 +145,7 @@
     :ivar heard_at: event-loop time in seconds at which the report was received
     :ivar news: usage by customer
     :ivar daemons: number of daemons whose usage the report sums up
+    :ivar earlier_rates: units per second by customer in the report before
     :ivar predicted: units by customer taken from the bucket in anticipation since the report
     """
 
@@ -164,6 +153,7 @@
     heard_at: float
     news: dict[str, QuotaUsage]
     daemons: int = 1
+    earlier_rates: dict[str, float] = field(default_factory=dict)
     predicted: dict[str, float] = field(default_factory=dict)
 
 
@@ -209,7 +199,11 @@
     daemons restart and no earlier usage is known. Part of the tolerance and slack is used, in
     particular right after a start, when all callers retry together.
 
+    Sums of hubs arrive late. What they may lack is estimated from the reported rate, its growth
+    and this daemon's own requests, and counts as used until reports show it.
+
     :ivar window: length in seconds of the window in which rate and burst must hold together
+    :ivar dropped_sum: last report of a hub that this daemon no longer asks, None before the first
     """
 
     def __init__(self, window: float, started_at: float) -> None:
@@ -218,6 +212,7 @@
         self.own_usage: dict[str, CustomerUsage] = {}
         self.peer_reports: dict[str, PeerReport] = {}
         self.buckets: dict[str, Bucket] = {}
+        self.dropped_sum: PeerReport | None = None
 
     def build_report(self, now: float) -> dict[str, QuotaUsage]:
         """Return this daemon's usage by customer, to be sent to the other daemons."""
@@ -241,12 +236,34 @@
         :param daemons: number of daemons whose usage the report sums up
         """
         known = self.peer_reports.get(daemon)
-        if known is not None:
+        if daemons > 1 and (known is None or known.incarnation != incarnation):
+            self.bridge_reports(known or self.dropped_sum, news, now)
+        elif known is not None:
             for customer, bucket in self.buckets.items():
                 used = self.count_new_units(known, incarnation, customer, news)
                 bucket.level -= used - known.predicted.get(customer, 0.0)
                 bucket.record_usage(used, now)
-        self.peer_reports[daemon] = PeerReport(incarnation, now, dict(news), daemons)
+        earlier = {name: usage.rate for name, usage in known.news.items()} if known else {}
+        self.peer_reports[daemon] = PeerReport(incarnation, now, dict(news), daemons, earlier)
+
+    def bridge_reports(
+        self, last: PeerReport | None, news: Mapping[str, QuotaUsage], now: float
+    ) -> None:
+        """Record what was used between the last report of one hub and the first of another.
+
+        The sums of two hubs cannot be subtracted, since a hub lacks what ended before its start.
+
+        :param last: None if there was no report
+        """
+        if last is None:
+            return
+        gap = min(now - last.heard_at, self.window)
+        for customer, bucket in self.buckets.items():
+            rates = [report[customer].rate for report in (last.news, news) if customer in report]
+            predicted = last.predicted.get(customer, 0.0)
+            used = max(max(rates, default=0.0) * gap, predicted)
+            bucket.level -= used - predicted
+            bucket.record_usage(used, now)
 
     def count_new_units(
         self,
@@ -265,18 +282,25 @@
     def retain_daemons(self, keep: Collection[str]) -> None:
         """Drop the reports of all daemons that are not listed."""
         for daemon in [name for name in self.peer_reports if name not in keep]:
-            del self.peer_reports[daemon]
+            dropped = self.peer_reports.pop(daemon)
+            if dropped.daemons > 1:
+                self.dropped_sum = dropped
 
     @property
     def relayed(self) -> bool:
-        """Whether other daemons' usage arrives as sums through hubs."""
-        return any(peer.daemons > 1 for peer in self.peer_reports.values())
+        """Whether other daemons' usage arrives through hubs, as sums or, at a hub, one by one."""
+        reports = self.peer_reports
+        return len(reports) >= MAX_DIRECT_DAEMONS or any(
+            peer.daemons > 1 for peer in reports.values()
+        )
 
     def refill(self, customer: str, quota: Quota, members: int, now: float) -> Bucket:
         """Refill a customer's bucket up to now and subtract the predicted usage of the others."""
         bucket = self.buckets.get(customer)
         if bucket is None:
-            bucket = self.buckets[customer] = Bucket(self.started_at, quota.initial_level)
+            bucket = self.buckets[customer] = Bucket(
+                self.started_at, quota.compute_initial_level(members)
+            )
         previous_update = bucket.updated_at
         elapsed = now - previous_update
         bucket.updated_at = now
@@ -323,6 +347,33 @@
         limit = quota.compute_window_limit(self.window, self.relayed)
         return total_units + limit * silent_daemons / max(members, 1)
 
+    def estimate_unreported(
+        self, customer: str, bucket: Bucket, quota: Quota, members: int
+    ) -> float:
+        """Estimate the units that neither the reports nor their predictions count."""
+        if not self.relayed:
+            return 0.0
+        now = bucket.updated_at
+        reported = growth = age = 0.0
+        for peer in self.peer_reports.values():
+            if customer in peer.news and now - peer.heard_at <= REPORT_TIMEOUT_SECONDS:
+                rate = peer.news[customer].rate
+                reported += rate
+                growth += rate - peer.earlier_rates.get(customer, rate)
+                age = max(age, now - peer.heard_at)
+        average = bucket.total_units / self.window
+        usual = max(reported, average, USUAL_RATE_SHARE * quota.rate)
+        inferred = members * self.own_usage[customer].infer_rate(usual / members, now)
+        rate = max(
+            reported + RATE_GROWTH_FACTOR * max(growth, 0.0), INFERRED_RATE_FACTOR * inferred
+        )
+        # A steady rate needs no allowance for the lag, since late entries also expire late.
+        units = max(rate - average, 0.0) * REPORT_LAG_SECONDS + max(rate - reported, 0.0) * age
+        base_limit = self.window * quota.rate + quota.burst
+        one_each = members * self.own_usage[customer].mean_units
+        units += min(UNNOTICED_REQUESTS * one_each, UNNOTICED_MAX_SHARE * base_limit)
+        return max(units - UNREPORTED_EXCESS_SHARE * quota.compute_excess(self.window), 0.0)
+
     def admit(
         self, customer: str, units: float, quota: Quota, members: int, now: float
     ) -> QuotaRefusal | None:
@@ -336,19 +387,23 @@
         own_usage.requested.add(units, now)
         bucket = self.refill(customer, quota, members, now)
         needed = min(units, quota.compute_capacity(self.relayed))
-        used = self.estimate_window_usage(customer, bucket, quota, members)
+        unreported = self.estimate_unreported(customer, bucket, quota, members)
+        used = self.estimate_window_usage(customer, bucket, quota, members) + unreported
+        starting_up = now - self.started_at < self.window
+        held_share = STARTUP_UNREPORTED_SHARE if starting_up else BUCKET_UNREPORTED_SHARE
+        level = bucket.level - held_share * unreported
         limit = quota.compute_window_limit(self.window, self.relayed)
         startup_excess = self.compute_startup_excess(customer, units, quota, members, now)
         excess = max(used + needed - limit, startup_excess)
-        if bucket.level >= needed and excess <= 0:
+        if level >= needed and excess <= 0:
             bucket.take(units, now)
             own_usage.add(units, now)
             return None
-        wait = max(needed - bucket.level, excess) / quota.rate
+        wait = max(needed - level, excess) / quota.rate
         return QuotaRefusal(
             min(max(wait, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS),
             units,
-            bucket.level,
+            level,
             used,
             limit,
             self.count_reporting_daemons(now),
@@ -366,7 +421,8 @@
         usage = self.own_usage.get(customer)
         if elapsed > STARTUP_UNREPORTED_SECONDS or usage is None or members == 1:
             return 0.0
-        share = STARTUP_SHARE_FACTOR / members * (quota.initial_level + elapsed * quota.rate)
+        initial_level = quota.compute_initial_level(members)
+        share = STARTUP_SHARE_FACTOR / members * (initial_level + elapsed * quota.rate)
         return usage.total_units + units - share
 
     def count_reporting_daemons(self, now: float) -> int:
--- a/tests/test_quota_margin.py
+++ b/tests/test_quota_margin.py
@@ -221,7 +221,7 @@
 
 @params(*((d, f, fault) for d in (18, 89) for f in (4, 8) for fault in FAULTS))
 def test_surge_through_late_hubs_stays_within_the_hard_limit(daemons, factor, fault):
-    """Reports that lacked the surge let 1.5 times the base run, 2.3 times the excess allowed."""
+    """Reports that lacked the surge let up to 1.5 times the base run, 3 times the excess allowed."""
     rate = 220_000.0
     excess = [measure_excess(replay_surge(daemons, factor, s, rate, fault), rate) for s in (1, 2)]
     assert max(excess) <= 0.9, excess
@@ -233,7 +233,7 @@
 
 
 def test_surge_is_admitted_up_to_about_the_base():
-    """A customer at four times its usual traffic got 0.91 to 0.97 of its base (A)."""
+    """A customer at four times its usual traffic got 0.91 of its base at 89 daemons (A)."""
     for daemons in (18, 89):
         fleet = replay_surge(daemons, 4, 1, 220_000.0)
         peak = compute_peak_window(fleet.tallies["c"].admitted)
