--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -43,18 +43,12 @@
 
 USUAL_RATE_SHARE = 0.5  # of the quota's rate: what counts as usual while nothing is known
 
-# Share of the unreported usage that is held back from the bucket. The window already counts it;
-# the bucket alone limits usage after a start, when the window is not known.
+# Share of the unreported usage that is held back from the bucket. The window already counts it.
 BUCKET_UNREPORTED_SHARE = 0.15
-STARTUP_UNREPORTED_SHARE = 1.0
 
 BUCKET_SLACK_SHARE = 0.2  # bucket capacity beyond burst and rate, as a share of the slack
 STARTUP_SLACK_SHARE = 0.5  # share of the slack that may be used at a start, despite earlier usage
 
-# Replaces STARTUP_SLACK_SHARE where usage is reported through hubs, since the first reports come
-# later there.
-RELAYED_STARTUP_SLACK_SHARE = 0.2
-
 # A daemon that has just started admits at most this multiple of an even share during these seconds,
 # until the reports of the other daemons have arrived.
 STARTUP_UNREPORTED_SECONDS = 1.0
@@ -86,15 +80,10 @@
         seconds = RELAYED_BURST_SECONDS if relayed else BURST_SECONDS
         return self.burst + seconds * self.rate + BUCKET_SLACK_SHARE * self.slack
 
-    def compute_initial_level(self, members: int) -> float:
-        """Return the bucket level after a start, when earlier usage is unknown.
-
-        :param members: number of daemons that share the quota
-        """
-        share = STARTUP_SLACK_SHARE
-        if members > MAX_DIRECT_DAEMONS:
-            share = RELAYED_STARTUP_SLACK_SHARE
-        return max(share * self.slack - STARTUP_RESERVE_SECONDS * self.rate, 0.0)
+    @property
+    def initial_level(self) -> float:
+        """Return the bucket level after a start, when earlier usage is unknown."""
+        return max(STARTUP_SLACK_SHARE * self.slack - STARTUP_RESERVE_SECONDS * self.rate, 0.0)
 
     def compute_window_limit(self, window: float, relayed: bool) -> float:
         """Return the units that may be admitted within a window."""
@@ -272,9 +261,7 @@
         """Refill a customer's bucket up to now and subtract the predicted usage of the others."""
         bucket = self.buckets.get(customer)
         if bucket is None:
-            bucket = self.buckets[customer] = Bucket(
-                self.started_at, quota.compute_initial_level(members)
-            )
+            bucket = self.buckets[customer] = Bucket(self.started_at, quota.initial_level)
         previous_update = bucket.updated_at
         elapsed = now - previous_update
         bucket.updated_at = now
@@ -366,9 +353,7 @@
         needed = min(units, quota.compute_capacity(self.relayed))
         unreported = self.estimate_unreported(customer, bucket, quota, members)
         used = self.estimate_window_usage(customer, bucket, quota, members) + unreported
-        starting_up = now - self.started_at < self.window
-        held_share = STARTUP_UNREPORTED_SHARE if starting_up else BUCKET_UNREPORTED_SHARE
-        level = bucket.level - held_share * unreported
+        level = bucket.level - BUCKET_UNREPORTED_SHARE * unreported
         limit = quota.compute_window_limit(self.window, self.relayed)
         startup_excess = self.compute_startup_excess(customer, units, quota, members, now)
         excess = max(used + needed - limit, startup_excess)
@@ -399,8 +384,7 @@
         usage = self.own_usage.get(customer)
         if elapsed > STARTUP_UNREPORTED_SECONDS or usage is None or members == 1:
             return 0.0
-        initial_level = quota.compute_initial_level(members)
-        share = STARTUP_SHARE_FACTOR / members * (initial_level + elapsed * quota.rate)
+        share = STARTUP_SHARE_FACTOR / members * (quota.initial_level + elapsed * quota.rate)
         return usage.total_units + (1.0 - usage.rounding) * units - share
 
     def count_reporting_daemons(self, now: float) -> int:
