--- a/tanagertrail/gateway/startup.py
+++ b/tanagertrail/gateway/startup.py
@@ -113,6 +113,8 @@
         seconds = plan_startup_wait(
             self.longest_wait, seconds_left, self.waiting, MAX_WAITING_REQUESTS
         )
+        if seconds <= 0:
+            return admitted if self.known.is_set() else admit()
         self.waiting += 1
         try:
             async with asyncio.timeout(seconds):
