--- a/tanagertrail/policy/quota_usage.py
+++ b/tanagertrail/policy/quota_usage.py
@@ -70,7 +70,7 @@
 
     @property
     def mean_units(self) -> float:
-        """Return the mean units of an admitted request, 0 before the first."""
+        """The mean units of an admitted request, 0 before the first."""
         return self.total_units / self.request_count if self.request_count else 0.0
 
     def infer_rate(self, usual: float, now: float) -> float:
--- a/tanagertrail/policy/token_quota.py
+++ b/tanagertrail/policy/token_quota.py
@@ -25,7 +25,8 @@
 
 MAX_DIRECT_DAEMONS = 9  # larger fleets report usage through hubs, see ``policy/hubs``
 
-REPORT_LAG_SECONDS = 1.1  # mean age of the usage in a hub's report when it arrives
+# Age of the usage in a hub's report when it arrives, by the periods of the exchanges on its way.
+REPORT_LAG_SECONDS = 1.1
 RATE_GROWTH_FACTOR = 2.0  # a reported rate is assumed to grow on by this multiple of its growth
 
 # An inferred rate counts as this multiple: daemons that got few requests infer too little.
