--- a/tanagertrail/gateway/caller_close.py
+++ b/tanagertrail/gateway/caller_close.py
@@ -22,8 +22,8 @@
 class CloseReason(enum.StrEnum):
     """Why a caller's connection was closed.
 
-    ``ANNOUNCED`` follows a ``Connection: close`` of either side. ``CROWDED`` closes an idle
-    connection in favour of a new one, and ``TURNED_AWAY`` a new one, since there are too many.
+    ``ANNOUNCED`` follows a ``Connection: close`` of either side. ``EVICTED`` closes an idle
+    connection in favour of a new one, and ``OVER_LIMIT`` a new one, since there are too many.
     ``BROKEN_OFF`` cuts a response that cannot be completed, so that it does not look complete.
     ``STOPPED`` closes an idle connection, ``UNREAD`` one whose caller has not read its last
     response, and ``CUT`` one with an unanswered request, all three because the daemon ends.
@@ -34,8 +34,8 @@
     IDLE = "idle"
     ANNOUNCED = "announced"
     REFUSED = "request refused"
-    CROWDED = "made room"
-    TURNED_AWAY = "too many connections"
+    EVICTED = "made room"
+    OVER_LIMIT = "too many connections"
     BROKEN_OFF = "response broken off"
     DEFECT = "defect"
     STOPPED = "stopped"
--- a/tanagertrail/gateway/caller_connections.py
+++ b/tanagertrail/gateway/caller_connections.py
@@ -32,7 +32,7 @@
     :ivar streams: stream of each connection until it is lost, None before it is served
     :ivar closing_since: event-loop time in seconds since which a connection is to close
     :ivar leaving: connections that make room
-    :ivar crowded_out: connections so far that were closed to make room
+    :ivar evicted: connections so far that were closed to make room
     """
 
     def __init__(self, get_limit: Callable[[], int], guard: CallerGuard) -> None:
@@ -41,7 +41,7 @@
         self.streams: dict[Channel, CallerStream | None] = {}
         self.closing_since: dict[Channel, float] = {}
         self.leaving: set[Channel] = set()
-        self.crowded_out = 0
+        self.evicted = 0
 
     @property
     def is_full(self) -> bool:
@@ -90,7 +90,7 @@
         facts = [self.describe(channel) for channel in channels]
         for place in choose_closing(facts, limit):
             self.leaving.add(channels[place])
-            self.crowded_out += 1
+            self.evicted += 1
             self.close(channels[place])
 
     def reset_leaving(self) -> None:
--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -101,10 +101,10 @@
     yield GaugeRow("caller_unread_aborted", unread.aborted, {})
     yield GaugeRow("caller_connections_open", len(connections.streams), {})
     yield GaugeRow("caller_connections_limit", budget.connections, {})
-    yield GaugeRow("caller_connections_crowded_out", connections.crowded_out, {})
+    yield GaugeRow("caller_connections_evicted", connections.evicted, {})
     pages = [server.connections for server in node.page_servers.http_servers]
     yield GaugeRow("page_connections_open", sum(len(page.streams) for page in pages), {})
-    yield GaugeRow("page_connections_crowded_out", sum(page.crowded_out for page in pages), {})
+    yield GaugeRow("page_connections_evicted", sum(page.evicted for page in pages), {})
 
 
 def list_release_gauges(node: "GatewayNode") -> Iterator[GaugeRow]:
--- a/tanagertrail/gateway/http_server.py
+++ b/tanagertrail/gateway/http_server.py
@@ -37,7 +37,7 @@
 ACCEPT_TURNS = 3  # of the event loop, in which it makes transports of accepted connections
 LAST_ARRIVALS_SECONDS = 0.1  # for the first request on a connection that was accepted last
 LAST_READ_SECONDS = 0.05  # to read what has arrived, also at the end of the grace period
-QUIET_REASONS = frozenset({CloseReason.IDLE, CloseReason.CROWDED, CloseReason.STOPPED})
+QUIET_REASONS = frozenset({CloseReason.IDLE, CloseReason.EVICTED, CloseReason.STOPPED})
 DEFAULT_LIMITS = Limits(16_384, 4_194_304, 3.0, 15.0)
 
 Handler = Callable[[CallerRequest, CallerStream], Awaitable[None]]
@@ -102,17 +102,17 @@
     def accept(self, channel: Channel) -> None:
         """Start a task that serves a new connection, if there is room for it."""
         if not self.connections.admit(channel):
-            self.turn_away(channel)
+            self.reject(channel)
             return
         task = asyncio.create_task(self.serve(channel))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def turn_away(self, channel: Channel) -> None:
+    def reject(self, channel: Channel) -> None:
         """Close a connection for which there is no room, without reading from it."""
-        self.closes[CloseReason.TURNED_AWAY] += 1
+        self.closes[CloseReason.OVER_LIMIT] += 1
         self.log.write_routine(
-            "caller_turned_away",
+            "caller_connection_rejected",
             address=read_address(channel),
             open=len(self.connections.streams),
             limit=self.connections.get_limit(),
@@ -200,7 +200,7 @@
         if self.ending:
             return CloseReason.STOPPED
         has_made_room = channel in self.connections.leaving
-        return CloseReason.CROWDED if has_made_room else CloseReason.IDLE
+        return CloseReason.EVICTED if has_made_room else CloseReason.IDLE
 
     def note_close(self, stream: CallerStream, reason: CloseReason) -> None:
         """Count a closed connection, and log it if a request on it was not answered."""
--- a/tanagertrail/policy/caller_budget.py
+++ b/tanagertrail/policy/caller_budget.py
@@ -1,6 +1,6 @@
 """Which callers yield when what all of them hold together has reached a limit of the machine.
 
-The load pattern is a crowd that nobody controls: tens of bodies that stop short of their end,
+The load pattern is untrusted callers in numbers: tens of bodies that stop short of their end,
 bodies in very small chunks, thousands of half heads or idle connections, and callers that do not
 read their responses. Each of them is within the limits on one request; their sum is not. Slow and
 large requests yield before small and quick ones, and nobody yields while the sum is within the
--- a/tanagertrail/policy/room.py
+++ b/tanagertrail/policy/room.py
@@ -48,9 +48,8 @@
 MAX_WAITING_BYTES = 8_388_608  # bodies held in one daemon: two of the longest, 5 % of 160 MB
 ANSWER_MARGIN_SECONDS = 0.05  # kept back for the response to the caller
 
-# Rank of a request: a step of priority weighs as much as a start so many seconds later. In
-# tests.test_room_waits more gives more credit but starts fewer of the least urgent kind: at 1.5
-# times the capacity 0.47 of them with 0.3 s, 0.23 with 0.6 s, 0.12 with 1 s.
+# Rank of a request: a step of priority weighs as much as a start so many seconds later. More would
+# hardly start the least urgent kind in a lasting overload.
 PRIORITY_SECONDS = 0.6
 
 # The same for each request of its customer that waits already: 20 of them weigh as much as a wait
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -20,7 +20,7 @@
 KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
 ENTRY = "test:"
 PROCESSES = 2
-ALONE = ("tests.test_caller_crowds",)  # crowds of callers keep the machine and a daemon busy
+ALONE = ("tests.test_caller_crowds",)  # its callers keep the machine and a daemon busy
 COUNTS = re.compile(r"(\d+) passed, (\d+) failed, (\d+) known red")
 
 
--- a/tests/test_quota_margin.py
+++ b/tests/test_quota_margin.py
@@ -240,9 +240,8 @@
         assert peak >= 0.97 * 9 * 220_000.0, (daemons, peak)
 
 
-def test_steady_customer_is_served_while_another_surges():
-    """A surge must not cost others; single large requests may still look like one at a daemon."""
-    for daemons in (18, 89):
-        tallies = [replay_surge(daemons, 8, s, 220_000.0).tallies["steady"] for s in (1, 2)]
-        refused = sum(len(tally.refused) for tally in tallies)
-        assert refused <= 0.001 * sum(len(tally.admitted) for tally in tallies), (daemons, refused)
+@params(18, 89)
+def test_steady_customer_is_served_while_another_surges(daemons):
+    """A surge must not cost others; several requests at one daemon may look like one."""
+    tallies = [replay_surge(daemons, 8, s, 220_000.0).tallies["steady"] for s in (1, 2, 3)]
+    assert sum(len(tally.refused) for tally in tallies) == 0
--- a/tests/test_quota_start.py
+++ b/tests/test_quota_start.py
@@ -16,10 +16,12 @@
     """What was admitted in the first second.
 
     :ivar share: admitted units as a share of the requested ones
+    :ivar largest_share: the same for requests above 20,000 units
     :ivar excess: units by which a window came nearest to the hard limit, negative below it
     """
 
     share: float
+    largest_share: float
     excess: float
 
 
@@ -41,7 +43,8 @@
     while (at := at + rng.expovariate(requests_per_second)) < 1.0:
         pending.append((at, draw_units(rng), True))
     asked = sum(units for _, units, _ in pending)
-    used = 0.0
+    large = sum(units for _, units, _ in pending if units > 20_000)
+    used = used_large = 0.0
     excess = float("-inf")
     before = QUOTA.compute_capacity(relayed=True)
     while pending:
@@ -50,18 +53,21 @@
         refusal = rng.choice(limiters).admit("guild", units, QUOTA, DAEMONS, at)
         if refusal is None:
             used += units
+            used_large += units * (units > 20_000)
             earlier = before + QUOTA.rate * (WINDOW - OUTAGE_SECONDS - at)
             excess = max(excess, earlier + used - HARD_LIMIT)
         elif may_return and at + refusal.retry_after < 1.0:
             pending.append((at + refusal.retry_after, units, False))
-    return Outcome(used / asked, excess)
+    return Outcome(used / asked, used_large / max(large, 1.0), excess)
 
 
 def test_a_customer_within_its_quota_is_refused_after_a_kill_of_all_daemons():
     # A request that is larger than its daemon's part of the first second was refused everywhere.
     # The others are held until the daemons know each other's usage.
     outcomes = [start_all(30.0, seed) for seed in range(20)]
-    assert sum(outcome.share for outcome in outcomes) / 20 >= 0.25
+    share = sum(outcome.share for outcome in outcomes) / 20
+    largest_share = sum(outcome.largest_share for outcome in outcomes) / 20
+    assert share >= 0.5 and largest_share >= 0.3, (share, largest_share)
 
 
 def test_a_surge_after_a_kill_of_all_daemons_exceeds_the_quota():
