--- a/tanagertrail/gateway/gauges.py
+++ b/tanagertrail/gateway/gauges.py
@@ -26,6 +26,7 @@
     yield GaugeRow("upstream_probe_rounds", node.links.rounds, {})
     yield GaugeRow("in_flight", node.dispatcher.in_flight, {})
     room_queue = node.dispatcher.room_queue
+    yield GaugeRow("startup_requests_waiting", node.dispatcher.startup.waiting, {})
     yield GaugeRow("requests_waiting", room_queue.count_waiting(), {})
     yield GaugeRow("requests_waiting_bytes", room_queue.measure_bytes(), {})
     yield GaugeRow("members_alive", node.members.count_alive(node.loop.time()), {})
