--- a/review/8/run.py
+++ b/review/8/run.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
     HOST,
     ZONES,
     Record,
+    Replica,
     World,
     build_route,
     call,
@@ -23,8 +25,6 @@
 )
 
 from tanagertrail.standins.cloud import StandInCloud  # noqa: E402
-from tanagertrail.standins.documents import build_entry  # noqa: E402
-from tanagertrail.standins.upstream import StandInUpstream  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GATEWAYS = 3
@@ -48,17 +48,16 @@
     status: int
 
 
-class FragileReplica(StandInUpstream):
+class FragileReplica(Replica):
     """A replica that crashes as it begins to run the deadly request, and is back after some time.
 
     :ivar crashes: seconds since the start of each crash, and the request that it began to run
     """
 
     def __init__(self, name: str, zone: str, world: World) -> None:
-        super().__init__(name, WORK_SECONDS)
-        self.zone, self.world, self.port = zone, world, find_port()
+        super().__init__(name, "desk", zone, WORK_SECONDS, 16)
+        self.world = world
         self.deadly = DEADLY
-        self.born = 1_700_000_000_000
         self.crashes: list[tuple[float, str]] = []
         self.revival: asyncio.Task | None = None
 
@@ -66,9 +65,8 @@
         """Listen and write the entry of a new incarnation."""
         await self.start(HOST, self.port)
         self.ended = False
-        self.born += 1
-        entry = build_entry(self.port, self.zone, capacity=16, born=self.born)
-        self.world.store.put("servers", self.id, entry)
+        self.born = int(time.time() * 1000)
+        self.register(self.world.store)
 
     def crash(self) -> None:
         """End at once and come back later."""
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -4,7 +4,17 @@
 own process; the store is the project's stand-in.
 """
 
-__all__ = ["HOST", "Gateway", "LinkProxy", "Record", "World", "build_route", "call", "run_script"]
+__all__ = [
+    "HOST",
+    "Gateway",
+    "LinkProxy",
+    "Record",
+    "Replica",
+    "World",
+    "build_route",
+    "call",
+    "run_script",
+]
 
 import asyncio
 import json
@@ -21,8 +31,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "target" / "deps"), str(ROOT)]
 
+from tanagertrail.gateway.http1 import CallerRequest, CallerStream, Headers  # noqa: E402
+from tanagertrail.platform import header_fields  # noqa: E402
 from tanagertrail.standins.ports import HOST, find_port, find_port_pair  # noqa: E402
 from tanagertrail.standins.store import StandInStore  # noqa: E402
+from tanagertrail.standins.upstream import StandInUpstream  # noqa: E402
 
 COULD_NOT_RUN = 2
 READY_SECONDS = 20.0
@@ -67,6 +80,7 @@
 }
 LIMITS = {"cpu_share": 0.537, "cores": 2, "memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0}
 ZONES = ("sapporo", "otaru", "asahikawa")
+STORE_SECONDS = 0.004  # an answer of the store, by the sheet
 
 
 class Record:
@@ -87,6 +101,61 @@
             file.write(f"{self.now():8.3f} {text}\n")
 
 
+class PlainStore(StandInStore):
+    """The project's stand-in, which answers in the sheet's time and states no era."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.delay = STORE_SECONDS
+
+    def reply(self, stream: CallerStream, status: int, body: Any) -> None:
+        """Send an answer."""
+        data = b"" if body is None else self.encode(body)
+        stream.send_response(status, [(b"content-type", b"application/json")], data)
+
+
+class Replica(StandInUpstream):
+    """The project's stand-in, which states its own load and registers itself.
+
+    :ivar born: Unix time of its start in milliseconds
+    """
+
+    def __init__(self, name: str, service: str, zone: str, work: float, slots: int) -> None:
+        super().__init__(name, work)
+        self.service, self.zone, self.slots = service, zone, slots
+        self.port = find_port()
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+
+    @property
+    def cold_left_ms(self) -> int:
+        """Milliseconds for which it stays cold."""
+        return 0
+
+    def sign(self, request: CallerRequest) -> Headers:
+        """Return the header of an answer."""
+        running = len(self.server.busy_channels)
+        load = b"%d,%d,%d" % (min(running, self.slots), max(running - self.slots, 0), self.slots)
+        kept = [item for item in super().sign(request) if item[0] != header_fields.SERVER_LOAD]
+        return [*kept, (header_fields.SERVER_LOAD, load)]
+
+    def register(self, store: StandInStore) -> None:
+        """Write its entry."""
+        self.sequence += 1
+        entry = {
+            "service": self.service,
+            "address": f"{HOST}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "capacity": self.slots,
+            "state": "ready",
+            "cold_left_ms": self.cold_left_ms,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        store.put("servers", self.id, entry)
+
+
 class LinkProxy:
     """A link to one port that can be cut: then nothing passes in either direction.
 
@@ -324,7 +393,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="tanagertrail-review-"))
         ini = (ROOT / "deploy" / "gateway.ini").read_text()
         (self.folder / "gateway.ini").write_text(ini.replace("port = 9464", "port = 0"))
-        self.store = StandInStore()
+        self.store = PlainStore()
         self.store_port, self.cloud = find_port(), cloud
         self.count = gateways
         self.links: list[LinkProxy] = []
